--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo faults slopes bench lint clean
+
+test: lint
+	$(BIN)/python -m pytest -q
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 sedgetide tests
+
+demo: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.demo --output build/demo.json
+
+slopes: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.slopes --output build/slopes.json
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -e '.[test]'
+	touch $@
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/sedgetide/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Outside systems behind abstract base classes, one module a protocol."""
--- /dev/null
+++ b/sedgetide/backends/httpstore.py
@@ -0,0 +1,184 @@
+"""The store over HTTP and JSON.
+
+The protocol is described in ``docs/protocols.md``.
+"""
+
+import base64
+from collections.abc import Iterator
+from collections.abc import Sequence
+import contextlib
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from sedgetide.backends._connection import HttpAnswer
+from sedgetide.backends._connection import HttpConnection
+from sedgetide.backends.store import Changes
+from sedgetide.backends.store import Store
+from sedgetide.coding.values import MAX_VALUE_BYTES
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.records import Record
+
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+# Base64 and JSON around a value of the largest size.
+_ANSWER_LIMIT = 64 * MAX_VALUE_BYTES
+
+
+class _Row(msgspec.Struct):
+    key: str
+    revision: int
+    value: str
+
+
+class _WatchAnswer(msgspec.Struct):
+    revision: int
+    changes: list[_Row]
+
+
+def _make_record(row: _Row) -> Record:
+    return Record(row.key, Revision(row.revision), base64.b64decode(row.value))
+
+
+class HttpStore(Store):
+    """Client of the platform's store.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        ``IP:port`` of the store's servers; the next one is tried when one
+        gives no answer.
+    timeout : float
+        Seconds to wait for an answer, besides a watch's own wait.
+    """
+
+    def __init__(self, addresses: Sequence[str], timeout: float) -> None:
+        self._addresses = list(addresses)
+        self._timeout = timeout
+        self._idle: list[HttpConnection] = []
+
+    def read(self, key: str) -> Record | None:
+        answer = self._call(Step.READ, "GET", f"/v1/values/{quote(key)}")
+        if answer.status == _NOT_FOUND:
+            return None
+        return _make_record(self._decode(answer, _Row, Step.READ))
+
+    def read_revision(self, key: str) -> Revision:
+        path = f"/v1/revisions/{quote(key)}"
+        answer = self._call(Step.READ, "GET", path)
+        if answer.status == _NOT_FOUND:
+            return NO_REVISION
+        found = self._decode(answer, dict[str, int], Step.READ)
+        return Revision(found["revision"])
+
+    def swap(self, key: str, value: bytes, expected: Revision) -> Revision:
+        document = {
+            "value": base64.b64encode(value).decode(),
+            "expected": expected,
+        }
+        answer = self._call(
+            Step.WRITE,
+            "PUT",
+            f"/v1/values/{quote(key)}",
+            msgspec.json.encode(document),
+        )
+        found = self._decode(answer, dict[str, int], Step.WRITE)
+        if answer.status == _CONFLICT:
+            raise StoreConflict(
+                Step.WRITE, self._addresses[0], expected, found["revision"]
+            )
+        return Revision(found["revision"])
+
+    def watch(self, prefix: str, since: Revision, wait: float) -> Changes:
+        path = (
+            f"/v1/watch?prefix={quote(prefix)}&since={since}"
+            f"&wait_ms={int(wait * 1000)}"
+        )
+        answer = self._call(Step.WATCH, "GET", path, extra=wait)
+        found = self._decode(answer, _WatchAnswer, Step.WATCH)
+        return Changes(
+            Revision(found.revision),
+            [_make_record(row) for row in found.changes],
+        )
+
+    def close(self) -> None:
+        while self._idle:
+            self._idle.pop().close()
+
+    def _call(
+        self,
+        step: Step,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        extra: float = 0.0,
+    ) -> HttpAnswer:
+        with self._borrow(step) as connection:
+            try:
+                answer = connection.exchange(
+                    method, path, (), body, self._timeout + extra
+                )
+            except UpstreamError as error:
+                self._rotate()
+                code = ErrorCode.STORE_UNAVAILABLE
+                if step is Step.WRITE:
+                    code = ErrorCode.STORE_UNCERTAIN
+                raise StoreError(
+                    code, step, connection.address, str(error)
+                ) from error
+        if answer.status not in (_OK, _NOT_FOUND, _CONFLICT):
+            raise StoreError(
+                ErrorCode.STORE_UNAVAILABLE,
+                step,
+                connection.address,
+                f"status {answer.status}",
+            )
+        return answer
+
+    @contextlib.contextmanager
+    def _borrow(self, step: Step) -> Iterator[HttpConnection]:
+        connection = self._idle.pop() if self._idle else self._open(step)
+        try:
+            yield connection
+        finally:
+            if connection.usable:
+                self._idle.append(connection)
+
+    def _open(self, step: Step) -> HttpConnection:
+        connection = HttpConnection(self._addresses[0], _ANSWER_LIMIT)
+        try:
+            connection.open(self._timeout)
+        except UpstreamError as error:
+            self._rotate()
+            raise StoreError(
+                ErrorCode.STORE_UNAVAILABLE,
+                step,
+                connection.address,
+                str(error),
+            ) from error
+        return connection
+
+    def _rotate(self) -> None:
+        """Try another server next, on new connections only.
+
+        A connection that went silent may stay so for good while new ones
+        work; the idle ones share its way and are not trusted either.
+        """
+        self.close()
+        self._addresses.append(self._addresses.pop(0))
+
+    def _decode(self, answer: HttpAnswer, kind: Any, step: Step) -> Any:
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise StoreError(
+                ErrorCode.BAD_ANSWER, step, self._addresses[0], str(error)
+            ) from error
--- /dev/null
+++ b/sedgetide/coding/__init__.py
@@ -0,0 +1,1 @@
+"""Typed forms of everything that is read or sent, checked on entry."""
--- /dev/null
+++ b/sedgetide/coding/messages.py
@@ -0,0 +1,218 @@
+"""Messages between the project's own processes, as MessagePack."""
+
+import msgspec
+
+from sedgetide.core.assignment import Member
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import LinkError
+from sedgetide.core.errors import Step
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import Epoch
+from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import OperationId
+from sedgetide.core.identifiers import RequestId
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.outcomes import Reason
+from sedgetide.core.records import Record
+
+Headers = list[tuple[str, str]]
+
+
+class Message(msgspec.Struct, array_like=True, tag_field="kind"):
+    """Base of all messages; the class name is the wire tag."""
+
+
+class Status(msgspec.Struct, array_like=True, frozen=True):
+    """What a process says of itself with each heartbeat.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Who is speaking.
+    incarnation : str
+        Start of its process.
+    clock : float
+        Its monotonic clock; requests give their expiry by it.
+    digest : int
+        Fingerprint of the records it holds.
+    revision : Revision
+        Newest assignment of its data centre that it knows.
+    counting : bool
+        Whether its word counts towards a majority.
+    store_age : float or None
+        Age of the store's word it passes on.
+    store_revision : Revision
+        Revision that word named.
+    leaving : bool
+        Whether it is about to stop.
+    member : Member or None
+        Addresses of a keeper; None for an entry.
+    """
+
+    host: HostName
+    incarnation: str
+    data_centre: DataCentre
+    clock: float
+    digest: int = 0
+    revision: Revision = Revision(0)
+    counting: bool = False
+    store_age: float | None = None
+    store_revision: Revision = Revision(0)
+    leaving: bool = False
+    member: Member | None = None
+
+
+class Ping(Message, tag="ping"):
+    """A heartbeat.
+
+    Parameters
+    ----------
+    asked_at : float
+        Sender's monotonic clock; the answer echoes it.
+    unheard : float
+        Seconds since the sender last heard the receiver.
+    """
+
+    asked_at: float
+    unheard: float
+    status: Status
+
+
+class Pong(Message, tag="pong"):
+    """The answer to a heartbeat, with the clock value it carried."""
+
+    asked_at: float
+    status: Status
+
+
+class Pull(Message, tag="pull"):
+    """Ask for the records newer than the given revisions."""
+
+    revisions: dict[str, Revision]
+
+
+class Records(Message, tag="records"):
+    """Records the receiver may lack."""
+
+    records: list[Record]
+
+
+class Report(Message, tag="report"):
+    """A keeper tells the assigner of shards without a living owner.
+
+    Parameters
+    ----------
+    upstream : UpstreamName
+        Upstream the report is about.
+    lost : list
+        Shards and epochs whose owner is gone.
+    released : list
+        Shards whose owner confirmed the release at the epoch.
+    """
+
+    upstream: UpstreamName
+    lost: list[tuple[ShardKey, Epoch]]
+    released: list[tuple[ShardKey, Epoch]]
+
+
+class Request(Message, tag="request"):
+    """A caller's request on its way to the keeper of an upstream.
+
+    Parameters
+    ----------
+    number : RequestId
+        Unique; pairs it with its answer.
+    addressee : str
+        Incarnation of the keeper it was meant for. A successor at the same
+        address may get it from a buffer and could not read its expiry.
+    service, upstream : str
+        Where it goes.
+    shard : ShardKey or None
+        Shard of its key; None for a service without keys.
+    epoch : Epoch
+        Epoch by which the sender chose the upstream.
+    expires : float
+        Time by the keeper's clock after which it may not be started.
+    priority : int
+        Lower is more urgent.
+    first_attempt : bool
+        The caller vouches that it sends the operation id for the first
+        time.
+    """
+
+    number: RequestId
+    addressee: str
+    service: ServiceName
+    upstream: UpstreamName
+    shard: ShardKey | None
+    epoch: Epoch
+    expires: float
+    priority: int
+    idempotent: bool
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    operation: OperationId | None = None
+    first_attempt: bool = False
+
+
+class Response(Message, tag="response"):
+    """Outcome of a request."""
+
+    number: RequestId
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    status: int = 0
+    headers: Headers = []
+    body: bytes = b""
+    owner: UpstreamName = UpstreamName("")
+    epoch: Epoch = Epoch(0)
+    retry_after: float = 0.0
+
+
+class Cancel(Message, tag="cancel"):
+    """The sender no longer waits for a request."""
+
+    number: RequestId
+
+
+AnyMessage = (
+    Ping | Pong | Pull | Records | Report | Request | Response | Cancel
+)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """A message with the link address of its sender."""
+
+    sender: str
+    message: AnyMessage
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the wire form of a message."""
+    return _encoder.encode(envelope)
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Read the wire form of a message.
+
+    Raises
+    ------
+    LinkError
+        When the data is no message of this project.
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise LinkError(
+            ErrorCode.BAD_ANSWER, Step.READ, "", str(error)
+        ) from error
--- /dev/null
+++ b/sedgetide/coding/settings.py
@@ -0,0 +1,168 @@
+"""Settings of one process: a JSON file checked as a whole at start."""
+
+from collections.abc import Iterator
+import pathlib
+from typing import TypeVar
+
+import msgspec
+
+from sedgetide.coding.addresses import check_address
+from sedgetide.coding.checking import find_problems
+from sedgetide.coding.checking import Problem
+from sedgetide.core.constraints import Count
+from sedgetide.core.constraints import Name
+from sedgetide.core.constraints import Seconds
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import InputError
+from sedgetide.core.errors import Step
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import HostName
+from sedgetide.core.timing import Timing
+
+SettingsT = TypeVar("SettingsT", bound="ProcessSettings")
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of a process.
+
+    Parameters
+    ----------
+    body_bytes : int
+        Largest body of a request or an answer.
+    header_bytes : int
+        Largest sum of a request's header names and values.
+    requests : int
+        Requests in hand at a time.
+    queue : int
+        Requests waiting for one upstream.
+    operations : int
+        Operation ids remembered for one upstream.
+    operation_window : float
+        Seconds for which they are remembered.
+    clock_skew : float
+        Largest difference of wall clocks in seconds.
+    drain : float
+        Seconds a planned stop may take.
+    drain_notice : float
+        Seconds between unreadiness and the end of listening.
+    """
+
+    body_bytes: Count = 16 * 1024 * 1024
+    header_bytes: Count = 32 * 1024
+    requests: Count = 2000
+    queue: Count = 1000
+    operations: Count = 50_000
+    operation_window: Seconds = 600.0
+    clock_skew: Seconds = 1.0
+    drain: Seconds = 15.0
+    drain_notice: Seconds = 1.0
+
+
+class ProcessSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings that every daemon has.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host, unique in the deployment.
+    data_centre : str
+        Data centre of the host, as named in the operators' text.
+    admin : str
+        ``IP:port`` to listen on for metrics, state and readiness.
+    link : str
+        ``IP:port`` to listen on for the project's own processes.
+    keepers : tuple of str
+        Link addresses of some keepers of the own data centre, from which
+        the others are learnt.
+    log_level : str
+        Least severe level that is logged.
+    """
+
+    host: Name
+    data_centre: Name
+    admin: str
+    link: str
+    keepers: tuple[str, ...] = ()
+    limits: Limits = Limits()
+    timing: Timing = Timing()
+    log_level: str = "INFO"
+
+    @property
+    def host_name(self) -> HostName:
+        """Host as a typed identifier."""
+        return HostName(self.host)
+
+    @property
+    def home(self) -> DataCentre:
+        """Data centre as a typed identifier."""
+        return DataCentre(self.data_centre)
+
+
+class EntrySettings(ProcessSettings, frozen=True, kw_only=True):
+    """Settings of ``sedgetide-entry``.
+
+    Parameters
+    ----------
+    listen : str
+        ``IP:port`` for callers.
+    """
+
+    listen: str
+
+
+class KeeperSettings(ProcessSettings, frozen=True, kw_only=True):
+    """Settings of ``sedgetide-keeper``.
+
+    Parameters
+    ----------
+    stores : tuple of str
+        ``IP:port`` of the platform's store.
+    """
+
+    stores: tuple[str, ...]
+
+
+def _check_addresses(settings: ProcessSettings) -> Iterator[Problem]:
+    for field in ("admin", "listen", "link"):
+        address = getattr(settings, field, None)
+        if address is not None:
+            yield from check_address(address, f"$.{field}")
+    for field in ("keepers", "stores"):
+        for index, address in enumerate(getattr(settings, field, ())):
+            yield from check_address(address, f"$.{field}[{index}]")
+    if getattr(settings, "stores", None) == ():
+        yield Problem("$.stores", "[]", "a list of one IP:port or more")
+
+
+def _refuse(path: str, detail: str) -> InputError:
+    return InputError(ErrorCode.BAD_SETTINGS, Step.START, path, detail)
+
+
+def load_settings(path: str, kind: type[SettingsT]) -> SettingsT:
+    """Read and check the settings file of a process.
+
+    Parameters
+    ----------
+    path : str
+        JSON file.
+    kind : type
+        :class:`EntrySettings` or :class:`KeeperSettings`.
+
+    Raises
+    ------
+    InputError
+        One line with the path in the file, the value and what is accepted.
+    """
+    try:
+        document = msgspec.json.decode(pathlib.Path(path).read_bytes())
+    except (OSError, msgspec.MsgspecError) as error:
+        raise _refuse(path, str(error)) from error
+    problems = list(find_problems(document, kind))
+    if not problems:
+        settings = msgspec.convert(document, kind)
+        problems = list(_check_addresses(settings))
+    if problems:
+        raise _refuse(path, str(problems[0]))
+    return settings
--- /dev/null
+++ b/sedgetide/coding/text.py
@@ -0,0 +1,192 @@
+"""Check of the operators' text, with every error and its path."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from sedgetide.coding.addresses import check_address
+from sedgetide.coding.checking import describe_value
+from sedgetide.coding.checking import find_problems
+from sedgetide.coding.checking import Problem
+from sedgetide.core.services import KEY_SEGMENT
+from sedgetide.core.services import Service
+from sedgetide.core.services import Text
+
+MAX_TEXT_BYTES = 512 * 1024
+
+
+def _find_repeats(
+    names: Iterator[tuple[str, str]], what: str
+) -> Iterator[Problem]:
+    seen: dict[str, str] = {}
+    for path, name in names:
+        if name in seen:
+            yield Problem(
+                path, describe_value(name), f"a {what} unlike {seen[name]}"
+            )
+        seen.setdefault(name, path)
+
+
+def _check_names(text: Text) -> Iterator[Problem]:
+    services = list(enumerate(text.services))
+    yield from _find_repeats(
+        ((f"$.services[{i}].name", s.name) for i, s in services),
+        "service name",
+    )
+    yield from _find_repeats(
+        ((f"$.services[{i}].prefix", s.prefix) for i, s in services),
+        "prefix",
+    )
+    upstreams = [
+        (f"$.services[{i}].upstreams[{j}]", upstream)
+        for i, service in services
+        for j, upstream in enumerate(service.upstreams)
+    ]
+    yield from _find_repeats(
+        ((f"{path}.name", each.name) for path, each in upstreams),
+        "upstream name",
+    )
+    yield from _find_repeats(
+        ((f"{path}.address", each.address) for path, each in upstreams),
+        "address",
+    )
+    yield from _find_repeats(
+        ((f"$.data_centres[{i}]", n) for i, n in enumerate(text.data_centres)),
+        "data centre",
+    )
+
+
+def _check_known(value: str, known: list[str], path: str) -> Iterator[Problem]:
+    if value not in known:
+        yield Problem(
+            path, describe_value(value), "one of " + ", ".join(known)
+        )
+
+
+def _check_service(
+    service: Service, text: Text, path: str
+) -> Iterator[Problem]:
+    centres = list(text.data_centres)
+    if service.prefix == "" or KEY_SEGMENT in service.prefix:
+        yield Problem(
+            f"{path}.prefix",
+            describe_value(service.prefix),
+            "a path of one segment or more without {key}",
+        )
+    for index, home in enumerate(service.homes):
+        yield from _check_known(home, centres, f"{path}.homes[{index}]")
+    for index, upstream in enumerate(service.upstreams):
+        place = f"{path}.upstreams[{index}]"
+        yield from _check_known(
+            upstream.data_centre, centres, f"{place}.data_centre"
+        )
+        yield from check_address(upstream.address, f"{place}.address")
+    names = [each.name for each in text.services]
+    for index, needed in enumerate(service.depends_on):
+        yield from _check_known(needed, names, f"{path}.depends_on[{index}]")
+    if service.keyed and (service.shards is None or not service.homes):
+        yield Problem(
+            f"{path}.keyed", "true", "true only with shards and homes"
+        )
+
+
+def _check_routes(
+    service: Service, text: Text, path: str
+) -> Iterator[Problem]:
+    classes = [each.name for each in text.classes]
+    for index, route in enumerate(service.routes):
+        place = f"{path}.routes[{index}]"
+        yield from _check_known(
+            route.priority_class, classes, f"{place}.class"
+        )
+        keys = route.path.split("/").count(KEY_SEGMENT)
+        if keys != int(service.keyed):
+            yield Problem(
+                f"{place}.path",
+                describe_value(route.path),
+                f"a path with {int(service.keyed)} segments {{key}}",
+            )
+        if not service.keyed and not route.idempotent:
+            # Without an owner there is no one place that remembers which
+            # operations ran, so a repeat could run a second time.
+            yield Problem(
+                f"{place}.idempotent", "false", "true, or a keyed service"
+            )
+
+
+def _find_cycles(text: Text) -> Iterator[Problem]:
+    needs = {each.name: each.depends_on for each in text.services}
+    for index, service in enumerate(text.services):
+        reached: set[str] = set()
+        pending = list(service.depends_on)
+        while pending:
+            name = pending.pop()
+            if name not in reached:
+                reached.add(name)
+                pending.extend(needs.get(name, ()))
+        if service.name in reached:
+            yield Problem(
+                f"$.services[{index}].depends_on",
+                describe_value(list(service.depends_on)),
+                "a list that does not lead back to the service itself",
+            )
+
+
+def check_text(content: bytes) -> tuple[Text | None, list[Problem]]:
+    """Check the operators' text as a whole.
+
+    Parameters
+    ----------
+    content : bytes
+        JSON.
+
+    Returns
+    -------
+    text : Text or None
+        The text when it has no problem.
+    problems : list of Problem
+        Every error found, with its path.
+    """
+    if len(content) > MAX_TEXT_BYTES:
+        accepted = f"at most {MAX_TEXT_BYTES} bytes"
+        return None, [Problem("$", f"{len(content)} bytes", accepted)]
+    try:
+        document = msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        return None, [Problem("$", "no JSON", f"JSON: {error}")]
+    problems = list(find_problems(document, Text))
+    if problems:
+        return None, problems
+    text = msgspec.convert(document, Text)
+    problems = [*_check_names(text), *_find_cycles(text)]
+    for index, service in enumerate(text.services):
+        path = f"$.services[{index}]"
+        problems.extend(_check_service(service, text, path))
+        problems.extend(_check_routes(service, text, path))
+    return (None if problems else text), problems
+
+
+def check_change(old: Text, new: Text) -> list[Problem]:
+    """Return what a new text changes although it is fixed for life.
+
+    A shard's home and number are worked out by each process from the text
+    it has. Were they to change, two owners could be entitled to one key
+    while the new text spreads.
+    """
+    problems = []
+    for index, service in enumerate(new.services):
+        before = old.find_service(service.name)
+        if before is None:
+            continue
+        for field in ("keyed", "shards", "homes"):
+            was, now = getattr(before, field), getattr(service, field)
+            if was != now:
+                problems.append(
+                    Problem(
+                        f"$.services[{index}].{field}",
+                        describe_value(now),
+                        f"{describe_value(was)}, fixed for the life of "
+                        f"{service.name}",
+                    )
+                )
+    return problems
--- /dev/null
+++ b/sedgetide/coding/values.py
@@ -0,0 +1,92 @@
+"""Values kept in the platform's store."""
+
+import msgspec
+
+from sedgetide.core.assignment import Assignment
+from sedgetide.core.assignment import Member
+from sedgetide.core.assignment import Ownership
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.assignment import ShardState
+from sedgetide.core.identifiers import ChangeId
+from sedgetide.core.identifiers import Epoch
+from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import Shard
+from sedgetide.core.identifiers import UpstreamName
+
+MAX_VALUE_BYTES = 1024 * 1024
+
+_encoder = msgspec.json.Encoder(order="deterministic")
+
+
+class StoredText(msgspec.Struct, frozen=True):
+    """The operators' text with the id of the change that wrote it."""
+
+    change_id: ChangeId
+    text: str
+
+
+class _ShardRow(msgspec.Struct, frozen=True, array_like=True):
+    service: str
+    shard: int
+    state: str
+    upstream: str
+    epoch: int
+
+
+def encode_text(stored: StoredText) -> bytes:
+    """Return the stored form of the operators' text."""
+    return _encoder.encode(stored)
+
+
+def decode_text(value: bytes) -> StoredText:
+    """Read the stored form of the operators' text."""
+    return msgspec.json.decode(value, type=StoredText)
+
+
+class _StoredAssignment(msgspec.Struct, frozen=True):
+    change_id: str
+    members: dict[str, list[str]]
+    shards: list[_ShardRow]
+
+
+def encode_assignment(assignment: Assignment) -> bytes:
+    """Return the stored form of an assignment, the same for equal ones."""
+    rows = [
+        _ShardRow(
+            key.service,
+            key.shard,
+            owner.state.value,
+            owner.upstream,
+            owner.epoch,
+        )
+        for key, owner in sorted(assignment.shards.items())
+    ]
+    members = {
+        host: [member.link, member.admin]
+        for host, member in assignment.members.items()
+    }
+    return _encoder.encode(
+        _StoredAssignment(assignment.change_id, members, rows)
+    )
+
+
+def decode_assignment(value: bytes) -> Assignment:
+    """Read the stored form of an assignment."""
+    stored = msgspec.json.decode(value, type=_StoredAssignment)
+    return Assignment(
+        ChangeId(stored.change_id),
+        {
+            HostName(host): Member(LinkAddress(link), admin)
+            for host, (link, admin) in stored.members.items()
+        },
+        {
+            ShardKey(ServiceName(row.service), Shard(row.shard)): Ownership(
+                ShardState(row.state),
+                UpstreamName(row.upstream),
+                Epoch(row.epoch),
+            )
+            for row in stored.shards
+        },
+    )
--- /dev/null
+++ b/sedgetide/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/sedgetide/command/configuration.py
@@ -0,0 +1,178 @@
+"""Changes of the operators' text in the store."""
+
+import uuid
+
+import msgspec
+
+from sedgetide.backends.store import Store
+from sedgetide.coding.checking import describe_value
+from sedgetide.coding.checking import Problem
+from sedgetide.coding.text import check_change
+from sedgetide.coding.text import check_text
+from sedgetide.coding.values import decode_assignment
+from sedgetide.coding.values import decode_text
+from sedgetide.coding.values import encode_text
+from sedgetide.coding.values import StoredText
+from sedgetide.core.assignment import Assignment
+from sedgetide.core.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import InputError
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import ChangeId
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.records import CONFIGURATION_KEY
+from sedgetide.core.records import name_assignment
+from sedgetide.core.services import Text
+from sedgetide.core.services import UpstreamState
+
+
+class Current(msgspec.Struct, frozen=True):
+    """The text in force."""
+
+    revision: Revision
+    content: str
+
+
+def _refuse(problems: list[Problem]) -> InputError:
+    lines = "\n".join(str(problem) for problem in sorted(problems))
+    return InputError(ErrorCode.BAD_TEXT, Step.CHECK, "", lines)
+
+
+def parse_text(content: bytes) -> Text:
+    """Check a text.
+
+    Raises
+    ------
+    InputError
+        With one line for each problem.
+    """
+    text, problems = check_text(content)
+    if text is None:
+        raise _refuse(problems)
+    return text
+
+
+def read_text(store: Store) -> Current:
+    """Return the text in force, empty at revision zero when none."""
+    record = store.read(CONFIGURATION_KEY)
+    if record is None:
+        return Current(NO_REVISION, "")
+    return Current(record.revision, decode_text(record.value).text)
+
+
+def require_text(store: Store) -> Text:
+    """Return the checked text in force.
+
+    Raises
+    ------
+    InputError
+        When there is none.
+    """
+    return parse_text(read_text(store).content.encode())
+
+
+def read_assignment(store: Store, data_centre: DataCentre) -> Assignment:
+    """Return a data centre's assignment, empty when it has none."""
+    record = store.read(name_assignment(data_centre))
+    if record is None:
+        return EMPTY_ASSIGNMENT
+    return decode_assignment(record.value)
+
+
+def apply_text(store: Store, content: bytes, base: Revision) -> Revision:
+    """Put a text in force if the one in force still is the given base.
+
+    Parameters
+    ----------
+    store : Store
+        Platform's store.
+    content : bytes
+        New text.
+    base : Revision
+        Revision the edit started from; zero for the first text.
+
+    Returns
+    -------
+    Revision
+        Revision of the new text.
+
+    Raises
+    ------
+    InputError
+        When the text has problems or changes what is fixed.
+    StoreConflict
+        When another edit was faster; it names both revisions.
+    StoreError
+        When the store gave no answer, not even to say what took effect.
+    """
+    text = parse_text(content)
+    current = read_text(store)
+    if current.revision != base:
+        raise StoreConflict(
+            Step.WRITE, CONFIGURATION_KEY, base, current.revision
+        )
+    if current.content:
+        problems = check_change(parse_text(current.content.encode()), text)
+        if problems:
+            raise _refuse(problems)
+    stored = StoredText(ChangeId(uuid.uuid4().hex), content.decode())
+    return _swap_text(store, stored, base)
+
+
+def _swap_text(store: Store, stored: StoredText, base: Revision) -> Revision:
+    try:
+        return store.swap(CONFIGURATION_KEY, encode_text(stored), base)
+    except StoreConflict:
+        raise
+    except StoreError as error:
+        if error.code is not ErrorCode.STORE_UNCERTAIN:
+            raise
+    # The answer was lost, perhaps after the change took effect. Only the
+    # change id tells an own success from another's edit.
+    record = store.read(CONFIGURATION_KEY)
+    if record is None or record.revision == base:
+        raise StoreError(
+            ErrorCode.STORE_UNCERTAIN,
+            Step.WRITE,
+            CONFIGURATION_KEY,
+            "no answer, and the store still holds the base",
+        )
+    if decode_text(record.value).change_id == stored.change_id:
+        return record.revision
+    raise StoreConflict(Step.WRITE, CONFIGURATION_KEY, base, record.revision)
+
+
+def set_upstream_state(
+    store: Store, name: str, state: UpstreamState
+) -> Revision:
+    """Change the state of one upstream in the text in force.
+
+    Raises
+    ------
+    InputError
+        When no upstream has the name.
+    """
+    current = read_text(store)
+    document = msgspec.json.decode(current.content or "{}")
+    names = []
+    for service in document.get("services", ()):
+        for upstream in service["upstreams"]:
+            names.append(upstream["name"])
+            if upstream["name"] == name:
+                upstream["state"] = state.value
+    if name not in names:
+        raise _refuse(
+            [
+                Problem(
+                    "upstream",
+                    describe_value(name),
+                    "one of " + ", ".join(names),
+                )
+            ]
+        )
+    content = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    return apply_text(store, content, current.revision)
--- /dev/null
+++ b/sedgetide/command/main.py
@@ -0,0 +1,224 @@
+"""The command ``sedgetide``: configuration, owners, state of processes."""
+
+import argparse
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import sys
+
+import msgspec
+
+from sedgetide.backends._connection import HttpConnection
+from sedgetide.backends.httpstore import HttpStore
+from sedgetide.backends.store import Store
+from sedgetide.coding.addresses import ADDRESS_FORM
+from sedgetide.coding.addresses import split_address
+from sedgetide.command import configuration
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.errors import InputError
+from sedgetide.core.errors import SedgetideError
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.keyspace import find_home
+from sedgetide.core.keyspace import find_shard
+from sedgetide.core.services import UpstreamState
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNAVAILABLE = 3
+
+_STORE_TIMEOUT = 5.0
+_STATE_LIMIT = 64 * 1024 * 1024
+
+
+def _read_file(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise SystemExit(_complain(f"{path}: {error.strerror}")) from error
+
+
+def _complain(line: str) -> int:
+    print(f"sedgetide: {line}", file=sys.stderr)
+    return EXIT_BAD_INPUT
+
+
+def _parse_address(value: str) -> str:
+    try:
+        split_address(value)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(
+            f"{value!r}: accepted is {ADDRESS_FORM}"
+        ) from error
+    return value
+
+
+@contextlib.contextmanager
+def _open_store(options: argparse.Namespace) -> Iterator[Store]:
+    store = HttpStore(options.store, _STORE_TIMEOUT)
+    try:
+        yield store
+    finally:
+        store.close()
+
+
+def check_config(options: argparse.Namespace) -> int:
+    """Print every problem of a text."""
+    configuration.parse_text(_read_file(options.file))
+    print("no problems")
+    return EXIT_OK
+
+
+def apply_config(options: argparse.Namespace) -> int:
+    """Put a text in force."""
+    content = _read_file(options.file)
+    with _open_store(options) as store:
+        revision = configuration.apply_text(
+            store, content, Revision(options.base)
+        )
+    print(f"revision {revision}")
+    return EXIT_OK
+
+
+def show_config(options: argparse.Namespace) -> int:
+    """Print the text in force and its revision."""
+    with _open_store(options) as store:
+        current = configuration.read_text(store)
+    print(f"revision {current.revision}", file=sys.stderr)
+    print(current.content)
+    return EXIT_OK
+
+
+def show_owner(options: argparse.Namespace) -> int:
+    """Print the shard, home, owner and epoch of a key."""
+    with _open_store(options) as store:
+        text = configuration.require_text(store)
+        service = text.find_service(options.service)
+        if service is None or not service.keyed:
+            known = [each.name for each in text.services if each.keyed]
+            return _complain(
+                f"service {options.service!r}: accepted is one of "
+                + ", ".join(known)
+            )
+        shard = find_shard(options.key, service.shards)
+        home = find_home(shard, service.homes)
+        assignment = configuration.read_assignment(store, home)
+    owner = assignment.find_owner(ShardKey(ServiceName(service.name), shard))
+    found = {"shard": shard, "data_centre": home, "owner": None}
+    if owner is not None:
+        found.update(
+            owner=owner.upstream, epoch=owner.epoch, state=owner.state.value
+        )
+    print(msgspec.json.encode(found).decode())
+    return EXIT_OK
+
+
+def drain_upstream(options: argparse.Namespace) -> int:
+    """Change an upstream's state in the text in force."""
+    state = UpstreamState.DRAINING
+    if options.undo:
+        state = UpstreamState.ACTIVE
+    with _open_store(options) as store:
+        revision = configuration.set_upstream_state(
+            store, options.upstream, state
+        )
+    print(f"revision {revision}")
+    return EXIT_OK
+
+
+def show_state(options: argparse.Namespace) -> int:
+    """Print the state dump of one process."""
+    connection = HttpConnection(options.address, _STATE_LIMIT)
+    with contextlib.closing(connection):
+        connection.open(_STORE_TIMEOUT)
+        answer = connection.exchange("GET", "/state", (), b"", _STORE_TIMEOUT)
+    print(msgspec.json.format(answer.body, indent=2).decode())
+    return EXIT_OK
+
+
+def _add_store(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--store",
+        action="append",
+        required=True,
+        type=_parse_address,
+        metavar="IP:PORT",
+        help="address of the store; may be given again for others",
+    )
+
+
+def _add_config(commands: argparse._SubParsersAction) -> None:
+    config = commands.add_parser("config", help="the operators' text")
+    actions = config.add_subparsers(required=True, metavar="ACTION")
+    check = actions.add_parser("check", help="print every problem of a file")
+    check.add_argument("file")
+    check.set_defaults(run=check_config)
+    apply = actions.add_parser("apply", help="put a file in force")
+    apply.add_argument("file")
+    apply.add_argument(
+        "--base",
+        type=int,
+        required=True,
+        metavar="REVISION",
+        help="revision the file was made from; 0 for the first",
+    )
+    _add_store(apply)
+    apply.set_defaults(run=apply_config)
+    show = actions.add_parser("show", help="print the text in force")
+    _add_store(show)
+    show.set_defaults(run=show_config)
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="sedgetide", description="Operate a sedgetide deployment."
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_config(commands)
+    state = commands.add_parser("state", help="dump one process")
+    state.add_argument("address", type=_parse_address, metavar="IP:PORT")
+    state.set_defaults(run=show_state)
+    owner = commands.add_parser("owner", help="find the owner of a key")
+    owner.add_argument("service")
+    owner.add_argument("key")
+    _add_store(owner)
+    owner.set_defaults(run=show_owner)
+    drain = commands.add_parser("drain", help="take an upstream out")
+    drain.add_argument("upstream")
+    drain.add_argument(
+        "--undo", action="store_true", help="make it active again"
+    )
+    _add_store(drain)
+    drain.set_defaults(run=drain_upstream)
+    return parser
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Entry point of ``sedgetide``.
+
+    Returns
+    -------
+    int
+        0 done, 1 refused by a conflict, 2 bad input, 3 peer away.
+    """
+    options = make_parser().parse_args(arguments)
+    try:
+        return options.run(options)
+    except InputError as error:
+        for line in error.detail.splitlines():
+            print(line, file=sys.stderr)
+        return EXIT_BAD_INPUT
+    except StoreError as error:
+        print(f"sedgetide: {error}", file=sys.stderr)
+        conflict = hasattr(error, "found")
+        return EXIT_REFUSED if conflict else EXIT_UNAVAILABLE
+    except SedgetideError as error:
+        print(f"sedgetide: {error}", file=sys.stderr)
+        return EXIT_UNAVAILABLE
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/sedgetide/core/identifiers.py
@@ -0,0 +1,18 @@
+"""Typed identifiers shared by every layer."""
+
+from typing import NewType
+
+ServiceName = NewType("ServiceName", str)
+UpstreamName = NewType("UpstreamName", str)
+DataCentre = NewType("DataCentre", str)
+HostName = NewType("HostName", str)
+LinkAddress = NewType("LinkAddress", str)
+Shard = NewType("Shard", int)
+Epoch = NewType("Epoch", int)
+Revision = NewType("Revision", int)
+RequestId = NewType("RequestId", str)
+OperationId = NewType("OperationId", str)
+ChangeId = NewType("ChangeId", str)
+
+NO_EPOCH = Epoch(0)
+NO_REVISION = Revision(0)
--- /dev/null
+++ b/sedgetide/core/operations.py
@@ -0,0 +1,186 @@
+"""Operation ids: a repeated non-idempotent request never runs again."""
+
+import collections
+from collections.abc import Hashable
+import enum
+from typing import Generic
+from typing import TypeVar
+import uuid
+
+import msgspec
+
+from sedgetide.core.identifiers import Epoch
+from sedgetide.core.identifiers import OperationId
+
+_UUID7_TIME_SHIFT = 80
+_MILLISECONDS = 1000.0
+
+AnswerT = TypeVar("AnswerT")
+
+
+def find_issue_time(operation: OperationId) -> float | None:
+    """Return when an operation id was issued.
+
+    Parameters
+    ----------
+    operation : OperationId
+        Value of the caller's ``Idempotency-Key`` header.
+
+    Returns
+    -------
+    float or None
+        Unix time in seconds; None when the id is not a version 7 UUID
+        (RFC 9562, section 5.7), whose first 48 bits are its time of issue.
+    """
+    try:
+        parsed = uuid.UUID(operation)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return (parsed.int >> _UUID7_TIME_SHIFT) / _MILLISECONDS
+
+
+class Verdict(enum.Enum):
+    """What to do with a request that carries an operation id.
+
+    Attributes
+    ----------
+    RUN
+        First sight; run it.
+    JOIN
+        It is running; wait for that run's answer.
+    REPEAT
+        It ran; give the remembered answer.
+    LOST
+        It may have run under a predecessor or beyond the window.
+    FULL
+        No memory is left to remember it.
+    """
+
+    RUN = "run"
+    JOIN = "join"
+    REPEAT = "repeat"
+    LOST = "lost"
+    FULL = "full"
+
+
+class _Entry(msgspec.Struct, Generic[AnswerT]):
+    begun_wall: float
+    answer: AnswerT | None = None
+
+
+class OperationLog(Generic[AnswerT]):
+    """Operations that one keeper ran for the shards it serves.
+
+    The log of a keeper is lost with it. It therefore notes since when it
+    has served each shard; an id issued before then may have run under a
+    predecessor and is answered as unknown rather than run.
+
+    Parameters
+    ----------
+    window : float
+        Seconds for which an answer is remembered.
+    capacity : int
+        Operations remembered at most.
+    clock_skew : float
+        Largest difference, in seconds, between the wall clocks of callers
+        and hosts.
+    """
+
+    def __init__(
+        self, window: float, capacity: int, clock_skew: float
+    ) -> None:
+        self._window = window
+        self._capacity = capacity
+        self._skew = clock_skew
+        self._entries: collections.OrderedDict[
+            OperationId, _Entry[AnswerT]
+        ] = collections.OrderedDict()
+        self._tenures: dict[Hashable, tuple[Epoch, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def begin_tenure(self, shard: Hashable, epoch: Epoch, wall: float) -> None:
+        """Note that this keeper serves a shard from now on.
+
+        A call for the tenure that already runs changes nothing.
+        """
+        held = self._tenures.get(shard)
+        if held is None or held[0] != epoch:
+            self._tenures[shard] = (epoch, wall)
+
+    def end_tenures(self) -> None:
+        """Note that another keeper has given orders for these shards."""
+        self._tenures.clear()
+
+    def judge(
+        self,
+        operation: OperationId,
+        shard: Hashable,
+        wall: float,
+        first_attempt: bool = False,
+    ) -> Verdict:
+        """Decide what to do with an operation.
+
+        Parameters
+        ----------
+        operation : OperationId
+            A version 7 UUID.
+        shard : hashable
+            Shard of the request's key.
+        wall : float
+            Present Unix time in seconds.
+        first_attempt : bool
+            The caller vouches that no attempt came before, so that none
+            can have run under a predecessor.
+        """
+        self._forget_old(wall)
+        entry = self._entries.get(operation)
+        if entry is not None:
+            return Verdict.JOIN if entry.answer is None else Verdict.REPEAT
+        if not first_attempt and self._may_have_run(operation, shard, wall):
+            return Verdict.LOST
+        if len(self._entries) >= self._capacity:
+            return Verdict.FULL
+        return Verdict.RUN
+
+    def _may_have_run(
+        self, operation: OperationId, shard: Hashable, wall: float
+    ) -> bool:
+        issued = find_issue_time(operation)
+        tenure = self._tenures.get(shard)
+        if issued is None or tenure is None:
+            return True
+        if issued <= tenure[1] + self._skew:
+            return True
+        return issued <= wall - self._window + self._skew
+
+    def begin(self, operation: OperationId, wall: float) -> None:
+        """Note that an operation is about to run."""
+        self._entries[operation] = _Entry(wall)
+
+    def withdraw(self, operation: OperationId) -> None:
+        """Note that an operation certainly did not run."""
+        self._entries.pop(operation, None)
+
+    def finish(self, operation: OperationId, answer: AnswerT) -> None:
+        """Remember the answer of an operation, also when unknown."""
+        entry = self._entries.get(operation)
+        if entry is not None:
+            entry.answer = answer
+
+    def find_answer(self, operation: OperationId) -> AnswerT | None:
+        """Return the remembered answer, or None while it runs."""
+        entry = self._entries.get(operation)
+        return None if entry is None else entry.answer
+
+    def _forget_old(self, wall: float) -> None:
+        while self._entries:
+            operation, entry = next(iter(self._entries.items()))
+            if entry.begun_wall > wall - self._window:
+                return
+            if entry.answer is None:
+                return
+            del self._entries[operation]
--- /dev/null
+++ b/sedgetide/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: thin processes around the decisions."""
--- /dev/null
+++ b/sedgetide/daemons/_beacon.py
@@ -0,0 +1,170 @@
+"""Heartbeats and the spread of records between processes."""
+
+import abc
+from collections.abc import Iterable
+import logging
+import time
+
+from sedgetide.coding.messages import AnyMessage
+from sedgetide.coding.messages import Ping
+from sedgetide.coding.messages import Pong
+from sedgetide.coding.messages import Pull
+from sedgetide.coding.messages import Records
+from sedgetide.coding.messages import Status
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.liveness import Liveness
+from sedgetide.core.liveness import PeerState
+from sedgetide.core.records import Record
+from sedgetide.core.records import RecordCache
+from sedgetide.core.timing import Timing
+from sedgetide.links import Mail
+
+_log = logging.getLogger(__name__)
+
+
+class BeaconOwner(abc.ABC):
+    """The process a beacon speaks for."""
+
+    @abc.abstractmethod
+    def make_status(self, now: float) -> Status:
+        """Return what the process says of itself."""
+
+    @abc.abstractmethod
+    def note_status(
+        self, address: LinkAddress, asked_at: float, status: Status
+    ) -> None:
+        """Take in the answer of a peer."""
+
+    @abc.abstractmethod
+    def note_ping(self, address: LinkAddress, status: Status) -> None:
+        """Take in what a peer says of itself in its question."""
+
+    @abc.abstractmethod
+    def note_record(self, record: Record) -> None:
+        """Take in a newer version of a record."""
+
+
+class Beacon:
+    """Asks peers for a sign of life and hands records on.
+
+    Parameters
+    ----------
+    mail : Mail
+        Links of the process.
+    cache : RecordCache
+        Records of the process.
+    timing : Timing
+        Intervals.
+    owner : BeaconOwner
+        The process.
+    """
+
+    def __init__(
+        self,
+        mail: Mail,
+        cache: RecordCache,
+        timing: Timing,
+        owner: BeaconOwner,
+    ) -> None:
+        self._mail = mail
+        self._cache = cache
+        self._timing = timing
+        self._owner = owner
+        self._asked_first: dict[LinkAddress, float] = {}
+        self.liveness = Liveness(timing.silence)
+        self.statuses: dict[LinkAddress, Status] = {}
+        self._received: dict[LinkAddress, float] = {}
+
+    def ping(self, addresses: Iterable[LinkAddress], now: float) -> None:
+        """Ask peers for a sign of life."""
+        status = self._owner.make_status(now)
+        for address in addresses:
+            first = self._asked_first.setdefault(address, now)
+            unheard = min(
+                self.liveness.measure_silence(address, now), now - first
+            )
+            if unheard > self._timing.silence:
+                self._mail.redial(address, 2 * self._timing.silence)
+            self._mail.send_quietly(address, Ping(now, unheard, status))
+
+    def push(
+        self, addresses: Iterable[LinkAddress], records: list[Record]
+    ) -> None:
+        """Send records to peers without being asked."""
+        for address in addresses:
+            self._mail.send_quietly(address, Records(records))
+
+    def find_state(self, address: LinkAddress, now: float) -> PeerState:
+        """Return the state of a peer."""
+        return self.liveness.find_state(address, now)
+
+    def find_receipt(self, address: LinkAddress) -> float:
+        """Return when the last answer of a peer came."""
+        return self._received[address]
+
+    def is_known_silent(self, address: LinkAddress, now: float) -> bool:
+        """Tell whether a peer was asked for long without an answer."""
+        first = self._asked_first.get(address)
+        if first is None or now - first <= self._timing.silence:
+            return False
+        return self.find_state(address, now) is PeerState.SILENT
+
+    def forget(self, address: LinkAddress) -> None:
+        """Forget since when a peer has been asked."""
+        self._asked_first.pop(address, None)
+
+    def handle(self, message: AnyMessage, sender: str, now: float) -> None:
+        """Take in a message of this protocol; ignore all others."""
+        address = LinkAddress(sender)
+        match message:
+            case Ping():
+                self._answer(message, address, now)
+            case Pong():
+                self._note_answer(message, address, now)
+            case Pull():
+                newer = list(self._cache.list_newer(message.revisions))
+                if newer:
+                    self._mail.send_quietly(sender, Records(newer))
+            case Records():
+                self.apply(message.records)
+
+    def apply(self, records: Iterable[Record]) -> list[Record]:
+        """Put records in force; return those that were newer."""
+        newer = [each for each in records if self._cache.apply(each)]
+        for record in newer:
+            _log.info(
+                "record applied",
+                extra={"key": record.key, "revision": record.revision},
+            )
+            self._owner.note_record(record)
+        return newer
+
+    def _answer(self, ping: Ping, address: LinkAddress, now: float) -> None:
+        if ping.unheard > self._timing.silence:
+            # The way back may be the one that is silent, and only the
+            # sender of the ping can notice it.
+            self._mail.redial(address, 2 * self._timing.silence)
+        status = self._owner.make_status(now)
+        self._mail.send_quietly(address, Pong(ping.asked_at, status))
+        self._owner.note_ping(address, ping.status)
+        self._compare(ping.status, address)
+
+    def _note_answer(
+        self, pong: Pong, address: LinkAddress, now: float
+    ) -> None:
+        status = pong.status
+        self.statuses[address] = status
+        self._received[address] = now
+        self.liveness.note_answer(address, pong.asked_at, status.leaving)
+        self._owner.note_status(address, pong.asked_at, status)
+        self._compare(status, address)
+
+    def _compare(self, status: Status, address: LinkAddress) -> None:
+        if status.digest and status.digest != self._cache.digest:
+            pull = Pull(self._cache.list_revisions())
+            self._mail.send_quietly(address, pull)
+
+
+def read_clock() -> float:
+    """Return the monotonic clock all decisions of a daemon are given."""
+    return time.monotonic()
--- /dev/null
+++ b/sedgetide/daemons/_frontend.py
@@ -0,0 +1,255 @@
+"""The HTTP side of an entry: callers' requests in, outcomes out."""
+
+import logging
+import math
+import time
+from typing import Any
+
+import falcon
+from gevent.pywsgi import WSGIHandler
+
+from sedgetide.backends._connection import drop_hop_headers
+from sedgetide.coding.messages import Response
+from sedgetide.coding.settings import Limits
+from sedgetide.core.identifiers import OperationId
+from sedgetide.core.identifiers import RequestId
+from sedgetide.core.operations import find_issue_time
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.outcomes import Reason
+from sedgetide.core.routing import Match
+from sedgetide.daemons._dispatcher import Call
+from sedgetide.daemons._dispatcher import Dispatcher
+from sedgetide.daemons._metrics import ENTRY_IN_HAND
+from sedgetide.daemons._metrics import ENTRY_REQUESTS
+from sedgetide.daemons._metrics import ENTRY_SECONDS
+
+HEADER_OUTCOME = "Sedgetide-Outcome"
+HEADER_REASON = "Sedgetide-Reason"
+HEADER_OWNER = "Sedgetide-Owner"
+HEADER_EPOCH = "Sedgetide-Epoch"
+HEADER_DEADLINE = "sedgetide-deadline-ms"
+HEADER_ATTEMPT = "sedgetide-attempt"
+HEADER_OPERATION = "idempotency-key"
+
+_RAW_TARGET = "sedgetide.target"
+_OWN_PREFIX = "sedgetide-"
+_RETRY_AFTER_OVERLOAD = 1.0
+
+_STATUSES = {
+    Reason.NO_ROUTE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.SILENT: 504,
+    Reason.DEADLINE: 503,
+}
+_PLAIN_STATUSES = {Outcome.NOT_RUN: 503, Outcome.UNKNOWN: 502}
+
+_log = logging.getLogger(__name__)
+
+
+class TargetHandler(WSGIHandler):
+    """Keeps the request target as sent, which WSGI itself decodes."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with the raw target."""
+        environ = super().get_environ()
+        environ[_RAW_TARGET] = self.path
+        return environ
+
+
+def _read_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
+    headers = [
+        (name[5:].replace("_", "-").title(), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    # Callers must not speak to upstreams in the router's own name.
+    return [
+        (name, value)
+        for name, value in drop_hop_headers(headers)
+        if not name.lower().startswith(_OWN_PREFIX)
+    ]
+
+
+class Frontend:
+    """Falcon sink that turns requests into calls and answers them.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Brings calls to their outcome.
+    limits : Limits
+        Bounds of bodies, headers and requests in hand.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, limits: Limits) -> None:
+        self._dispatcher = dispatcher
+        self._limits = limits
+        self.in_hand = 0
+        self.closing = False
+
+    def make_application(self) -> falcon.App:
+        """Return the WSGI application."""
+        application = falcon.App()
+        application.add_sink(self.serve, "/")
+        application.add_error_handler(Exception, self._handle_error)
+        return application
+
+    def serve(
+        self, request: falcon.Request, response: falcon.Response, **_: Any
+    ) -> None:
+        """Serve one request of a caller."""
+        began = time.monotonic()
+        self.in_hand += 1
+        ENTRY_IN_HAND.set(self.in_hand)
+        try:
+            service, result = self._process(request, began)
+        finally:
+            self.in_hand -= 1
+            ENTRY_IN_HAND.set(self.in_hand)
+        self._fill(response, result)
+        ENTRY_REQUESTS.labels(
+            service, result.outcome.value, result.reason.value
+        ).inc()
+        ENTRY_SECONDS.labels(service).observe(time.monotonic() - began)
+
+    def _process(
+        self, request: falcon.Request, began: float
+    ) -> tuple[str, Response]:
+        target = request.env[_RAW_TARGET]
+        path, _, query = target.partition("?")
+        if not self._dispatcher.configured:
+            return "", _refuse(Reason.NO_CONFIGURATION)
+        match = self._dispatcher.match(request.method, path)
+        if match is None:
+            return "", _refuse(Reason.NO_ROUTE)
+        service = match.service.name
+        if self.in_hand > self._limits.requests:
+            return service, _refuse(Reason.OVERLOAD)
+        call = self._read_call(request, match, query, began)
+        return service, self._dispatcher.dispatch(call)
+
+    def _read_call(
+        self,
+        request: falcon.Request,
+        match: Match,
+        query: str,
+        began: float,
+    ) -> Call:
+        headers = _read_headers(request.env)
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > self._limits.header_bytes:
+            raise falcon.HTTPRequestHeaderFieldsTooLarge(
+                title=f"headers over {self._limits.header_bytes} bytes"
+            )
+        return Call(
+            match,
+            request.method,
+            f"{match.path}?{query}" if query else match.path,
+            headers,
+            self._read_body(request),
+            began + _read_deadline(request, match),
+            _read_operation(request),
+            request.get_header(HEADER_ATTEMPT) == "1",
+        )
+
+    def _read_body(self, request: falcon.Request) -> bytes:
+        limit = self._limits.body_bytes
+        if (request.content_length or 0) > limit:
+            raise falcon.HTTPContentTooLarge(title=f"body over {limit} bytes")
+        try:
+            body = request.env["wsgi.input"].read(limit + 1)
+        except OSError as error:
+            # A body that ends early must not pass for the whole.
+            raise falcon.HTTPBadRequest(title="body ended early") from error
+        if len(body) > limit:
+            raise falcon.HTTPContentTooLarge(title=f"body over {limit} bytes")
+        return body
+
+    def _fill(self, response: falcon.Response, result: Response) -> None:
+        if result.outcome is Outcome.ANSWERED:
+            response.status = result.status
+            for name, value in result.headers:
+                response.append_header(name, value)
+            response.data = result.body
+        else:
+            self._fill_failure(response, result)
+        response.set_header(HEADER_OUTCOME, result.outcome.value)
+        if result.owner:
+            response.set_header(HEADER_OWNER, result.owner)
+        if result.epoch:
+            response.set_header(HEADER_EPOCH, str(result.epoch))
+        if self.closing:
+            response.set_header("Connection", "close")
+
+    def _fill_failure(
+        self, response: falcon.Response, result: Response
+    ) -> None:
+        plain = _PLAIN_STATUSES[result.outcome]
+        response.status = _STATUSES.get(result.reason, plain)
+        response.set_header(HEADER_REASON, result.reason.value)
+        if result.outcome is Outcome.NOT_RUN and response.status == 503:
+            seconds = max(1, math.ceil(result.retry_after))
+            response.set_header("Retry-After", str(seconds))
+        response.media = {
+            "outcome": result.outcome.value,
+            "reason": result.reason.value,
+        }
+
+    def _handle_error(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        error: Exception,
+        _: dict[str, Any],
+    ) -> None:
+        if isinstance(error, falcon.HTTPError):
+            # Raised only before a request is handed over.
+            response.status = error.status
+            response.set_header(HEADER_OUTCOME, Outcome.NOT_RUN.value)
+            response.media = {"outcome": "not-run", "reason": error.title}
+            response.set_header("Connection", "close")
+            return
+        _log.exception("request failed", extra={"target": request.path})
+        self._fill(
+            response,
+            Response(RequestId(""), Outcome.UNKNOWN, Reason.BAD_ANSWER),
+        )
+
+
+def _refuse(reason: Reason) -> Response:
+    return Response(
+        RequestId(""),
+        Outcome.NOT_RUN,
+        reason,
+        retry_after=_RETRY_AFTER_OVERLOAD,
+    )
+
+
+def _read_deadline(request: falcon.Request, match: Match) -> float:
+    """Return the seconds a caller gives; its own wish may only shorten."""
+    wish = request.get_header(HEADER_DEADLINE)
+    if wish is None:
+        return match.route.deadline
+    if not wish.isdigit() or int(wish) == 0:
+        raise falcon.HTTPBadRequest(
+            title=f"{HEADER_DEADLINE}: {wish!r}: accepted is a whole number "
+            "of milliseconds above 0"
+        )
+    return min(int(wish) / 1000.0, match.route.deadline)
+
+
+def _read_operation(request: falcon.Request) -> OperationId | None:
+    operation = request.get_header(HEADER_OPERATION)
+    if operation is None:
+        return None
+    issued = find_issue_time(OperationId(operation))
+    if issued is None or issued > time.time() + 1.0:
+        # An id from the future would seem new to a keeper that took over
+        # after the operation ran.
+        raise falcon.HTTPBadRequest(
+            title=f"{HEADER_OPERATION}: {operation!r}: accepted is a "
+            "version 7 UUID of the present time or before"
+        )
+    return OperationId(operation)
--- /dev/null
+++ b/sedgetide/daemons/_process.py
@@ -0,0 +1,64 @@
+"""What the main programs of the daemons share."""
+
+import argparse
+import logging
+import signal
+import sys
+from typing import TypeVar
+
+import gevent
+from gevent.event import Event
+
+from sedgetide.coding.settings import load_settings
+from sedgetide.coding.settings import ProcessSettings
+from sedgetide.core.errors import InputError
+from sedgetide.daemons._logs import configure_logging
+
+EXIT_BAD_SETTINGS = 2
+
+SettingsT = TypeVar("SettingsT", bound=ProcessSettings)
+
+_log = logging.getLogger(__name__)
+
+
+def read_settings(
+    program: str,
+    description: str,
+    kind: type[SettingsT],
+    arguments: list[str] | None,
+) -> SettingsT:
+    """Read the settings named on the command line.
+
+    Parameters
+    ----------
+    program, description : str
+        For the help.
+    kind : type
+        Settings to read.
+    arguments : list of str or None
+        Command line; None for that of the process.
+
+    Raises
+    ------
+    SystemExit
+        With code 2 after one line on standard error when they are wrong.
+    """
+    parser = argparse.ArgumentParser(prog=program, description=description)
+    parser.add_argument("settings", help="JSON file of settings")
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.settings, kind)
+    except InputError as error:
+        print(f"{program}: {error.peer}: {error.detail}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from error
+    configure_logging(settings.log_level, settings.host, program)
+    return settings
+
+
+def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    stopped.wait()
+    _log.info("stopping")
--- /dev/null
+++ b/sedgetide/daemons/_storetask.py
@@ -0,0 +1,176 @@
+"""The tasks of a keeper that talk to the platform's store."""
+
+import abc
+import contextlib
+import logging
+import time
+
+import gevent
+
+from sedgetide.backends.store import Store
+from sedgetide.coding.values import decode_assignment
+from sedgetide.coding.values import encode_assignment
+from sedgetide.core.assignment import Assignment
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.records import Record
+from sedgetide.runtime.tasks import spawn_vital
+
+_WATCH_WAIT = 5.0
+_PAUSE_AFTER_ERROR = 0.2
+
+_log = logging.getLogger(__name__)
+
+
+class StoreOwner(abc.ABC):
+    """The process the store's tasks speak to."""
+
+    @abc.abstractmethod
+    def is_watching(self) -> bool:
+        """Tell whether this process watches for its data centre."""
+
+    @abc.abstractmethod
+    def take_records(self, records: list[Record]) -> None:
+        """Take in records read from the store."""
+
+    @abc.abstractmethod
+    def take_proof(
+        self, asked_at: float, revision: Revision, record: Record | None
+    ) -> None:
+        """Take in a read of the assignment's revision."""
+
+
+class StoreTask:
+    """Watches the store and proves the assignment's revision.
+
+    Parameters
+    ----------
+    store : Store
+        Client, owned by the task.
+    key : str
+        Key of the data centre's assignment.
+    interval : float
+        Seconds between proofs.
+    owner : StoreOwner
+        Receives what is read.
+    """
+
+    def __init__(
+        self, store: Store, key: str, interval: float, owner: StoreOwner
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._interval = interval
+        self._owner = owner
+        self._since = Revision(0)
+        self._held = Revision(0)
+        self.last_error = ""
+        self.reached_at = float("-inf")
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Begin both loops; the stack ends them."""
+        stack.callback(self._store.close)
+        for loop in (self._watch_loop, self._proof_loop):
+            spawn_vital(loop, stack)
+
+    def _watch_loop(self) -> None:
+        while True:
+            if not self._owner.is_watching():
+                gevent.sleep(self._interval)
+                continue
+            try:
+                wait = _WATCH_WAIT if self._since else 0.0
+                changes = self._store.watch("", self._since, wait)
+            except StoreError as error:
+                self._note_error(error)
+                gevent.sleep(_PAUSE_AFTER_ERROR)
+                continue
+            self._owner.take_records(changes.records)
+            # One answer after a restore of an older store could be lower;
+            # the records themselves never go back.
+            self._since = max(Revision(1), changes.revision)
+
+    def _proof_loop(self) -> None:
+        while True:
+            if self._owner.is_watching():
+                self._prove()
+            gevent.sleep(self._interval)
+
+    def _prove(self) -> None:
+        asked_at = time.monotonic()
+        try:
+            revision = self._store.read_revision(self._key)
+            record = None
+            if revision != self._held:
+                record = self._store.read(self._key)
+        except StoreError as error:
+            self._note_error(error)
+            return
+        self._held = revision
+        self.reached_at = time.monotonic()
+        self.last_error = ""
+        self._owner.take_proof(asked_at, revision, record)
+
+    def _note_error(self, error: StoreError) -> None:
+        if not self.last_error:
+            _log.warning("store away", extra={"error": str(error)})
+        self.last_error = str(error)
+
+
+def swap_assignment(
+    store: Store, key: str, assignment: Assignment, expected: Revision
+) -> Record | None:
+    """Write an assignment by compare-and-swap.
+
+    Parameters
+    ----------
+    store : Store
+        Client.
+    key : str
+        Key of the assignment.
+    assignment : Assignment
+        New version, with its own change id.
+    expected : Revision
+        Revision of the version it was made from.
+
+    Returns
+    -------
+    Record or None
+        What is in the store now; None when it could not be found out.
+
+    Notes
+    -----
+    A lost answer may belong to a change that took effect. It is read back,
+    and the change id tells whose version it is; without the id a writer
+    could take another's change for its own, or its own for a failure.
+    """
+    value = encode_assignment(assignment)
+    try:
+        revision = store.swap(key, value, expected)
+        return Record(key, revision, value)
+    except StoreConflict as error:
+        _log.info("swap lost", extra={"error": str(error)})
+    except StoreError as error:
+        _log.warning("swap unanswered", extra={"error": str(error)})
+        if error.code is ErrorCode.STORE_UNAVAILABLE:
+            return None
+    with contextlib.suppress(StoreError):
+        return _read_back(store, key, assignment)
+    return None
+
+
+def _read_back(store: Store, key: str, assignment: Assignment) -> Record:
+    record = store.read(key)
+    if record is None:
+        return None
+    found = decode_assignment(record.value)
+    _log.info(
+        "swap read back",
+        extra={
+            "revision": record.revision,
+            "own": found.change_id == assignment.change_id,
+        },
+    )
+    return record
--- /dev/null
+++ b/sedgetide/daemons/entry.py
@@ -0,0 +1,110 @@
+"""The entry: takes requests of callers and tells their outcomes."""
+
+import contextlib
+import logging
+import time
+from typing import Any
+import uuid
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from sedgetide.coding.addresses import split_address
+from sedgetide.coding.settings import EntrySettings
+from sedgetide.daemons._admin import Inspectable
+from sedgetide.daemons._admin import start_admin
+from sedgetide.daemons._dispatcher import Dispatcher
+from sedgetide.daemons._frontend import Frontend
+from sedgetide.daemons._frontend import TargetHandler
+from sedgetide.daemons._process import read_settings
+from sedgetide.daemons._process import wait_for_stop
+from sedgetide.runtime.sockets import open_listener
+
+_POLL = 0.02
+# Connections that are open but idle come on top of requests in hand.
+_CONNECTIONS_PER_REQUEST = 4
+
+_log = logging.getLogger(__name__)
+
+
+class Entry(Inspectable):
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._dispatcher = Dispatcher(settings, uuid.uuid4().hex)
+        self._frontend = Frontend(self._dispatcher, settings.limits)
+        self._server: WSGIServer | None = None
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Listen for callers until the stack is closed."""
+        stack.callback(self._dispatcher.close)
+        self._dispatcher.start()
+        start_admin(self._settings.admin, self, stack)
+        listener = open_listener(*split_address(self._settings.listen))
+        connections = self._settings.limits.requests * _CONNECTIONS_PER_REQUEST
+        self._server = WSGIServer(
+            listener,
+            self._frontend.make_application(),
+            spawn=Pool(connections),
+            handler_class=TargetHandler,
+            log=None,
+            error_log=_log,
+        )
+        self._server.start()
+        stack.callback(self._server.stop, timeout=1.0)
+
+    def drain(self) -> None:
+        """Let the balancer notice, then let the work in hand end."""
+        self._frontend.closing = True
+        gevent.sleep(self._settings.limits.drain_notice)
+        self._server.stop_accepting()
+        deadline = time.monotonic() + self._settings.limits.drain
+        while self._frontend.in_hand and time.monotonic() < deadline:
+            gevent.sleep(_POLL)
+        _log.info("drained", extra={"in_hand": self._frontend.in_hand})
+
+    def is_ready(self) -> bool:
+        return (
+            not self._frontend.closing
+            and self._dispatcher.configured
+            and self._dispatcher.has_keeper(time.monotonic())
+        )
+
+    def dump_state(self) -> dict[str, Any]:
+        return {
+            "host": self._settings.host,
+            "data_centre": self._settings.data_centre,
+            "closing": self._frontend.closing,
+            **self._dispatcher.dump_state(),
+        }
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until it is told to stop; return its exit code."""
+    with contextlib.ExitStack() as stack:
+        entry = Entry(settings)
+        entry.start(stack)
+        _log.info("started", extra={"listen": settings.listen})
+        wait_for_stop()
+        entry.drain()
+    return 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Entry point of ``sedgetide-entry``."""
+    settings = read_settings(
+        "sedgetide-entry", __doc__, EntrySettings, arguments
+    )
+    return run_entry(settings)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/sedgetide/daemons/keeper.py
@@ -0,0 +1,62 @@
+"""The keeper: grants, queues and connections of upstreams; assignment."""
+
+import contextlib
+import logging
+import time
+import uuid
+
+import gevent
+
+from sedgetide.coding.settings import KeeperSettings
+from sedgetide.daemons._admin import start_admin
+from sedgetide.daemons._control import Control
+from sedgetide.daemons._process import read_settings
+from sedgetide.daemons._process import wait_for_stop
+
+_POLL = 0.02
+
+_log = logging.getLogger(__name__)
+
+
+def _drain(control: Control, settings: KeeperSettings) -> None:
+    """Let peers take over and the work in hand end."""
+    control.begin_leaving()
+    began = time.monotonic()
+    notice = settings.limits.drain_notice
+    while time.monotonic() - began < settings.limits.drain:
+        waited = time.monotonic() - began
+        if control.idle and waited >= notice:
+            break
+        gevent.sleep(_POLL)
+    _log.info("drained", extra={"idle": control.idle})
+
+
+def run_keeper(settings: KeeperSettings) -> int:
+    """Run a keeper until it is told to stop.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    with contextlib.ExitStack() as stack:
+        control = Control(settings, uuid.uuid4().hex)
+        stack.callback(control.close)
+        control.start()
+        start_admin(settings.admin, control, stack)
+        _log.info("started", extra={"link": settings.link})
+        wait_for_stop()
+        _drain(control, settings)
+    return 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Entry point of ``sedgetide-keeper``."""
+    settings = read_settings(
+        "sedgetide-keeper", __doc__, KeeperSettings, arguments
+    )
+    return run_keeper(settings)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/sedgetide/links/_mail.py
@@ -0,0 +1,164 @@
+"""Messages between processes over pynng's push and pull sockets.
+
+Each process listens on one pull socket and dials a push socket to each
+peer. Pair sockets in polyamorous mode would save a connection, but drop
+messages silently as soon as two wait for one peer; a push socket says that
+it is full.
+"""
+
+from collections.abc import Callable
+import contextlib
+import logging
+import time
+
+import gevent
+from gevent.socket import wait_read
+import pynng
+
+from sedgetide.coding.messages import AnyMessage
+from sedgetide.coding.messages import decode_envelope
+from sedgetide.coding.messages import encode_envelope
+from sedgetide.coding.messages import Envelope
+from sedgetide.coding.messages import Message
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import LinkError
+from sedgetide.core.errors import Step
+from sedgetide.runtime.tasks import spawn_vital
+
+Handler = Callable[[AnyMessage, str], None]
+
+_BUFFERED_MESSAGES = 4096
+_ENVELOPE_BYTES = 256 * 1024
+_RECONNECT_MS = 50
+_READS_BEFORE_YIELD = 64
+
+_log = logging.getLogger(__name__)
+
+
+class _Outbox:
+    """A push socket to one peer."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.used_at = time.monotonic()
+        self.dialled_at = self.used_at
+        self._socket = pynng.Push0(
+            send_buffer_size=_BUFFERED_MESSAGES,
+            reconnect_time_min=_RECONNECT_MS,
+            reconnect_time_max=_RECONNECT_MS,
+        )
+        self._socket.dial(f"tcp://{address}", block=False)
+
+    def send(self, data: bytes) -> None:
+        self.used_at = time.monotonic()
+        try:
+            # A blocking send would stop every greenlet of the process.
+            self._socket.send(data, block=False)
+        except pynng.TryAgain as error:
+            raise LinkError(
+                ErrorCode.LINK_FULL, Step.SEND, self.address, "buffer full"
+            ) from error
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class Mail:
+    """All links of one process.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` to listen on.
+    body_limit : int
+        Largest body in a message, in bytes.
+    handler : callable
+        Called with each message and the sender's address; must not block.
+    """
+
+    def __init__(
+        self, address: str, body_limit: int, handler: Handler
+    ) -> None:
+        self.address = address
+        self._handler = handler
+        self._stack = contextlib.ExitStack()
+        self._outboxes: dict[str, _Outbox] = {}
+        self._inbox = pynng.Pull0(recv_buffer_size=_BUFFERED_MESSAGES)
+        self._stack.callback(self._inbox.close)
+        self._inbox.recv_max_size = body_limit + _ENVELOPE_BYTES
+
+    def start(self) -> None:
+        """Listen and begin to hand out messages."""
+        self._inbox.listen(f"tcp://{self.address}")
+        spawn_vital(self._read, self._stack)
+
+    def send(self, address: str, message: Message) -> None:
+        """Hand a message over for sending.
+
+        Raises
+        ------
+        LinkError
+            When too many messages wait for the peer; this one does not.
+        """
+        outbox = self._outboxes.get(address)
+        if outbox is None:
+            outbox = self._outboxes[address] = _Outbox(address)
+        outbox.send(encode_envelope(Envelope(self.address, message)))
+
+    def send_quietly(self, address: str, message: Message) -> None:
+        """Send a message whose loss the protocol makes good by itself."""
+        with contextlib.suppress(LinkError):
+            self.send(address, message)
+
+    def redial(self, address: str, min_age: float) -> None:
+        """Replace a connection that may have gone silent.
+
+        What waits in it is dropped. Connections younger than ``min_age``
+        seconds are left alone.
+        """
+        outbox = self._outboxes.get(address)
+        if outbox is None or time.monotonic() - outbox.dialled_at < min_age:
+            return
+        _log.info("redial", extra={"peer": address})
+        self._outboxes.pop(address).close()
+
+    def close_unused(self, age: float) -> None:
+        """Close connections on which nothing was sent for a while."""
+        now = time.monotonic()
+        for address, outbox in list(self._outboxes.items()):
+            if now - outbox.used_at > age:
+                self._outboxes.pop(address).close()
+
+    def list_peers(self) -> list[str]:
+        """Return the addresses of all open connections."""
+        return sorted(self._outboxes)
+
+    def close(self) -> None:
+        """Close all connections and stop listening."""
+        while self._outboxes:
+            self._outboxes.popitem()[1].close()
+        self._stack.close()
+
+    def _read(self) -> None:
+        reads = 0
+        while True:
+            try:
+                data = self._inbox.recv(block=False)
+            except pynng.TryAgain:
+                wait_read(self._inbox.recv_fd)
+                continue
+            except pynng.Closed:
+                return
+            self._deliver(data)
+            reads += 1
+            if reads % _READS_BEFORE_YIELD == 0:
+                gevent.sleep(0)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            envelope = decode_envelope(data)
+            self._handler(envelope.message, envelope.sender)
+        except LinkError as error:
+            _log.warning("message refused", extra={"error": str(error)})
+        except Exception:
+            _log.exception("message failed")
--- /dev/null
+++ b/sedgetide/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Loops and sockets as every process of the project uses them."""
--- /dev/null
+++ b/sedgetide/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and checks for tests, also for users of the library."""
--- /dev/null
+++ b/sedgetide/testing/serving.py
@@ -0,0 +1,72 @@
+"""What the stand-ins share: a server, its command line, JSON answers."""
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Iterable
+import signal
+import sys
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+import msgspec
+
+from sedgetide.runtime.sockets import open_listener
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+STATUS_LINES = {
+    200: "200 OK",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    413: "413 Content Too Large",
+    503: "503 Service Unavailable",
+}
+
+
+def read_json(environ: dict[str, Any]) -> Any:
+    """Return the decoded body of a request; an empty object when none."""
+    body = environ["wsgi.input"].read()
+    return msgspec.json.decode(body) if body else {}
+
+
+def answer(
+    start_response: StartResponse,
+    status: int,
+    document: Any,
+    headers: Iterable[tuple[str, str]] = (),
+) -> list[bytes]:
+    """Send a JSON answer."""
+    body = msgspec.json.encode(document)
+    start_response(
+        STATUS_LINES[status],
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ],
+    )
+    return [body]
+
+
+def add_listen_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options that say where a stand-in listens."""
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+
+
+def serve_until_signal(
+    application: Callable[..., Iterable[bytes]], address: str, port: int
+) -> int:
+    """Serve until SIGTERM; print the address once listening."""
+    listener = open_listener(address, port)
+    server = WSGIServer(listener, application, log=None, error_log=sys.stderr)
+    server.start()
+    host, bound = listener.getsockname()[:2]
+    print(f"{host}:{bound}", flush=True)
+    stopped = Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    stopped.wait()
+    server.stop(timeout=0.1)
+    return 0
--- /dev/null
+++ b/sedgetide/testing/upstreammodel.py
@@ -0,0 +1,165 @@
+"""State of the stand-in upstream, without I/O."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.identifiers import Epoch
+
+
+class JournalEntry(msgspec.Struct):
+    """One operation the upstream really began.
+
+    Parameters
+    ----------
+    began, ended : float
+        Monotonic clock of the machine; ``ended`` is None while it runs.
+    operation : str
+        Value of the caller's ``Idempotency-Key``, or the path.
+    """
+
+    upstream: str
+    began: float
+    shard: str
+    epoch: int
+    method: str
+    path: str
+    operation: str
+    request: str
+    ended: float | None = None
+
+
+class _Grant(msgspec.Struct):
+    epoch: Epoch
+    until: float
+
+
+class UpstreamModel:
+    """Grants, fences, slots and the journal of one upstream.
+
+    Parameters
+    ----------
+    name : str
+        Name in the journal.
+    incarnation : str
+        Start of the process.
+    checks_orders : bool
+        Whether stale orders and requests are refused.
+    slots : int
+        Requests worked on at a time; one more than twice as many is shed.
+    """
+
+    def __init__(
+        self, name: str, incarnation: str, checks_orders: bool, slots: int
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.checks_orders = checks_orders
+        self.slots = slots
+        self.running = 0
+        self.orderer = ""
+        self.journal: list[JournalEntry] = []
+        self._grants: dict[ShardKey, _Grant] = {}
+        self._fences: dict[ShardKey, Epoch] = {}
+        self._cancelled: set[str] = set()
+        self._begun: set[str] = set()
+
+    @staticmethod
+    def issue_stamp(now: float) -> str:
+        """Return the clock as an opaque stamp."""
+        return f"{now:.6f}"
+
+    def grant(
+        self,
+        orderer: str,
+        stamp: str,
+        life: float,
+        shards: Mapping[ShardKey, Epoch],
+        now: float,
+    ) -> tuple[str, list[ShardKey]]:
+        """Take grants; return the previous orderer and what was refused."""
+        previous = self.orderer
+        until = now + life
+        if self.checks_orders:
+            until = float(stamp) + life
+        if until <= now:
+            return previous, list(shards)
+        self.orderer = orderer
+        refused = []
+        for key, epoch in shards.items():
+            if self.checks_orders and epoch < self._fences.get(key, 0):
+                refused.append(key)
+                continue
+            self._fences[key] = epoch
+            self._grants[key] = _Grant(epoch, until)
+        return previous, refused
+
+    def release(self, shards: Mapping[ShardKey, Epoch]) -> None:
+        """Give shards up; a checking upstream remembers the fence."""
+        for key, epoch in shards.items():
+            self._fences[key] = max(self._fences.get(key, Epoch(0)), epoch)
+            grant = self._grants.get(key)
+            if grant is not None and grant.epoch < epoch:
+                del self._grants[key]
+
+    def owns(self, key: ShardKey, now: float) -> bool:
+        """Tell whether a grant for the shard is alive."""
+        grant = self._grants.get(key)
+        return grant is not None and now < grant.until
+
+    def measure_held(self, now: float) -> float:
+        """Return the longest life left to a grant in seconds."""
+        left = (grant.until - now for grant in self._grants.values())
+        return max(0.0, max(left, default=0.0))
+
+    def list_owned(self, now: float) -> dict[str, int]:
+        """Return live grants as shard and epoch."""
+        return {
+            str(key): grant.epoch
+            for key, grant in self._grants.items()
+            if now < grant.until
+        }
+
+    def judge(
+        self,
+        key: ShardKey | None,
+        epoch: int,
+        orderer: str,
+        expires: float,
+        now: float,
+    ) -> str:
+        """Return why a request is declined; empty when it may begin."""
+        if self.running > 2 * self.slots:
+            return "shed"
+        if self.checks_orders and now > expires:
+            return "expired"
+        if key is None:
+            return ""
+        if not self.owns(key, now):
+            return "no-grant"
+        if not self.checks_orders:
+            return ""
+        if self._grants[key].epoch != epoch:
+            return "stale-epoch"
+        if orderer != self.orderer:
+            return "stale-orderer"
+        return ""
+
+    def begin(self, entry: JournalEntry) -> None:
+        """Note an operation in the journal."""
+        self.journal.append(entry)
+
+    def cancel(self, number: str) -> bool:
+        """Cancel a request; return True when it has begun already."""
+        if number in self._begun:
+            return True
+        self._cancelled.add(number)
+        return False
+
+    def start(self, number: str) -> bool:
+        """Begin a request; return False when it was cancelled before."""
+        if number in self._cancelled:
+            return False
+        self._begun.add(number)
+        return True
--- /dev/null
+++ b/tests/core/test_authority.py
@@ -0,0 +1,95 @@
+"""Tests of the proofs of authority."""
+
+import testtools
+
+from sedgetide.core.authority import Authority
+from sedgetide.core.authority import NEVER
+from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import Revision
+
+A, B, C = HostName("a"), HostName("b"), HostName("c")
+MEMBERS = [A, B, C]
+LIFE = 0.5
+OLD, NEW = Revision(7), Revision(8)
+
+
+class AuthorityTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.authority = Authority(A, LIFE)
+
+    def prove(self, now, held=OLD, members=MEMBERS):
+        return self.authority.renew_proof(now, held, members)
+
+    def test_store_read_proves_until_life_ends(self):
+        self.authority.note_store(10.0, OLD)
+        self.assertEqual(10.5, self.prove(10.1))
+        self.assertTrue(self.authority.counting)
+
+    def test_store_read_of_newer_revision_proves_nothing(self):
+        # The caller would see two owners: a keeper that still holds the
+        # old assignment read the store after the move began. Its own copy
+        # is behind, so the read must not count for it.
+        self.authority.note_store(10.0, NEW)
+        self.assertEqual(NEVER, self.prove(10.1))
+
+    def test_restarted_member_counts_for_nobody(self):
+        # A member was told of a release, restarted and forgot it. The old
+        # keeper, cut off from the store, asks it. Its word and that of the
+        # old keeper itself, fresh too, must not make a majority.
+        self.authority.note_member(B, 10.0, OLD, counting=False)
+        self.assertEqual(NEVER, self.prove(10.1))
+
+    def test_restarted_host_needs_a_majority_of_others(self):
+        # The host itself has just started without the store: one other
+        # member may have missed what it forgot, two of three can not.
+        self.authority.note_member(B, 10.0, OLD, counting=True)
+        self.assertEqual(NEVER, self.prove(10.1))
+        self.assertFalse(self.authority.counting)
+        self.authority.note_member(C, 10.05, OLD, counting=True)
+        self.assertAlmostEqual(10.5, self.prove(10.1))
+        self.assertTrue(self.authority.counting)
+
+    def test_counting_host_completes_its_own_majority(self):
+        self.authority.note_store(9.9, OLD)
+        self.prove(10.0)
+        self.authority.note_member(B, 20.0, OLD, counting=True)
+        self.assertAlmostEqual(20.5, self.prove(20.1))
+
+    def test_member_that_knows_newer_does_not_count(self):
+        self.authority.note_store(9.9, OLD)
+        self.prove(10.0)
+        self.authority.note_member(B, 20.0, NEW, counting=True)
+        self.assertEqual(9.9 + LIFE, self.prove(20.1))
+
+    def test_word_of_a_host_off_the_list_does_not_count(self):
+        # Two hosts taken off the list keep running, cut off with an old
+        # keeper. Were they heard, they would make a majority with it while
+        # the real list moves the shard.
+        self.authority.note_store(9.9, OLD)
+        self.prove(10.0)
+        self.authority.note_member(HostName("gone"), 20.0, OLD, True)
+        self.assertEqual(9.9 + LIFE, self.prove(20.1))
+
+    def test_proof_ages_by_the_voice_that_completes_it(self):
+        members = [*MEMBERS, HostName("d"), HostName("e")]
+        self.authority.note_store(0.0, OLD)
+        self.prove(0.1)
+        self.authority.note_member(B, 20.0, OLD, True)
+        self.authority.note_member(C, 19.8, OLD, True)
+        self.assertEqual(19.8 + LIFE, self.prove(20.1, members=members))
+
+    def test_late_older_word_does_not_replace_a_newer(self):
+        # Answers overtake each other. An older answer that came last would
+        # hide that the member knows of a release.
+        self.authority.note_member(B, 20.0, NEW, True)
+        self.authority.note_member(B, 19.0, OLD, True)
+        self.assertFalse(self.authority.is_known(NEW, [A, C]))
+        self.authority.note_store(20.0, NEW)
+        self.prove(20.1, held=NEW)
+        self.assertTrue(self.authority.is_known(NEW, MEMBERS))
+
+    def test_list_of_one_vouches_for_itself(self):
+        self.authority.note_store(1.0, OLD)
+        self.prove(1.1, members=[A])
+        self.assertEqual(50.0 + LIFE, self.prove(50.0, members=[A]))
