--- a/sedgetide/backends/_connection.py
+++ b/sedgetide/backends/_connection.py
@@ -37,14 +37,17 @@
 )
 
 
+def is_hop_header(name: str) -> bool:
+    """Tell whether a header concerns one connection only."""
+    return name.lower() in _HOP_HEADERS
+
+
 def drop_hop_headers(
     headers: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
     """Return headers without those that concern one connection only."""
     return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_HEADERS
+        (name, value) for name, value in headers if not is_hop_header(name)
     ]
 
 
--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -187,10 +187,10 @@
 
 
 class Envelope(msgspec.Struct, array_like=True):
-    """A message with the link address of its sender."""
+    """Messages that go together, with the link address of their sender."""
 
     sender: str
-    message: AnyMessage
+    messages: list[AnyMessage]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -198,17 +198,17 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Return the wire form of a message."""
+    """Return the wire form of messages."""
     return _encoder.encode(envelope)
 
 
 def decode_envelope(data: bytes) -> Envelope:
-    """Read the wire form of a message.
+    """Read the wire form of messages.
 
     Raises
     ------
     LinkError
-        When the data is no message of this project.
+        When the data is no messages of this project.
     """
     try:
         return _decoder.decode(data)
--- a/sedgetide/daemons/_beacon.py
+++ b/sedgetide/daemons/_beacon.py
@@ -85,14 +85,14 @@
             )
             if unheard > self._timing.silence:
                 self._mail.redial(address, 2 * self._timing.silence)
-            self._mail.send_quietly(address, Ping(now, unheard, status))
+            self._mail.send(address, Ping(now, unheard, status))
 
     def push(
         self, addresses: Iterable[LinkAddress], records: list[Record]
     ) -> None:
         """Send records to peers without being asked."""
         for address in addresses:
-            self._mail.send_quietly(address, Records(records))
+            self._mail.send(address, Records(records))
 
     def find_state(self, address: LinkAddress, now: float) -> PeerState:
         """Return the state of a peer."""
@@ -124,7 +124,7 @@
             case Pull():
                 newer = list(self._cache.list_newer(message.revisions))
                 if newer:
-                    self._mail.send_quietly(sender, Records(newer))
+                    self._mail.send(sender, Records(newer))
             case Records():
                 self.apply(message.records)
 
@@ -145,7 +145,7 @@
             # sender of the ping can notice it.
             self._mail.redial(address, 2 * self._timing.silence)
         status = self._owner.make_status(now)
-        self._mail.send_quietly(address, Pong(ping.asked_at, status))
+        self._mail.send(address, Pong(ping.asked_at, status))
         self._owner.note_ping(address, ping.status)
         self._compare(ping.status, address)
 
@@ -162,7 +162,7 @@
     def _compare(self, status: Status, address: LinkAddress) -> None:
         if status.digest and status.digest != self._cache.digest:
             pull = Pull(self._cache.list_revisions())
-            self._mail.send_quietly(address, pull)
+            self._mail.send(address, pull)
 
 
 def read_clock() -> float:
--- a/sedgetide/daemons/_control.py
+++ b/sedgetide/daemons/_control.py
@@ -11,6 +11,7 @@
 from sedgetide.backends.httpupstream import HttpUpstream
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import Cancel
+from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Report
 from sedgetide.coding.messages import Request
 from sedgetide.coding.messages import Response
@@ -62,6 +63,11 @@
 _log = logging.getLogger(__name__)
 
 
+def _drop_message(message: Message) -> None:
+    """Leave a message unsent; heartbeats and deadlines make it good."""
+    _log.warning("message dropped", extra={"kind": type(message).__name__})
+
+
 class Control(BeaconOwner, StoreOwner, Inspectable):
     """Everything of a keeper but the work on single upstreams.
 
@@ -93,7 +99,10 @@
         self._pinged_at = float("-inf")
         self._stack = contextlib.ExitStack()
         self._mail = Mail(
-            settings.link, settings.limits.body_bytes, self._handle
+            settings.link,
+            settings.limits.body_bytes,
+            self._handle,
+            _drop_message,
         )
         self._stack.callback(self._mail.close)
         self._beacon = Beacon(self._mail, self._cache, self._timing, self)
@@ -313,7 +322,7 @@
             if assigner == self._host:
                 self._assigner.note_report(report, now)
             else:
-                self._mail.send_quietly(member.link, report)
+                self._mail.send(member.link, report)
 
     def _tick(self, now: float) -> None:
         self._renew_proof(now)
@@ -471,7 +480,7 @@
 
     def _take_request(self, request: Request, sender: str, now: float) -> None:
         def reply(response: Response) -> None:
-            self._mail.send_quietly(sender, response)
+            self._mail.send(sender, response)
 
         task = self._tasks.get(request.upstream)
         stranger = request.addressee != self._incarnation
--- a/sedgetide/daemons/_dispatcher.py
+++ b/sedgetide/daemons/_dispatcher.py
@@ -14,6 +14,7 @@
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import Cancel
 from sedgetide.coding.messages import Headers
+from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Request
 from sedgetide.coding.messages import Response
 from sedgetide.coding.messages import Status
@@ -25,7 +26,6 @@
 from sedgetide.core.assignment import EMPTY_ASSIGNMENT
 from sedgetide.core.assignment import ShardKey
 from sedgetide.core.assignment import ShardState
-from sedgetide.core.errors import LinkError
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import LinkAddress
@@ -120,8 +120,12 @@
         self._answered: dict[LinkAddress, Event] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._turns = itertools.count()
+        self._ranks: dict[tuple[UpstreamName, int], list[LinkAddress]] = {}
         self._mail = Mail(
-            settings.link, settings.limits.body_bytes, self._handle
+            settings.link,
+            settings.limits.body_bytes,
+            self._handle,
+            self._drop,
         )
         self._beacon = Beacon(self._mail, self._cache, self._timing, self)
         self._stack = contextlib.ExitStack()
@@ -195,6 +199,7 @@
         elif record.key.startswith(ASSIGNMENT_PREFIX):
             centre = DataCentre(record.key.removeprefix(ASSIGNMENT_PREFIX))
             self._assignments[centre] = decode_assignment(record.value)
+            self._ranks.clear()
 
     # Links
 
@@ -246,6 +251,14 @@
             return
         self._beacon.handle(message, sender, time.monotonic())
 
+    def _drop(self, message: Message) -> None:
+        """End a request that was never handed over."""
+        if not isinstance(message, Request):
+            return
+        pending = self._pending.get(message.number)
+        if pending is not None:
+            pending.result.set(self._refuse(Reason.OVERLOAD))
+
     def _greet(self, address: LinkAddress, deadline: float) -> bool:
         """Make sure that a keeper answers before a request is sent to it.
 
@@ -282,9 +295,7 @@
         Response
             Never later than shortly after the deadline.
         """
-        budget = self._budgets.setdefault(
-            call.match.service.name, RetryBudget()
-        )
+        budget = self._find_budget(call.match.service.name)
         budget.note_request()
         for turn in itertools.count():
             response = self._attempt(call)
@@ -299,6 +310,12 @@
             gevent.sleep(pause)
         raise AssertionError("unreachable")
 
+    def _find_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget()
+        return budget
+
     def _may_repeat(
         self, call: Call, response: Response, budget: RetryBudget
     ) -> bool:
@@ -378,21 +395,33 @@
             target.data_centre, EMPTY_ASSIGNMENT
         )
         now = time.monotonic()
-        ranked = rank_candidates(target.upstream, assignment.members)
-        links = [assignment.members[host].link for host in ranked]
+        links = self._rank_links(target.upstream, assignment)
         # Those that are known to be alive come before silent ones, which
         # would cost a wait each; the sort keeps the rank within both.
-        links.sort(
+        ordered = sorted(
+            links,
             key=lambda link: (
                 link in self._beacon.statuses
                 and self._beacon.find_state(link, now) is PeerState.SILENT
-            )
+            ),
         )
-        for link in links:
+        for link in ordered:
             if self._greet(link, deadline):
                 return link
         return None
 
+    def _rank_links(
+        self, upstream: UpstreamName, assignment: Assignment
+    ) -> list[LinkAddress]:
+        """Return the keepers' links, best first, remembered per version."""
+        key = (upstream, id(assignment))
+        links = self._ranks.get(key)
+        if links is None:
+            hosts = rank_candidates(upstream, assignment.members)
+            links = [assignment.members[host].link for host in hosts]
+            self._ranks[key] = links
+        return links
+
     def _exchange(
         self,
         call: Call,
@@ -410,10 +439,8 @@
             return pending.result.get(
                 timeout=call.deadline + _ANSWER_GRACE - now
             )
-        except LinkError:
-            return self._refuse(Reason.OVERLOAD)
         except gevent.Timeout:
-            self._mail.send_quietly(address, Cancel(number))
+            self._mail.send(address, Cancel(number))
             return Response(number, Outcome.UNKNOWN, Reason.SILENT)
         finally:
             del self._pending[number]
--- a/sedgetide/daemons/_frontend.py
+++ b/sedgetide/daemons/_frontend.py
@@ -1,5 +1,6 @@
 """The HTTP side of an entry: callers' requests in, outcomes out."""
 
+import functools
 import logging
 import math
 import time
@@ -7,8 +8,10 @@
 
 import falcon
 from gevent.pywsgi import WSGIHandler
+from prometheus_client import Counter
+from prometheus_client import Histogram
 
-from sedgetide.backends._connection import drop_hop_headers
+from sedgetide.backends._connection import is_hop_header
 from sedgetide.coding.messages import Response
 from sedgetide.coding.settings import Limits
 from sedgetide.core.identifiers import OperationId
@@ -55,21 +58,43 @@
         environ[_RAW_TARGET] = self.path
         return environ
 
+    def log_request(self) -> None:
+        """Log nothing; the metrics tell of each request."""
+
+
+@functools.lru_cache(maxsize=1024)
+def _name_header(variable: str) -> str | None:
+    """Return the header of a WSGI variable, or None if it goes no further.
+
+    Callers must not speak to upstreams in the router's own name.
+    """
+    if variable == "CONTENT_TYPE":
+        return "Content-Type"
+    if not variable.startswith("HTTP_"):
+        return None
+    name = variable[5:].replace("_", "-").title()
+    if is_hop_header(name) or name.lower().startswith(_OWN_PREFIX):
+        return None
+    return name
+
 
 def _read_headers(environ: dict[str, Any]) -> list[tuple[str, str]]:
-    headers = [
-        (name[5:].replace("_", "-").title(), value)
-        for name, value in environ.items()
-        if name.startswith("HTTP_")
-    ]
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    # Callers must not speak to upstreams in the router's own name.
-    return [
-        (name, value)
-        for name, value in drop_hop_headers(headers)
-        if not name.lower().startswith(_OWN_PREFIX)
-    ]
+    headers = []
+    for variable, value in environ.items():
+        name = _name_header(variable)
+        if name is not None and value:
+            headers.append((name, value))
+    return headers
+
+
+@functools.lru_cache(maxsize=4096)
+def _count_requests(service: str, outcome: Outcome, reason: Reason) -> Counter:
+    return ENTRY_REQUESTS.labels(service, outcome.value, reason.value)
+
+
+@functools.lru_cache(maxsize=1024)
+def _time_requests(service: str) -> Histogram:
+    return ENTRY_SECONDS.labels(service)
 
 
 class Frontend:
@@ -88,6 +113,7 @@
         self._limits = limits
         self.in_hand = 0
         self.closing = False
+        ENTRY_IN_HAND.set_function(lambda: self.in_hand)
 
     def make_application(self) -> falcon.App:
         """Return the WSGI application."""
@@ -102,17 +128,13 @@
         """Serve one request of a caller."""
         began = time.monotonic()
         self.in_hand += 1
-        ENTRY_IN_HAND.set(self.in_hand)
         try:
             service, result = self._process(request, began)
         finally:
             self.in_hand -= 1
-            ENTRY_IN_HAND.set(self.in_hand)
         self._fill(response, result)
-        ENTRY_REQUESTS.labels(
-            service, result.outcome.value, result.reason.value
-        ).inc()
-        ENTRY_SECONDS.labels(service).observe(time.monotonic() - began)
+        _count_requests(service, result.outcome, result.reason).inc()
+        _time_requests(service).observe(time.monotonic() - began)
 
     def _process(
         self, request: falcon.Request, began: float
--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import enum
+import functools
 import logging
 import time
 from typing import Any
@@ -10,6 +11,7 @@
 import gevent
 from gevent.event import Event
 import msgspec
+from prometheus_client import Counter
 
 from sedgetide.backends.upstream import Order
 from sedgetide.backends.upstream import UpstreamClient
@@ -60,6 +62,13 @@
 }
 
 
+@functools.lru_cache(maxsize=8192)
+def _count_requests(
+    upstream: UpstreamName, outcome: Outcome, reason: Reason
+) -> Counter:
+    return KEEPER_REQUESTS.labels(upstream, outcome.value, reason.value)
+
+
 class Standing(msgspec.Struct, frozen=True):
     """What the control task lets an upstream's task act on.
 
@@ -452,9 +461,7 @@
         self._jobs.pop(number, None)
         if response.number != number:
             response = msgspec.structs.replace(response, number=number)
-        KEEPER_REQUESTS.labels(
-            self.name, response.outcome.value, response.reason.value
-        ).inc()
+        _count_requests(self.name, response.outcome, response.reason).inc()
         job.reply(response)
 
     def _queue_loop(self) -> None:
--- a/sedgetide/links/_mail.py
+++ b/sedgetide/links/_mail.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import logging
 import time
@@ -20,9 +21,7 @@
 from sedgetide.coding.messages import encode_envelope
 from sedgetide.coding.messages import Envelope
 from sedgetide.coding.messages import Message
-from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import LinkError
-from sedgetide.core.errors import Step
 from sedgetide.runtime.tasks import spawn_vital
 
 Handler = Callable[[AnyMessage, str], None]
@@ -35,6 +34,23 @@
 _log = logging.getLogger(__name__)
 
 
+def _split(
+    messages: list[Message], body_limit: int
+) -> Iterator[list[Message]]:
+    """Group messages so that no group's bodies exceed the limit."""
+    group: list[Message] = []
+    size = 0
+    for message in messages:
+        body = len(getattr(message, "body", b""))
+        if group and size + body > body_limit:
+            yield group
+            group, size = [], 0
+        group.append(message)
+        size += body
+    if group:
+        yield group
+
+
 class _Outbox:
     """A push socket to one peer."""
 
@@ -42,6 +58,7 @@
         self.address = address
         self.used_at = time.monotonic()
         self.dialled_at = self.used_at
+        self.waiting: list[Message] = []
         self._socket = pynng.Push0(
             send_buffer_size=_BUFFERED_MESSAGES,
             reconnect_time_min=_RECONNECT_MS,
@@ -49,15 +66,15 @@
         )
         self._socket.dial(f"tcp://{address}", block=False)
 
-    def send(self, data: bytes) -> None:
+    def send(self, data: bytes) -> bool:
+        """Send without waiting; return False when the buffer is full."""
         self.used_at = time.monotonic()
         try:
             # A blocking send would stop every greenlet of the process.
             self._socket.send(data, block=False)
-        except pynng.TryAgain as error:
-            raise LinkError(
-                ErrorCode.LINK_FULL, Step.SEND, self.address, "buffer full"
-            ) from error
+        except pynng.TryAgain:
+            return False
+        return True
 
     def close(self) -> None:
         self._socket.close()
@@ -74,13 +91,27 @@
         Largest body in a message, in bytes.
     handler : callable
         Called with each message and the sender's address; must not block.
+    drop : callable
+        Called with each message that was not handed over, since too many
+        wait for the peer or its connection was replaced.
+
+    Notes
+    -----
+    Messages to one peer that arise in the same turn of the event loop leave
+    as one: a send costs two switches of threads, whatever its size.
     """
 
     def __init__(
-        self, address: str, body_limit: int, handler: Handler
+        self,
+        address: str,
+        body_limit: int,
+        handler: Handler,
+        drop: Callable[[Message], None],
     ) -> None:
         self.address = address
         self._handler = handler
+        self._drop = drop
+        self._body_limit = body_limit
         self._stack = contextlib.ExitStack()
         self._outboxes: dict[str, _Outbox] = {}
         self._inbox = pynng.Pull0(recv_buffer_size=_BUFFERED_MESSAGES)
@@ -93,22 +124,13 @@
         spawn_vital(self._read, self._stack)
 
     def send(self, address: str, message: Message) -> None:
-        """Hand a message over for sending.
-
-        Raises
-        ------
-        LinkError
-            When too many messages wait for the peer; this one does not.
-        """
+        """Send a message at the end of this turn of the event loop."""
         outbox = self._outboxes.get(address)
         if outbox is None:
             outbox = self._outboxes[address] = _Outbox(address)
-        outbox.send(encode_envelope(Envelope(self.address, message)))
-
-    def send_quietly(self, address: str, message: Message) -> None:
-        """Send a message whose loss the protocol makes good by itself."""
-        with contextlib.suppress(LinkError):
-            self.send(address, message)
+        if not outbox.waiting:
+            gevent.get_hub().loop.run_callback(self._flush, outbox)
+        outbox.waiting.append(message)
 
     def redial(self, address: str, min_age: float) -> None:
         """Replace a connection that may have gone silent.
@@ -120,14 +142,14 @@
         if outbox is None or time.monotonic() - outbox.dialled_at < min_age:
             return
         _log.info("redial", extra={"peer": address})
-        self._outboxes.pop(address).close()
+        self._remove(address)
 
     def close_unused(self, age: float) -> None:
         """Close connections on which nothing was sent for a while."""
         now = time.monotonic()
         for address, outbox in list(self._outboxes.items()):
             if now - outbox.used_at > age:
-                self._outboxes.pop(address).close()
+                self._remove(address)
 
     def list_peers(self) -> list[str]:
         """Return the addresses of all open connections."""
@@ -135,10 +157,26 @@
 
     def close(self) -> None:
         """Close all connections and stop listening."""
-        while self._outboxes:
-            self._outboxes.popitem()[1].close()
+        for address in list(self._outboxes):
+            self._flush(self._outboxes[address])
+            self._remove(address)
         self._stack.close()
 
+    def _flush(self, outbox: _Outbox) -> None:
+        messages, outbox.waiting = outbox.waiting, []
+        for group in _split(messages, self._body_limit):
+            data = encode_envelope(Envelope(self.address, group))
+            if not outbox.send(data):
+                for message in group:
+                    self._drop(message)
+
+    def _remove(self, address: str) -> None:
+        outbox = self._outboxes.pop(address)
+        outbox.close()
+        for message in outbox.waiting:
+            self._drop(message)
+        outbox.waiting = []
+
     def _read(self) -> None:
         reads = 0
         while True:
@@ -157,8 +195,11 @@
     def _deliver(self, data: bytes) -> None:
         try:
             envelope = decode_envelope(data)
-            self._handler(envelope.message, envelope.sender)
         except LinkError as error:
             _log.warning("message refused", extra={"error": str(error)})
-        except Exception:
-            _log.exception("message failed")
+            return
+        for message in envelope.messages:
+            try:
+                self._handler(message, envelope.sender)
+            except Exception:
+                _log.exception("message failed")
--- a/sedgetide/testing/fleet.py
+++ b/sedgetide/testing/fleet.py
@@ -311,6 +311,10 @@
         process = self._run(f"{program}-{host}", module, str(path))
         return Daemon(process, module, settings, path)
 
+    def start_tool(self, name: str, module: str, *arguments: str) -> Process:
+        """Start another program that ends with the fleet."""
+        return self._run(name, module, *arguments)
+
     def restart(self, daemon: Daemon) -> None:
         """Start a daemon that has ended once more."""
         name = daemon.process.name
