Demo; entries find the keeper that took an upstream over

(1) A changed text ended the task of every upstream of the service it touched: its queue was refused and its operation ids were lost. (2) After a keeper's loss an entry held the next keeper for silent, because it had heard it once at its start and then asked it no more; it went to a third keeper, was refused as not the keeper, and repeated that until the deadline (433 retries in 2 s at one entry).

Ruled out: the keepers' own view (both survivors agreed and held grants), the way back of the link (the keeper had a connection to the entry), ranks (equal on both sides).

Change: tasks take over changed settings in place. A peer is known to be silent only while it is being asked; a keeper that declined comes last in the same call. Shards can be pinned in the text (sedgetide move).

The darkness is measured per kind of request, not yet per key.

--- a/sedgetide/coding/text.py
+++ b/sedgetide/coding/text.py
@@ -8,6 +8,8 @@
 from sedgetide.coding.checking import describe_value
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.core.identifiers import Shard
+from sedgetide.core.keyspace import find_home
 from sedgetide.core.services import KEY_SEGMENT
 from sedgetide.core.services import Service
 from sedgetide.core.services import Text
@@ -114,6 +116,28 @@
             )
 
 
+def _check_pins(service: Service, path: str) -> Iterator[Problem]:
+    if not service.keyed or not service.homes or service.shards is None:
+        return
+    centres = {each.name: each.data_centre for each in service.upstreams}
+    for index, pin in enumerate(service.pins):
+        place = f"{path}.pins[{index}]"
+        if pin.shard >= service.shards:
+            yield Problem(
+                f"{place}.shard",
+                str(pin.shard),
+                f"a shard from 0 to {service.shards - 1}",
+            )
+            continue
+        home = find_home(Shard(pin.shard), service.homes)
+        if centres.get(pin.upstream) != home:
+            yield Problem(
+                f"{place}.upstream",
+                describe_value(pin.upstream),
+                f"an upstream of {service.name} in {home}",
+            )
+
+
 def _find_cycles(text: Text) -> Iterator[Problem]:
     needs = {each.name: each.depends_on for each in text.services}
     for index, service in enumerate(text.services):
@@ -163,6 +187,7 @@
         path = f"$.services[{index}]"
         problems.extend(_check_service(service, text, path))
         problems.extend(_check_routes(service, text, path))
+        problems.extend(_check_pins(service, path))
     return (None if problems else text), problems
 
 
--- a/sedgetide/command/configuration.py
+++ b/sedgetide/command/configuration.py
@@ -1,5 +1,6 @@
 """Changes of the operators' text in the store."""
 
+from typing import Any
 import uuid
 
 import msgspec
@@ -24,6 +25,7 @@
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.keyspace import find_shard
 from sedgetide.core.records import CONFIGURATION_KEY
 from sedgetide.core.records import name_assignment
 from sedgetide.core.services import Text
@@ -146,6 +148,44 @@
     raise StoreConflict(Step.WRITE, CONFIGURATION_KEY, base, record.revision)
 
 
+def _apply_document(
+    store: Store, document: dict[str, Any], base: Revision
+) -> Revision:
+    content = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    return apply_text(store, content, base)
+
+
+def pin_shard(
+    store: Store, service_name: str, key: str, upstream: str
+) -> Revision:
+    """Pin the shard of a key to an upstream in the text in force.
+
+    Raises
+    ------
+    InputError
+        When the service has no keys or the upstream can not own the shard.
+    """
+    current = read_text(store)
+    text = parse_text(current.content.encode())
+    service = text.find_service(service_name)
+    if service is None or not service.keyed:
+        known = ", ".join(each.name for each in text.services if each.keyed)
+        raise _refuse(
+            [
+                Problem(
+                    "service", describe_value(service_name), f"one of {known}"
+                )
+            ]
+        )
+    shard = find_shard(key, service.shards)
+    document = msgspec.json.decode(current.content)
+    for row in document["services"]:
+        if row["name"] == service_name:
+            pins = [p for p in row.get("pins", ()) if p["shard"] != shard]
+            row["pins"] = [*pins, {"shard": shard, "upstream": upstream}]
+    return _apply_document(store, document, current.revision)
+
+
 def set_upstream_state(
     store: Store, name: str, state: UpstreamState
 ) -> Revision:
@@ -174,5 +214,4 @@
                 )
             ]
         )
-    content = msgspec.json.format(msgspec.json.encode(document), indent=2)
-    return apply_text(store, content, current.revision)
+    return _apply_document(store, document, current.revision)
--- a/sedgetide/command/main.py
+++ b/sedgetide/command/main.py
@@ -128,6 +128,16 @@
     return EXIT_OK
 
 
+def move_shard(options: argparse.Namespace) -> int:
+    """Pin the shard of a key to an upstream."""
+    with _open_store(options) as store:
+        revision = configuration.pin_shard(
+            store, options.service, options.key, options.upstream
+        )
+    print(f"revision {revision}")
+    return EXIT_OK
+
+
 def show_state(options: argparse.Namespace) -> int:
     """Print the state dump of one process."""
     connection = HttpConnection(options.address, _STATE_LIMIT)
@@ -193,6 +203,12 @@
     )
     _add_store(drain)
     drain.set_defaults(run=drain_upstream)
+    move = commands.add_parser("move", help="choose the owner of a shard")
+    move.add_argument("service")
+    move.add_argument("key", help="any key of the shard")
+    move.add_argument("upstream")
+    _add_store(move)
+    move.set_defaults(run=move_shard)
     return parser
 
 
--- a/sedgetide/core/planning.py
+++ b/sedgetide/core/planning.py
@@ -32,6 +32,8 @@
         Shards whose owner is gone, with the epoch it held.
     stopped : dict
         Released shards whose old owner has stopped, with their fences.
+    pins : dict
+        Owners chosen by the operators that can own now.
     joiners : dict
         Hosts that answer but are not on the member list.
     absent : frozenset
@@ -45,6 +47,7 @@
     evicted: Collection[UpstreamName] = frozenset()
     lost: Mapping[ShardKey, Epoch] = {}
     stopped: Mapping[ShardKey, Epoch] = {}
+    pins: Mapping[ShardKey, UpstreamName] = {}
     joiners: Mapping[HostName, Member] = {}
     absent: Collection[HostName] = frozenset()
     list_known: bool = False
@@ -53,9 +56,9 @@
 def _spread(
     keys: Collection[ShardKey],
     assignment: Assignment,
-    takers: Mapping[ServiceName, list[UpstreamName]],
+    situation: Situation,
 ) -> dict[ShardKey, UpstreamName]:
-    """Give each shard to the upstream that owns the fewest."""
+    """Give each shard to its pin or the upstream that owns the fewest."""
     counts: collections.Counter[UpstreamName] = collections.Counter(
         owner.upstream
         for owner in assignment.shards.values()
@@ -63,7 +66,9 @@
     )
     owners = {}
     for key in sorted(keys):
-        candidates = takers.get(key.service, [])
+        candidates = situation.takers.get(key.service, [])
+        if key in situation.pins:
+            candidates = [situation.pins[key]]
         if not candidates:
             continue
         chosen = min(candidates, key=lambda name: (counts[name], name))
@@ -75,7 +80,7 @@
 def _plan_completion(
     assignment: Assignment, situation: Situation, change_id: ChangeId
 ) -> Assignment | None:
-    owners = _spread(situation.stopped, assignment, situation.takers)
+    owners = _spread(situation.stopped, assignment, situation)
     if not owners:
         return None
     return assignment.complete(owners, situation.stopped, change_id)
@@ -90,7 +95,7 @@
         for key in keys
         if key not in assignment.shards
     ]
-    owners = _spread(missing, assignment, situation.takers)
+    owners = _spread(missing, assignment, situation)
     return assignment.assign_first(owners, change_id) if owners else None
 
 
@@ -103,6 +108,7 @@
         if owner.state is ShardState.OWNED
         and (
             situation.lost.get(key) == owner.epoch
+            or situation.pins.get(key, owner.upstream) != owner.upstream
             or (
                 owner.upstream in situation.evicted
                 and situation.takers.get(key.service)
--- a/sedgetide/core/services.py
+++ b/sedgetide/core/services.py
@@ -74,6 +74,13 @@
     state: UpstreamState = UpstreamState.ACTIVE
 
 
+class Pin(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Operators' choice of the owner of one shard."""
+
+    shard: Annotated[int, msgspec.Meta(ge=0)]
+    upstream: Name
+
+
 class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How much a service minds each harm; only the ratio counts."""
 
@@ -101,6 +108,8 @@
         sender.
     depends_on : tuple of str
         Services without which this one can not answer.
+    pins : tuple of Pin
+        Owners chosen by the operators, obeyed while they are active.
     """
 
     name: Name
@@ -115,6 +124,7 @@
     checks_orders: bool = False
     depends_on: tuple[Name, ...] = ()
     weights: Weights = Weights()
+    pins: tuple[Pin, ...] = ()
 
     def find_longest_deadline(self) -> float:
         """Return the longest deadline of the routes in seconds."""
--- a/sedgetide/daemons/_assigner.py
+++ b/sedgetide/daemons/_assigner.py
@@ -21,6 +21,7 @@
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.keyspace import list_shards
 from sedgetide.core.planning import plan_change
@@ -61,6 +62,20 @@
     list_known: bool
 
 
+def _list_pins(
+    text: Text, takers: Mapping[ServiceName, list[UpstreamName]]
+) -> dict[ShardKey, UpstreamName]:
+    """Return the pins to upstreams that may be given shards now."""
+    return {
+        ShardKey(ServiceName(service.name), Shard(pin.shard)): UpstreamName(
+            pin.upstream
+        )
+        for service in text.services
+        for pin in service.pins
+        if pin.upstream in takers[ServiceName(service.name)]
+    }
+
+
 class Assigner:
     """Plans changes of one data centre's assignment and writes them.
 
@@ -185,6 +200,7 @@
             stopped=self.tracker.list_stopped(
                 now, self._timing.sum_takeover_wait
             ),
+            pins=_list_pins(text, takers),
             joiners=membership.joiners,
             absent=membership.absent,
             list_known=membership.list_known,
--- a/sedgetide/daemons/_beacon.py
+++ b/sedgetide/daemons/_beacon.py
@@ -70,7 +70,8 @@
         self._cache = cache
         self._timing = timing
         self._owner = owner
-        self._asked_first: dict[LinkAddress, float] = {}
+        # First and last question of an unbroken row of questions.
+        self._asked: dict[LinkAddress, tuple[float, float]] = {}
         self.liveness = Liveness(timing.silence)
         self.statuses: dict[LinkAddress, Status] = {}
         self._received: dict[LinkAddress, float] = {}
@@ -79,7 +80,7 @@
         """Ask peers for a sign of life."""
         status = self._owner.make_status(now)
         for address in addresses:
-            first = self._asked_first.setdefault(address, now)
+            first = self._note_question(address, now)
             unheard = min(
                 self.liveness.measure_silence(address, now), now - first
             )
@@ -87,6 +88,14 @@
                 self._mail.redial(address, 2 * self._timing.silence)
             self._mail.send(address, Ping(now, unheard, status))
 
+    def _note_question(self, address: LinkAddress, now: float) -> float:
+        """Return since when a peer has been asked without a break."""
+        first, last = self._asked.get(address, (now, now))
+        if now - last > self._timing.silence:
+            first = now
+        self._asked[address] = (first, now)
+        return first
+
     def push(
         self, addresses: Iterable[LinkAddress], records: list[Record]
     ) -> None:
@@ -103,16 +112,17 @@
         return self._received[address]
 
     def is_known_silent(self, address: LinkAddress, now: float) -> bool:
-        """Tell whether a peer was asked for long without an answer."""
-        first = self._asked_first.get(address)
-        if first is None or now - first <= self._timing.silence:
+        """Tell whether a peer is being asked, for long and in vain.
+
+        One that has merely not been asked of late may well be alive.
+        """
+        asked = self._asked.get(address)
+        if asked is None or now - asked[1] > self._timing.silence:
+            return False
+        if now - asked[0] <= self._timing.silence:
             return False
         return self.find_state(address, now) is PeerState.SILENT
 
-    def forget(self, address: LinkAddress) -> None:
-        """Forget since when a peer has been asked."""
-        self._asked_first.pop(address, None)
-
     def handle(self, message: AnyMessage, sender: str, now: float) -> None:
         """Take in a message of this protocol; ignore all others."""
         address = LinkAddress(sender)
--- a/sedgetide/daemons/_control.py
+++ b/sedgetide/daemons/_control.py
@@ -416,10 +416,11 @@
     def _claim_upstreams(self, now: float) -> None:
         wanted = self._list_kept(now)
         for name, task in list(self._tasks.items()):
-            kept = wanted.get(name)
-            if kept is None or kept != (task.service, task.upstream):
+            if name not in wanted:
                 self._tasks.pop(name).retire()
                 self._retired.append(task)
+            elif wanted[name] != (task.service, task.upstream):
+                self._reconfigure(task, *wanted[name])
         for name, (service, upstream) in wanted.items():
             if name not in self._tasks:
                 self._start_task(service, upstream)
@@ -443,12 +444,23 @@
             and choose_candidate(upstream.name, alive) == self._host
         }
 
-    def _start_task(self, service: Service, upstream: Upstream) -> None:
-        client = HttpUpstream(
+    def _open_upstream(self, upstream: Upstream) -> HttpUpstream:
+        return HttpUpstream(
             upstream.address,
             self._settings.limits.body_bytes,
             self._timing.silence / 2,
         )
+
+    def _reconfigure(
+        self, task: UpstreamTask, service: Service, upstream: Upstream
+    ) -> None:
+        client = None
+        if upstream.address != task.upstream.address:
+            client = self._open_upstream(upstream)
+        task.reconfigure(service, upstream, client)
+
+    def _start_task(self, service: Service, upstream: Upstream) -> None:
+        client = self._open_upstream(upstream)
         task = UpstreamTask(
             f"{self._host}/{self._incarnation}",
             service,
--- a/sedgetide/daemons/_dispatcher.py
+++ b/sedgetide/daemons/_dispatcher.py
@@ -215,7 +215,6 @@
         for address, at in list(self._used.items()):
             if now - at > _LINK_USED:
                 del self._used[address]
-                self._beacon.forget(address)
         home = self._assignments.get(self._settings.home, EMPTY_ASSIGNMENT)
         hosts = rank_candidates(self._settings.host, home.members)
         links = [home.members[host].link for host in hosts]
@@ -297,8 +296,9 @@
         """
         budget = self._find_budget(call.match.service.name)
         budget.note_request()
+        declined: set[LinkAddress] = set()
         for turn in itertools.count():
-            response = self._attempt(call)
+            response = self._attempt(call, declined)
             if not self._may_repeat(call, response, budget):
                 return response
             pause = _PAUSES[min(turn, len(_PAUSES) - 1)]
@@ -329,15 +329,21 @@
             return response.reason in TRANSIENT_REASONS
         return budget.spend()
 
-    def _attempt(self, call: Call) -> Response:
+    def _attempt(self, call: Call, declined: set[LinkAddress]) -> Response:
         target = self._find_target(call)
         if isinstance(target, Reason):
             return self._refuse(target)
-        address = self._find_keeper(target, call.deadline)
+        address = self._find_keeper(target, call.deadline, declined)
         if address is None:
             return self._refuse(Reason.CUT_OFF)
+        if address in declined:
+            # All have declined; ask from the first one again.
+            declined.clear()
         status = self._beacon.statuses[address]
-        return self._exchange(call, target, address, status)
+        response = self._exchange(call, target, address, status)
+        if response.reason is Reason.NOT_KEEPER:
+            declined.add(address)
+        return response
 
     def _refuse(self, reason: Reason) -> Response:
         return Response(
@@ -389,23 +395,21 @@
         )
 
     def _find_keeper(
-        self, target: _Target, deadline: float
+        self, target: _Target, deadline: float, declined: set[LinkAddress]
     ) -> LinkAddress | None:
+        """Return the link of the first keeper that answers.
+
+        Parameters
+        ----------
+        declined : set of LinkAddress
+            Keepers that said in this call that they do not keep the
+            upstream; they come last.
+        """
         assignment = self._assignments.get(
             target.data_centre, EMPTY_ASSIGNMENT
         )
-        now = time.monotonic()
         links = self._rank_links(target.upstream, assignment)
-        # Those that are known to be alive come before silent ones, which
-        # would cost a wait each; the sort keeps the rank within both.
-        ordered = sorted(
-            links,
-            key=lambda link: (
-                link in self._beacon.statuses
-                and self._beacon.find_state(link, now) is PeerState.SILENT
-            ),
-        )
-        for link in ordered:
+        for link in sorted(links, key=declined.__contains__):
             if self._greet(link, deadline):
                 return link
         return None
--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -167,6 +167,27 @@
         for loop in (self._renew_loop, self._queue_loop):
             spawn_vital(loop, self._stack)
 
+    def reconfigure(
+        self,
+        service: Service,
+        upstream: Upstream,
+        client: UpstreamClient | None,
+    ) -> None:
+        """Take over changed settings; operations and grants stay known.
+
+        Parameters
+        ----------
+        client : UpstreamClient or None
+            Connections to the new address, when that changed.
+        """
+        self.service = service
+        self.upstream = upstream
+        self._queue.slots = service.slots
+        if client is not None:
+            self._stack.callback(client.close)
+            self._client = client
+        self._dispatch()
+
     def retire(self) -> None:
         """Give no more orders; what waits is answered as not run."""
         self._retired = True
