--- a/sedgetide/testing/serving.py
+++ b/sedgetide/testing/serving.py
@@ -3,6 +3,8 @@
 import argparse
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import signal
 import sys
 from typing import Any
@@ -56,6 +58,25 @@
     parser.add_argument("--port", type=int, default=0)
 
 
+@contextlib.contextmanager
+def serve(application: Callable[..., Iterable[bytes]]) -> Iterator[str]:
+    """Serve in this process for the length of a block.
+
+    Yields
+    ------
+    str
+        ``IP:port`` of the server.
+    """
+    listener = open_listener("127.0.0.1", 0)
+    server = WSGIServer(listener, application, log=None, error_log=None)
+    server.start()
+    host, port = listener.getsockname()[:2]
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.stop(timeout=0.1)
+
+
 def serve_until_signal(
     application: Callable[..., Iterable[bytes]], address: str, port: int
 ) -> int:
--- /dev/null
+++ b/tests/backends/test_connection.py
@@ -0,0 +1,160 @@
+"""Tests of the connections to upstreams, with real sockets."""
+
+import collections
+import contextlib
+
+import gevent
+from gevent import socket
+import testtools
+
+from sedgetide.backends._connection import HttpConnection
+from sedgetide.backends.httpupstream import HttpUpstream
+from sedgetide.backends.upstream import Order
+from sedgetide.backends.upstream import Work
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.identifiers import Epoch
+
+LIMIT = 1000
+METHODS = ["GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS"]
+
+
+class Server:
+    """Answers each connection with fixed bytes and counts arrivals."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.arrived = collections.Counter()
+        self.connections = 0
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(8)
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._task = gevent.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            peer, _ = self._listener.accept()
+            self.connections += 1
+            gevent.spawn(self._serve, peer)
+
+    def _serve(self, peer):
+        data = peer.recv(65536)
+        while data:
+            self.arrived[data.split(b" ", 1)[0].decode()] += 1
+            if self.answer is None:
+                break
+            peer.sendall(self.answer)
+            if b"close" in self.answer:
+                break
+            data = peer.recv(65536)
+        peer.close()
+
+    def close(self):
+        self._task.kill()
+        self._listener.close()
+
+
+class ConnectionTest(testtools.TestCase):
+    def serve(self, answer):
+        server = Server(answer)
+        self.addCleanup(server.close)
+        return server
+
+    def exchange(self, server, method="GET", **options):
+        connection = HttpConnection(server.address, LIMIT)
+        self.addCleanup(connection.close)
+        connection.open(1.0)
+        options.setdefault("timeout", 1.0)
+        answer = connection.exchange(method, "/", (), b"", **options)
+        return connection, answer
+
+    def assert_fails(self, code, server, sent=True, **options):
+        error = self.assertRaises(
+            UpstreamError, self.exchange, server, **options
+        )
+        self.assertIs(code, error.code)
+        self.assertIs(sent, error.sent)
+
+    def test_whole_answer(self):
+        server = self.serve(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        connection, answer = self.exchange(server)
+        self.assertEqual(b"ok", answer.body)
+        self.assertTrue(connection.usable)
+
+    def test_every_method_arrives_once(self):
+        # The server takes the request and closes without an answer. A
+        # client that sends again by itself would run it twice.
+        server = self.serve(None)
+        for method in METHODS:
+            self.assert_fails(ErrorCode.BAD_ANSWER, server, method=method)
+        self.assertEqual(dict.fromkeys(METHODS, 1), dict(server.arrived))
+
+    def test_cut_answers_are_errors(self):
+        # The caller would take half an archive for the whole.
+        for cut in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nx: close\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+            b"x: close\r\n\r\n2\r\nok\r\n",
+            b"HTTP/1.1 200 OK\r\nx: close\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nx: close\r\n",
+        ):
+            self.assert_fails(ErrorCode.BAD_ANSWER, self.serve(cut))
+
+    def test_body_over_the_limit(self):
+        body = b"x" * (LIMIT + 1)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        self.assert_fails(ErrorCode.BAD_ANSWER, self.serve(head + body))
+
+    def test_connection_that_timed_out_is_closed(self):
+        # Its answer comes late and would be taken for the next request's.
+        server = self.serve(b"")
+        connection = HttpConnection(server.address, LIMIT)
+        connection.open(1.0)
+        self.assertRaises(
+            UpstreamError, connection.exchange, "GET", "/", (), b"", 0.05
+        )
+        self.assertFalse(connection.usable)
+
+    def test_nothing_is_sent_too_late(self):
+        # The process was paused between its decision and the send.
+        server = self.serve(b"")
+        self.assert_fails(
+            ErrorCode.TOO_LATE, server, sent=False, not_after=0.0
+        )
+        self.assertEqual(0, sum(server.arrived.values()))
+
+    def test_answer_of_another_request_is_refused(self):
+        answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            b"sedgetide-request: other\r\n\r\nok"
+        )
+        server = self.serve(answer)
+        client = HttpUpstream(server.address, LIMIT, 1.0)
+        work = Work("own", "GET", "/", [], b"", None, Epoch(0), 1.0)
+        order = Order("k", "0", float("inf"))
+        with contextlib.closing(client):
+            error = self.assertRaises(
+                UpstreamError, client.run, order, work, 1.0, False
+            )
+        self.assertTrue(error.sent)
+        self.assertIn("not that of request own", error.detail)
+
+    def test_non_idempotent_request_avoids_an_old_connection(self):
+        # A connection may have gone silent for good while it was idle; the
+        # request would be lost on it and its outcome unknown.
+        answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            b"sedgetide-request: n\r\n\r\nok"
+        )
+        server = self.serve(answer)
+        client = HttpUpstream(server.address, LIMIT, 1.0)
+        work = Work("n", "POST", "/", [], b"", None, Epoch(0), 1.0)
+        order = Order("k", "0", float("inf"))
+        with contextlib.closing(client):
+            client.run(order, work, 1.0, fresh=True)
+            client.run(order, work, 1.0, fresh=True)
+            self.assertEqual(1, server.connections)
+            client._idle[0].answered_at -= 10.0
+            client.run(order, work, 1.0, fresh=True)
+        self.assertEqual(2, server.connections)
--- /dev/null
+++ b/tests/core/test_operations.py
@@ -0,0 +1,86 @@
+"""Tests of operation ids."""
+
+import testtools
+
+from sedgetide.core.identifiers import Epoch
+from sedgetide.core.operations import find_issue_time
+from sedgetide.core.operations import OperationLog
+from sedgetide.core.operations import Verdict
+from sedgetide.testing.callers import make_operation_id
+
+SHARD = "s/1"
+START = 1_000_000.0
+
+
+class OperationLogTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.log = OperationLog(window=600.0, capacity=3, clock_skew=1.0)
+        self.log.begin_tenure(SHARD, Epoch(1), START)
+
+    def judge(self, operation, wall, first_attempt=False):
+        return self.log.judge(operation, SHARD, wall, first_attempt)
+
+    def test_id_tells_its_time(self):
+        issued = find_issue_time(make_operation_id(START))
+        self.assertAlmostEqual(START, issued, places=2)
+        self.assertIsNone(find_issue_time("no-uuid"))
+        four = "0b4d3c1e-1f57-4d9e-9a55-0a8bb1ad4a4f"
+        self.assertIsNone(find_issue_time(four))
+
+    def test_repeat_joins_and_then_gets_the_answer(self):
+        wall = START + 10
+        operation = make_operation_id(wall)
+        self.assertIs(Verdict.RUN, self.judge(operation, wall))
+        self.log.begin(operation, wall)
+        self.assertIs(Verdict.JOIN, self.judge(operation, wall))
+        self.log.finish(operation, "answer")
+        self.assertIs(Verdict.REPEAT, self.judge(operation, wall + 5))
+        self.assertEqual("answer", self.log.find_answer(operation))
+
+    def test_withdrawn_operation_may_run(self):
+        wall = START + 10
+        operation = make_operation_id(wall)
+        self.log.begin(operation, wall)
+        self.log.withdraw(operation)
+        self.assertIs(Verdict.RUN, self.judge(operation, wall))
+
+    def test_id_from_before_the_tenure_is_lost(self):
+        # The caller was told unknown when a keeper was killed and repeats
+        # its alert. The successor can not know whether it ran; running it
+        # could send a second notice.
+        operation = make_operation_id(START - 5)
+        self.assertIs(Verdict.LOST, self.judge(operation, START + 1))
+
+    def test_clock_skew_counts_as_before(self):
+        operation = make_operation_id(START + 0.5)
+        self.assertIs(Verdict.LOST, self.judge(operation, START + 2))
+
+    def test_first_attempt_runs_whatever_the_tenure(self):
+        operation = make_operation_id(START - 5)
+        self.assertIs(Verdict.RUN, self.judge(operation, START, True))
+
+    def test_orders_of_another_keeper_end_the_tenure(self):
+        # Two keepers by turns: what ran at the other is not known here.
+        operation = make_operation_id(START + 10)
+        self.log.end_tenures()
+        self.log.begin_tenure(SHARD, Epoch(1), START + 20)
+        self.assertIs(Verdict.LOST, self.judge(operation, START + 21))
+
+    def test_new_epoch_begins_a_new_tenure(self):
+        self.log.begin_tenure(SHARD, Epoch(3), START + 20)
+        operation = make_operation_id(START + 10)
+        self.assertIs(Verdict.LOST, self.judge(operation, START + 22))
+
+    def test_id_beyond_the_window_is_lost(self):
+        operation = make_operation_id(START + 10)
+        self.log.begin(operation, START + 10)
+        self.log.finish(operation, "answer")
+        self.assertIs(Verdict.LOST, self.judge(operation, START + 700))
+        self.assertEqual(0, len(self.log))
+
+    def test_full_log_refuses_instead_of_forgetting(self):
+        for _ in range(3):
+            self.log.begin(make_operation_id(START + 10), START + 10)
+        operation = make_operation_id(START + 11)
+        self.assertIs(Verdict.FULL, self.judge(operation, START + 11))
--- /dev/null
+++ b/tests/daemons/test_stop.py
@@ -0,0 +1,69 @@
+"""Planned stops under a steady load, with real processes."""
+
+import collections
+import json
+import pathlib
+
+import gevent
+import testtools
+
+from sedgetide.testing import journals
+from sedgetide.testing.callers import Load
+from sedgetide.testing.fleet import Fleet
+from sedgetide.testing.fleet import wait_for
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+PATHS = [
+    ("GET", "/mappa-fumi/tiles/t{n}"),
+    ("POST", "/mappa-fumi/alerts/a{n}"),
+    ("GET", "/archivio-pennacchi/plumes/p{n}"),
+]
+WARM_UP = 0.5
+
+
+class PlannedStopTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        text = json.loads((EXAMPLES / "lombardia.json").read_text())
+        self.fleet = Fleet(text, upstreams=1)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start(keepers=2, entries=2)
+        addresses = [
+            entry.settings["listen"] for entry in self.fleet.entries.values()
+        ]
+        self.load = Load(addresses, PATHS, rate=100.0)
+        self.load.start()
+        gevent.sleep(WARM_UP)
+
+    def check(self):
+        told = self.load.stop()
+        outcomes = collections.Counter(
+            (each.outcome, each.reason) for each in told
+        )
+        self.assertEqual({("answered", "")}, set(outcomes), outcomes)
+        self.assertTrue(all(each.whole for each in told))
+        journal = self.fleet.read_journals()
+        self.assertEqual([], journals.find_doubled(journal))
+        self.assertEqual([], journals.find_two_owners(journal))
+
+    def test_stop_of_a_keeper_cuts_no_request(self):
+        # The caller must see nothing. The leaver tells its peers and
+        # refuses what is new as not run; entries send that to the keeper
+        # that takes over; what is running ends before the process does.
+        upstream = next(iter(self.fleet.upstreams))
+        keeper = self.fleet.find_keeper(upstream)
+        keeper.process.terminate()
+        self.assertEqual(0, keeper.process.join())
+        gevent.sleep(WARM_UP)
+        self.check()
+
+    def test_stop_of_an_entry_cuts_no_request(self):
+        # The entry turns unready first, so that the balancer sends no more;
+        # it goes on listening for as long as the balancer may need.
+        entry = self.fleet.entries["sala-milano-1"]
+        entry.process.terminate()
+        wait_for(lambda: not entry.is_ready(), 10, "unready")
+        self.load.addresses.remove(entry.settings["listen"])
+        self.assertEqual(0, entry.process.join())
+        gevent.sleep(WARM_UP)
+        self.check()
