--- a/sedgetide/testing/demo.py
+++ b/sedgetide/testing/demo.py
@@ -17,11 +17,16 @@
 
 from sedgetide.backends.httpstore import HttpStore
 from sedgetide.command.configuration import pin_shard
-from sedgetide.testing import journals
+from sedgetide.command.configuration import require_text
+from sedgetide.core.keyspace import find_shard
 from sedgetide.testing.callers import Load
 from sedgetide.testing.callers import Told
 from sedgetide.testing.fleet import Fleet
 from sedgetide.testing.fleet import wait_for
+from sedgetide.testing.journals import find_doubled
+from sedgetide.testing.journals import find_false_refusals
+from sedgetide.testing.journals import find_lost
+from sedgetide.testing.journals import find_two_owners
 
 _RATE = 60.0
 _CALM = 2.0
@@ -94,9 +99,6 @@
 def _find_owner(
     store: HttpStore, fleet: Fleet, service: str, key: str
 ) -> tuple[int, str]:
-    from sedgetide.command.configuration import require_text
-    from sedgetide.core.keyspace import find_shard
-
     text = require_text(store)
     shard = find_shard(key, text.find_service(service).shards)
     return shard, fleet.list_grants()[f"{service}/{shard}"][0]
@@ -129,15 +131,15 @@
     writes = [each for each in told if each.method == "POST"]
     refused = [e.operation for e in told if e.outcome == "not-run"]
     answered = [e.operation for e in writes if e.outcome == "answered"]
-    broken = [f"doubled: {each}" for each in journals.find_doubled(journal)]
-    broken += journals.find_two_owners(journal)
+    broken = [f"doubled: {each}" for each in find_doubled(journal)]
+    broken += find_two_owners(journal)
     broken += [
         f"false not-run: {each}"
-        for each in journals.find_false_refusals(journal, refused)
+        for each in find_false_refusals(journal, refused)
     ]
     broken += [
         f"answered but not run: {each}"
-        for each in journals.find_lost(journal, answered)
+        for each in find_lost(journal, answered)
     ]
     broken += [
         f"answer of another or cut: {each.path}"
--- a/tests/daemons/test_stop.py
+++ b/tests/daemons/test_stop.py
@@ -7,10 +7,11 @@
 import gevent
 import testtools
 
-from sedgetide.testing import journals
 from sedgetide.testing.callers import Load
 from sedgetide.testing.fleet import Fleet
 from sedgetide.testing.fleet import wait_for
+from sedgetide.testing.journals import find_doubled
+from sedgetide.testing.journals import find_two_owners
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 PATHS = [
@@ -43,8 +44,8 @@
         self.assertEqual({("answered", "")}, set(outcomes), outcomes)
         self.assertTrue(all(each.whole for each in told))
         journal = self.fleet.read_journals()
-        self.assertEqual([], journals.find_doubled(journal))
-        self.assertEqual([], journals.find_two_owners(journal))
+        self.assertEqual([], find_doubled(journal))
+        self.assertEqual([], find_two_owners(journal))
 
     def test_stop_of_a_keeper_cuts_no_request(self):
         # The caller must see nothing. The leaver tells its peers and
