Keepers' decisions apart from the tasks that own sockets

Cause: authority, claims, grants and reports were decided between calls to sockets, so that no test with a passed-in time could reach them.

Change: core.council decides about the data centre, core.leasing about one upstream (the next control call, what an answer means, what may be sent). The tasks only make the calls. An upstream refuses to give up a shard of which a request runs.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -101,7 +101,7 @@
     records: list[Record]
 
 
-class Report(Message, tag="report"):
+class LossReport(Message, tag="loss-report"):
     """A keeper tells the assigner of shards without a living owner.
 
     Parameters
@@ -182,7 +182,7 @@
 
 
 AnyMessage = (
-    Ping | Pong | Pull | Records | Report | Request | Response | Cancel
+    Ping | Pong | Pull | Records | LossReport | Request | Response | Cancel
 )
 
 
--- a/sedgetide/daemons/_control.py
+++ b/sedgetide/daemons/_control.py
@@ -4,6 +4,7 @@
 import logging
 import time
 from typing import Any
+import uuid
 
 import gevent
 
@@ -11,8 +12,8 @@
 from sedgetide.backends.httpupstream import HttpUpstream
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import Cancel
+from sedgetide.coding.messages import LossReport
 from sedgetide.coding.messages import Message
-from sedgetide.coding.messages import Report
 from sedgetide.coding.messages import Request
 from sedgetide.coding.messages import Response
 from sedgetide.coding.messages import Status
@@ -20,42 +21,33 @@
 from sedgetide.coding.text import check_text
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import decode_text
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
 from sedgetide.core.assignment import Member
-from sedgetide.core.authority import Authority
-from sedgetide.core.identifiers import HostName
+from sedgetide.core.council import Council
+from sedgetide.core.council import Report
+from sedgetide.core.council import Testimony
+from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.liveness import PeerState
 from sedgetide.core.outcomes import Outcome
 from sedgetide.core.outcomes import Reason
 from sedgetide.core.records import CONFIGURATION_KEY
 from sedgetide.core.records import name_assignment
 from sedgetide.core.records import Record
 from sedgetide.core.records import RecordCache
-from sedgetide.core.rendezvous import choose_candidate
-from sedgetide.core.rendezvous import rank_candidates
 from sedgetide.core.services import Service
-from sedgetide.core.services import Text
 from sedgetide.core.services import Upstream
 from sedgetide.daemons._admin import Inspectable
-from sedgetide.daemons._assigner import Assigner
-from sedgetide.daemons._assigner import Membership
+from sedgetide.daemons._assignmentwriter import AssignmentWriter
 from sedgetide.daemons._beacon import Beacon
 from sedgetide.daemons._beacon import BeaconOwner
 from sedgetide.daemons._metrics import CONFIGURATION_REVISION
 from sedgetide.daemons._storetask import StoreOwner
 from sedgetide.daemons._storetask import StoreTask
-from sedgetide.daemons._upstreamtask import Standing
 from sedgetide.daemons._upstreamtask import UpstreamTask
 from sedgetide.links import Mail
 from sedgetide.runtime.tasks import spawn_vital
 
-WATCHERS = 2
-_ABSENT_AFTER = 60.0
-_JOINER_LIFE = 1.0
 _UNUSED_LINK = 30.0
 _STORE_TIMEOUT = 1.0
 _MOVING_RETRY = 0.1
@@ -68,6 +60,10 @@
     _log.warning("message dropped", extra={"kind": type(message).__name__})
 
 
+def _read_report(message: LossReport) -> Report:
+    return Report(message.upstream, dict(message.lost), dict(message.released))
+
+
 class Control(BeaconOwner, StoreOwner, Inspectable):
     """Everything of a keeper but the work on single upstreams.
 
@@ -82,20 +78,12 @@
     def __init__(self, settings: KeeperSettings, incarnation: str) -> None:
         self._settings = settings
         self._timing = settings.timing
-        self._host = settings.host_name
         self._incarnation = incarnation
         self._key = name_assignment(settings.data_centre)
         self._member = Member(LinkAddress(settings.link), settings.admin)
         self._cache = RecordCache()
-        self._authority = Authority(self._host, self._timing.proof_life)
-        self._text: Text | None = None
-        self._assignment: Assignment = EMPTY_ASSIGNMENT
-        self._proved_until = float("-inf")
-        self._joiners: dict[HostName, tuple[float, Member]] = {}
         self._tasks: dict[UpstreamName, UpstreamTask] = {}
         self._retired: list[UpstreamTask] = []
-        self._leaving = False
-        self._started_at = time.monotonic()
         self._pinged_at = float("-inf")
         self._stack = contextlib.ExitStack()
         self._mail = Mail(
@@ -106,20 +94,23 @@
         )
         self._stack.callback(self._mail.close)
         self._beacon = Beacon(self._mail, self._cache, self._timing, self)
+        self._council = Council(
+            settings.host_name,
+            settings.home,
+            self._member,
+            self._timing,
+            self._beacon.liveness,
+            time.monotonic(),
+        )
         self._store = StoreTask(
             self._open_store(), self._key, self._timing.heartbeat, self
         )
         writer = self._open_store()
         self._stack.callback(writer.close)
-        self._assigner = Assigner(
-            self._host,
-            settings.home,
-            writer,
-            self._key,
-            self._timing,
-            self._take_written,
+        self._writer = AssignmentWriter(
+            writer, self._key, lambda record: self.take_records([record])
         )
-        self._stack.callback(self._assigner.close)
+        self._stack.callback(self._writer.close)
 
     def _open_store(self) -> HttpStore:
         return HttpStore(self._settings.stores, _STORE_TIMEOUT)
@@ -138,7 +129,7 @@
 
     def begin_leaving(self) -> None:
         """Tell the peers that this process is about to stop."""
-        self._leaving = True
+        self._council.leaving = True
         self._tick(time.monotonic())
 
     @property
@@ -150,40 +141,41 @@
     # What this process says of itself
 
     def make_status(self, now: float) -> Status:
-        age = self._authority.store_age(now)
+        said = self._council.give_testimony(now)
         return Status(
-            self._host,
+            self._council.host,
             self._incarnation,
             self._settings.home,
             now,
             self._cache.digest,
-            self._cache.find_revision(self._key),
-            self._authority.counting,
-            age,
-            self._authority.store_revision(),
-            self._leaving,
+            said.revision,
+            said.counting,
+            said.store_age,
+            said.store_revision,
+            self._council.leaving,
             self._member,
         )
 
     def is_ready(self) -> bool:
-        return self._text is not None and not self._leaving
+        return self._council.text is not None and not self._council.leaving
 
     def dump_state(self) -> dict[str, Any]:
         now = time.monotonic()
+        council = self._council
         return {
-            "host": self._host,
+            "host": council.host,
             "incarnation": self._incarnation,
-            "data_centre": self._settings.data_centre,
-            "leaving": self._leaving,
+            "data_centre": council.data_centre,
+            "leaving": council.leaving,
             "revisions": self._cache.list_revisions(),
-            "counting": self._authority.counting,
-            "proved_for": self._proved_until - now,
+            "counting": council.authority.counting,
+            "proved_for": council.renew(now).proved_until - now,
             "store_error": self._store.last_error,
-            "members": sorted(self._assignment.members),
-            "alive": self._list_alive(now),
-            "watching": self.is_watching(),
-            "assigner": self._is_assigner(now),
-            "releasing": len(self._assignment.list_releasing()),
+            "members": sorted(council.assignment.members),
+            "alive": council.list_alive(now),
+            "watching": council.is_watching(now),
+            "assigner": council.find_assigner(now) == council.host,
+            "releasing": len(council.assignment.list_releasing()),
             "links": self._mail.list_peers(),
             "upstreams": [task.dump_state() for task in self._tasks.values()],
         }
@@ -198,8 +190,8 @@
             case Cancel():
                 for task in self._tasks.values():
                     task.cancel(message.number)
-            case Report():
-                self._assigner.note_report(message, now)
+            case LossReport():
+                self._council.note_report(_read_report(message), now)
             case _:
                 self._beacon.handle(message, sender, now)
 
@@ -208,34 +200,32 @@
     ) -> None:
         if status.data_centre != self._settings.home:
             return
-        self._authority.note_member(
-            status.host, asked_at, status.revision, status.counting
-        )
-        if status.store_age is not None:
-            self._authority.note_store(
-                asked_at - status.store_age, status.store_revision
-            )
-        self._assigner.tracker.note_member(
-            time.monotonic(),
-            status.host,
+        said = Testimony(
             status.revision,
             status.counting,
-            self._assignment.members,
+            status.store_age,
+            status.store_revision,
+        )
+        self._council.note_testimony(
+            status.host, asked_at, said, time.monotonic()
         )
 
     def note_ping(self, address: LinkAddress, status: Status) -> None:
         if status.member is None or status.leaving:
             return
         if status.data_centre == self._settings.home:
-            now = time.monotonic()
-            self._joiners[status.host] = (now, status.member)
+            self._council.note_joiner(
+                status.host, status.member, time.monotonic()
+            )
 
     def note_record(self, record: Record) -> None:
         if record.key == CONFIGURATION_KEY:
             self._take_text(record)
         elif record.key == self._key:
-            self._assignment = decode_assignment(record.value)
-            self._follow()
+            self._council.take_assignment(
+                decode_assignment(record.value), record.revision
+            )
+        self._tick(time.monotonic())
 
     def _take_text(self, record: Record) -> None:
         text, problems = check_text(decode_text(record.value).text.encode())
@@ -248,26 +238,13 @@
                 },
             )
             return
-        self._text = text
+        self._council.take_text(text)
         CONFIGURATION_REVISION.set(record.revision)
-        self._follow()
-
-    def _follow(self) -> None:
-        """Put the newest assignment and text in force at once."""
-        if self._text is not None:
-            self._assigner.follow(
-                self._cache.find_revision(self._key),
-                self._assignment,
-                self._text,
-            )
-        self._tick(time.monotonic())
 
     # The store
 
     def is_watching(self) -> bool:
-        now = time.monotonic()
-        ranked = rank_candidates("watch", self._list_alive(now))
-        return self._host in ranked[:WATCHERS] or not self._is_member()
+        return self._council.is_watching(time.monotonic())
 
     def take_records(self, records: list[Record]) -> None:
         newer = self._beacon.apply(records)
@@ -279,11 +256,8 @@
     ) -> None:
         if record is not None:
             self.take_records([record])
-        self._authority.note_store(asked_at, revision)
-        self._renew_proof(time.monotonic())
-
-    def _take_written(self, record: Record) -> None:
-        self.take_records([record])
+        self._council.authority.note_store(asked_at, revision)
+        self._renew(time.monotonic())
 
     # The loop
 
@@ -292,129 +266,55 @@
             now = time.monotonic()
             if now - self._pinged_at >= self._timing.heartbeat:
                 self._pinged_at = now
-                self._ping(now)
+                self._beacon.ping(self._list_peers(), now)
+                self._mail.close_unused(_UNUSED_LINK)
+                self._report(now)
             self._tick(now)
             gevent.sleep(self._timing.heartbeat / 3)
 
-    def _ping(self, now: float) -> None:
-        self._beacon.ping(self._list_peers(), now)
-        self._mail.close_unused(_UNUSED_LINK)
-        self._report(now)
-
     def _list_peers(self) -> list[LinkAddress]:
-        addresses = {
-            member.link for member in self._assignment.members.values()
-        }
+        addresses = self._council.list_links()
         addresses.update(LinkAddress(a) for a in self._settings.keepers)
         addresses.discard(LinkAddress(self._settings.link))
         return sorted(addresses)
 
     def _report(self, now: float) -> None:
-        assigner = self._find_assigner(now)
-        member = self._assignment.members.get(assigner)
+        assigner = self._council.find_assigner(now)
+        member = self._council.assignment.members.get(assigner)
         if member is None:
             return
         for task in self._tasks.values():
-            lost, released = task.list_lost(), task.list_released()
+            lost = task.lease.list_lost()
+            released = task.lease.list_released()
             if not lost and not released:
                 continue
-            report = Report(task.name, lost, released)
-            if assigner == self._host:
-                self._assigner.note_report(report, now)
+            if assigner == self._council.host:
+                report = Report(task.name, lost, released)
+                self._council.note_report(report, now)
             else:
-                self._mail.send(member.link, report)
+                message = LossReport(
+                    task.name, list(lost.items()), list(released.items())
+                )
+                self._mail.send(member.link, message)
 
     def _tick(self, now: float) -> None:
-        self._renew_proof(now)
-        self._assigner.tracker.note_member(
-            now,
-            self._host,
-            self._cache.find_revision(self._key),
-            self._authority.counting,
-            self._assignment.members,
-        )
+        self._renew(now)
         self._claim_upstreams(now)
-        self._assign(now)
+        if self._writer.busy:
+            return
+        plan = self._council.plan(now, ChangeId(uuid.uuid4().hex))
+        if plan is not None:
+            self._writer.write(plan)
 
-    def _renew_proof(self, now: float) -> None:
-        self._proved_until = self._authority.renew_proof(
-            now,
-            self._cache.find_revision(self._key),
-            self._assignment.members,
-        )
-        standing = Standing(self._assignment, self._proved_until)
+    def _renew(self, now: float) -> None:
+        standing = self._council.renew(now)
         for task in self._tasks.values():
             task.update(standing)
 
-    def _is_member(self) -> bool:
-        return self._host in self._assignment.members
-
-    def _list_alive(self, now: float) -> list[HostName]:
-        """Return members that answer, with this one, without leavers."""
-        alive = []
-        for host, member in self._assignment.members.items():
-            if host == self._host:
-                if not self._leaving and self._is_member():
-                    alive.append(host)
-                continue
-            state = self._beacon.find_state(member.link, now)
-            if state is PeerState.ALIVE:
-                alive.append(host)
-        return alive
-
-    def _find_assigner(self, now: float) -> HostName | None:
-        return choose_candidate("assigner", self._list_alive(now))
-
-    def _is_assigner(self, now: float) -> bool:
-        return self._find_assigner(now) == self._host
-
-    # Duties
-
-    def _assign(self, now: float) -> None:
-        if now - self._started_at < self._timing.silence:
-            return
-        revision = self._cache.find_revision(self._key)
-        if revision and not self._is_assigner(now):
-            return
-        if not revision and not self._may_found():
-            return
-        text = self._text
-        if text is None:
-            text = Text(self._settings.data_centre, (), (), ())
-        self._assigner.work(
-            revision,
-            self._assignment,
-            text,
-            self._describe_members(revision, now),
-            now,
-        )
-
-    def _may_found(self) -> bool:
-        """Tell whether the data centre certainly has no record yet."""
-        age = self._authority.store_age(time.monotonic())
-        return age is not None and self._authority.store_revision() == 0
-
-    def _describe_members(self, revision: Revision, now: float) -> Membership:
-        members = self._assignment.members
-        joiners = {
-            host: member
-            for host, (at, member) in self._joiners.items()
-            if now - at < _JOINER_LIFE
-        }
-        joiners[self._host] = self._member
-        absent = {
-            host
-            for host, member in members.items()
-            if host != self._host
-            and now - self._started_at > _ABSENT_AFTER
-            and self._beacon.liveness.measure_silence(member.link, now)
-            > _ABSENT_AFTER
-        }
-        known = self._authority.is_known(revision, members)
-        return Membership(joiners, absent, known)
+    # Upstreams
 
     def _claim_upstreams(self, now: float) -> None:
-        wanted = self._list_kept(now)
+        wanted = self._council.list_kept(now)
         for name, task in list(self._tasks.items()):
             if name not in wanted:
                 self._tasks.pop(name).retire()
@@ -423,27 +323,11 @@
                 self._reconfigure(task, *wanted[name])
         for name, (service, upstream) in wanted.items():
             if name not in self._tasks:
-                self._start_task(service, upstream)
+                self._start_task(service, upstream, now)
         for task in [each for each in self._retired if each.idle]:
             self._retired.remove(task)
             task.close()
 
-    def _list_kept(
-        self, now: float
-    ) -> dict[UpstreamName, tuple[Service, Upstream]]:
-        if self._text is None or self._leaving:
-            return {}
-        if now - self._started_at < self._timing.silence:
-            return {}
-        alive = self._list_alive(now)
-        return {
-            UpstreamName(upstream.name): (service, upstream)
-            for service in self._text.services
-            for upstream in service.upstreams
-            if upstream.data_centre == self._settings.data_centre
-            and choose_candidate(upstream.name, alive) == self._host
-        }
-
     def _open_upstream(self, upstream: Upstream) -> HttpUpstream:
         return HttpUpstream(
             upstream.address,
@@ -459,34 +343,23 @@
             client = self._open_upstream(upstream)
         task.reconfigure(service, upstream, client)
 
-    def _start_task(self, service: Service, upstream: Upstream) -> None:
-        client = self._open_upstream(upstream)
+    def _start_task(
+        self, service: Service, upstream: Upstream, now: float
+    ) -> None:
+        name = UpstreamName(upstream.name)
         task = UpstreamTask(
-            f"{self._host}/{self._incarnation}",
+            f"{self._council.host}/{self._incarnation}",
             service,
             upstream,
-            client,
-            self._timing,
-            self._settings.limits,
+            self._open_upstream(upstream),
+            self._settings,
+            lambda orderer: self._council.outranks(
+                orderer, name, time.monotonic()
+            ),
         )
-        self._tasks[task.name] = task
-        task.update(Standing(self._assignment, self._proved_until))
-        task.start(lambda orderer: self._outranks(orderer, task.name))
-
-    def _outranks(self, orderer: str, upstream: UpstreamName) -> bool:
-        """Tell whether another keeper comes before this one.
-
-        Also one that seems lost does, until its grants have run out: it
-        may be alive and only out of this process's reach.
-        """
-        host = HostName(orderer.partition("/")[0])
-        member = self._assignment.members.get(host)
-        if member is None or host == self._host:
-            return False
-        state = self._beacon.find_state(member.link, time.monotonic())
-        if state is PeerState.LEAVING:
-            return False
-        return choose_candidate(upstream, [host, self._host]) == host
+        self._tasks[name] = task
+        task.update(self._council.renew(now))
+        task.start()
 
     # Requests
 
@@ -496,7 +369,7 @@
 
         task = self._tasks.get(request.upstream)
         stranger = request.addressee != self._incarnation
-        if task is None or stranger or self._leaving:
+        if task is None or stranger or self._council.leaving:
             reply(
                 Response(
                     request.number,
--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import contextlib
-import enum
 import functools
 import logging
 import time
@@ -20,17 +19,19 @@
 from sedgetide.backends.upstream import WorkResult
 from sedgetide.coding.messages import Request
 from sedgetide.coding.messages import Response
-from sedgetide.coding.settings import Limits
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
+from sedgetide.coding.settings import KeeperSettings
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
-from sedgetide.core.grants import GrantLedger
 from sedgetide.core.grants import Token
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.leasing import Answer
+from sedgetide.core.leasing import Call
+from sedgetide.core.leasing import CallKind
+from sedgetide.core.leasing import Health
+from sedgetide.core.leasing import Standing
+from sedgetide.core.leasing import UpstreamLease
 from sedgetide.core.operations import OperationLog
 from sedgetide.core.operations import Verdict
 from sedgetide.core.outcomes import judge_failure
@@ -40,7 +41,6 @@
 from sedgetide.core.queues import UpstreamQueue
 from sedgetide.core.services import Service
 from sedgetide.core.services import Upstream
-from sedgetide.core.timing import Timing
 from sedgetide.daemons._metrics import KEEPER_REQUESTS
 from sedgetide.daemons._metrics import UPSTREAM_ERRORS
 from sedgetide.runtime.tasks import spawn_vital
@@ -49,6 +49,7 @@
 _QUEUE_TICK = 0.02
 _CANCEL_TIME = 0.05
 _MOVING_RETRY = 0.1
+_MILLISECONDS = 1000.0
 
 _log = logging.getLogger(__name__)
 
@@ -69,30 +70,6 @@
     return KEEPER_REQUESTS.labels(upstream, outcome.value, reason.value)
 
 
-class Standing(msgspec.Struct, frozen=True):
-    """What the control task lets an upstream's task act on.
-
-    Parameters
-    ----------
-    assignment : Assignment
-        Newest version held.
-    proved_until : float
-        Own clock time up to which it is proved to be the newest.
-    """
-
-    assignment: Assignment
-    proved_until: float
-
-
-class Health(enum.Enum):
-    """Whether the upstream answers."""
-
-    UNKNOWN = "unknown"
-    ALIVE = "alive"
-    LOST = "lost"
-    RESTARTED = "restarted"
-
-
 class _Job(msgspec.Struct):
     request: Request
     reply: Callable[[Response], None]
@@ -113,8 +90,10 @@
         The upstream.
     client : UpstreamClient
         Connections, owned by the task.
-    timing, limits
+    settings : KeeperSettings
         Durations and bounds.
+    outranks : callable
+        See :class:`~sedgetide.core.leasing.UpstreamLease`.
     """
 
     def __init__(
@@ -123,47 +102,39 @@
         service: Service,
         upstream: Upstream,
         client: UpstreamClient,
-        timing: Timing,
-        limits: Limits,
+        settings: KeeperSettings,
+        outranks: Callable[[str], bool],
     ) -> None:
         self.name = UpstreamName(upstream.name)
         self.service = service
         self.upstream = upstream
-        self.health = Health.UNKNOWN
+        timing, limits = settings.timing, settings.limits
+        self.lease = UpstreamLease(
+            self.name,
+            orderer,
+            service.checks_orders,
+            timing,
+            outranks,
+            time.monotonic(),
+        )
         self._orderer = orderer
         self._client = client
         self._timing = timing
-        self._standing: Standing | None = None
         self._queue: UpstreamQueue[_Job] = UpstreamQueue(
             service.slots, limits.queue, _FIRST_ESTIMATE
         )
-        self._ledger = GrantLedger(timing.grant_life, timing.clock_error)
         self._operations: OperationLog[Response] = OperationLog(
             limits.operation_window, limits.operations, limits.clock_skew
         )
         self._jobs: dict[RequestId, _Job] = {}
         self._joined: dict[str, list[_Job]] = {}
-        self._in_flight: dict[ShardKey, int] = {}
-        self._released: dict[ShardKey, Epoch] = {}
-        self._gone: dict[ShardKey, Epoch] = {}
-        self._answered_at = time.monotonic()
-        self._standing_back = True
         self._retired = False
-        self._rank_of: Callable[[str], bool] = lambda _: False
         self._woken = Event()
         self._stack = contextlib.ExitStack()
+        self._stack.callback(client.close)
 
-    def start(self, outranks: Callable[[str], bool]) -> None:
-        """Begin to renew grants and to serve.
-
-        Parameters
-        ----------
-        outranks : callable
-            Tells whether the keeper of an orderer name is alive and comes
-            before this one for the upstream.
-        """
-        self._rank_of = outranks
-        self._stack.callback(self._client.close)
+    def start(self) -> None:
+        """Begin to renew grants and to serve."""
         for loop in (self._renew_loop, self._queue_loop):
             spawn_vital(loop, self._stack)
 
@@ -182,6 +153,7 @@
         """
         self.service = service
         self.upstream = upstream
+        self.lease.checks_orders = service.checks_orders
         self._queue.slots = service.slots
         if client is not None:
             self._stack.callback(client.close)
@@ -191,7 +163,7 @@
     def retire(self) -> None:
         """Give no more orders; what waits is answered as not run."""
         self._retired = True
-        self._standing_back = True
+        self.lease.retire()
         for job in self._queue.clear():
             self._refuse(job, Reason.NOT_KEEPER, _MOVING_RETRY)
 
@@ -207,42 +179,23 @@
 
     def update(self, standing: Standing) -> None:
         """Take in what may be acted on from now on."""
-        known = self._standing
-        self._standing = standing
-        if known is None or known.assignment is not standing.assignment:
+        if self.lease.update(standing):
             self._woken.set()
 
-    def list_lost(self) -> list[tuple[ShardKey, Epoch]]:
-        """Return shards whose owner's process is gone or silent."""
-        if self._standing is None:
-            return []
-        owned = self._standing.assignment.list_owned(self.name)
-        if self.health is Health.LOST:
-            return list(owned.items())
-        return [
-            (key, epoch)
-            for key, epoch in self._gone.items()
-            if owned.get(key) == epoch
-        ]
-
-    def list_released(self) -> list[tuple[ShardKey, Epoch]]:
-        """Return shards that the upstream confirmed to have given up."""
-        return list(self._released.items())
-
     def dump_state(self) -> dict[str, Any]:
         """Return the state for the dump."""
         now = time.monotonic()
         return {
             "upstream": self.name,
-            "health": self.health.value,
-            "standing_back": self._standing_back,
+            "health": self.lease.health.value,
+            "standing_back": self.lease.standing_back,
             "queued": len(self._queue),
             "running": self._queue.running,
             "service_time": self._queue.service_time,
             "operations": len(self._operations),
             "grants": {
                 str(key): epoch
-                for key, epoch in self._ledger.list_held(now).items()
+                for key, epoch in self.lease.list_granted(now).items()
             },
         }
 
@@ -253,7 +206,7 @@
     ) -> None:
         """Queue a request, or answer it at once."""
         job = _Job(request, reply)
-        if self._standing_back:
+        if self.lease.standing_back:
             self._refuse(job, Reason.NOT_KEEPER, _MOVING_RETRY)
             return
         refusal = self._queue.offer(
@@ -320,37 +273,15 @@
                 self._refuse(job, Reason.OVERLOAD, 1.0)
         return False
 
-    def _find_obstacle(self, request: Request, now: float) -> Reason | None:
-        """Return why a request may not be sent at this very moment.
-
-        A greenlet may have been paused anywhere before; only a look at the
-        clock right before the send shows whether the proof still holds.
-        """
-        if now >= request.expires:
-            return Reason.DEADLINE
-        standing = self._standing
-        if request.shard is None:
-            return None if self._ledger.token else Reason.NO_GRANT
-        if standing is None or now >= standing.proved_until:
-            return Reason.NO_GRANT
-        owner = standing.assignment.find_owner(request.shard)
-        if owner is None or owner.upstream != self.name:
-            return Reason.STALE_EPOCH
-        if owner.state is not ShardState.OWNED:
-            return Reason.MOVING
-        if not self._ledger.covers(request.shard, owner.epoch, now):
-            return Reason.NO_GRANT
-        return None
-
     def _send(self, job: _Job) -> bool:
-        request = job.request
+        request, lease = job.request, self.lease
         now = time.monotonic()
-        obstacle = self._find_obstacle(request, now)
+        obstacle = lease.find_obstacle(request.shard, request.expires, now)
         if obstacle is not None:
             self._refuse(job, obstacle, _MOVING_RETRY)
             return False
-        epoch = self._find_epoch(request.shard)
-        token = self._ledger.token
+        epoch = lease.find_epoch(request.shard)
+        limit = lease.find_limit(request.shard, request.expires)
         work = Work(
             request.number,
             request.method,
@@ -359,13 +290,13 @@
             request.body,
             request.shard,
             epoch,
-            request.expires - token.received_at,
+            request.expires - lease.token.received_at,
         )
-        self._count(request.shard, 1)
+        lease.begin_request(request.shard)
         job.phase = Phase.HANDED_OVER
         try:
             result = self._client.run(
-                Order(self._orderer, token.stamp, self._find_limit(request)),
+                Order(self._orderer, lease.token.stamp, limit),
                 work,
                 request.expires - now,
                 fresh=not request.idempotent,
@@ -374,30 +305,9 @@
             self._handle_failure(job, error)
             return False
         finally:
-            self._count(request.shard, -1)
-        self._answered_at = time.monotonic()
+            lease.end_request(request.shard)
         return self._handle_result(job, result, epoch)
 
-    def _find_limit(self, request: Request) -> float:
-        """Return the clock time after which a request may not be sent."""
-        if request.shard is None:
-            return request.expires
-        return min(request.expires, self._standing.proved_until)
-
-    def _find_epoch(self, shard: ShardKey | None) -> Epoch:
-        if shard is None:
-            return Epoch(0)
-        return self._standing.assignment.find_owner(shard).epoch
-
-    def _count(self, shard: ShardKey | None, change: int) -> None:
-        if shard is None:
-            return
-        count = self._in_flight.get(shard, 0) + change
-        if count:
-            self._in_flight[shard] = count
-        else:
-            self._in_flight.pop(shard, None)
-
     def _handle_result(
         self, job: _Job, result: WorkResult, epoch: Epoch
     ) -> bool:
@@ -494,148 +404,67 @@
             for job in late:
                 self._refuse(job, Reason.DEADLINE, self._queue.service_time)
 
-    # Grants
+    # Orders
 
     def _renew_loop(self) -> None:
         while not self._retired:
-            try:
-                self._renew()
-            except UpstreamError as error:
-                self._note_silence(error)
+            call = self.lease.next_call(time.monotonic())
+            answered = self._order(call)
+            following = self.lease.next_call(time.monotonic())
+            if answered and following.kind is not call.kind:
+                continue
             self._woken.wait(self._timing.heartbeat)
             self._woken.clear()
 
-    def _renew(self) -> None:
-        unmet = self._ledger.token is None or self._standing_back
-        if unmet and not self._meet():
-            return
-        self._give_up_released()
-        self._grant_owned()
-
-    def _meet(self) -> bool:
-        """Get a stamp; return whether this keeper may give orders.
-
-        Another keeper that comes first and still renews is left alone:
-        two that outdid each other would refuse each other's requests.
-        """
+    def _order(self, call: Call) -> bool:
+        """Make a control call; return whether it was answered."""
         asked_at = time.monotonic()
-        status = self._client.fetch_status(self._call_time)
-        self._note_status(asked_at, status)
-        foreign = status.orderer not in ("", self._orderer)
-        self._standing_back = (
-            foreign and status.held_ms > 0 and self._rank_of(status.orderer)
-        )
-        return not self._standing_back
-
-    def _grant_owned(self) -> None:
-        standing = self._standing
-        now = time.monotonic()
-        if standing is None or now >= standing.proved_until:
-            # Without authority the call only shows whether it is alive.
-            status = self._client.fetch_status(self._call_time)
-            self._note_status(now, status)
-            return
-        owned = {
-            key: epoch
-            for key, epoch in standing.assignment.list_owned(self.name).items()
-            if self._gone.get(key) != epoch
-        }
-        token = self._ledger.token
-        status = self._client.grant(
-            Order(self._orderer, token.stamp, standing.proved_until),
-            owned,
-            self._timing.grant_life,
-            self._call_time,
+        health = self.lease.health
+        try:
+            status = self._call(call)
+        except UpstreamError as error:
+            if error.code is not ErrorCode.TOO_LATE:
+                self.lease.note_failure(time.monotonic())
+            self._log_health(health)
+            return False
+        received_at = time.monotonic()
+        answer = Answer(
+            Token(status.stamp, asked_at, received_at, status.incarnation),
+            status.orderer,
+            status.held_ms / _MILLISECONDS,
+            frozenset(status.refused),
         )
-        if self._note_status(now, status):
-            return
-        self._note_orderer(status)
-        refused = set(status.refused)
-        taken = {
-            key: epoch for key, epoch in owned.items() if key not in refused
-        }
-        self._ledger.note_granted(token, taken)
-        wall = time.time()
-        for key, epoch in taken.items():
-            self._operations.begin_tenure(key, epoch, wall)
+        if self.lease.note_answer(call, answer):
+            self._operations.end_tenures()
+            _log.info(
+                "orders taken over",
+                extra={"upstream": self.name, "from": status.orderer},
+            )
+        if call.kind is CallKind.GRANT:
+            self._begin_tenures(call, answer)
+        self._log_health(health)
+        return True
 
-    def _note_orderer(self, status: UpstreamStatus) -> None:
-        if status.orderer in ("", self._orderer):
-            return
-        # Another keeper gave orders in between, so operations may have run
-        # that this log does not know.
-        self._operations.end_tenures()
-        _log.info(
-            "orders taken over",
-            extra={"upstream": self.name, "from": status.orderer},
+    def _call(self, call: Call) -> UpstreamStatus:
+        timeout = self._timing.silence / 2
+        if call.kind is CallKind.STATUS:
+            return self._client.fetch_status(timeout)
+        order = Order(self._orderer, call.token.stamp, call.not_after)
+        if call.kind is CallKind.RELEASE:
+            return self._client.release(order, call.shards, timeout)
+        return self._client.grant(
+            order, call.shards, self._timing.grant_life, timeout
         )
-        if status.held_ms > 0 and self._rank_of(status.orderer):
-            self._standing_back = True
 
-    def _give_up_released(self) -> None:
-        standing = self._standing
-        if standing is None:
-            return
-        releasing = {
-            key: owner.epoch
-            for key, owner in standing.assignment.list_releasing().items()
-            if owner.upstream == self.name
-        }
-        self._released = {
-            key: epoch
-            for key, epoch in self._released.items()
-            if releasing.get(key) == epoch
-        }
-        # A request that runs is let end, so that a planned move cuts none.
-        ready = {
-            key: epoch
-            for key, epoch in releasing.items()
-            if key not in self._released and key not in self._in_flight
-        }
-        if not ready or not self.service.checks_orders:
-            return
-        for key in ready:
-            self._ledger.drop(key)
-        asked_at = time.monotonic()
-        status = self._client.release(
-            Order(self._orderer, self._ledger.token.stamp, float("inf")),
-            ready,
-            self._call_time,
-        )
-        restarted = self._note_status(asked_at, status)
-        self._note_orderer(status)
-        if not restarted:
-            self._released.update(ready)
+    def _begin_tenures(self, call: Call, answer: Answer) -> None:
+        wall = time.time()
+        for key, epoch in call.shards.items():
+            if key not in answer.refused:
+                self._operations.begin_tenure(key, epoch, wall)
 
-    @property
-    def _call_time(self) -> float:
-        return self._timing.silence / 2
-
-    def _note_status(self, asked_at: float, status: UpstreamStatus) -> bool:
-        """Take in an answer; return whether the upstream restarted."""
-        self._answered_at = time.monotonic()
-        token = Token(
-            status.stamp, asked_at, self._answered_at, status.incarnation
-        )
-        restarted = self._ledger.note_token(token)
-        if restarted and self._standing is not None:
-            # The process that held these grants is gone with its state.
-            # The shards go through a release, as after any loss.
-            self._gone.update(self._standing.assignment.list_owned(self.name))
-            _log.warning("upstream restarted", extra={"peer": self.name})
-        self._set_health(Health.RESTARTED if restarted else Health.ALIVE)
-        return restarted
-
-    def _note_silence(self, error: UpstreamError) -> None:
-        silent = time.monotonic() - self._answered_at
-        if silent > self._timing.silence:
-            self._set_health(Health.LOST)
-        _log.debug("upstream silent", extra={"error": str(error)})
-
-    def _set_health(self, health: Health) -> None:
-        if health is not self.health:
+    def _log_health(self, before: Health) -> None:
+        if self.lease.health is not before:
             _log.info(
                 "upstream health",
-                extra={"peer": self.name, "state": health.value},
+                extra={"peer": self.name, "state": self.lease.health.value},
             )
-        self.health = health
