Fault matrix on the decisions; two faults it found

(1) After the loss of an upstream its shards were given back to it: once they were released it owned none, so its keeper had nothing lost to report, and the assigner took it for the emptiest taker. (2) An idempotent request whose first attempt was unknown and whose second was refused was told "not run", although the first may have run.

Ruled out: authority and waiting (no cell had two owners); the fakes (the dispatcher of the entry had the same two lines as the fake caller).

Change: a report says whether the upstream answers. Outcomes of several attempts are combined: a refusal does not undo an attempt that may have run.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -108,6 +108,8 @@
     ----------
     upstream : UpstreamName
         Upstream the report is about.
+    alive : bool
+        Whether it answers.
     lost : list
         Shards and epochs whose owner is gone.
     released : list
@@ -115,6 +117,7 @@
     """
 
     upstream: UpstreamName
+    alive: bool
     lost: list[tuple[ShardKey, Epoch]]
     released: list[tuple[ShardKey, Epoch]]
 
--- a/sedgetide/core/council.py
+++ b/sedgetide/core/council.py
@@ -26,6 +26,7 @@
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.keyspace import list_shards
+from sedgetide.core.leasing import Report
 from sedgetide.core.leasing import Standing
 from sedgetide.core.liveness import Liveness
 from sedgetide.core.liveness import PeerState
@@ -66,22 +67,6 @@
     store_revision: Revision = NO_REVISION
 
 
-class Report(msgspec.Struct, frozen=True):
-    """What a keeper tells the assigner of its upstream.
-
-    Parameters
-    ----------
-    lost : dict
-        Shards whose owner is gone, with the epoch it held.
-    released : dict
-        Shards whose owner confirmed the release, with the fence.
-    """
-
-    upstream: UpstreamName
-    lost: dict[ShardKey, Epoch]
-    released: dict[ShardKey, Epoch]
-
-
 class Plan(msgspec.Struct, frozen=True):
     """A change to be written by compare-and-swap.
 
@@ -366,7 +351,7 @@
         lost = {
             report.upstream
             for report in self._list_reports(now)
-            if report.lost
+            if not report.alive
         }
         active = {
             ServiceName(service.name): [
--- a/sedgetide/core/leasing.py
+++ b/sedgetide/core/leasing.py
@@ -99,6 +99,25 @@
     }
 
 
+class Report(msgspec.Struct, frozen=True):
+    """What a keeper tells the assigner of its upstream.
+
+    Parameters
+    ----------
+    alive : bool
+        Whether it answers.
+    lost : dict
+        Shards whose owner is gone, with the epoch it held.
+    released : dict
+        Shards whose owner confirmed the release, with the fence.
+    """
+
+    upstream: UpstreamName
+    alive: bool
+    lost: dict[ShardKey, Epoch]
+    released: dict[ShardKey, Epoch]
+
+
 class Health(enum.Enum):
     """Whether an upstream answers."""
 
@@ -289,6 +308,20 @@
 
     # Reports
 
+    def has_news(self) -> bool:
+        """Tell whether the assigner has to hear of this upstream."""
+        lost = self.health is Health.LOST
+        return lost or bool(self.list_lost() or self.list_released())
+
+    def make_report(self) -> Report:
+        """Return what the assigner has to hear."""
+        return Report(
+            self.upstream,
+            self.health is not Health.LOST,
+            self.list_lost(),
+            self.list_released(),
+        )
+
     def list_lost(self) -> dict[ShardKey, Epoch]:
         """Return shards whose owner's process is gone or silent."""
         owned = self._standing.assignment.list_owned(self.upstream)
--- a/sedgetide/core/outcomes.py
+++ b/sedgetide/core/outcomes.py
@@ -61,6 +61,12 @@
     }
 )
 
+# After one of these a request may have run; only an idempotent one is sent
+# again.
+UNSURE_REASONS = frozenset(
+    {Reason.LINK_LOST, Reason.SILENT, Reason.BAD_ANSWER}
+)
+
 
 class Phase(enum.Enum):
     """How far a request has come on its way to an upstream."""
@@ -98,3 +104,25 @@
     if outcome is Outcome.NOT_RUN:
         return True
     return outcome is Outcome.UNKNOWN and idempotent
+
+
+def combine_outcomes(before: Outcome, last: Outcome) -> Outcome:
+    """Return what may be told after several attempts.
+
+    Parameters
+    ----------
+    before : Outcome
+        What could have been told of all earlier attempts; ``NOT_RUN`` when
+        there were none.
+    last : Outcome
+        Outcome of the last attempt.
+
+    Returns
+    -------
+    Outcome
+        An attempt that was not run does not undo an earlier one that may
+        have been.
+    """
+    if last is Outcome.NOT_RUN:
+        return before
+    return last
--- a/sedgetide/daemons/_control.py
+++ b/sedgetide/daemons/_control.py
@@ -23,12 +23,12 @@
 from sedgetide.coding.values import decode_text
 from sedgetide.core.assignment import Member
 from sedgetide.core.council import Council
-from sedgetide.core.council import Report
 from sedgetide.core.council import Testimony
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.leasing import Report
 from sedgetide.core.outcomes import Outcome
 from sedgetide.core.outcomes import Reason
 from sedgetide.core.records import CONFIGURATION_KEY
@@ -61,7 +61,21 @@
 
 
 def _read_report(message: LossReport) -> Report:
-    return Report(message.upstream, dict(message.lost), dict(message.released))
+    return Report(
+        message.upstream,
+        message.alive,
+        dict(message.lost),
+        dict(message.released),
+    )
+
+
+def _write_report(report: Report) -> LossReport:
+    return LossReport(
+        report.upstream,
+        report.alive,
+        list(report.lost.items()),
+        list(report.released.items()),
+    )
 
 
 class Control(BeaconOwner, StoreOwner, Inspectable):
@@ -284,18 +298,13 @@
         if member is None:
             return
         for task in self._tasks.values():
-            lost = task.lease.list_lost()
-            released = task.lease.list_released()
-            if not lost and not released:
+            if not task.lease.has_news():
                 continue
+            report = task.lease.make_report()
             if assigner == self._council.host:
-                report = Report(task.name, lost, released)
                 self._council.note_report(report, now)
             else:
-                message = LossReport(
-                    task.name, list(lost.items()), list(released.items())
-                )
-                self._mail.send(member.link, message)
+                self._mail.send(member.link, _write_report(report))
 
     def _tick(self, now: float) -> None:
         self._renew(now)
--- a/sedgetide/daemons/_dispatcher.py
+++ b/sedgetide/daemons/_dispatcher.py
@@ -36,10 +36,12 @@
 from sedgetide.core.keyspace import find_home
 from sedgetide.core.keyspace import find_shard
 from sedgetide.core.liveness import PeerState
+from sedgetide.core.outcomes import combine_outcomes
 from sedgetide.core.outcomes import may_resend
 from sedgetide.core.outcomes import Outcome
 from sedgetide.core.outcomes import Reason
 from sedgetide.core.outcomes import TRANSIENT_REASONS
+from sedgetide.core.outcomes import UNSURE_REASONS
 from sedgetide.core.records import ASSIGNMENT_PREFIX
 from sedgetide.core.records import CONFIGURATION_KEY
 from sedgetide.core.records import Record
@@ -297,8 +299,11 @@
         budget = self._find_budget(call.match.service.name)
         budget.note_request()
         declined: set[LinkAddress] = set()
+        outcome = Outcome.NOT_RUN
         for turn in itertools.count():
             response = self._attempt(call, declined)
+            outcome = combine_outcomes(outcome, response.outcome)
+            response = msgspec.structs.replace(response, outcome=outcome)
             if not self._may_repeat(call, response, budget):
                 return response
             pause = _PAUSES[min(turn, len(_PAUSES) - 1)]
@@ -323,11 +328,11 @@
             return False
         if not may_resend(response.outcome, call.match.route.idempotent):
             return False
-        if response.outcome is Outcome.NOT_RUN:
-            # Nothing ran, so the only cost is the wait for a handover; any
-            # other refusal is final and goes back at once.
-            return response.reason in TRANSIENT_REASONS
-        return budget.spend()
+        if response.reason in TRANSIENT_REASONS:
+            # This attempt did not run, so the only cost is the wait for a
+            # handover; any other refusal is final and goes back at once.
+            return True
+        return response.reason in UNSURE_REASONS and budget.spend()
 
     def _attempt(self, call: Call, declined: set[LinkAddress]) -> Response:
         target = self._find_target(call)
--- /dev/null
+++ b/sedgetide/testing/faults.py
@@ -0,0 +1,582 @@
+"""Faults and steps of the fault matrix, on the small world."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.outcomes import Phase
+from sedgetide.core.services import PriorityClass
+from sedgetide.core.services import Route
+from sedgetide.core.services import Service
+from sedgetide.core.services import Text
+from sedgetide.core.services import Upstream
+from sedgetide.core.services import UpstreamState
+from sedgetide.testing.journals import find_doubled
+from sedgetide.testing.journals import find_two_owners
+from sedgetide.testing.storemodel import StoreFault
+from sedgetide.testing.world import FakeKeeper
+from sedgetide.testing.world import Running
+from sedgetide.testing.world import STORE
+from sedgetide.testing.world import TICK
+from sedgetide.testing.world import World
+from sedgetide.testing.worldrequests import Attempt
+from sedgetide.testing.worldrequests import Callers
+
+SHARDS = 4
+UPSTREAMS = ("u1", "u2", "u3")
+PAUSE = 3.0
+_LEAVES_WITHIN = 2.0
+_IN_FORCE_WITHIN = 2.0
+_REPEAT_AFTER = 1.0
+_LIMIT = 400
+
+
+def make_text(draining: str = "", checks_orders: bool = True) -> Text:
+    """Return a text with one keyed service and three upstreams."""
+    upstreams = tuple(
+        Upstream(
+            name,
+            "one",
+            f"10.0.0.{index}:80",
+            UpstreamState.DRAINING
+            if name == draining
+            else UpstreamState.ACTIVE,
+        )
+        for index, name in enumerate(UPSTREAMS, 1)
+    )
+    service = Service(
+        "s",
+        "/s",
+        4,
+        10,
+        (Route("/{key}", ("POST",), "c", deadline=3.0),),
+        upstreams,
+        keyed=True,
+        shards=SHARDS,
+        homes=("one",),
+        checks_orders=checks_orders,
+    )
+    return Text("w", ("one",), (PriorityClass("c", 0),), (service,))
+
+
+class Scene:
+    """A world under a load, with the promises checked after each tick.
+
+    Parameters
+    ----------
+    checks_orders : bool
+        Whether the upstreams refuse stale orders.
+    """
+
+    def __init__(self, checks_orders: bool = True) -> None:
+        self.world = World(make_text("", checks_orders), 3, checks_orders)
+        self.callers = Callers(self.world)
+        self.broken: list[str] = []
+        self.dark: dict[ShardKey, float] = {}
+        self.longest_dark = 0.0
+        self.refused = 0
+        self.calm_since = 0.0
+        self.load = True
+        self.target = ShardKey(self.world.list_keys()[0].service, 0)
+        self.watched: Attempt | None = None
+        self._checks_orders = checks_orders
+        self._later: list[tuple[float, Callable[[], None]]] = []
+        self._ticks = 0
+        self._repeats: list[tuple[float, Attempt]] = []
+        self._drained: dict[str, float] = {}
+        self._edited_at = float("-inf")
+        self._revisions: dict[str, int] = {}
+
+    # Time
+
+    def tick(self) -> None:
+        """Let one tick pass, with load, and check all promises."""
+        self._ticks += 1
+        self._run_later()
+        self.world.tick()
+        if self.load:
+            keys = self.world.list_keys()
+            key = keys[self._ticks % len(keys)]
+            self.callers.send(key, idempotent=self._ticks % 2 == 0)
+        self._repeat()
+        seen = len(self.callers.told)
+        self.callers.tick()
+        self._check_told(seen)
+        self._check_owners()
+        self._check_text()
+        self._check_leaving()
+        self._measure_dark()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(round(seconds / TICK)):
+            self.tick()
+
+    def run_until(self, condition: Callable[[], bool]) -> None:
+        """Let time pass until a condition holds.
+
+        Raises
+        ------
+        TimeoutError
+            When it never does; the step then can not be reached.
+        """
+        for _ in range(_LIMIT):
+            if condition():
+                return
+            self.tick()
+        raise TimeoutError("step not reached")
+
+    def later(self, seconds: float, action: Callable[[], None]) -> None:
+        """Do something after a while."""
+        self._later.append((self.world.now + seconds, action))
+
+    def _run_later(self) -> None:
+        due = [each for each in self._later if each[0] <= self.world.now]
+        self._later = [each for each in self._later if each not in due]
+        for _, action in due:
+            action()
+
+    # Who is who
+
+    def owner(self) -> UpstreamName:
+        """Return the upstream that has the target shard."""
+        found = self.world.assignment.find_owner(self.target)
+        return UpstreamName("u1") if found is None else found.upstream
+
+    def keeper(self) -> FakeKeeper:
+        """Return the keeper of the target's owner."""
+        for keeper in self.world.keepers.values():
+            lease = keeper.leases.get(self.owner())
+            running = keeper.state is Running.RUNNING
+            if lease is not None and running and not lease.standing_back:
+                return keeper
+        return self.any_keeper()
+
+    def any_keeper(self) -> FakeKeeper:
+        """Return the first keeper that runs."""
+        for keeper in self.world.keepers.values():
+            if keeper.state is Running.RUNNING:
+                return keeper
+        return next(iter(self.world.keepers.values()))
+
+    def assigner(self) -> FakeKeeper:
+        """Return the keeper that changes the assignment."""
+        keeper = self.any_keeper()
+        now = keeper.clock.read(self.world.now)
+        host = keeper.council.find_assigner(now)
+        return keeper if host is None else self.world.keepers[host]
+
+    def drain(self, name: str) -> None:
+        """Have the operators drain an upstream."""
+        self.world.edit_text(make_text(name, self._checks_orders))
+        self._drained = {name: self.world.now}
+        self._edited_at = self.world.now
+
+    # Promises
+
+    def _break(self, promise: str) -> None:
+        if len(self.broken) < 20:
+            self.broken.append(f"{self.world.now - 1000:.2f}: {promise}")
+
+    def _check_owners(self) -> None:
+        for key in self.world.list_keys():
+            owners = self.world.list_owners(key)
+            if len(owners) > 1:
+                self._break(f"{key} has owners {owners}")
+
+    def _check_told(self, seen: int) -> None:
+        for told in self.callers.told[seen:]:
+            if told.answer != told.operation:
+                self._break(f"answer of another: {told}")
+            if told.outcome is not Outcome.ANSWERED:
+                self.refused += 1
+        for attempt in self.callers.attempts[-_LIMIT:]:
+            self._note_repeat(attempt)
+
+    def _note_repeat(self, attempt: Attempt) -> None:
+        """Have the caller repeat what it was told nothing sure of."""
+        if attempt.told is None or not attempt.first or attempt.idempotent:
+            return
+        if attempt.told.outcome is Outcome.UNKNOWN:
+            attempt.first = False
+            due = self.world.now + _REPEAT_AFTER
+            self._repeats.append((due, attempt))
+
+    def _repeat(self) -> None:
+        for due, attempt in list(self._repeats):
+            if due <= self.world.now:
+                self._repeats.remove((due, attempt))
+                self.callers.send(attempt.key, operation=attempt.operation)
+
+    def _check_text(self) -> None:
+        """Check that texts never go back and are soon in force."""
+        if self.disturbed:
+            self.calm_since = self.world.now
+        since = max(self._edited_at, self.calm_since)
+        late = self.world.now - since > _IN_FORCE_WITHIN
+        for host, keeper in self.world.keepers.items():
+            name = keeper.incarnation
+            revision = keeper.text_revision
+            if revision < self._revisions.get(name, 0):
+                self._break(f"text of {host} went back to {revision}")
+            self._revisions[name] = revision
+            known = revision == self.world.text_revision
+            if late and not known and self._could_know(keeper):
+                self._break(f"{host} is at text {revision}")
+
+    def _could_know(self, keeper: FakeKeeper) -> bool:
+        if keeper.state is not Running.RUNNING or self.disturbed:
+            return False
+        return self.world.reaches_store(keeper.host)
+
+    @property
+    def disturbed(self) -> bool:
+        """Whether any fault holds at present."""
+        world = self.world
+        return bool(
+            world.cuts
+            or world.store_fault is not StoreFault.NONE
+            or self._later
+        )
+
+    def _check_leaving(self) -> None:
+        for name, since in self._drained.items():
+            if self.world.now - since < _LEAVES_WITHIN or self.disturbed:
+                continue
+            upstream = self.world.upstreams[UpstreamName(name)]
+            late = [
+                each
+                for each in upstream.model.journal[-5:]
+                if each.began > since + _LEAVES_WITHIN
+                and each.began > self.calm_since + _LEAVES_WITHIN
+            ]
+            if late:
+                self._break(f"{name} got new work while leaving")
+
+    def _measure_dark(self) -> None:
+        """Measure how long each shard has had no owner that is served."""
+        for key in self.world.list_keys():
+            if self._is_served(key):
+                self.dark.pop(key, None)
+                continue
+            since = self.dark.setdefault(key, self.world.now)
+            self.longest_dark = max(self.longest_dark, self.world.now - since)
+
+    def _is_served(self, key: ShardKey) -> bool:
+        for keeper in self.world.keepers.values():
+            if keeper.state is not Running.RUNNING:
+                continue
+            if not self.world.talks(self.callers.name, keeper.host):
+                continue
+            now = keeper.clock.read(self.world.now)
+            for name, lease in keeper.leases.items():
+                upstream = self.world.upstreams[name]
+                if upstream.state is not Running.RUNNING:
+                    continue
+                if not self.world.reaches(keeper.host, name):
+                    continue
+                if lease.find_obstacle(key, now + 1.0, now) is None:
+                    return True
+        return False
+
+    def check_at_end(self) -> None:
+        """Check what only the whole journal shows."""
+        journal = [
+            msgspec.to_builtins(entry)
+            for upstream in self.world.upstreams.values()
+            for model in [upstream.model, *upstream.past]
+            for entry in model.journal
+        ]
+        self.broken += [f"doubled {each}" for each in find_doubled(journal)]
+        self.broken += find_two_owners(journal)
+        ran = {each["operation"] for each in journal}
+        outcomes: dict[str, set[Outcome]] = {}
+        for told in self.callers.told:
+            outcomes.setdefault(told.operation, set()).add(told.outcome)
+        for operation, found in outcomes.items():
+            if found == {Outcome.NOT_RUN} and operation in ran:
+                self._break(f"false not-run of {operation}")
+            if Outcome.ANSWERED in found and operation not in ran:
+                self._break(f"answered without a run: {operation}")
+
+
+# Steps: each brings a scene to a point at which a fault strikes.
+
+
+def _settle(scene: Scene) -> None:
+    scene.run_until(
+        lambda: (
+            all(
+                len(scene.world.list_owners(key)) == 1
+                for key in scene.world.list_keys()
+            )
+            and len(scene.world.assignment.members) == 3
+        )
+    )
+    scene.run(1.0)
+    scene.longest_dark = 0.0
+    scene.dark.clear()
+
+
+def _reach_phase(scene: Scene, phase: Phase) -> None:
+    _settle(scene)
+    scene.watched = scene.callers.send(scene.target)
+    scene.run_until(
+        lambda: scene.watched.phase is phase or scene.watched.told is not None
+    )
+
+
+def _reach_accepted(scene: Scene) -> None:
+    _settle(scene)
+    scene.watched = scene.callers.send(scene.target)
+
+
+def _reach_running(scene: Scene) -> None:
+    _reach_phase(scene, Phase.HANDED_OVER)
+    scene.tick()
+
+
+def _reach_answering(scene: Scene) -> None:
+    _reach_phase(scene, Phase.HANDED_OVER)
+    scene.run(0.1)
+
+
+def _reach_move(scene: Scene) -> None:
+    _settle(scene)
+    scene.drain(scene.owner())
+
+
+def _is_releasing(scene: Scene) -> bool:
+    return bool(scene.world.assignment.list_releasing())
+
+
+def _reach_releasing(scene: Scene) -> None:
+    _reach_move(scene)
+    scene.run_until(lambda: _is_releasing(scene))
+
+
+def _reach_moved(scene: Scene) -> None:
+    _reach_releasing(scene)
+    scene.run_until(lambda: not _is_releasing(scene))
+
+
+def _reach_loss(scene: Scene) -> None:
+    _settle(scene)
+    scene.world.upstreams[scene.owner()].state = Running.DEAD
+
+
+def _reach_takeover(scene: Scene) -> None:
+    _reach_loss(scene)
+    scene.run_until(lambda: _is_releasing(scene))
+
+
+def _reach_takeover_told(scene: Scene) -> None:
+    _reach_takeover(scene)
+    scene.run(0.6)
+
+
+def _reach_taken_over(scene: Scene) -> None:
+    _reach_takeover(scene)
+    scene.run_until(lambda: not _is_releasing(scene))
+
+
+def _reach_drain_end(scene: Scene) -> None:
+    _reach_moved(scene)
+    scene.run(2.5)
+
+
+def _reach_stop(scene: Scene) -> None:
+    _settle(scene)
+    keeper = scene.keeper()
+    keeper.council.leaving = True
+
+    def stop() -> None:
+        keeper.state = Running.DEAD
+
+    scene.later(1.0, stop)
+    scene.later(2.0, lambda: _start_again(keeper))
+
+
+def _start_again(keeper: FakeKeeper) -> None:
+    if keeper.state is Running.DEAD:
+        keeper.start()
+
+
+def _reach_replacement(scene: Scene) -> None:
+    _settle(scene)
+    keeper = scene.keeper()
+    keeper.state = Running.DEAD
+    scene.run(1.0)
+    keeper.start()
+
+
+STEPS: dict[str, Callable[[Scene], None]] = {
+    "start": lambda scene: None,
+    "first assignment": lambda scene: scene.run_until(
+        lambda: bool(scene.world.assignment.shards)
+    ),
+    "request accepted": _reach_accepted,
+    "request queued": lambda scene: _reach_phase(scene, Phase.QUEUED),
+    "request handed over": lambda scene: _reach_phase(
+        scene, Phase.HANDED_OVER
+    ),
+    "request running": _reach_running,
+    "request answering": _reach_answering,
+    "renewal": _settle,
+    "text accepted": _reach_move,
+    "move: releasing": _reach_releasing,
+    "move: owned": _reach_moved,
+    "drain over": _reach_drain_end,
+    "loss": _reach_loss,
+    "takeover: releasing": _reach_takeover,
+    "takeover: waiting": _reach_takeover_told,
+    "takeover: owned": _reach_taken_over,
+    "planned stop": _reach_stop,
+    "replacement started": _reach_replacement,
+}
+
+
+# Faults: each strikes a scene, and most end by themselves after PAUSE.
+
+
+def _kill(scene: Scene, keeper: FakeKeeper) -> None:
+    keeper.state = Running.DEAD
+    scene.later(PAUSE, lambda: _start_again(keeper))
+
+
+def _pause(scene: Scene, keeper: FakeKeeper) -> None:
+    if keeper.state is not Running.RUNNING:
+        return
+    keeper.pause()
+
+    def resume() -> None:
+        if keeper.state is Running.PAUSED:
+            keeper.resume()
+
+    scene.later(PAUSE, resume)
+
+
+def _restart(scene: Scene) -> None:
+    scene.keeper().start()
+
+
+def _find_watcher(scene: Scene) -> FakeKeeper:
+    for keeper in scene.world.keepers.values():
+        now = keeper.clock.read(scene.world.now)
+        running = keeper.state is Running.RUNNING
+        if running and keeper.council.is_watching(now):
+            return keeper
+    return scene.any_keeper()
+
+
+def _heal(scene: Scene) -> None:
+    scene.world.heal()
+
+
+def _cut_keeper(scene: Scene, store: bool, peers: bool) -> None:
+    keeper = scene.keeper()
+    if store:
+        scene.world.cut(keeper.host, STORE)
+    if peers:
+        for host in scene.world.keepers:
+            if host != keeper.host:
+                scene.world.cut(keeper.host, host)
+    scene.later(PAUSE, lambda: _heal(scene))
+
+
+def _cut_centre(scene: Scene) -> None:
+    for host in scene.world.keepers:
+        scene.world.cut(host, STORE)
+    scene.later(PAUSE, lambda: _heal(scene))
+
+
+def _cut_entry(scene: Scene) -> None:
+    for host in scene.world.keepers:
+        scene.world.cut(scene.callers.name, host)
+    scene.later(PAUSE, lambda: _heal(scene))
+
+
+def _cut_upstream(scene: Scene) -> None:
+    scene.world.cut(scene.keeper().host, scene.owner())
+    scene.later(PAUSE, lambda: _heal(scene))
+
+
+def _fail_store(scene: Scene, fault: StoreFault) -> None:
+    scene.world.store_fault = fault
+
+    def end() -> None:
+        scene.world.store_fault = StoreFault.NONE
+
+    scene.later(PAUSE, end)
+
+
+def _kill_upstream(scene: Scene) -> None:
+    upstream = scene.world.upstreams[scene.owner()]
+    upstream.state = Running.DEAD
+    scene.later(PAUSE, upstream.restart)
+
+
+def _restart_upstream(scene: Scene) -> None:
+    scene.world.upstreams[scene.owner()].restart()
+
+
+def _freeze_upstream(scene: Scene) -> None:
+    upstream = scene.world.upstreams[scene.owner()]
+    if upstream.state is not Running.RUNNING:
+        return
+    upstream.state = Running.PAUSED
+
+    def resume() -> None:
+        if upstream.state is Running.PAUSED:
+            upstream.resume(scene.world.now)
+
+    scene.later(PAUSE, resume)
+
+
+def _race_edits(scene: Scene) -> None:
+    scene.drain("u2")
+    scene.tick()
+    scene.drain("u3")
+
+
+def _skew(scene: Scene, rate: float) -> None:
+    """Let keepers' clocks run at another rate than the upstreams'."""
+    error = scene.world.timing.clock_error / 2
+    now = scene.world.now
+    for keeper in scene.world.keepers.values():
+        _set_rate(keeper.clock, 1.0 + rate * error, now)
+    for upstream in scene.world.upstreams.values():
+        _set_rate(upstream.clock, 1.0 - rate * error, now)
+
+
+def _set_rate(clock: object, rate: float, now: float) -> None:
+    clock.offset += now * (clock.rate - rate)
+    clock.rate = rate
+
+
+FAULTS: dict[str, Callable[[Scene], None]] = {
+    "none": lambda scene: None,
+    "keeper killed": lambda scene: _kill(scene, scene.keeper()),
+    "keeper restarted": _restart,
+    "keeper paused": lambda scene: _pause(scene, scene.keeper()),
+    "assigner killed": lambda scene: _kill(scene, scene.assigner()),
+    "assigner paused": lambda scene: _pause(scene, scene.assigner()),
+    "watcher killed": lambda scene: _kill(scene, _find_watcher(scene)),
+    "upstream killed": _kill_upstream,
+    "upstream restarted": _restart_upstream,
+    "upstream frozen": _freeze_upstream,
+    "keeper cut from store": lambda scene: _cut_keeper(scene, True, False),
+    "keeper cut from peers": lambda scene: _cut_keeper(scene, False, True),
+    "keeper cut from both": lambda scene: _cut_keeper(scene, True, True),
+    "keeper cut from upstream": _cut_upstream,
+    "centre cut from platform": _cut_centre,
+    "centre cut from others": _cut_entry,
+    "store down": lambda scene: _fail_store(scene, StoreFault.DOWN),
+    "reply lost": lambda scene: _fail_store(scene, StoreFault.LOST_REPLY),
+    "racing edits": _race_edits,
+    "clocks fast": lambda scene: _skew(scene, 1.0),
+    "clocks slow": lambda scene: _skew(scene, -1.0),
+}
--- a/sedgetide/testing/upstream.py
+++ b/sedgetide/testing/upstream.py
@@ -134,7 +134,7 @@
                 now,
             )
         elif path == "/releases":
-            self._model.release(_parse_shards(document["shards"]))
+            refused = self._model.release(_parse_shards(document["shards"]))
         load = self._behaviour.load
         return serving.answer(
             start_response,
--- a/sedgetide/testing/upstreammodel.py
+++ b/sedgetide/testing/upstreammodel.py
@@ -60,6 +60,7 @@
         self.running = 0
         self.orderer = ""
         self.journal: list[JournalEntry] = []
+        self._open: list[JournalEntry] = []
         self._grants: dict[ShardKey, _Grant] = {}
         self._fences: dict[ShardKey, Epoch] = {}
         self._cancelled: set[str] = set()
@@ -95,13 +96,22 @@
             self._grants[key] = _Grant(epoch, until)
         return previous, refused
 
-    def release(self, shards: Mapping[ShardKey, Epoch]) -> None:
-        """Give shards up; a checking upstream remembers the fence."""
+    def release(self, shards: Mapping[ShardKey, Epoch]) -> list[ShardKey]:
+        """Give shards up; return those of which a request still runs.
+
+        A checking upstream remembers the fence.
+        """
+        busy = {each.shard for each in self._open if each.ended is None}
+        self._open = [each for each in self._open if each.ended is None]
+        refused = [key for key in shards if str(key) in busy]
         for key, epoch in shards.items():
+            if key in refused:
+                continue
             self._fences[key] = max(self._fences.get(key, Epoch(0)), epoch)
             grant = self._grants.get(key)
             if grant is not None and grant.epoch < epoch:
                 del self._grants[key]
+        return refused
 
     def owns(self, key: ShardKey, now: float) -> bool:
         """Tell whether a grant for the shard is alive."""
@@ -149,6 +159,7 @@
     def begin(self, entry: JournalEntry) -> None:
         """Note an operation in the journal."""
         self.journal.append(entry)
+        self._open.append(entry)
 
     def cancel(self, number: str) -> bool:
         """Cancel a request; return True when it has begun already."""
