Reads with an operation id are sent again; own headers stay inside

Cause: reading the task of an upstream again. A read that carried an operation id entered the log of operations; when its answer was lost the entry's second attempt got the remembered "unknown" back. Headers meant for the keeper went on to callers.

Ruled out: a double run; the log only held the read back.

Change: idempotent requests pass by the log; headers of the router's own name are dropped from answers; a connection that was too late to send is closed. The stand-in upstream bounds its connections and can report a load of some time ago.

--- a/sedgetide/backends/httpupstream.py
+++ b/sedgetide/backends/httpupstream.py
@@ -3,6 +3,7 @@
 The protocol is described in ``docs/protocols.md``.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import time
 from typing import Any
@@ -22,6 +23,7 @@
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import Epoch
 
+OWN_PREFIX = "sedgetide-"
 HEADER_NUMBER = "sedgetide-request"
 HEADER_SHARD = "sedgetide-shard"
 HEADER_EPOCH = "sedgetide-epoch"
@@ -37,6 +39,17 @@
 _OK = 200
 
 
+def drop_own_headers(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return an upstream's headers without those meant for its keeper."""
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.lower().startswith(OWN_PREFIX)
+    ]
+
+
 def _encode_shards(shards: Mapping[ShardKey, Epoch]) -> list[list[Any]]:
     return [[key.service, key.shard, epoch] for key, epoch in shards.items()]
 
@@ -127,14 +140,18 @@
             headers.append((HEADER_SHARD, str(work.shard)))
             headers.append((HEADER_EPOCH, str(work.epoch)))
         connection = self._take_connection(fresh)
-        answer = connection.exchange(
-            work.method,
-            work.path,
-            headers,
-            work.body,
-            timeout,
-            order.not_after,
-        )
+        try:
+            answer = connection.exchange(
+                work.method,
+                work.path,
+                headers,
+                work.body,
+                timeout,
+                order.not_after,
+            )
+        except BaseException:
+            connection.close()
+            raise
         if answer.find_header(HEADER_NUMBER) != work.number:
             # An answer of an earlier request would be a true-looking lie.
             connection.close()
--- a/sedgetide/daemons/_frontend.py
+++ b/sedgetide/daemons/_frontend.py
@@ -12,6 +12,7 @@
 from prometheus_client import Histogram
 
 from sedgetide.backends._connection import is_hop_header
+from sedgetide.backends.httpupstream import OWN_PREFIX
 from sedgetide.coding.messages import Response
 from sedgetide.coding.settings import Limits
 from sedgetide.core.identifiers import OperationId
@@ -35,7 +36,6 @@
 HEADER_OPERATION = "idempotency-key"
 
 _RAW_TARGET = "sedgetide.target"
-_OWN_PREFIX = "sedgetide-"
 _RETRY_AFTER_OVERLOAD = 1.0
 
 _STATUSES = {
@@ -73,7 +73,7 @@
     if not variable.startswith("HTTP_"):
         return None
     name = variable[5:].replace("_", "-").title()
-    if is_hop_header(name) or name.lower().startswith(_OWN_PREFIX):
+    if is_hop_header(name) or name.lower().startswith(OWN_PREFIX):
         return None
     return name
 
--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -12,6 +12,7 @@
 import msgspec
 from prometheus_client import Counter
 
+from sedgetide.backends.httpupstream import drop_own_headers
 from sedgetide.backends.upstream import Order
 from sedgetide.backends.upstream import UpstreamClient
 from sedgetide.backends.upstream import UpstreamStatus
@@ -256,7 +257,7 @@
 
     def _serve(self, job: _Job) -> bool:
         request = job.request
-        if request.operation is None:
+        if request.operation is None or request.idempotent:
             return self._send(job)
         verdict = self._operations.judge(
             request.operation,
@@ -331,7 +332,7 @@
             Outcome.ANSWERED,
             Reason.NONE,
             answer.status,
-            answer.headers,
+            drop_own_headers(answer.headers),
             answer.body,
             self.name,
             epoch,
--- a/sedgetide/testing/fleet.py
+++ b/sedgetide/testing/fleet.py
@@ -255,6 +255,8 @@
             upstream["address"].rpartition(":")[2],
             "--slots",
             str(service["slots"]),
+            "--connections",
+            str(service["connections"]),
             "--service-ms",
             str(self._service_ms),
             "--journal",
--- a/sedgetide/testing/serving.py
+++ b/sedgetide/testing/serving.py
@@ -11,6 +11,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 import msgspec
 
@@ -78,11 +79,26 @@
 
 
 def serve_until_signal(
-    application: Callable[..., Iterable[bytes]], address: str, port: int
+    application: Callable[..., Iterable[bytes]],
+    address: str,
+    port: int,
+    connections: int = 10_000,
 ) -> int:
-    """Serve until SIGTERM; print the address once listening."""
+    """Serve until SIGTERM; print the address once listening.
+
+    Parameters
+    ----------
+    connections : int
+        Connections served at a time; more wait to be accepted.
+    """
     listener = open_listener(address, port)
-    server = WSGIServer(listener, application, log=None, error_log=sys.stderr)
+    server = WSGIServer(
+        listener,
+        application,
+        spawn=Pool(connections),
+        log=None,
+        error_log=sys.stderr,
+    )
     server.start()
     host, bound = listener.getsockname()[:2]
     print(f"{host}:{bound}", flush=True)
--- a/sedgetide/testing/upstream.py
+++ b/sedgetide/testing/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import collections
 from collections.abc import Iterable
 import pathlib
 import sys
@@ -27,6 +28,7 @@
 from sedgetide.testing.upstreammodel import UpstreamModel
 
 _FOREVER = 3600.0
+_KEPT_LOADS = 1000
 
 
 class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
@@ -48,6 +50,8 @@
         Run requests but never answer.
     load : float or None
         Load to report in place of the true one.
+    load_lag : float
+        Age in seconds of the load that is reported.
     """
 
     service_ms: float = 2.0
@@ -58,6 +62,7 @@
     silent_before: float = 0.0
     drop_answers: bool = False
     load: float | None = None
+    load_lag: float = 0.0
 
 
 def _find_header(environ: dict[str, Any], name: str) -> str:
@@ -92,6 +97,9 @@
         self._opened: dict[str, float] = {}
         self._slots = BoundedSemaphore(model.slots)
         self._journal_file = journal_file
+        self._loads: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=_KEPT_LOADS
+        )
 
     def __call__(
         self,
@@ -142,7 +150,6 @@
             )
         elif path == "/releases":
             refused = self._model.release(_parse_shards(document["shards"]))
-        load = self._behaviour.load
         return serving.answer(
             start_response,
             200,
@@ -152,10 +159,19 @@
                 "orderer": previous,
                 "held_ms": held * 1000.0,
                 "refused": refused,
-                "load": self._model.running if load is None else load,
+                "load": self._report_load(now),
             },
         )
 
+    def _report_load(self, now: float) -> float:
+        """Return the load, late or misleading as ordered."""
+        self._loads.append((now, self._model.running))
+        if self._behaviour.load is not None:
+            return self._behaviour.load
+        limit = now - self._behaviour.load_lag
+        old = [load for at, load in self._loads if at <= limit]
+        return old[-1] if old else self._loads[0][1]
+
     def _work(
         self,
         environ: dict[str, Any],
@@ -267,6 +283,7 @@
     serving.add_listen_options(parser)
     parser.add_argument("--name", required=True)
     parser.add_argument("--slots", type=int, default=2)
+    parser.add_argument("--connections", type=int, default=130)
     parser.add_argument("--service-ms", type=float, default=2.0)
     parser.add_argument("--answer-bytes", type=int, default=100)
     parser.add_argument("--unchecked", action="store_true")
@@ -280,7 +297,7 @@
     )
     application = UpstreamApplication(model, behaviour, options.journal)
     return serving.serve_until_signal(
-        application, options.address, options.port
+        application, options.address, options.port, options.connections
     )
 
 
--- /dev/null
+++ b/tests/core/test_leasing.py
@@ -0,0 +1,126 @@
+"""Tests of one keeper's standing towards one upstream."""
+
+import testtools
+
+from sedgetide.core.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.grants import Token
+from sedgetide.core.identifiers import ChangeId
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import Shard
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.leasing import Answer
+from sedgetide.core.leasing import CallKind
+from sedgetide.core.leasing import Health
+from sedgetide.core.leasing import Standing
+from sedgetide.core.leasing import UpstreamLease
+from sedgetide.core.outcomes import Reason
+from sedgetide.core.timing import Timing
+
+KEY = ShardKey(ServiceName("s"), Shard(0))
+U, V = UpstreamName("u"), UpstreamName("v")
+OWNED = EMPTY_ASSIGNMENT.assign_first({KEY: U}, ChangeId("1"))
+RELEASED = OWNED.release([KEY], ChangeId("2"))
+LATE = 1e9
+ME, OTHER = "k1/1", "k2/1"
+
+
+class UpstreamLeaseTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.first = {OTHER}
+        self.lease = UpstreamLease(
+            U, ME, True, Timing(), self.first.__contains__, 0.0
+        )
+        self.lease.update(Standing(OWNED, 100.0))
+
+    def answer(self, now, orderer=ME, held=0.5, incarnation="a", **fields):
+        token = Token(str(now), now, now, incarnation)
+        call = self.lease.next_call(now)
+        answer = Answer(token, orderer, held, **fields)
+        return call.kind, self.lease.note_answer(call, answer)
+
+    def obstacle(self, now):
+        return self.lease.find_obstacle(KEY, LATE, now)
+
+    def grant(self, now=1.0):
+        self.answer(now, orderer="")
+        self.answer(now)
+
+    def test_grants_before_it_serves(self):
+        self.assertIs(Reason.NOT_KEEPER, self.obstacle(1.0))
+        self.assertEqual((CallKind.STATUS, False), self.answer(1.0, ""))
+        self.assertIs(Reason.NO_GRANT, self.obstacle(1.0))
+        self.assertEqual((CallKind.GRANT, False), self.answer(1.1))
+        self.assertIsNone(self.obstacle(1.1))
+
+    def test_serves_no_longer_than_the_grant_lives(self):
+        self.grant(1.0)
+        self.assertIsNone(self.obstacle(1.5))
+        self.assertIs(Reason.NO_GRANT, self.obstacle(1.0 + 0.6))
+
+    def test_serves_no_longer_than_its_proof(self):
+        self.grant(1.0)
+        self.lease.update(Standing(OWNED, 1.2))
+        self.assertIs(Reason.NO_GRANT, self.obstacle(1.2))
+
+    def test_gives_no_grants_without_proof(self):
+        self.grant(1.0)
+        self.lease.update(Standing(OWNED, 1.2))
+        self.assertIs(CallKind.STATUS, self.lease.next_call(1.3).kind)
+
+    def test_leaves_an_upstream_to_the_keeper_that_comes_first(self):
+        # Two keepers, cut off from each other, both reach the upstream. If
+        # both gave orders by turns it would refuse the requests of both.
+        self.answer(1.0, OTHER, held=0.3)
+        self.assertIs(Reason.NOT_KEEPER, self.obstacle(1.0))
+        self.assertIs(CallKind.STATUS, self.lease.next_call(1.1).kind)
+        self.answer(1.5, OTHER, held=0.0)
+        self.assertIs(CallKind.GRANT, self.lease.next_call(1.5).kind)
+
+    def test_orders_of_another_end_the_tenure(self):
+        self.grant(1.0)
+        self.first.clear()
+        self.assertEqual((CallKind.GRANT, True), self.answer(1.1, OTHER))
+
+    def test_request_that_runs_is_let_end_before_a_release(self):
+        # A planned move must cut no request.
+        self.grant(1.0)
+        self.lease.begin_request(KEY)
+        self.lease.update(Standing(RELEASED, 100.0))
+        self.assertIs(Reason.MOVING, self.obstacle(1.1))
+        self.assertIs(CallKind.GRANT, self.lease.next_call(1.1).kind)
+        self.lease.end_request(KEY)
+        self.assertIs(CallKind.RELEASE, self.lease.next_call(1.2).kind)
+
+    def test_refused_release_is_not_reported(self):
+        self.grant(1.0)
+        self.lease.update(Standing(RELEASED, 100.0))
+        self.answer(1.1, refused=frozenset([KEY]))
+        self.assertEqual({}, self.lease.list_released())
+        self.answer(1.2)
+        self.assertEqual({KEY: 2}, self.lease.list_released())
+
+    def test_unchecked_upstream_is_not_asked_to_release(self):
+        # It would take a late renewal after its confirmation.
+        self.grant(1.0)
+        self.lease.checks_orders = False
+        self.lease.update(Standing(RELEASED, 100.0))
+        self.assertIs(CallKind.GRANT, self.lease.next_call(1.1).kind)
+
+    def test_restarted_upstream_has_lost_its_shards(self):
+        self.grant(1.0)
+        self.assertEqual(
+            (CallKind.GRANT, True), self.answer(1.1, incarnation="b")
+        )
+        self.assertEqual({KEY: 1}, self.lease.list_lost())
+        self.assertEqual({}, self.lease.next_call(1.2).shards)
+        self.assertIs(Reason.NO_GRANT, self.obstacle(1.2))
+
+    def test_silence_makes_a_loss_only_after_its_time(self):
+        self.grant(1.0)
+        self.lease.note_failure(1.3)
+        self.assertIs(Health.ALIVE, self.lease.health)
+        self.lease.note_failure(1.5)
+        self.assertIs(Health.LOST, self.lease.health)
+        self.assertEqual({KEY: 1}, self.lease.list_lost())
--- a/tests/daemons/test_path.py
+++ b/tests/daemons/test_path.py
@@ -3,9 +3,11 @@
 import json
 import pathlib
 
+from gevent import socket
 import msgspec
 import testtools
 
+from sedgetide.coding.addresses import split_address
 from sedgetide.testing.fleet import call
 from sedgetide.testing.fleet import Fleet
 
@@ -74,6 +76,24 @@
         answer = self.call("GET", "/mappa-fumi/tiles/x", big)
         self.assertEqual(431, answer.status)
 
+    def test_body_that_ends_early_is_not_passed_on(self):
+        # The caller is cut off half way through an alert. Half of it must
+        # not reach the upstream as the whole.
+        entry = self.fleet.entries["sala-milano-1"]
+        address = split_address(entry.settings["listen"])
+        peer = socket.create_connection(address, timeout=10.0)
+        peer.sendall(
+            b"POST /mappa-fumi/alerts/x4 HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 100\r\n\r\nevac"
+        )
+        peer.shutdown(socket.SHUT_WR)
+        answer = peer.recv(65536)
+        peer.close()
+        self.assertIn(b" 400 ", answer.splitlines()[0])
+        self.assertIn(b"not-run", answer)
+        ran = [each["path"] for each in self.fleet.read_journals()]
+        self.assertNotIn("/alerts/x4", ran)
+
     def test_body_over_the_limit(self):
         body = b"x" * (16 * 1024 * 1024 + 1)
         answer = self.call("POST", "/mappa-fumi/alerts/x3", body=body)
--- /dev/null
+++ b/tests/daemons/test_upstreamtask.py
@@ -0,0 +1,207 @@
+"""Tests of the task of one upstream, with a fake client."""
+
+import time
+
+import gevent
+from gevent.event import AsyncResult
+import testtools
+
+from sedgetide.backends._connection import HttpAnswer
+from sedgetide.backends.upstream import UpstreamClient
+from sedgetide.backends.upstream import UpstreamStatus
+from sedgetide.backends.upstream import WorkResult
+from sedgetide.coding.messages import Request
+from sedgetide.coding.settings import KeeperSettings
+from sedgetide.core.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.assignment import ShardKey
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.leasing import Standing
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.outcomes import Reason
+from sedgetide.core.services import Service
+from sedgetide.core.services import Upstream
+from sedgetide.core.timing import Timing
+from sedgetide.daemons._upstreamtask import UpstreamTask
+from sedgetide.testing.callers import make_operation_id
+
+KEY = ShardKey("s", 0)
+UPSTREAM = Upstream("u", "d", "10.0.0.1:1")
+SERVICE = Service("s", "/s", 2, 9, (), (UPSTREAM,), checks_orders=True)
+# Nothing lapses here by itself, however slow the machine.
+TIMING = Timing(heartbeat=0.01, silence=60.0, grant_life=600.0)
+SETTINGS = KeeperSettings(
+    host="k",
+    data_centre="d",
+    admin="",
+    link="",
+    stores=("",),
+    timing=TIMING,
+)
+
+
+class FakeClient(UpstreamClient):
+    """Answers orders at once, and requests as a test says."""
+
+    def __init__(self):
+        self.runs = []
+        self.begun = True
+
+    def fetch_status(self, timeout):
+        return UpstreamStatus("a", "0")
+
+    def grant(self, order, shards, life, timeout):
+        return UpstreamStatus("a", "0", order.orderer)
+
+    def release(self, order, shards, timeout):
+        return UpstreamStatus("a", "0", order.orderer)
+
+    def cancel(self, number, timeout):
+        return not self.begun
+
+    def run(self, order, work, timeout, fresh):
+        result = AsyncResult()
+        self.runs.append((work, fresh, result))
+        return result.get()
+
+    def close(self):
+        pass
+
+
+def fail(code, sent):
+    return UpstreamError(code, Step.ANSWER, "u", "as ordered", sent)
+
+
+class UpstreamTaskTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = FakeClient()
+        self.news = []
+        self.task = UpstreamTask(
+            "k/1",
+            SERVICE,
+            UPSTREAM,
+            self.client,
+            SETTINGS,
+            lambda orderer: False,
+            lambda: self.news.append(1),
+        )
+        self.addCleanup(self.task.close)
+        owned = EMPTY_ASSIGNMENT.assign_first({KEY: "u"}, "1")
+        self.task.update(Standing(owned, float("inf")))
+        self.task.start()
+        while not self.task.lease.list_granted(time.monotonic()):
+            gevent.sleep(0.001)
+
+    def submit(self, number, operation=None, idempotent=False):
+        result = AsyncResult()
+        request = Request(
+            number,
+            "1",
+            "s",
+            "u",
+            KEY,
+            1,
+            time.monotonic() + 300.0,
+            0,
+            idempotent,
+            "GET" if idempotent else "POST",
+            "/",
+            [],
+            b"",
+            operation,
+            first_attempt=True,
+        )
+        self.task.submit(request, result.set, time.monotonic())
+        gevent.sleep(0)
+        return result
+
+    def answer(self, index, headers=(), declined=""):
+        result = WorkResult(HttpAnswer(200, list(headers), b"x"), declined)
+        self.client.runs[index][2].set(result)
+
+    def break_off(self, index, code=ErrorCode.BAD_ANSWER, sent=True):
+        self.client.runs[index][2].set_exception(fail(code, sent))
+
+    def test_answer_is_passed_on_without_own_headers(self):
+        told = self.submit("1")
+        self.answer(0, [("x", "y"), ("Sedgetide-Request", "1")])
+        response = told.get()
+        self.assertIs(Outcome.ANSWERED, response.outcome)
+        self.assertEqual([("x", "y")], response.headers)
+
+    def test_failure_after_the_send_is_unknown(self):
+        told = self.submit("1")
+        self.break_off(0)
+        self.assertIs(Outcome.UNKNOWN, told.get().outcome)
+
+    def test_failure_before_the_send_is_not_run(self):
+        told = self.submit("1")
+        self.break_off(0, ErrorCode.UPSTREAM_UNREACHABLE, sent=False)
+        self.assertIs(Outcome.NOT_RUN, told.get().outcome)
+
+    def test_timeout_is_not_run_only_when_cancelled_before_it_began(self):
+        told = self.submit("1")
+        self.break_off(0, ErrorCode.UPSTREAM_SILENT)
+        self.assertIs(Outcome.UNKNOWN, told.get().outcome)
+        self.client.begun = False
+        told = self.submit("2")
+        self.break_off(1, ErrorCode.UPSTREAM_SILENT)
+        self.assertIs(Outcome.NOT_RUN, told.get().outcome)
+
+    def test_repeat_of_an_operation_joins_and_runs_once(self):
+        operation = make_operation_id(time.time())
+        first = self.submit("1", operation)
+        second = self.submit("2", operation)
+        self.assertEqual(1, len(self.client.runs))
+        self.answer(0)
+        self.assertIs(Outcome.ANSWERED, first.get().outcome)
+        self.assertEqual("2", second.get().number)
+        third = self.submit("3", operation)
+        self.assertIs(Outcome.ANSWERED, third.get().outcome)
+        self.assertEqual(1, len(self.client.runs))
+
+    def test_declined_operation_may_run_again(self):
+        operation = make_operation_id(time.time())
+        told = self.submit("1", operation)
+        self.answer(0, declined="shed")
+        self.assertIs(Reason.SHED, told.get().reason)
+        told = self.submit("2", operation)
+        self.answer(1)
+        self.assertIs(Outcome.ANSWERED, told.get().outcome)
+
+    def test_read_with_an_operation_id_is_sent_again(self):
+        # The entry lost the first answer of a read and sends it again. The
+        # caller's key on it must not bring back the unknown outcome.
+        operation = make_operation_id(time.time())
+        told = self.submit("1", operation, idempotent=True)
+        self.break_off(0)
+        self.assertIs(Outcome.UNKNOWN, told.get().outcome)
+        told = self.submit("2", operation, idempotent=True)
+        self.answer(1)
+        self.assertIs(Outcome.ANSWERED, told.get().outcome)
+
+    def test_slots_bound_what_is_sent(self):
+        for number in range(5):
+            self.submit(str(number))
+        self.assertEqual(2, len(self.client.runs))
+        self.answer(0)
+        gevent.sleep(0)
+        gevent.sleep(0)
+        self.assertEqual(3, len(self.client.runs))
+
+    def test_lost_upstream_keeps_no_caller_waiting(self):
+        # It froze with the request in its hands. The caller would wait for
+        # an owner that is being replaced, until its deadline.
+        told = self.submit("1")
+        self.task._give_up_running()
+        self.assertIs(Outcome.UNKNOWN, told.get().outcome)
+
+    def test_retired_task_refuses_what_waits(self):
+        told = [self.submit(str(number)) for number in range(3)]
+        self.task.retire()
+        self.assertIs(Reason.NOT_KEEPER, told[2].get().reason)
+        self.assertIs(Outcome.NOT_RUN, told[2].get().outcome)
+        self.answer(0)
+        self.assertIs(Outcome.ANSWERED, told[0].get().outcome)
