Crossed answers: a test with the safeguards taken away

Cause: the list of mutations had none for an answer of another request.

Change: with a connection that stays open after a timeout and no look at the answer's request id, a second caller gets the first one's answer; with the safeguards it gets its own.

Conclusion: three things have to fail for it: the parser closes its socket on an error, the connection is closed, the id is compared.

--- a/tests/backends/test_connection.py
+++ b/tests/backends/test_connection.py
@@ -158,3 +158,86 @@
             client._idle[0].answered_at -= 10.0
             client.run(order, work, 1.0, fresh=True)
         self.assertEqual(2, server.connections)
+
+
+class SlowServer(Server):
+    """Answers each request with its own id, the first one late."""
+
+    def _serve(self, peer):
+        delay = 0.2
+        while True:
+            data = peer.recv(65536)
+            if not data:
+                return
+            gevent.sleep(delay)
+            delay = 0.0
+            number = data.partition(b"sedgetide-request: ")[2]
+            number = number.partition(b"\r\n")[0]
+            peer.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                b"sedgetide-request: " + number + b"\r\n\r\n" + number
+            )
+
+
+class UnclosableSocket:
+    def __init__(self, wrapped):
+        self._wrapped = wrapped
+
+    def __getattr__(self, name):
+        return getattr(self._wrapped, name)
+
+    def close(self):
+        pass
+
+
+class ReusingConnection(HttpConnection):
+    """Mutation: a connection that timed out stays open."""
+
+    def open(self, timeout):
+        super().open(timeout)
+        self._socket = UnclosableSocket(self._socket)
+
+    def close(self):
+        pass
+
+
+class ForgetfulUpstream(HttpUpstream):
+    """Mutation: takes any answer and keeps every connection."""
+
+    def run(self, order, work, timeout, fresh):
+        if not self._idle:
+            connection = ReusingConnection(self._address, LIMIT)
+            connection.open(1.0)
+            self._idle.append(connection)
+        headers = [("sedgetide-request", work.number)]
+        return self._idle[0].exchange(
+            work.method, work.path, headers, work.body, timeout
+        )
+
+
+class CrossedAnswersTest(testtools.TestCase):
+    def ask_twice(self, client):
+        """Let a first request time out; return the answer to a second."""
+        order = Order("k", "0", float("inf"))
+
+        def run(number, timeout):
+            work = Work(number, "GET", "/", [], b"", None, Epoch(0), 1.0)
+            return client.run(order, work, timeout, fresh=False)
+
+        self.assertRaises(UpstreamError, run, "1", 0.05)
+        return run("2", 30.0)
+
+    def test_answers_never_cross(self):
+        # The mayor of one town would get another's answer: the first
+        # request timed out, its answer came late on the same connection.
+        server = SlowServer(b"")
+        self.addCleanup(server.close)
+        client = HttpUpstream(server.address, LIMIT, 1.0)
+        self.addCleanup(client.close)
+        self.assertEqual(b"2", self.ask_twice(client).answer.body)
+
+    def test_they_would_without_the_safeguards(self):
+        server = SlowServer(b"")
+        self.addCleanup(server.close)
+        client = ForgetfulUpstream(server.address, LIMIT, 1.0)
+        self.assertNotEqual(b"2", self.ask_twice(client).body)
