Fault matrix of the whole, with its page

Losses of upstreams now hit the one that owns the most shards: in the run the same upstream was lost ten times and owned something only the first time, so nine of its ten times meant nothing. Services put in again with other shards or homes are listed as not proved.

--- a/sedgetide/testing/faultreport.py
+++ b/sedgetide/testing/faultreport.py
@@ -50,6 +50,11 @@
 - Wall clocks of hosts more than `clock_skew` apart: operation ids from before
   a keeper's tenure could count as newer. Callers that say
   `Sedgetide-Attempt: 1` on a repeat.
+- A service taken out of the text and put in again with other shards or homes:
+  the fixed fields are compared with the text in force only, and the earlier
+  home may still grant its old rows. Give such a service a new name.
+- Decisions were not run with: a slow store, a connection that is silent while
+  new ones work, a lost or paused entry; these are cells with real processes.
 - Cuts between single real processes, and of data centres: run on the
   decisions only. A store that returns to an older state after a restore.
 - Member lists under churn: joins and removals of more than three hosts.
--- a/sedgetide/testing/processfaults.py
+++ b/sedgetide/testing/processfaults.py
@@ -178,9 +178,12 @@
 
 
 def _lose_upstream(stage: Stage) -> None:
-    stage.kill_upstream("u-01")
+    """Lose the upstream that owns the most shards at the time."""
+    owners = [owner for owner, _ in stage.fleet.list_grants().values()]
+    name = max(sorted(set(owners)), key=owners.count)
+    stage.kill_upstream(name)
     gevent.sleep(_PAUSE)
-    stage.start_upstream("u-01")
+    stage.start_upstream(name)
 
 
 def _restart_upstream(stage: Stage) -> None:
