Unused reasons and a clock reader taken out

Cause: read as a newcomer: three reasons no code gives, one function no code calls.

Conclusion: no behaviour changed.

--- a/sedgetide/core/outcomes.py
+++ b/sedgetide/core/outcomes.py
@@ -35,14 +35,11 @@
     OVERLOAD = "overload"
     DEADLINE = "deadline"
     SHED = "shed"
-    STOPPING = "stopping"
-    DEPENDENCY = "dependency"
     UNREACHABLE = "unreachable"
     CUT_OFF = "cut-off"
     LINK_LOST = "link-lost"
     BAD_ANSWER = "bad-answer"
     SILENT = "silent"
-    OPERATION_RUNNING = "operation-running"
     OPERATION_LOST = "operation-lost"
     CANCELLED = "cancelled"
     TOO_LARGE = "too-large"
@@ -56,7 +53,6 @@
         Reason.NO_OWNER,
         Reason.NO_GRANT,
         Reason.STALE_EPOCH,
-        Reason.STOPPING,
         Reason.UNREACHABLE,
     }
 )
--- a/sedgetide/daemons/_beacon.py
+++ b/sedgetide/daemons/_beacon.py
@@ -3,7 +3,6 @@
 import abc
 from collections.abc import Iterable
 import logging
-import time
 
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import Ping
@@ -175,8 +174,3 @@
         if status.digest and status.digest != self._cache.digest:
             pull = Pull(self._cache.list_revisions())
             self._mail.send(address, pull)
-
-
-def read_clock() -> float:
-    """Return the monotonic clock all decisions of a daemon are given."""
-    return time.monotonic()
