A request ended before its first step keeps neither slot nor caller

When a loss was noticed in the turn in which a request was taken from the queue, its greenlet was killed before its first step: its slot stayed in use for good and its caller waited for the deadline.

Ruled out: a false outcome; nothing had been sent.

Change: a request may be ended from outside only once it runs. Its test failed first.

--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -238,19 +238,21 @@
                 self._refuse(late, Reason.DEADLINE, self._queue.service_time)
             if job is None:
                 return
-            task = gevent.spawn(self._run, job)
-            self._running.add(task)
-            task.link(self._running.discard)
+            gevent.spawn(self._run, job)
 
     def _run(self, job: _Job) -> None:
         began = time.monotonic()
         answered = False
+        # Only from here on may it be ended from outside: a greenlet killed
+        # before its first step never frees its slot or answers its caller.
+        self._running.add(gevent.getcurrent())
         try:
             answered = self._serve(job)
         except Exception:
             _log.exception("request failed")
             self._finish(job, judge_failure(job.phase), Reason.BAD_ANSWER)
         finally:
+            self._running.discard(gevent.getcurrent())
             took = time.monotonic() - began if answered else None
             self._queue.finish(took)
             self._dispatch()
--- a/tests/daemons/test_upstreamtask.py
+++ b/tests/daemons/test_upstreamtask.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent.event import AsyncResult
+import msgspec
 import testtools
 
 from sedgetide.backends._connection import HttpAnswer
@@ -113,6 +114,7 @@
             operation,
             first_attempt=True,
         )
+        self.last = request
         self.task.submit(request, result.set, time.monotonic())
         gevent.sleep(0)
         return result
@@ -198,6 +200,20 @@
         self.task._give_up_running()
         self.assertIs(Outcome.UNKNOWN, told.get().outcome)
 
+    def test_loss_before_a_request_began_keeps_its_slot_and_caller(self):
+        # The loss is noticed in the turn in which the request was taken
+        # from the queue. Ended before its first step, it would hold its
+        # slot for good and never be answered.
+        told = AsyncResult()
+        number = self.submit("1")
+        request = msgspec.structs.replace(self.last, number="2")
+        self.task.submit(request, told.set, time.monotonic())
+        self.task._give_up_running()
+        self.assertIs(Outcome.UNKNOWN, number.get().outcome)
+        gevent.sleep(0)
+        self.answer(1)
+        self.assertIs(Outcome.ANSWERED, told.get(timeout=30.0).outcome)
+
     def test_retired_task_refuses_what_waits(self):
         told = [self.submit(str(number)) for number in range(3)]
         self.task.retire()
