--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -17,6 +17,8 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.outcomes import Outcome
 from sedgetide.core.outcomes import Reason
+from sedgetide.core.ownership.load import KeyWork
+from sedgetide.core.ownership.load import UpstreamWork
 from sedgetide.core.records import Record
 
 Headers = list[tuple[str, str]]
@@ -188,8 +190,31 @@
     number: RequestId
 
 
+class LoadReport(Message, tag="load"):
+    """A host tells the leader what its requests were about.
+
+    Parameters
+    ----------
+    keys : list of KeyWork
+        Work asked for since the last report.
+    upstreams : list of UpstreamWork
+        What was seen of upstreams since then.
+    """
+
+    keys: list[KeyWork]
+    upstreams: list[UpstreamWork]
+
+
 AnyMessage = (
-    Ping | Pong | Pull | Records | LossReport | Request | Response | Cancel
+    Ping
+    | Pong
+    | Pull
+    | Records
+    | LossReport
+    | Request
+    | Response
+    | Cancel
+    | LoadReport
 )
 
 
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -17,6 +17,7 @@
 from sedgetide.core.errors import Step
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import HostName
+from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.timing import Timing
 
 SettingsT = TypeVar("SettingsT", bound="ProcessSettings")
@@ -124,8 +125,52 @@
     stores: tuple[str, ...]
 
 
+class HostSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True
+):
+    """Settings of a host whose upstreams register themselves.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Name of the host and of its data centre.
+    listen : str
+        ``IP:port`` for callers.
+    ready : str
+        ``IP:port`` at which the balancer asks for readiness.
+    admin : str
+        ``IP:port`` for metrics and the state dump.
+    link : str
+        ``IP:port`` for the project's own processes.
+    stores : tuple of str
+        ``IP:port`` of the store.
+    limits : Limits
+        Bounds; ``drain`` is less than the time between SIGTERM and kill.
+    durations : Durations
+        On which single ownership rests; the same on all hosts.
+    log_level : str
+        Least severe level that is logged.
+    """
+
+    host: Name
+    data_centre: Name
+    listen: str
+    ready: str
+    admin: str
+    link: str
+    stores: tuple[str, ...]
+    limits: Limits = Limits()
+    durations: Durations = Durations()
+    log_level: str = "INFO"
+
+    @property
+    def host_name(self) -> HostName:
+        """Host as a typed identifier."""
+        return HostName(self.host)
+
+
 def _check_addresses(settings: ProcessSettings) -> Iterator[Problem]:
-    for field in ("admin", "listen", "link"):
+    for field in ("admin", "listen", "ready", "link"):
         address = getattr(settings, field, None)
         if address is not None:
             yield from check_address(address, f"$.{field}")
--- a/sedgetide/core/errors.py
+++ b/sedgetide/core/errors.py
@@ -90,6 +90,14 @@
         self.found = found
 
 
+class HistoryLost(StoreError):
+    """A watch whose beginning the store no longer remembers."""
+
+
+class LeaseEnded(StoreError):
+    """A write or renewal under a lease that the store does not know."""
+
+
 class UpstreamError(SedgetideError):
     """A call to an upstream that gave no whole answer.
 
--- a/sedgetide/core/identifiers.py
+++ b/sedgetide/core/identifiers.py
@@ -16,3 +16,12 @@
 
 NO_EPOCH = Epoch(0)
 NO_REVISION = Revision(0)
+
+# Ordered keys of services whose upstreams hold ranges.
+Key = NewType("Key", int)
+Fence = NewType("Fence", int)
+RouteName = NewType("RouteName", str)
+Version = NewType("Version", int)
+
+NO_FENCE = Fence(0)
+NO_UPSTREAM = UpstreamName("")
--- /dev/null
+++ b/sedgetide/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is registered, and who is here."""
--- /dev/null
+++ b/sedgetide/core/ownership/balance.py
@@ -0,0 +1,223 @@
+"""Which ranges should get another owner."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import msgspec
+
+from sedgetide.core.identifiers import Key
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
+
+MOST_MOVES = 8
+_TOLERATED_DIFFERENCE = 0.15
+_BUSY = 0.35
+_LEAST_SHARE = 0.25
+_RANGES_EACH = 14
+
+
+class Taker(msgspec.Struct, frozen=True):
+    """An upstream that may own keys.
+
+    Parameters
+    ----------
+    name : UpstreamName
+        Which.
+    slots : int
+        Requests it works on at a time.
+    slowness : float
+        Factor by which its requests take longer than usual.
+    """
+
+    name: UpstreamName
+    slots: int
+    slowness: float = 1.0
+
+
+class _Loads:
+    """Busy share of each taker, as it would be after the moves so far."""
+
+    def __init__(
+        self,
+        tenures: Sequence[Tenure],
+        takers: Mapping[UpstreamName, Taker],
+        rates: Mapping[Key, float],
+    ) -> None:
+        self.takers = takers
+        self.keys: dict[UpstreamName, list[tuple[Tenure, list[Key]]]] = {
+            name: [] for name in takers
+        }
+        self.work = dict.fromkeys(takers, 0.0)
+        self.counts = dict.fromkeys(takers, 0)
+        self.rates = rates
+        ordered = sorted(rates)
+        start = 0
+        for tenure in tenures:
+            end = start
+            while end < len(ordered) and ordered[end] <= tenure.high:
+                end += 1
+            keys = ordered[start:end]
+            start = end
+            holder = tenure.successor or tenure.owner
+            if holder not in takers:
+                continue
+            self.counts[holder] += 1
+            self.work[holder] += sum(rates[key] for key in keys)
+            if not tenure.moving:
+                self.keys[holder].append((tenure, keys))
+
+    def find_busy(self, name: UpstreamName, more: float = 0.0) -> float:
+        taker = self.takers[name]
+        return (self.work[name] + more) * taker.slowness / taker.slots
+
+    def find_idlest(self) -> UpstreamName:
+        return min(
+            self.takers,
+            key=lambda name: (
+                self.find_busy(name),
+                self.counts[name] / self.takers[name].slots,
+                name,
+            ),
+        )
+
+    def shift(
+        self, work: float, source: UpstreamName | None, goal: UpstreamName
+    ) -> None:
+        if source in self.work:
+            self.work[source] -= work
+        self.work[goal] += work
+        self.counts[goal] += 1
+
+
+def plan_evictions(
+    table: RangeTable,
+    takers: Mapping[UpstreamName, Taker],
+    rates: Mapping[Key, float],
+) -> list[Move]:
+    """Return moves of the ranges whose owner may not own any longer.
+
+    Parameters
+    ----------
+    table : RangeTable
+        Owners now.
+    takers : mapping
+        Upstreams that may own keys.
+    rates : mapping
+        Slots that each key keeps busy.
+    """
+    if not takers:
+        return []
+    loads = _Loads(table.tenures, takers, rates)
+    moves = []
+    for tenure in table.tenures:
+        if tenure.moving or tenure.owner in takers:
+            continue
+        goal = loads.find_idlest()
+        work = sum(
+            rate
+            for key, rate in rates.items()
+            if tenure.low <= key <= tenure.high
+        )
+        loads.shift(work, None, goal)
+        moves.append(Move(tenure.keys, goal))
+    return moves
+
+
+def plan_balance(
+    table: RangeTable,
+    takers: Mapping[UpstreamName, Taker],
+    rates: Mapping[Key, float],
+    most: int = MOST_MOVES,
+) -> list[Move]:
+    """Return moves from the busiest upstreams to the idlest.
+
+    Busy keys lie close together, so a range is cut out of the busiest
+    upstream's that holds about half of the difference. Narrow ranges are
+    cheap to move: what counts is the share of all keys.
+    """
+    if len(takers) < 2:
+        return []
+    if len(table.tenures) > _RANGES_EACH * len(takers):
+        return []
+    loads = _Loads(table.tenures, takers, rates)
+    moves: list[Move] = []
+    tired: set[UpstreamName] = set()
+    for _ in range(most):
+        move = _plan_one(loads, moves, tired)
+        if move is None:
+            break
+        moves.append(move)
+    return moves
+
+
+def _plan_one(
+    loads: _Loads, made: list[Move], tired: set[UpstreamName]
+) -> Move | None:
+    sources = [name for name in loads.takers if name not in tired]
+    if not sources:
+        return None
+    source = max(sources, key=lambda name: (loads.find_busy(name), name))
+    goal = loads.find_idlest()
+    busy, idle = loads.find_busy(source), loads.find_busy(goal)
+    empty = loads.counts[goal] == 0
+    if not empty and (
+        busy - idle < max(_TOLERATED_DIFFERENCE, 0.2 * busy) or busy < _BUSY
+    ):
+        return None
+    wanted = _find_wanted(loads, source, goal, busy - idle)
+    found = _cut_range(loads, source, wanted, made)
+    if found is None:
+        tired.add(source)
+        return _plan_one(loads, made, tired)
+    keys, work = found
+    loads.shift(work, source, goal)
+    return Move(keys, goal)
+
+
+def _find_wanted(
+    loads: _Loads, source: UpstreamName, goal: UpstreamName, gap: float
+) -> float:
+    """Return the work that makes both upstreams equally busy."""
+    cost = sum(
+        loads.takers[name].slowness / loads.takers[name].slots
+        for name in (source, goal)
+    )
+    return gap / cost
+
+
+def _cut_range(
+    loads: _Loads, source: UpstreamName, wanted: float, made: list[Move]
+) -> tuple[KeyRange, float] | None:
+    best: tuple[KeyRange, float] | None = None
+    for keys, work in _list_windows(loads, source, wanted, made):
+        if best is None or work > best[1]:
+            best = (keys, work)
+    if best is None or best[1] < _LEAST_SHARE * wanted:
+        return None
+    return best
+
+
+def _list_windows(
+    loads: _Loads, source: UpstreamName, wanted: float, made: list[Move]
+) -> Iterator[tuple[KeyRange, float]]:
+    """Yield runs of busy keys that hold no more work than is wanted."""
+    rates = loads.rates
+    taken = [move.keys for move in made]
+    for _, keys in loads.keys[source]:
+        start = 0
+        work = 0.0
+        for end, key in enumerate(keys):
+            work += rates[key]
+            if any(each.low <= key <= each.high for each in taken):
+                # The range of an earlier move of this round lies between.
+                start, work = end + 1, 0.0
+                continue
+            while work > wanted * 1.1 and start <= end:
+                work -= rates[keys[start]]
+                start += 1
+            if start <= end:
+                yield KeyRange(keys[start], key), work
--- /dev/null
+++ b/sedgetide/core/ownership/holds.py
@@ -0,0 +1,73 @@
+"""Until when each upstream may hold what it was granted."""
+
+import msgspec
+
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.ranges import KeyRange
+
+
+class _Hold(msgspec.Struct):
+    keys: KeyRange
+    until: float
+
+
+class HoldLedger:
+    """Latest end of every grant that this leader sent or inherited.
+
+    A grant that got no answer counts like one that did: it may have been
+    taken, or may still be. Only a release that was answered ends a hold
+    early.
+
+    Parameters
+    ----------
+    inherited_until : float
+        Until when orders of earlier leaders may hold.
+    """
+
+    def __init__(self, inherited_until: float) -> None:
+        self._inherited_until = inherited_until
+        self._holds: dict[UpstreamName, list[_Hold]] = {}
+        self._released: dict[UpstreamName, list[KeyRange]] = {}
+
+    def note_grant(
+        self, upstream: UpstreamName, keys: KeyRange, until: float
+    ) -> None:
+        """Take in, before it is sent, that keys are granted."""
+        holds = self._holds.setdefault(upstream, [])
+        self._released[upstream] = [
+            each
+            for each in self._released.get(upstream, [])
+            if not each.overlaps(keys)
+        ]
+        for hold in holds:
+            if hold.keys == keys:
+                hold.until = max(hold.until, until)
+                return
+        holds.append(_Hold(keys, until))
+
+    def note_release(self, upstream: UpstreamName, keys: KeyRange) -> None:
+        """Take in that an upstream answered the release of keys."""
+        self._holds[upstream] = [
+            hold
+            for hold in self._holds.get(upstream, [])
+            if not keys.covers(hold.keys)
+        ]
+        self._released.setdefault(upstream, []).append(keys)
+
+    def find_end(self, upstream: UpstreamName, keys: KeyRange) -> float:
+        """Return when an upstream certainly holds none of some keys."""
+        for released in self._released.get(upstream, []):
+            if released.covers(keys):
+                return float("-inf")
+        ends = [
+            hold.until
+            for hold in self._holds.get(upstream, [])
+            if hold.keys.overlaps(keys)
+        ]
+        return max([self._inherited_until, *ends])
+
+    def prune(self, now: float) -> None:
+        """Forget what has ended."""
+        for upstream, holds in list(self._holds.items()):
+            kept = [hold for hold in holds if hold.until > now]
+            self._holds[upstream] = kept
--- /dev/null
+++ b/sedgetide/core/ownership/leadership.py
@@ -0,0 +1,153 @@
+"""Which host orders grants, and until when it may.
+
+The record of the leader lies in the store under a lease. The lease alone
+proves nothing to its holder: the store may take the record away early and
+still renew the lease. What proves it is a read, sent after the record was
+written, that finds the holder's own revision; it counts for ``proof_life``
+from before it was sent. A successor therefore waits ``proof_life`` before
+it takes its predecessor's last order for sent.
+"""
+
+import msgspec
+
+from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+
+NEVER = float("-inf")
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    """What the leader writes of itself.
+
+    Parameters
+    ----------
+    host : HostName
+        Its host.
+    incarnation : str
+        Start of its process.
+    link : LinkAddress
+        Where it takes load reports.
+    """
+
+    host: HostName
+    incarnation: str
+    link: LinkAddress
+
+
+class Durations(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Seconds on which single ownership of ranges rests.
+
+    Parameters
+    ----------
+    lease : float
+        Life of the leader's lease in the store.
+    proof_life : float
+        Age up to which a read of the leader's record counts.
+    verify : float
+        Interval of those reads.
+    hold : float
+        Life of a grant in ordinary times.
+    long_hold : float
+        Life of a grant given while the store does not answer.
+    renew : float
+        Interval of renewals of grants.
+    clock_error : float
+        Largest share by which an upstream's clock may run slow.
+    margin : float
+        Added to each wait for timer granularity.
+    """
+
+    lease: float = 2.5
+    proof_life: float = 2.5
+    verify: float = 0.7
+    hold: float = 4.0
+    long_hold: float = 10.0
+    renew: float = 1.2
+    clock_error: float = 0.02
+    margin: float = 0.25
+
+    def bound_hold(self, hold: float) -> float:
+        """Return how long after its send a grant may still be held."""
+        return hold * (1.0 + self.clock_error) + self.margin
+
+
+class Leadership:
+    """Whether this host leads, and until when it may give orders.
+
+    Parameters
+    ----------
+    durations : Durations
+        Shared by all hosts.
+    """
+
+    def __init__(self, durations: Durations) -> None:
+        self._durations = durations
+        self._term = NO_REVISION
+        self._proved_at = NEVER
+        self._took_over_at = NEVER
+
+    @property
+    def term(self) -> Revision:
+        """Revision of the own record; zero when this host does not lead."""
+        return self._term
+
+    def begin(self, revision: Revision, asked_at: float, now: float) -> None:
+        """Take in that the own record was written.
+
+        Parameters
+        ----------
+        revision : Revision
+            Of the record.
+        asked_at : float
+            Own clock before the write was sent.
+        now : float
+            Own clock.
+        """
+        self._term = revision
+        self._proved_at = asked_at
+        self._took_over_at = now
+
+    def note_read(self, revision: Revision, asked_at: float) -> bool:
+        """Take in a read of the record; return whether it is the own."""
+        if self._term == NO_REVISION:
+            return False
+        if revision != self._term:
+            self.end()
+            return False
+        self._proved_at = max(self._proved_at, asked_at)
+        return True
+
+    def end(self) -> None:
+        """Give no more orders."""
+        self._term = NO_REVISION
+        self._proved_at = NEVER
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether an order may be sent at this very moment.
+
+        A process may stand still between any two steps; only a look at a
+        clock that runs on meanwhile shows that the proof still counts.
+        """
+        return (
+            self._term != NO_REVISION
+            and now < self._proved_at + self._durations.proof_life
+        )
+
+    def choose_hold(self, now: float) -> float:
+        """Return the life of a grant that is given now.
+
+        Long ones bridge an outage of the store, short ones keep the keys
+        of a lost upstream dark for less time.
+        """
+        fresh = now - self._proved_at < 2 * self._durations.verify
+        return self._durations.hold if fresh else self._durations.long_hold
+
+    def bound_inherited(self) -> float:
+        """Return until when orders of earlier leaders may hold."""
+        return (
+            self._took_over_at
+            + self._durations.proof_life
+            + self._durations.bound_hold(self._durations.long_hold)
+        )
--- /dev/null
+++ b/sedgetide/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""What becomes of one request: route, target, attempts, outcome."""
--- /dev/null
+++ b/sedgetide/core/requests/attempts.py
@@ -0,0 +1,139 @@
+"""Where a request goes next, or why it goes nowhere: one pure decision."""
+
+from collections.abc import Collection
+import enum
+
+import msgspec
+
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.identifiers import Key
+from sedgetide.core.identifiers import NO_FENCE
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.requests.routes import Timetable
+
+
+class Wait(enum.Enum):
+    """Why a request can not be sent just now."""
+
+    NO_OWNER = "no-owner"
+    MOVING = "moving"
+    OWNER_GONE = "owner-gone"
+    NO_UPSTREAM = "no-upstream"
+
+
+class Failure(enum.Enum):
+    """Why an attempt gave no answer to pass on."""
+
+    NONE = "none"
+    BUSY = "busy"
+    NOT_OWNER = "not-owner"
+    DECLINED = "declined"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    FOREIGN = "foreign"
+    FAILED = "failed"
+    SILENT = "silent"
+
+
+class Target(msgspec.Struct, frozen=True):
+    """An upstream that a request may be sent to now.
+
+    Parameters
+    ----------
+    upstream : RegisteredUpstream
+        Where.
+    fence : int
+        Fence under which it owns the key; zero without keys.
+    """
+
+    upstream: RegisteredUpstream
+    fence: int = NO_FENCE
+
+
+class Progress(msgspec.Struct):
+    """What has become of a request so far.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What may be told of all attempts together.
+    failure : Failure
+        Of the last attempt.
+    tried : list of UpstreamName
+        Upstreams it was sent to, in order.
+    sends : int
+        Number of sends.
+    """
+
+    outcome: Outcome = Outcome.NOT_RUN
+    failure: Failure = Failure.NONE
+    tried: list[UpstreamName] = []
+    sends: int = 0
+
+
+def find_owner(
+    table: RangeTable | None, key: Key | None, directory: Directory
+) -> Target | Wait:
+    """Return the upstream that owns a key, if it may get new work."""
+    tenure = None if table is None or key is None else table.find(key)
+    if tenure is None:
+        return Wait.NO_OWNER
+    if tenure.moving:
+        return Wait.MOVING
+    upstream = directory.find_active(tenure.owner)
+    if upstream is None:
+        return Wait.OWNER_GONE
+    return Target(upstream, tenure.fence)
+
+
+def list_candidates(
+    directory: Directory,
+    service: ServiceName,
+    tried: Collection[UpstreamName],
+) -> list[RegisteredUpstream]:
+    """Return upstreams without keys, those not yet tried before others."""
+    active = directory.list_active(service)
+    fresh = [each for each in active if each.name not in tried]
+    return fresh or active
+
+
+def may_send_again(
+    route: RouteRule,
+    progress: Progress,
+    keyed: bool,
+    times: Timetable,
+    now: float,
+) -> bool:
+    """Tell whether a request may be sent once more after a failure.
+
+    Parameters
+    ----------
+    route : RouteRule
+        Its route.
+    progress : Progress
+        What has become of it so far.
+    keyed : bool
+        Whether only one upstream may run it.
+    times : Timetable
+        Its times.
+    now : float
+        Own clock.
+
+    Notes
+    -----
+    Once a byte has left, only the upstream's own word or the route's leave
+    to run twice allow another send.
+    """
+    if progress.outcome is Outcome.UNKNOWN and not route.idempotent:
+        return False
+    if progress.sends >= max(2, route.attempts):
+        return False
+    if not keyed and len(set(progress.tried)) >= route.attempts:
+        return False
+    # What is left must be worth a second run of the upstream's work.
+    return times.final - now > 0.25 * (times.final - times.began)
--- /dev/null
+++ b/sedgetide/core/requests/windows.py
@@ -0,0 +1,68 @@
+"""How many requests one host may have at one upstream at a time.
+
+Hosts do not know of each other's requests. Each lets its share grow while
+the upstream says that nobody waits there, and shrink when many do, so that
+together they stay below what makes the upstream refuse.
+"""
+
+import msgspec
+
+_GROWTH = 0.5
+_SHRINK = 0.7
+_REFUSED = 0.5
+_SMALLEST = 1.0
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True):
+    """What an upstream said of itself with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Window:
+    """Bound of the requests in flight from this host to one upstream.
+
+    Parameters
+    ----------
+    slots : int
+        Requests the upstream works on at a time.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self._limit = float(max(1, slots))
+        self.in_flight = 0
+        self._waiting = 0
+        self._told_at = float("-inf")
+
+    @property
+    def limit(self) -> int:
+        """Requests that may be in flight."""
+        return int(self._limit)
+
+    @property
+    def free(self) -> bool:
+        """Whether one more request may be sent."""
+        return self.in_flight < int(self._limit)
+
+    def note_load(self, load: UpstreamLoad, now: float) -> None:
+        """Take in what the upstream said."""
+        self._waiting = load.waiting
+        self._told_at = now
+        if load.waiting == 0:
+            most = 2.0 * self.slots + 1
+            self._limit = min(most, self._limit + _GROWTH)
+        elif load.waiting > self.slots:
+            self._limit = max(_SMALLEST, self._limit * _SHRINK)
+
+    def note_refusal(self) -> None:
+        """Take in that the upstream had no room."""
+        self._limit = max(_SMALLEST, self._limit * _REFUSED)
+
+    def estimate_queue(self, now: float) -> float:
+        """Return how many requests are at the upstream, by what is known."""
+        age = now - self._told_at
+        others = self._waiting * max(0.0, 1.0 - age) if age < 1.0 else 0.0
+        return self.in_flight + others
--- a/sedgetide/daemons/_admin.py
+++ b/sedgetide/daemons/_admin.py
@@ -57,6 +57,24 @@
         response.data = generate_latest(REGISTRY)
 
 
+def make_application(process: Inspectable, readiness_path: str) -> falcon.App:
+    """Return the admin application.
+
+    Parameters
+    ----------
+    process : Inspectable
+        What is shown.
+    readiness_path : str
+        Where readiness is asked for.
+    """
+    application = falcon.App()
+    application.add_route("/healthz", _Health())
+    application.add_route(readiness_path, _Readiness(process))
+    application.add_route("/state", _State(process))
+    application.add_route("/metrics", _Metrics())
+    return application
+
+
 def start_admin(
     address: str, process: Inspectable, stack: contextlib.ExitStack
 ) -> None:
@@ -71,11 +89,7 @@
     stack : contextlib.ExitStack
         Owns the server.
     """
-    application = falcon.App()
-    application.add_route("/healthz", _Health())
-    application.add_route("/readyz", _Readiness(process))
-    application.add_route("/state", _State(process))
-    application.add_route("/metrics", _Metrics())
+    application = make_application(process, "/readyz")
     listener = open_listener(*split_address(address))
     server = WSGIServer(listener, application, log=None, error_log=None)
     server.start()
--- /dev/null
+++ b/sedgetide/daemons/_campaign.py
@@ -0,0 +1,150 @@
+"""Becoming the leader, and proving again and again to be it."""
+
+import contextlib
+import logging
+import random
+
+import msgspec
+
+from sedgetide.backends.leasestore import LeaseId
+from sedgetide.backends.leasestore import LeaseStore
+from sedgetide.backends.leasestore import NO_LEASE
+from sedgetide.backends.leasestore import Write
+from sedgetide.core.errors import LeaseEnded
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import LeaderRecord
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.runtime.clock import read_clock
+
+_LONGEST_DELAY = 0.4
+_FRESH = 8.0
+
+_log = logging.getLogger(__name__)
+
+
+class Campaign:
+    """Holds the leader's record for this host, when it can.
+
+    Parameters
+    ----------
+    store : LeaseStore
+        Its own client.
+    record : LeaderRecord
+        What is written.
+    leadership : Leadership
+        Whether this host leads.
+    knowledge : Knowledge
+        Who leads, as the store told last.
+    durations : Durations
+        Life of the lease.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        record: LeaderRecord,
+        leadership: Leadership,
+        knowledge: Knowledge,
+        durations: Durations,
+    ) -> None:
+        self._store = store
+        self._record = record
+        self._leadership = leadership
+        self._knowledge = knowledge
+        self._durations = durations
+        self._lease: LeaseId = NO_LEASE
+        self._verified_at = float("-inf")
+        self._try_at: float | None = None
+        self._random = random.Random(record.incarnation)
+
+    def step(self, now: float) -> None:
+        """Do what is due: stand, or prove to be leader still."""
+        if self._leadership.term != NO_REVISION:
+            if now - self._verified_at >= self._durations.verify:
+                self._verify()
+            return
+        if self._is_vacant(now):
+            self._stand(now)
+
+    def _is_vacant(self, now: float) -> bool:
+        """Tell whether nobody leads and it is this host's turn to try.
+
+        The delay differs from host to host, so that not all ask for a
+        lease at once.
+        """
+        heard = now - self._knowledge.heard_at < _FRESH
+        if self._knowledge.leader is not None or not heard:
+            self._try_at = None
+            return False
+        if self._try_at is None:
+            delay = self._random.uniform(0.0, _LONGEST_DELAY)
+            self._try_at = now + delay
+        return now >= self._try_at
+
+    def _stand(self, now: float) -> None:
+        self._try_at = now + self._random.uniform(0.5, 1.0)
+        try:
+            lease = self._store.open_lease(self._durations.lease)
+            asked_at = read_clock()
+            revision = self._store.transact(
+                {LEADER_KEY: NO_REVISION},
+                [Write(LEADER_KEY, msgspec.json.encode(self._record), lease)],
+            )
+        except StoreConflict:
+            self._drop_lease(lease)
+            return
+        except StoreError as error:
+            _log.warning("not elected", extra={"error": str(error)})
+            return
+        self._lease = lease
+        self._verified_at = asked_at
+        self._leadership.begin(revision, asked_at, read_clock())
+        _log.info("leading", extra={"term": revision})
+
+    def _drop_lease(self, lease: LeaseId) -> None:
+        with contextlib.suppress(StoreError):
+            self._store.end_lease(lease)
+
+    def _verify(self) -> None:
+        """Renew the lease and read the own record.
+
+        The read is the proof: the store may have taken the record away
+        and renew the lease all the same.
+        """
+        asked_at = read_clock()
+        try:
+            self._store.renew_lease(self._lease)
+            item = self._store.read(LEADER_KEY)
+        except LeaseEnded:
+            self._end("lease ended")
+            return
+        except StoreError as error:
+            _log.warning("not verified", extra={"error": str(error)})
+            self._verified_at = asked_at - self._durations.verify / 2
+            return
+        self._verified_at = asked_at
+        revision = NO_REVISION if item is None else item.revision
+        if not self._leadership.note_read(revision, asked_at):
+            self._end("record taken away")
+
+    def _end(self, reason: str) -> None:
+        self._leadership.end()
+        self._lease = NO_LEASE
+        _log.warning("leading no more", extra={"reason": reason})
+
+    def resign(self) -> None:
+        """Stop to lead, so that another host need not wait for the lease."""
+        if self._leadership.term == NO_REVISION:
+            return
+        lease = self._lease
+        self._end("resigned")
+        self._drop_lease(lease)
+
+    def close(self) -> None:
+        """Close the connections to the store."""
+        self._store.close()
--- /dev/null
+++ b/sedgetide/daemons/_follower.py
@@ -0,0 +1,87 @@
+"""The task that keeps a host's knowledge up to date."""
+
+import contextlib
+import logging
+
+import gevent
+
+from sedgetide.backends.leasestore import LeaseStore
+from sedgetide.core.errors import HistoryLost
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.tasks import spawn_vital
+
+_WATCH = 6.0
+_PAUSE = 0.15
+_LONGEST_PAUSE = 0.6
+
+_log = logging.getLogger(__name__)
+
+
+class Follower:
+    """Lists the store once and watches it from there.
+
+    Parameters
+    ----------
+    store : LeaseStore
+        Its own client; a watch occupies a connection.
+    prefix : str
+        Beginning of all keys to follow.
+    knowledge : Knowledge
+        What is kept up to date.
+    """
+
+    def __init__(
+        self, store: LeaseStore, prefix: str, knowledge: Knowledge
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._knowledge = knowledge
+        self._listed = False
+        self._since: Revision = NO_REVISION
+        self.available = False
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Begin to follow."""
+        spawn_vital(self._loop, stack)
+        stack.callback(self._store.close)
+
+    def _loop(self) -> None:
+        pause = _PAUSE
+        while True:
+            try:
+                self._step()
+                pause = _PAUSE
+            except HistoryLost:
+                _log.warning("store history lost")
+                self._listed = False
+            except StoreError as error:
+                self._note_lost(error)
+                gevent.sleep(pause)
+                pause = min(_LONGEST_PAUSE, pause * 1.5)
+
+    def _step(self) -> None:
+        if not self._listed:
+            listing = self._store.list(self._prefix)
+            self._knowledge.take_listing(listing.items, read_clock())
+            self._listed = True
+        else:
+            listing = self._store.watch(self._prefix, self._since, _WATCH)
+            self._knowledge.take_items(listing.items, read_clock())
+        self._since = max(self._since, listing.revision)
+        self._note_back()
+
+    def _note_lost(self, error: StoreError) -> None:
+        self._knowledge.directory.note_disturbance(read_clock())
+        if self.available:
+            _log.warning("store lost", extra={"error": str(error)})
+        self.available = False
+
+    def _note_back(self) -> None:
+        self._knowledge.heard_at = read_clock()
+        if not self.available:
+            _log.info("store reached", extra={"revision": self._since})
+        self.available = True
--- /dev/null
+++ b/sedgetide/daemons/_knowledge.py
@@ -0,0 +1,189 @@
+"""What a host knows of the deployment, as the store last told it."""
+
+import logging
+from typing import Any
+
+import msgspec
+
+from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import Withdrawn
+from sedgetide.backends.leasestore import Item
+from sedgetide.core.configuration.policy import Policy
+from sedgetide.core.errors import InputError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.leadership import LeaderRecord
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.requests.routes import RouteTable
+from sedgetide.runtime.signals import Changes
+
+OWN_PREFIX = "sedgetide/"
+LEADER_KEY = OWN_PREFIX + "leader"
+RANGES_PREFIX = OWN_PREFIX + "ranges/"
+
+_log = logging.getLogger(__name__)
+
+
+class KnownTable(msgspec.Struct, frozen=True):
+    """Owners of a service's keys, with the record's revision."""
+
+    table: RangeTable
+    revision: Revision
+
+
+class KnownLeader(msgspec.Struct, frozen=True):
+    """The leader's record with its revision."""
+
+    record: LeaderRecord
+    revision: Revision
+
+
+class Knowledge:
+    """Policy, directory, owners and leader; never goes back in revision.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        Reads what others write.
+    """
+
+    def __init__(self, catalogue: Catalogue) -> None:
+        self.directory = Directory()
+        self.policy: Policy | None = None
+        self.routes: RouteTable | None = None
+        self.tables: dict[ServiceName, KnownTable] = {}
+        self.leader: KnownLeader | None = None
+        self.changes = Changes()
+        self.heard_at = float("-inf")
+        self._catalogue = catalogue
+        self._revisions: dict[str, Revision] = {}
+
+    def take_listing(self, items: list[Item], now: float) -> None:
+        """Take in everything that the store holds."""
+        present = {item.key for item in items}
+        for key in list(self._revisions):
+            if key not in present:
+                self._remove(key, now)
+        self.take_items(items, now)
+
+    def _remove(self, key: str, now: float) -> None:
+        del self._revisions[key]
+        self._take(key, None, NO_REVISION, now)
+
+    def take_items(self, items: list[Item], now: float) -> None:
+        """Take in new versions; older ones than known change nothing."""
+        taken = False
+        for item in items:
+            if item.revision <= self._revisions.get(item.key, NO_REVISION):
+                continue
+            self._revisions[item.key] = item.revision
+            self._take(item.key, item.value, item.revision, now)
+            taken = True
+        if taken:
+            self.changes.announce()
+
+    def _take(
+        self, key: str, value: bytes | None, revision: Revision, now: float
+    ) -> None:
+        try:
+            if key == LEADER_KEY:
+                self._take_leader(value, revision)
+            elif key.startswith(RANGES_PREFIX):
+                self._take_table(key, value, revision)
+            else:
+                self._take_other(key, value, now)
+        except (InputError, msgspec.MsgspecError) as error:
+            _log.error(
+                "record refused", extra={"key": key, "problem": str(error)}
+            )
+
+    def _take_leader(self, value: bytes | None, revision: Revision) -> None:
+        if value is None:
+            self.leader = None
+        else:
+            record = msgspec.json.decode(value, type=LeaderRecord)
+            self.leader = KnownLeader(record, revision)
+        name = "" if self.leader is None else self.leader.record.host
+        _log.info("leader", extra={"leader": name, "revision": revision})
+
+    def _take_table(
+        self, key: str, value: bytes | None, revision: Revision
+    ) -> None:
+        if value is None:
+            # Owners are never removed; what is known stays the best guess.
+            return
+        service = ServiceName(key.removeprefix(RANGES_PREFIX))
+        table = msgspec.json.decode(value, type=RangeTable)
+        self.take_table(service, table, revision)
+
+    def take_table(
+        self, service: ServiceName, table: RangeTable, revision: Revision
+    ) -> None:
+        """Take in owners, unless newer ones are known."""
+        known = self.tables.get(service)
+        if known is not None and known.revision >= revision:
+            return
+        self.tables[service] = KnownTable(table, revision)
+        self.changes.announce()
+
+    def _take_other(self, key: str, value: bytes | None, now: float) -> None:
+        entry = self._catalogue.read(key, value)
+        if isinstance(entry, RegisteredUpstream):
+            self._note_entry(entry)
+            self.directory.put(entry, now)
+        elif isinstance(entry, Withdrawn):
+            _log.info("upstream withdrawn", extra={"upstream": entry.upstream})
+            self.directory.remove(entry.upstream, now)
+        elif isinstance(entry, Policy):
+            self._take_policy(entry)
+
+    def _note_entry(self, entry: RegisteredUpstream) -> None:
+        known = self.directory.find(entry.name)
+        if known is None or known.leaving != entry.leaving:
+            _log.info(
+                "upstream",
+                extra={
+                    "upstream": entry.name,
+                    "service": entry.service,
+                    "address": entry.address,
+                    "leaving": entry.leaving,
+                },
+            )
+
+    def _take_policy(self, policy: Policy) -> None:
+        if self.policy is not None and policy.version <= self.policy.version:
+            return
+        self.policy = policy
+        self.routes = RouteTable(policy)
+        _log.info(
+            "policy",
+            extra={"version": policy.version, "routes": len(policy.routes)},
+        )
+
+    def find_table(self, service: ServiceName) -> RangeTable | None:
+        """Return the owners of a service's keys."""
+        known = self.tables.get(service)
+        return None if known is None else known.table
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be routed."""
+        if self.policy is None:
+            return False
+        return all(
+            service in self.tables for service in self.policy.list_keyed()
+        )
+
+    def dump_state(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        return {
+            "policy": None if self.policy is None else self.policy.version,
+            "leader": None
+            if self.leader is None
+            else msgspec.to_builtins(self.leader),
+            "tables": msgspec.to_builtins(self.tables),
+            "upstreams": msgspec.to_builtins(self.directory.list_all()),
+        }
--- /dev/null
+++ b/sedgetide/daemons/_lanes.py
@@ -0,0 +1,120 @@
+"""Ways to upstreams: connections, a window, and those who wait for it."""
+
+import contextlib
+import heapq
+import itertools
+
+from gevent.event import Event
+
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.windows import Window
+from sedgetide.wire.client import ConnectionPool
+
+
+class Lane:
+    """Way from this host to one upstream.
+
+    Parameters
+    ----------
+    upstream : RegisteredUpstream
+        Where it leads.
+    body_limit : int
+        Largest body accepted in an answer.
+    """
+
+    def __init__(self, upstream: RegisteredUpstream, body_limit: int) -> None:
+        self.pool = ConnectionPool(upstream.address, body_limit)
+        self.window = Window(upstream.slots)
+        self.service_time: float | None = None
+        self.failures = 0.0
+        self.failed_at = float("-inf")
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, int, Event]] = []
+
+    @property
+    def queue_length(self) -> int:
+        """Number of requests that wait for the window."""
+        return len(self._waiting)
+
+    def enter(self, priority: int, wait: float) -> bool:
+        """Wait for a place in the window; return whether one was got."""
+        if self.window.free and not self._waiting:
+            self.window.in_flight += 1
+            return True
+        if wait <= 0:
+            return False
+        turn = Event()
+        entry = (priority, next(self._numbers), turn)
+        heapq.heappush(self._waiting, entry)
+        try:
+            turn.wait(wait)
+        finally:
+            if not turn.is_set():
+                with contextlib.suppress(ValueError):
+                    self._waiting.remove(entry)
+                    heapq.heapify(self._waiting)
+        if turn.is_set():
+            return True
+        return False
+
+    def leave(self) -> None:
+        """Give the place to whoever is next."""
+        self.window.in_flight -= 1
+        self.admit()
+
+    def admit(self) -> None:
+        """Let in as many as the window holds, the most urgent first."""
+        while self._waiting and self.window.free:
+            _, _, turn = heapq.heappop(self._waiting)
+            self.window.in_flight += 1
+            turn.set()
+
+    def note_success(self, seconds: float) -> None:
+        """Take in the time of an answer."""
+        if self.service_time is None:
+            self.service_time = seconds
+        self.service_time += 0.2 * (seconds - self.service_time)
+        self.failures *= 0.7
+
+    def note_failure(self, now: float) -> None:
+        """Take in that a request got no usable answer."""
+        self.failures = min(8.0, self.failures + 1.0)
+        self.failed_at = now
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether it failed lately, so that others are better."""
+        return self.failures >= 2.0 and now - self.failed_at < 2.0
+
+
+class Lanes:
+    """All ways of a host, opened when first used.
+
+    Parameters
+    ----------
+    body_limit : int
+        Largest body accepted in an answer.
+    """
+
+    def __init__(self, body_limit: int) -> None:
+        self._body_limit = body_limit
+        self._lanes: dict[str, Lane] = {}
+
+    def find(self, upstream: RegisteredUpstream) -> Lane:
+        """Return the way to an upstream."""
+        lane = self._lanes.get(upstream.name)
+        if lane is None:
+            lane = Lane(upstream, self._body_limit)
+            self._lanes[upstream.name] = lane
+        return lane
+
+    def prune(self, known: set[str]) -> None:
+        """Close the ways to upstreams that are gone."""
+        for name in list(self._lanes):
+            lane = self._lanes[name]
+            if name not in known and not lane.window.in_flight:
+                self._lanes.pop(name).pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for lane in self._lanes.values():
+            lane.pool.close()
--- /dev/null
+++ b/sedgetide/daemons/_leader.py
@@ -0,0 +1,402 @@
+"""The leader's task: who owns which keys, written first and ordered then."""
+
+import contextlib
+import logging
+from typing import Any
+
+import gevent
+import msgspec
+
+from sedgetide.backends.dialects import OrderDialect
+from sedgetide.backends.leasestore import LeaseStore
+from sedgetide.backends.leasestore import Write
+from sedgetide.coding.messages import LoadReport
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.balance import MOST_MOVES
+from sedgetide.core.ownership.balance import plan_balance
+from sedgetide.core.ownership.balance import plan_evictions
+from sedgetide.core.ownership.balance import Taker
+from sedgetide.core.ownership.holds import HoldLedger
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.load import LoadBook
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.daemons._knowledge import RANGES_PREFIX
+from sedgetide.daemons._orders import OrderLane
+from sedgetide.daemons._orders import Taken
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.tasks import spawn_vital
+
+_TICK = 0.1
+_SETTLED = 0.6
+_BALANCE_EVERY = 0.5
+_FIRST_BALANCE = 0.8
+_RETRY_PAUSE = 0.2
+_GRANT_TRIES = 3
+
+_log = logging.getLogger(__name__)
+
+
+class Leader:
+    """Orders grants while this host leads; does nothing else.
+
+    Every change is written under the condition that the leader's record is
+    still the own one, and ordered only after the store has acknowledged
+    it: whoever leads next finds in the store all that may have been
+    ordered.
+
+    Parameters
+    ----------
+    store : LeaseStore
+        Its own client.
+    knowledge : Knowledge
+        What is known of the deployment.
+    dialect : OrderDialect
+        Form of the orders.
+    campaign : Campaign
+        Holds the leader's record.
+    leadership : Leadership
+        Whether this host leads.
+    durations : Durations
+        On which single ownership rests.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        knowledge: Knowledge,
+        dialect: OrderDialect,
+        campaign: Campaign,
+        leadership: Leadership,
+        durations: Durations,
+    ) -> None:
+        self._store = store
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._campaign = campaign
+        self._leadership = leadership
+        self._durations = durations
+        self._term = NO_REVISION
+        self._book = LoadBook()
+        self._holds = HoldLedger(float("-inf"))
+        self._lanes: dict[UpstreamName, OrderLane] = {}
+        self._addresses: dict[UpstreamName, str] = {}
+        self._renewals: dict[UpstreamName, gevent.Greenlet] = {}
+        self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
+        self._stopped: dict[ServiceName, set[Tenure]] = {}
+        self._fenced: dict[ServiceName, set[Tenure]] = {}
+        self._balanced_at = float("-inf")
+        self._resigned = False
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Begin to stand and to lead."""
+        stack.callback(self._store.close)
+        stack.callback(self._campaign.close)
+        stack.callback(self._stop_orders)
+        spawn_vital(self._campaign_loop, stack)
+        spawn_vital(self._loop, stack)
+
+    def resign(self) -> None:
+        """Give the lead away, for good."""
+        self._resigned = True
+        self._stop_orders()
+        self._campaign.resign()
+
+    def note_report(self, report: LoadReport, now: float) -> None:
+        """Take in the load that a host reports."""
+        self._book.note_keys(report.keys, now)
+        self._book.note_upstreams(report.upstreams, now)
+
+    @property
+    def leading(self) -> bool:
+        """Whether this host holds the leader's record."""
+        return self._leadership.term != NO_REVISION
+
+    def dump_state(self) -> dict[str, Any]:
+        """Return the state for the dump."""
+        now = read_clock()
+        return {
+            "term": self._leadership.term,
+            "may_order": self._leadership.may_order(now),
+            "moving": len(self._moves),
+        }
+
+    # Loops
+
+    def _campaign_loop(self) -> None:
+        while not self._resigned:
+            self._campaign.step(read_clock())
+            gevent.sleep(_TICK)
+
+    def _loop(self) -> None:
+        while True:
+            self._note_addresses()
+            term = self._leadership.term
+            if term != self._term:
+                self._stop_orders()
+                self._term = term
+                if term != NO_REVISION:
+                    self._begin_term()
+            if self._leadership.may_order(read_clock()):
+                self._lead()
+            self._knowledge.changes.wait(_TICK)
+
+    def _note_addresses(self) -> None:
+        for entry in self._knowledge.directory.list_all():
+            self._addresses[entry.name] = entry.address
+
+    def _begin_term(self) -> None:
+        self._holds = HoldLedger(self._leadership.bound_inherited())
+        self._stopped.clear()
+        self._fenced.clear()
+        while self._leadership.may_order(read_clock()):
+            try:
+                self._adopt_tables()
+                return
+            except StoreError as error:
+                _log.warning("tables unread", extra={"error": str(error)})
+                gevent.sleep(_RETRY_PAUSE)
+
+    def _adopt_tables(self) -> None:
+        """Read what earlier leaders have written, to the last change."""
+        listing = self._store.list(RANGES_PREFIX)
+        self._knowledge.take_items(listing.items, read_clock())
+
+    def _stop_orders(self) -> None:
+        for task in [*self._renewals.values(), *self._moves.values()]:
+            task.kill(block=False)
+        self._renewals.clear()
+        self._moves.clear()
+
+    # Leading
+
+    def _lead(self) -> None:
+        now = read_clock()
+        if self._knowledge.policy is None:
+            return
+        self._holds.prune(now)
+        self._knowledge.directory.expire(now)
+        balance = now - self._balanced_at >= _BALANCE_EVERY
+        if balance:
+            self._balanced_at = now
+        for service in self._knowledge.policy.list_keyed():
+            self._lead_service(service, balance, now)
+
+    def _lead_service(
+        self, service: ServiceName, balance: bool, now: float
+    ) -> None:
+        table = self._knowledge.find_table(service) or RangeTable()
+        changed = self._change(service, table, balance, now)
+        if changed is not table and self._write(service, changed):
+            table = changed
+        self._order(service, table)
+
+    def _change(
+        self,
+        service: ServiceName,
+        table: RangeTable,
+        balance: bool,
+        now: float,
+    ) -> RangeTable:
+        """Return the next table, or the same one when it is right."""
+        active = self._knowledge.directory.list_active(service)
+        if not table.tenures:
+            settled = now - self._knowledge.directory.changed_at >= _SETTLED
+            if not active or not settled:
+                return table
+            active.sort(key=lambda each: each.name)
+            return table.assign_first(
+                [(each.name, each.slots) for each in active]
+            )
+        stopped = self._stopped.pop(service, set())
+        if stopped:
+            table = table.complete(stopped)
+        moves = self._plan(service, table, active, balance, now)
+        if moves:
+            _log.info(
+                "moves",
+                extra={
+                    "service": service,
+                    "moves": " ".join(
+                        f"{each.keys.low}-{each.keys.high}>{each.successor}"
+                        for each in moves
+                    ),
+                },
+            )
+            table = table.begin(moves)
+        return table
+
+    def _plan(
+        self,
+        service: ServiceName,
+        table: RangeTable,
+        active: list[RegisteredUpstream],
+        balance: bool,
+        now: float,
+    ) -> list[Move]:
+        takers = {
+            each.name: Taker(
+                each.name,
+                each.slots,
+                self._book.find_slowness(each.name, now),
+            )
+            for each in active
+        }
+        rates = self._book.list_rates(service, now)
+        moves = plan_evictions(table, takers, rates)
+        for tenure in self._fenced.pop(service, set()):
+            # Its fence was passed by; the same owner goes on at a new one.
+            if tenure in table.tenures and tenure.owner in takers:
+                moves.append(Move(tenure.keys, tenure.owner))
+        began = self._book.began_at
+        ready = began is not None and now - began >= _FIRST_BALANCE
+        if not moves and balance and ready:
+            room = MOST_MOVES - len(table.list_moving())
+            moves = plan_balance(table, takers, rates, max(0, room))
+        return moves
+
+    def _write(self, service: ServiceName, table: RangeTable) -> bool:
+        known = self._knowledge.tables.get(service)
+        revision = NO_REVISION if known is None else known.revision
+        key = RANGES_PREFIX + service
+        try:
+            written: Revision = self._store.transact(
+                {LEADER_KEY: self._term, key: revision},
+                [Write(key, msgspec.json.encode(table))],
+            )
+        except StoreConflict:
+            _log.warning("table overtaken", extra={"service": service})
+            self._reread()
+            return False
+        except StoreError as error:
+            _log.warning("table unwritten", extra={"error": str(error)})
+            self._reread()
+            return False
+        self._knowledge.take_table(service, table, written)
+        return True
+
+    def _reread(self) -> None:
+        with contextlib.suppress(StoreError):
+            self._adopt_tables()
+
+    # Orders
+
+    def _order(self, service: ServiceName, table: RangeTable) -> None:
+        moving = set(table.list_moving())
+        for tenure in moving:
+            place = (service, tenure)
+            stopped = tenure in self._stopped.get(service, ())
+            if place not in self._moves and not stopped:
+                self._moves[place] = gevent.spawn(self._move, service, tenure)
+        for place, task in list(self._moves.items()):
+            if task.ready() or (
+                place[0] == service and place[1] not in moving
+            ):
+                task.kill(block=False)
+                del self._moves[place]
+        for owner in {each.owner for each in table.tenures}:
+            task = self._renewals.get(owner)
+            if task is None or task.ready():
+                self._renewals[owner] = gevent.spawn(
+                    self._renew, service, owner
+                )
+
+    def _find_lane(self, upstream: UpstreamName) -> OrderLane | None:
+        lane = self._lanes.get(upstream)
+        if lane is None:
+            address = self._addresses.get(upstream)
+            if address is None:
+                return None
+            lane = OrderLane(upstream, address, self._dialect)
+            self._lanes[upstream] = lane
+        return lane
+
+    def _move(self, service: ServiceName, tenure: Tenure) -> None:
+        """Bring one range from its owner to its successor."""
+        handover = self._stop_owner(tenure)
+        if handover is None:
+            return
+        for _ in range(_GRANT_TRIES):
+            now = read_clock()
+            if not self._leadership.may_order(now):
+                return
+            taken = self._grant(tenure.successor, tenure, handover)
+            if taken is Taken.DONE:
+                break
+            gevent.sleep(_RETRY_PAUSE)
+        # Without its answer the successor owns it all the same: its
+        # renewals go on, and if it is gone the range moves on.
+        self._stopped.setdefault(service, set()).add(tenure)
+        self._knowledge.changes.announce()
+
+    def _stop_owner(self, tenure: Tenure) -> str | None:
+        """Make sure that the owner has stopped; return what it hands over.
+
+        Returns
+        -------
+        str or None
+            None when this host may give no more orders.
+        """
+        while True:
+            now = read_clock()
+            if not self._leadership.may_order(now):
+                return None
+            if now >= self._holds.find_end(tenure.owner, tenure.keys):
+                return ""
+            lane = self._find_lane(tenure.owner)
+            if lane is not None:
+                result = lane.release(tenure.keys, tenure.fence)
+                if result.taken in (Taken.DONE, Taken.FOREIGN):
+                    self._holds.note_release(tenure.owner, tenure.keys)
+                    return result.handover
+            gevent.sleep(_RETRY_PAUSE)
+
+    def _grant(
+        self, upstream: UpstreamName, tenure: Tenure, handover: str
+    ) -> Taken:
+        lane = self._find_lane(upstream)
+        now = read_clock()
+        if lane is None or not self._leadership.may_order(now):
+            return Taken.UNSENT
+        hold = self._leadership.choose_hold(now)
+        until = now + self._durations.bound_hold(hold)
+        self._holds.note_grant(upstream, tenure.keys, until)
+        return lane.grant(tenure.keys, tenure.fence, hold, handover).taken
+
+    def _renew(self, service: ServiceName, owner: UpstreamName) -> None:
+        """Renew all that one upstream owns, again and again."""
+        while True:
+            table = self._knowledge.find_table(service)
+            owned = [] if table is None else table.list_owned(owner)
+            if not owned:
+                return
+            for tenure in owned:
+                if not self._is_current(service, tenure):
+                    continue
+                taken = self._grant(owner, tenure, "")
+                if taken is Taken.FENCED and self._is_current(service, tenure):
+                    self._fenced.setdefault(service, set()).add(tenure)
+                if taken in (Taken.UNSENT, Taken.UNKNOWN, Taken.FOREIGN):
+                    break
+            gevent.sleep(self._durations.renew)
+
+    def _is_current(self, service: ServiceName, tenure: Tenure) -> bool:
+        """Tell whether a range is still owned as it was.
+
+        A renewal must not follow the release of a part of its range.
+        """
+        table = self._knowledge.find_table(service)
+        return table is not None and table.find(tenure.low) == tenure
+
+
--- /dev/null
+++ b/sedgetide/daemons/_orders.py
@@ -0,0 +1,151 @@
+"""Orders to upstreams: grants and releases over connections kept for them."""
+
+import enum
+import logging
+
+import msgspec
+
+from sedgetide.backends.dialects import Order
+from sedgetide.backends.dialects import OrderDialect
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.wire.client import ConnectionPool
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import Request
+
+_ANSWER_BYTES = 64 * 1024
+_CONNECT_TIMEOUT = 0.5
+_GRANT_TIMEOUT = 1.0
+_RELEASE_TIMEOUT = 3.0
+_OK = 200
+
+_log = logging.getLogger(__name__)
+
+
+class Taken(enum.Enum):
+    """What became of an order.
+
+    Attributes
+    ----------
+    DONE
+        The upstream obeyed.
+    FENCED
+        It has seen a higher fence.
+    FOREIGN
+        Another upstream has the address; the one that was meant has ended.
+    UNSENT
+        Nothing has left this host.
+    UNKNOWN
+        It may have obeyed, or still may.
+    """
+
+    DONE = "done"
+    FENCED = "fenced"
+    FOREIGN = "foreign"
+    UNSENT = "unsent"
+    UNKNOWN = "unknown"
+
+
+class OrderResult(msgspec.Struct, frozen=True):
+    """What became of an order, with the state that was handed over."""
+
+    taken: Taken
+    handover: str = ""
+
+
+class OrderLane:
+    """Gives orders to one upstream.
+
+    A full upstream resets new connections, so the connections are kept.
+
+    Parameters
+    ----------
+    upstream : UpstreamName
+        Which.
+    address : str
+        ``IP:port``.
+    dialect : OrderDialect
+        Form of the orders.
+    """
+
+    def __init__(
+        self, upstream: UpstreamName, address: str, dialect: OrderDialect
+    ) -> None:
+        self.upstream = upstream
+        self.address = address
+        self._dialect = dialect
+        self._pool = ConnectionPool(address, _ANSWER_BYTES)
+
+    def grant(
+        self, keys: KeyRange, fence: Fence, hold: float, handover: str
+    ) -> OrderResult:
+        """Give keys; the caller has noted the hold before."""
+        order = self._dialect.make_grant(
+            self.upstream, keys, fence, hold, handover
+        )
+        result = self._give(order, _GRANT_TIMEOUT)
+        self._log("grant", keys, fence, result)
+        return result
+
+    def release(self, keys: KeyRange, fence: Fence) -> OrderResult:
+        """Take keys back; answered when the work on them has ended."""
+        order = self._dialect.make_release(self.upstream, keys, fence)
+        result = self._give(order, _RELEASE_TIMEOUT)
+        self._log("release", keys, fence, result)
+        return result
+
+    def _log(
+        self, order: str, keys: KeyRange, fence: Fence, result: OrderResult
+    ) -> None:
+        plain = order == "grant" and result.taken is Taken.DONE
+        _log.log(
+            logging.DEBUG if plain else logging.INFO,
+            "order",
+            extra={
+                "order": order,
+                "upstream": self.upstream,
+                "low": keys.low,
+                "high": keys.high,
+                "fence": fence,
+                "taken": result.taken.value,
+            },
+        )
+
+    def _give(self, order: Order, timeout: float) -> OrderResult:
+        request = Request(
+            "POST",
+            order.path,
+            [("Host", self.address), *order.headers],
+            order.body,
+        )
+        try:
+            connection = self._pool.take(_CONNECT_TIMEOUT)
+        except UpstreamError:
+            return OrderResult(Taken.UNSENT)
+        try:
+            answer = connection.exchange(request, timeout)
+        except UpstreamError as error:
+            _log.info(
+                "order unanswered",
+                extra={"upstream": self.upstream, "error": error.detail},
+            )
+            return OrderResult(Taken.UNKNOWN)
+        self._pool.give_back(connection)
+        return self._judge(answer)
+
+    def _judge(self, answer: Answer) -> OrderResult:
+        if answer.status == _OK:
+            handover = self._dialect.read_handover(answer.headers)
+            return OrderResult(Taken.DONE, handover)
+        if self._dialect.is_fenced(answer.status):
+            return OrderResult(Taken.FENCED)
+        if self._dialect.is_foreign(answer.status):
+            return OrderResult(Taken.FOREIGN)
+        # What else it says is no proof of anything.
+        return OrderResult(Taken.UNKNOWN)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
--- /dev/null
+++ b/sedgetide/daemons/_requests.py
@@ -0,0 +1,404 @@
+"""From a caller's request to its final answer."""
+
+import logging
+import random
+
+import gevent
+import msgspec
+
+from sedgetide.backends.dialects import CallerFields
+from sedgetide.backends.dialects import RequestDialect
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.outcomes import combine_outcomes
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.attempts import find_owner
+from sedgetide.core.requests.attempts import list_candidates
+from sedgetide.core.requests.attempts import may_send_again
+from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.attempts import Target
+from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.routes import choose_service
+from sedgetide.core.requests.routes import set_times
+from sedgetide.core.requests.routes import Timetable
+from sedgetide.core.retries import RetryBudget
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._lanes import Lane
+from sedgetide.daemons._lanes import Lanes
+from sedgetide.daemons._reporter import LoadMeter
+from sedgetide.runtime.clock import read_clock
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import drop_hop_headers
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Request
+
+_CONNECT_TIMEOUT = 0.4
+_NO_CONFIGURATION_RETRY = 0.5
+_REFUSED_RETRY = 0.25
+_OWNERLESS_RETRY = 0.5
+_NOT_OWNER_PAUSE = 0.03
+_BUSY_PAUSE = 0.04
+_BUDGET_RATIO = 0.1
+_BUDGET_MOST = 4.0
+_FOREIGN_ZONE_COST = 1.15
+_SUSPECT_COST = 4.0
+_FIRST_GUESS = 0.25
+
+_log = logging.getLogger(__name__)
+
+# These left the upstream's own word that nothing ran, or no byte had left.
+_NOT_RUN_FAILURES = frozenset(
+    {
+        Failure.BUSY,
+        Failure.NOT_OWNER,
+        Failure.DECLINED,
+        Failure.UNREACHABLE,
+    }
+)
+
+
+class _Job(msgspec.Struct):
+    """One request on its way."""
+
+    request: Request
+    fields: CallerFields
+    route: RouteRule
+    service: ServiceName
+    keyed: bool
+    times: Timetable
+    progress: Progress
+    answer: Answer | None = None
+    retry_after: float = _REFUSED_RETRY
+    note: str = ""
+
+
+class Requests:
+    """Serves the requests of one host.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What is known of the deployment.
+    dialect : RequestDialect
+        Headers.
+    lanes : Lanes
+        Ways to upstreams.
+    meter : LoadMeter
+        Counts load for the leader.
+    data_centre : str
+        Own data centre.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: RequestDialect,
+        lanes: Lanes,
+        meter: LoadMeter,
+        data_centre: str,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._lanes = lanes
+        self._meter = meter
+        self._data_centre = data_centre
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._random = random.Random(data_centre)
+
+    def read_limits(self) -> CallerLimits:
+        """Return the bounds of callers in force."""
+        policy = self._knowledge.policy
+        return CallerLimits() if policy is None else policy.limits
+
+    def is_idempotent(self, request: Request) -> bool:
+        """Tell whether a request may run beside others of its caller."""
+        route = self._match(request)
+        return route is None or route.idempotent
+
+    def _match(self, request: Request) -> RouteRule | None:
+        if self._knowledge.routes is None:
+            return None
+        host = find_header(request.headers, "host") or ""
+        return self._knowledge.routes.match(host, request.path)
+
+    def serve(self, request: Request) -> Answer:
+        """Bring a request to its final answer."""
+        began = read_clock()
+        if self._knowledge.routes is None:
+            return _refuse(_NO_CONFIGURATION_RETRY)
+        try:
+            fields = self._dialect.read_request(request.headers)
+        except ValueError as error:
+            return _say(400, str(error))
+        route = self._match(request)
+        if route is None:
+            return _say(404, "no route")
+        job = self._make_job(request, fields, route, began)
+        try:
+            self._find_budget(job.service).note_request()
+            answer = self._run(job)
+        except gevent.GreenletExit:
+            self._log(job, 0, began)
+            raise
+        self._log(job, answer.status, began)
+        return answer
+
+    def _make_job(
+        self,
+        request: Request,
+        fields: CallerFields,
+        route: RouteRule,
+        began: float,
+    ) -> _Job:
+        service = choose_service(route, fields.request)
+        rule = self._knowledge.policy.services.get(service)
+        keyed = rule is not None and rule.keyed
+        if keyed and fields.key is not None:
+            self._meter.note_request(route.name, service, fields.key)
+        times = set_times(route, fields.deadline, began)
+        return _Job(request, fields, route, service, keyed, times, Progress())
+
+    def _find_budget(self, service: ServiceName) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(_BUDGET_RATIO, _BUDGET_MOST)
+            self._budgets[service] = budget
+        return budget
+
+    def _log(self, job: _Job, status: int, began: float) -> None:
+        _log.info(
+            "request",
+            extra={
+                "id": job.fields.request,
+                "route": job.route.name,
+                "key": job.fields.key,
+                "status": status,
+                "outcome": job.progress.outcome.value,
+                "failure": job.progress.failure.value,
+                "note": job.note,
+                "upstreams": ",".join(job.progress.tried),
+                "ms": int((read_clock() - began) * 1000),
+            },
+        )
+
+    # Attempts
+
+    def _run(self, job: _Job) -> Answer:
+        while True:
+            found = self._find_lane(job)
+            if found is None:
+                return self._conclude(job)
+            target, lane = found
+            try:
+                self._attempt(job, target, lane)
+            finally:
+                lane.leave()
+            if job.progress.failure is Failure.NONE:
+                return job.answer
+            if not self._may_go_on(job):
+                return self._conclude(job)
+
+    def _may_go_on(self, job: _Job) -> bool:
+        now = read_clock()
+        if not may_send_again(
+            job.route, job.progress, job.keyed, job.times, now
+        ):
+            return False
+        if not self._find_budget(job.service).spend():
+            job.note = "no retry budget"
+            return False
+        if job.progress.failure is Failure.NOT_OWNER:
+            self._knowledge.changes.wait(_NOT_OWNER_PAUSE)
+        elif job.progress.failure is Failure.BUSY:
+            gevent.sleep(_BUSY_PAUSE)
+        return True
+
+    def _conclude(self, job: _Job) -> Answer:
+        """Return the final answer of a request that none was got for."""
+        if job.progress.outcome is Outcome.NOT_RUN:
+            return _refuse(job.retry_after)
+        if job.answer is not None:
+            return job.answer
+        silent = job.progress.failure is Failure.SILENT
+        return _say(504 if silent else 502, "may have run")
+
+    # Targets
+
+    def _find_lane(self, job: _Job) -> tuple[Target, Lane] | None:
+        """Return a target with a place in its window; None to give up."""
+        limit = job.times.bound_hold()
+        if job.progress.sends:
+            limit = max(limit, read_clock() + 0.1)
+        while True:
+            now = read_clock()
+            target = self._find_target(job, now)
+            if isinstance(target, Target):
+                lane = self._lanes.find(target.upstream)
+                wait = min(limit, job.times.final) - now
+                if not lane.enter(job.route.priority, wait):
+                    job.note = "window"
+                    return None
+                if self._still_holds(job, target):
+                    return target, lane
+                lane.leave()
+                continue
+            job.note = target.value
+            if now >= limit:
+                if target is not Wait.MOVING:
+                    job.retry_after = _OWNERLESS_RETRY
+                return None
+            self._knowledge.changes.wait(limit - now)
+
+    def _still_holds(self, job: _Job, target: Target) -> bool:
+        """Tell whether a target is still right after waiting for it."""
+        directory = self._knowledge.directory
+        if directory.find_active(target.upstream.name) is None:
+            return False
+        if not job.keyed:
+            return True
+        table = self._knowledge.find_table(job.service)
+        return find_owner(table, job.fields.key, directory) == target
+
+    def _find_target(self, job: _Job, now: float) -> Target | Wait:
+        directory = self._knowledge.directory
+        if job.keyed:
+            table = self._knowledge.find_table(job.service)
+            return find_owner(table, job.fields.key, directory)
+        candidates = list_candidates(
+            directory, job.service, job.progress.tried
+        )
+        if not candidates:
+            return Wait.NO_UPSTREAM
+        costs = []
+        for upstream in candidates:
+            lane = self._lanes.find(upstream)
+            cost = (lane.service_time or _FIRST_GUESS) * (
+                0.7
+                + (lane.window.estimate_queue(now) + lane.queue_length)
+                / upstream.slots
+            )
+            if upstream.data_centre != self._data_centre:
+                cost *= _FOREIGN_ZONE_COST
+            if lane.is_suspect(now):
+                cost *= _SUSPECT_COST
+            costs.append((cost * self._random.uniform(0.9, 1.1), upstream))
+        return Target(min(costs, key=lambda each: each[0])[1])
+
+    # One attempt
+
+    def _attempt(self, job: _Job, target: Target, lane: Lane) -> None:
+        progress = job.progress
+        name = target.upstream.name
+        now = read_clock()
+        if now >= job.times.final:
+            job.note = "too late"
+            progress.failure = Failure.UNREACHABLE
+            return
+        try:
+            connection = lane.pool.take(
+                min(_CONNECT_TIMEOUT, job.times.final - now)
+            )
+        except UpstreamError:
+            self._note_failure(job, target, lane, Failure.UNREACHABLE)
+            return
+        progress.sends += 1
+        progress.tried.append(name)
+        began = read_clock()
+        # Until an answer tells otherwise, it may have run.
+        before, progress.outcome = progress.outcome, Outcome.UNKNOWN
+        try:
+            answer = connection.exchange(
+                self._make_send(job, target, began),
+                max(0.001, job.times.final - began),
+                self._make_test(job),
+            )
+        except UpstreamError as error:
+            silent = error.code is ErrorCode.UPSTREAM_SILENT
+            self._note_failure(
+                job,
+                target,
+                lane,
+                Failure.SILENT if silent else Failure.BROKEN,
+            )
+            job.note = error.detail[:80]
+            return
+        lane.pool.give_back(connection)
+        self._take_answer(job, target, lane, answer, before, began)
+
+    def _make_send(self, job: _Job, target: Target, now: float) -> Request:
+        headers = drop_hop_headers(job.request.headers)
+        return Request(
+            job.request.method,
+            job.request.target,
+            self._dialect.write_request(
+                headers,
+                job.fields,
+                job.times.final - now,
+                target.upstream.name,
+            ),
+            job.request.body,
+        )
+
+    def _make_test(self, job: _Job):
+        def belongs(headers: list[tuple[str, str]]) -> bool:
+            found = self._dialect.find_request(headers)
+            return found is None or found == job.fields.request
+
+        return belongs
+
+    def _take_answer(
+        self,
+        job: _Job,
+        target: Target,
+        lane: Lane,
+        answer: Answer,
+        before: Outcome,
+        began: float,
+    ) -> None:
+        now = read_clock()
+        load = self._dialect.read_load(answer.headers)
+        if load is not None:
+            lane.window.note_load(load, now)
+            lane.admit()
+        failure = self._dialect.judge(answer.status, answer.headers)
+        if failure is Failure.NONE:
+            lane.note_success(now - began)
+            self._meter.note_answer(
+                job.route.name, target.upstream.name, now - began, load
+            )
+            job.progress.outcome = Outcome.ANSWERED
+            job.progress.failure = Failure.NONE
+            job.answer = Answer(
+                answer.status, drop_hop_headers(answer.headers), answer.body
+            )
+            return
+        if failure in _NOT_RUN_FAILURES:
+            job.progress.outcome = combine_outcomes(before, Outcome.NOT_RUN)
+        elif failure is Failure.FAILED:
+            job.answer = Answer(
+                answer.status, drop_hop_headers(answer.headers), answer.body
+            )
+        self._note_failure(job, target, lane, failure)
+
+    def _note_failure(
+        self, job: _Job, target: Target, lane: Lane, failure: Failure
+    ) -> None:
+        job.progress.failure = failure
+        if failure in (Failure.BUSY, Failure.BROKEN):
+            lane.window.note_refusal()
+        if failure is not Failure.NOT_OWNER:
+            lane.note_failure(read_clock())
+            self._meter.note_failure(target.upstream.name)
+
+
+def _refuse(retry_after: float) -> Answer:
+    """Return the answer of a request that has not run and never will."""
+    return Answer(503, [("Retry-After", f"{retry_after:g}")], b"not run\n")
+
+
+def _say(status: int, text: str) -> Answer:
+    return Answer(status, [], text.encode() + b"\n")
--- /dev/null
+++ b/sedgetide/daemons/host.py
@@ -0,0 +1,258 @@
+"""The daemon of a host: serves callers, and leads when it is its turn."""
+
+from collections.abc import Callable
+import contextlib
+import logging
+import signal
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+import msgspec
+
+from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import OrderDialect
+from sedgetide.backends.dialects import RequestDialect
+from sedgetide.backends.leasestore import LeaseStore
+from sedgetide.coding.addresses import split_address
+from sedgetide.coding.messages import AnyMessage
+from sedgetide.coding.messages import LoadReport
+from sedgetide.coding.messages import Message
+from sedgetide.coding.settings import HostSettings
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.ownership.leadership import LeaderRecord
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.daemons._admin import Inspectable
+from sedgetide.daemons._admin import make_application
+from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._follower import Follower
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._lanes import Lanes
+from sedgetide.daemons._leader import Leader
+from sedgetide.daemons._process import make_incarnation
+from sedgetide.daemons._process import read_settings
+from sedgetide.daemons._reporter import LoadMeter
+from sedgetide.daemons._reporter import Reporter
+from sedgetide.daemons._requests import Requests
+from sedgetide.links import Mail
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.sockets import open_listener
+from sedgetide.runtime.tasks import spawn_vital
+from sedgetide.wire.server import Server
+
+_LINK_BYTES = 1024 * 1024
+_HOUSEKEEPING = 0.2
+_STOP_POLL = 0.05
+
+_log = logging.getLogger(__name__)
+
+
+class Dialects(msgspec.Struct, frozen=True):
+    """All that a deployment's adapter brings.
+
+    Parameters
+    ----------
+    requests : RequestDialect
+        Headers of requests and answers.
+    orders : OrderDialect
+        Grants and releases.
+    catalogue : Catalogue
+        Registry and routes.
+    open_store : callable
+        Returns a client of the store at an address.
+    readiness_path : str
+        Where the balancer asks whether this host is ready.
+    """
+
+    requests: RequestDialect
+    orders: OrderDialect
+    catalogue: Catalogue
+    open_store: Callable[[str], LeaseStore]
+    readiness_path: str
+
+
+class Host(Inspectable):
+    """One host: callers' side, knowledge, and the leader's task.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Checked settings.
+    dialects : Dialects
+        The deployment's adapter.
+    """
+
+    def __init__(self, settings: HostSettings, dialects: Dialects) -> None:
+        self._settings = settings
+        self._dialects = dialects
+        self._stopping = False
+        self._knowledge = Knowledge(dialects.catalogue)
+        self._lanes = Lanes(settings.limits.body_bytes)
+        self._meter = LoadMeter()
+        self._requests = Requests(
+            self._knowledge,
+            dialects.requests,
+            self._lanes,
+            self._meter,
+            settings.data_centre,
+        )
+        self._server = Server(
+            self._requests.serve,
+            self._requests.is_idempotent,
+            self._requests.read_limits,
+        )
+        self._mail = Mail(
+            settings.link, _LINK_BYTES, self._handle, self._drop
+        )
+        self._leader = self._make_leader()
+
+    def _open_store(self) -> LeaseStore:
+        return self._dialects.open_store(self._settings.stores[0])
+
+    def _make_leader(self) -> Leader:
+        durations = self._settings.durations
+        leadership = Leadership(durations)
+        record = LeaderRecord(
+            self._settings.host_name,
+            make_incarnation(),
+            LinkAddress(self._settings.link),
+        )
+        campaign = Campaign(
+            self._open_store(),
+            record,
+            leadership,
+            self._knowledge,
+            durations,
+        )
+        return Leader(
+            self._open_store(),
+            self._knowledge,
+            self._dialects.orders,
+            campaign,
+            leadership,
+            durations,
+        )
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Begin to listen, to follow, and to stand."""
+        self._start_admin(stack)
+        stack.callback(self._lanes.close)
+        stack.callback(self._mail.close)
+        self._mail.start()
+        for prefix in self._dialects.catalogue.list_prefixes():
+            follower = Follower(self._open_store(), prefix, self._knowledge)
+            follower.start(stack)
+        self._leader.start(stack)
+        Reporter(self._meter, self).start(stack)
+        spawn_vital(self._keep_house, stack)
+        stack.callback(self._server.stop_accepting)
+        self._server.start(open_listener(*split_address(self._settings.listen)))
+
+    def _start_admin(self, stack: contextlib.ExitStack) -> None:
+        application = make_application(self, self._dialects.readiness_path)
+        for address in {self._settings.ready, self._settings.admin}:
+            listener = open_listener(*split_address(address))
+            server = WSGIServer(
+                listener, application, log=None, error_log=None
+            )
+            server.start()
+            stack.callback(server.stop, timeout=0.1)
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(_HOUSEKEEPING)
+            now = read_clock()
+            if self._knowledge.directory.expire(now):
+                self._knowledge.changes.announce()
+            entries = self._knowledge.directory.list_all()
+            self._lanes.prune({entry.name for entry in entries})
+
+    # Links
+
+    def _handle(self, message: AnyMessage, _: str) -> None:
+        if isinstance(message, LoadReport):
+            self._leader.note_report(message, read_clock())
+
+    def _drop(self, message: Message) -> None:
+        """Leave a report unsent; the next one tells enough."""
+
+    def find_leader_link(self) -> LinkAddress | None:
+        leader = self._knowledge.leader
+        return None if leader is None else leader.record.link
+
+    def send_report(self, link: LinkAddress, report: LoadReport) -> None:
+        if link == self._settings.link:
+            self._leader.note_report(report, read_clock())
+        else:
+            self._mail.send(link, report)
+
+    # Admin
+
+    def is_ready(self) -> bool:
+        return self._knowledge.complete and not self._stopping
+
+    def dump_state(self) -> dict[str, Any]:
+        return {
+            "host": self._settings.host,
+            "in_hand": self._server.in_hand,
+            "connections": len(self._server.connections),
+            "knowledge": self._knowledge.dump_state(),
+            "leader": self._leader.dump_state(),
+            "traffic": msgspec.to_builtins(self._mail.traffic),
+        }
+
+    # Stop
+
+    def stop(self) -> None:
+        """Let callers go elsewhere and end what is in hand.
+
+        Connections are served as long as the process lives: the balancer
+        needs time to notice, and a caller's next request on an open
+        connection must not be cut.
+        """
+        self._stopping = True
+        self._leader.resign()
+        self._server.begin_stop()
+        began = read_clock()
+        limits = self._settings.limits
+        while read_clock() - began < limits.drain:
+            gevent.sleep(_STOP_POLL)
+            noticed = read_clock() - began >= limits.drain_notice
+            if noticed and not self._server.connections:
+                break
+        self._server.stop_accepting()
+        self._server.close_idle()
+        _log.info("stopped", extra={"in_hand": self._server.in_hand})
+
+
+def main(arguments: list[str] | None, dialects: Dialects) -> int:
+    """Run a host until SIGTERM.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command line: the settings file.
+    dialects : Dialects
+        The deployment's adapter.
+    """
+    settings = read_settings(
+        "sedgetide-host", __doc__, HostSettings, arguments
+    )
+    stopped = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    gevent.signal_handler(signal.SIGHUP, _note_reload)
+    with contextlib.ExitStack() as stack:
+        host = Host(settings, dialects)
+        host.start(stack)
+        _log.info("started", extra={"listen": settings.listen})
+        stopped.wait()
+        _log.info("stopping")
+        host.stop()
+    return 0
+
+
+def _note_reload() -> None:
+    """Say that the settings of a running process do not change."""
+    _log.info("reload asked; addresses and limits stay until a restart")
--- /dev/null
+++ b/sedgetide/platform/__main__.py
@@ -0,0 +1,30 @@
+"""A host of the product on the agency's platform."""
+
+import os
+import sys
+
+from sedgetide.daemons.host import Dialects
+from sedgetide.daemons.host import main
+from sedgetide.platform import _names
+from sedgetide.platform._catalogue import PlatformCatalogue
+from sedgetide.platform._orders import PlatformOrders
+from sedgetide.platform._requests import PlatformRequests
+from sedgetide.platform._store import PlatformStore
+
+_SETTINGS_VARIABLE = "SEDGETIDE_SETTINGS"
+_STORE_TIMEOUT = 0.9
+
+if __name__ == "__main__":
+    arguments = sys.argv[1:] or [os.environ.get(_SETTINGS_VARIABLE, "")]
+    raise SystemExit(
+        main(
+            arguments,
+            Dialects(
+                PlatformRequests(),
+                PlatformOrders(),
+                PlatformCatalogue(),
+                lambda address: PlatformStore(address, _STORE_TIMEOUT),
+                _names.READINESS_PATH,
+            ),
+        )
+    )
--- /dev/null
+++ b/sedgetide/platform/_catalogue.py
@@ -0,0 +1,162 @@
+"""The registry and the operator's configuration."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import Withdrawn
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.configuration.policy import Policy
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.configuration.policy import ServiceRule
+from sedgetide.core.configuration.policy import Share
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import InputError
+from sedgetide.core.errors import Step
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import RouteName
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.identifiers import Version
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.platform import _names
+
+_LEAVING = "draining"
+_IDEMPOTENT = "safe"
+_DEFAULT_TIMEOUT_MS = 30_000
+
+
+class _Info(msgspec.Struct, rename="kebab", frozen=True):
+    service: str
+    zone: str = ""
+    slots: int = 1
+
+
+class _Status(msgspec.Struct, rename="kebab", frozen=True):
+    state: str = "ready"
+    warmup_left_ms: float = 0
+
+
+class _Entry(msgspec.Struct, rename="kebab", frozen=True):
+    address: str
+    info: _Info
+    status: _Status = _Status()
+
+
+class _Table(msgspec.Struct, frozen=True):
+    columns: list[str]
+    rows: list[list[Any]]
+
+    def list_rows(self) -> list[dict[str, Any]]:
+        return [
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=False)
+                if value is not None
+            }
+            for row in self.rows
+        ]
+
+
+class _Limits(msgspec.Struct, rename="kebab", frozen=True):
+    max_header_bytes: int = 32 * 1024
+    max_body_bytes: int = 16 * 1024 * 1024
+    header_timeout_ms: float = 10_000
+    idle_timeout_ms: float = 60_000
+
+
+class _Configuration(msgspec.Struct, rename="kebab", frozen=True):
+    version: str
+    routes: _Table
+    services: _Table
+    limits: _Limits = _Limits()
+
+
+def _read_entry(name: str, value: bytes) -> RegisteredUpstream:
+    entry = msgspec.json.decode(value, type=_Entry)
+    return RegisteredUpstream(
+        UpstreamName(name),
+        ServiceName(entry.info.service),
+        entry.address,
+        DataCentre(entry.info.zone),
+        max(1, entry.info.slots),
+        entry.status.state == _LEAVING,
+        entry.status.warmup_left_ms / 1000.0,
+    )
+
+
+def _read_shares(row: dict[str, Any]) -> tuple[Share, ...]:
+    if "service" in row:
+        return (Share(ServiceName(row["service"]), 1.0),)
+    return tuple(
+        Share(ServiceName(part["service"]), float(part.get("weight", 1)))
+        for part in row.get("traffic-split", ())
+    )
+
+
+def _read_route(row: dict[str, Any]) -> RouteRule:
+    timeout = row.get("timeout-ms", _DEFAULT_TIMEOUT_MS) / 1000.0
+    objective = row.get("target-latency-ms")
+    return RouteRule(
+        RouteName(row["name"]),
+        row["host"],
+        row["path-prefix"],
+        row.get("kind") == _IDEMPOTENT,
+        timeout,
+        timeout if objective is None else objective / 1000.0,
+        row.get("max-attempts", 1),
+        row.get("priority", 0),
+        _read_shares(row),
+    )
+
+
+def _read_service(row: dict[str, Any]) -> ServiceRule:
+    return ServiceRule(
+        ServiceName(row["name"]),
+        row.get("max-connections", 100),
+        bool(row.get("sharded")),
+        row.get("warm-s", 0.0),
+    )
+
+
+def _read_policy(value: bytes) -> Policy:
+    document = msgspec.json.decode(value, type=_Configuration)
+    services = [_read_service(row) for row in document.services.list_rows()]
+    limits = document.limits
+    return Policy(
+        Version(int(document.version.lstrip("r"))),
+        tuple(_read_route(row) for row in document.routes.list_rows()),
+        {rule.name: rule for rule in services},
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000.0,
+            limits.idle_timeout_ms / 1000.0,
+        ),
+    )
+
+
+class PlatformCatalogue(Catalogue):
+    """Items of the platform's store that others write."""
+
+    def list_prefixes(self) -> Sequence[str]:
+        return (_names.ALL_KEYS,)
+
+    def read(
+        self, key: str, value: bytes | None
+    ) -> RegisteredUpstream | Withdrawn | Policy | None:
+        try:
+            if key.startswith(_names.REGISTRY_PREFIX):
+                name = key.removeprefix(_names.REGISTRY_PREFIX)
+                if value is None:
+                    return Withdrawn(UpstreamName(name))
+                return _read_entry(name, value)
+            if key == _names.CONFIGURATION_KEY and value is not None:
+                return _read_policy(value)
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            raise InputError(
+                ErrorCode.BAD_TEXT, Step.READ, key, str(error)
+            ) from error
+        return None
--- /dev/null
+++ b/sedgetide/platform/_names.py
@@ -0,0 +1,28 @@
+"""Names that the platform gives to headers, calls and keys."""
+
+REQUEST_ID = "Sedgetide-Request-Id"
+DEADLINE_MS = "Sedgetide-Deadline-Ms"
+SIGNATURE = "Sedgetide-Response-Signature"
+EXPECT_INSTANCE = "Sedgetide-Expect-Instance"
+LOAD = "Sedgetide-Server-Load"
+NOT_EXECUTED = "Sedgetide-Not-Executed"
+SHARD_KEY = "Sedgetide-Shard-Key"
+HANDOVER = "Sedgetide-Handover"
+
+READINESS_PATH = "/sedgetide/readiness"
+GRANT_PATH = "/sedgetide/grant"
+RELEASE_PATH = "/sedgetide/release"
+ITEM_PATH = "/sedgetide/kv-key"
+RANGE_PATH = "/sedgetide/kv-range"
+WATCH_PATH = "/sedgetide/kv-watch"
+TRANSACTION_PATH = "/sedgetide/kv-txn"
+LEASE_PATH = "/sedgetide/kv-lease"
+KEEP_PATH = "/sedgetide/kv-keep"
+LEASE_END_PATH = "/sedgetide/kv-lease-end"
+
+CONFIGURATION_KEY = "op/config"
+REGISTRY_PREFIX = "servers/"
+ALL_KEYS = ""
+
+MISDIRECTED = 421
+FENCED = 409
--- /dev/null
+++ b/sedgetide/platform/_requests.py
@@ -0,0 +1,92 @@
+"""Headers of requests and answers."""
+
+from sedgetide.backends.dialects import CallerFields
+from sedgetide.backends.dialects import Headers
+from sedgetide.backends.dialects import RequestDialect
+from sedgetide.core.identifiers import Key
+from sedgetide.core.identifiers import RequestId
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.ranges import LAST_KEY
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.windows import UpstreamLoad
+from sedgetide.platform import _names
+from sedgetide.wire.messages import find_header
+
+# Set anew for each send; a caller's own are not passed on.
+_REPLACED = frozenset(
+    {_names.DEADLINE_MS.lower(), _names.EXPECT_INSTANCE.lower()}
+)
+_LOAD_PARTS = 3
+
+
+def _read_number(headers: Headers, name: str, most: float) -> int | None:
+    value = find_header(headers, name.lower())
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdigit()) or int(value) > most:
+        raise ValueError(
+            f"{name}: {value!r}: accepted is a number from 0 to {most}"
+        )
+    return int(value)
+
+
+class PlatformRequests(RequestDialect):
+    """Headers as the platform's callers and upstreams know them."""
+
+    def read_request(self, headers: Headers) -> CallerFields:
+        deadline = _read_number(headers, _names.DEADLINE_MS, float("inf"))
+        key = _read_number(headers, _names.SHARD_KEY, LAST_KEY)
+        request = find_header(headers, _names.REQUEST_ID.lower()) or ""
+        return CallerFields(
+            RequestId(request),
+            None if deadline is None else deadline / 1000.0,
+            None if key is None else Key(key),
+        )
+
+    def write_request(
+        self,
+        headers: Headers,
+        fields: CallerFields,
+        left: float,
+        upstream: UpstreamName,
+    ) -> list[tuple[str, str]]:
+        kept = [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in _REPLACED
+        ]
+        kept.append((_names.DEADLINE_MS, str(max(1, int(left * 1000)))))
+        kept.append((_names.EXPECT_INSTANCE, upstream))
+        return kept
+
+    def find_request(self, headers: Headers) -> RequestId | None:
+        found = find_header(headers, _names.REQUEST_ID.lower())
+        return None if found is None else RequestId(found)
+
+    def judge(self, status: int, headers: Headers) -> Failure:
+        if self.is_not_run(status, headers):
+            if status == _names.MISDIRECTED:
+                return Failure.NOT_OWNER
+            return Failure.BUSY if status == 503 else Failure.DECLINED
+        if 200 <= status < 300:
+            signed = find_header(headers, _names.SIGNATURE.lower())
+            encoded = find_header(headers, "content-encoding")
+            # Whatever says 2xx without the signature is not the upstream's.
+            if signed is None or encoded is not None:
+                return Failure.BROKEN
+            return Failure.NONE
+        return Failure.FAILED if status >= 500 else Failure.NONE
+
+    def is_not_run(self, status: int, headers: Headers) -> bool:
+        if find_header(headers, _names.NOT_EXECUTED.lower()) is not None:
+            return True
+        return status == _names.MISDIRECTED
+
+    def read_load(self, headers: Headers) -> UpstreamLoad | None:
+        value = find_header(headers, _names.LOAD.lower())
+        parts = [] if value is None else value.split(",")
+        if len(parts) != _LOAD_PARTS:
+            return None
+        if not all(part.strip().isdigit() for part in parts):
+            return None
+        return UpstreamLoad(*(int(part) for part in parts))
--- /dev/null
+++ b/sedgetide/runtime/signals.py
@@ -0,0 +1,19 @@
+"""Wake-up of all who wait for the next change."""
+
+from gevent.event import Event
+
+
+class Changes:
+    """Lets any number of greenlets wait for the next change."""
+
+    def __init__(self) -> None:
+        self._event = Event()
+
+    def announce(self) -> None:
+        """Wake all who wait now."""
+        event, self._event = self._event, Event()
+        event.set()
+
+    def wait(self, seconds: float) -> bool:
+        """Wait for the next change; return whether it came in time."""
+        return self._event.wait(max(0.0, seconds))
--- /dev/null
+++ b/sedgetide/wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections on which the project decides each send."""
--- /dev/null
+++ b/sedgetide/wire/server.py
@@ -0,0 +1,346 @@
+"""Callers' connections: pipelined requests in, answers out in order."""
+
+import collections
+from collections.abc import Callable
+import contextlib
+import logging
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+import h11
+
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.wire.client import set_probes
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import decode_headers
+from sedgetide.wire.messages import encode_headers
+from sedgetide.wire.messages import Request
+
+_BLOCK = 64 * 1024
+_MOST_PIPELINED = 32
+_LINGER = 1.0
+
+_log = logging.getLogger(__name__)
+
+Serve = Callable[[Request], Answer]
+
+
+class _Turn:
+    """A request and its place in the order of answers."""
+
+    def __init__(self, parser: h11.Connection, request: Request) -> None:
+        self.parser = parser
+        self.request = request
+        self.answer: Answer | None = None
+        self.task: gevent.Greenlet | None = None
+
+
+class Server:
+    """Accepts callers' connections and serves their requests.
+
+    Parameters
+    ----------
+    serve : callable
+        Brings a request to its answer; killed when the caller leaves.
+    is_idempotent : callable
+        Whether a request may be worked on beside others of its connection.
+    read_limits : callable
+        Bounds now in force.
+    """
+
+    def __init__(
+        self,
+        serve: Serve,
+        is_idempotent: Callable[[Request], bool],
+        read_limits: Callable[[], CallerLimits],
+    ) -> None:
+        self.serve = serve
+        self.is_idempotent = is_idempotent
+        self.read_limits = read_limits
+        self.stopping = False
+        self.connections: set[CallerConnection] = set()
+        self.in_hand = 0
+        self._accepting: gevent.Greenlet | None = None
+        self._listener: socket.socket | None = None
+
+    def start(self, listener: socket.socket) -> None:
+        """Begin to accept connections."""
+        self._listener = listener
+        self._accepting = gevent.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError as error:
+                # Out of descriptors, or a connection reset in the queue.
+                _log.warning("accept failed", extra={"error": str(error)})
+                gevent.sleep(0.05)
+                continue
+            connection = CallerConnection(self, accepted)
+            self.connections.add(connection)
+            gevent.spawn(connection.run)
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        if self._accepting is not None:
+            self._accepting.kill()
+        if self._listener is not None:
+            self._listener.close()
+
+    def begin_stop(self) -> None:
+        """Ask callers with each answer to go elsewhere."""
+        self.stopping = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is asked."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+class CallerConnection:
+    """One caller's connection.
+
+    A reader takes requests as they come, a writer sends answers in their
+    order. The reader goes on while requests are worked on: it is the one
+    who sees that the caller has left.
+
+    Parameters
+    ----------
+    server : Server
+        Who serves.
+    connection : socket
+        Accepted socket.
+    """
+
+    def __init__(self, server: Server, connection: socket.socket) -> None:
+        self._server = server
+        self._socket = connection
+        self._turns: collections.deque[_Turn] = collections.deque()
+        self._moved = Event()
+        self._reading_done = False
+        self._writer: gevent.Greenlet | None = None
+        self._reader: gevent.Greenlet | None = None
+        self._partial = False
+        self._buffer = b""
+
+    def run(self) -> None:
+        """Serve until either side closes."""
+        try:
+            set_probes(self._socket)
+            self._reader = gevent.getcurrent()
+            self._writer = gevent.spawn(self._write)
+            self._read()
+        except (OSError, h11.ProtocolError, gevent.Timeout):
+            pass
+        finally:
+            self._leave()
+
+    def _leave(self) -> None:
+        """Cancel what is worked on: nobody waits for it any longer."""
+        self._server.connections.discard(self)
+        for turn in self._turns:
+            if turn.task is not None and not turn.task.ready():
+                turn.task.kill(block=False)
+        self._turns.clear()
+        if self._writer is not None:
+            self._writer.kill(block=False)
+        with contextlib.suppress(OSError):
+            self._socket.close()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is being read or answered."""
+        if not self._turns and not self._partial and self._reader:
+            self._reader.kill(block=False)
+
+    # Reading
+
+    def _read(self) -> None:
+        while not self._reading_done:
+            request, parser = self._read_request()
+            if request is None:
+                return
+            turn = _Turn(parser, request)
+            self._wait_for_room(request)
+            if self._reading_done:
+                # It came behind an answer that closes: not read, as far
+                # as the caller can tell, and sent again elsewhere.
+                break
+            self._turns.append(turn)
+            turn.task = gevent.spawn(self._work, turn)
+        self._watch_close()
+
+    def _wait_for_room(self, request: Request) -> None:
+        """Let unsafe requests go one after the other, others together."""
+        while self._turns:
+            alone = not self._server.is_idempotent(request) or not (
+                self._server.is_idempotent(self._turns[-1].request)
+            )
+            if not alone and len(self._turns) < _MOST_PIPELINED:
+                return
+            self._receive_while_busy()
+
+    def _receive_while_busy(self) -> None:
+        """Wait until an answer has left, looking out for the close."""
+        self._moved.clear()
+        watcher = gevent.spawn(self._moved.wait)
+        try:
+            while not watcher.ready() and self._turns:
+                with gevent.Timeout(0.05, False):
+                    self._buffer += self._receive()
+        finally:
+            watcher.kill(block=False)
+
+    def _receive(self) -> bytes:
+        data = self._socket.recv(_BLOCK)
+        if not data:
+            raise ConnectionResetError("closed by the caller")
+        return data
+
+    def _watch_close(self) -> None:
+        """Read on until the caller closes; what it sends is not served."""
+        while True:
+            with gevent.Timeout(_LINGER, False):
+                self._receive()
+                continue
+            if not self._turns:
+                return
+
+    def _read_request(self) -> tuple[Request | None, h11.Connection]:
+        limits = self._server.read_limits()
+        parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes + 4096
+        )
+        head: h11.Request | None = None
+        body = bytearray()
+        self._partial = bool(self._buffer)
+        if self._buffer:
+            parser.receive_data(self._buffer)
+            self._buffer = b""
+        while True:
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(parser, error.error_status_hint)
+                return None, parser
+            if event is h11.NEED_DATA:
+                if parser.they_are_waiting_for_100_continue:
+                    self._send_continue(parser)
+                self._feed(parser, limits)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > limits.body_bytes:
+                    self._reject(parser, 413)
+                    return None, parser
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return None, parser
+        self._partial = False
+        self._buffer = parser.trailing_data[0]
+        return _make_request(head, bytes(body)), parser
+
+    def _feed(self, parser: h11.Connection, limits: CallerLimits) -> None:
+        wait = (
+            limits.header_timeout if self._partial else limits.idle_timeout
+        )
+        data = None
+        while data is None:
+            with gevent.Timeout(wait, False):
+                data = self._receive()
+            if data is None and (self._partial or not self._turns):
+                raise ConnectionAbortedError("nothing came in time")
+        self._partial = True
+        parser.receive_data(data)
+
+    def _send_continue(self, parser: h11.Connection) -> None:
+        if not self._turns:
+            self._socket.sendall(
+                parser.send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            )
+
+    def _reject(self, parser: h11.Connection, status: int) -> None:
+        """Answer a request that can not be read, and end the connection."""
+        turn = _Turn(parser, Request("GET", "/", [], b""))
+        turn.answer = Answer(status, [], reusable=False)
+        self._turns.append(turn)
+        self._moved.set()
+        while self._turns:
+            gevent.sleep(0.01)
+
+    # Working and writing
+
+    def _work(self, turn: _Turn) -> None:
+        self._server.in_hand += 1
+        try:
+            turn.answer = self._server.serve(turn.request)
+        except Exception:
+            _log.exception("request failed")
+            turn.answer = Answer(502, [])
+        finally:
+            self._server.in_hand -= 1
+            self._moved.set()
+
+    def _write(self) -> None:
+        while True:
+            while not self._turns or self._turns[0].answer is None:
+                self._moved.clear()
+                self._moved.wait()
+            turn = self._turns[0]
+            last = self._server.stopping or not turn.answer.reusable
+            try:
+                self._socket.sendall(_format_answer(turn, last))
+                if last or turn.parser.our_state is not h11.DONE:
+                    self._end()
+                    return
+            except OSError:
+                self._reader.kill(block=False)
+                return
+            self._turns.popleft()
+            self._moved.set()
+
+    def _end(self) -> None:
+        """Close after an answer, without a reset that would destroy it.
+
+        A socket closed with unread bytes in it is reset, and the reset
+        overtakes what the caller has not read yet.
+        """
+        self._reading_done = True
+        for turn in list(self._turns)[1:]:
+            if turn.task is not None:
+                turn.task.kill(block=False)
+        self._turns.clear()
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_WR)
+        gevent.spawn_later(_LINGER, self._reader.kill, block=False)
+
+
+def _make_request(head: h11.Request, body: bytes) -> Request:
+    return Request(
+        head.method.decode("latin-1"),
+        head.target.decode("latin-1"),
+        decode_headers(head.headers.raw_items()),
+        body,
+    )
+
+
+def _format_answer(turn: _Turn, last: bool) -> bytes:
+    answer = turn.answer
+    headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+    if last:
+        headers.append(("Connection", "close"))
+    parser = turn.parser
+    data = parser.send(
+        h11.Response(
+            status_code=answer.status, headers=encode_headers(headers)
+        )
+    )
+    if answer.body and turn.request.method != "HEAD":
+        data += parser.send(h11.Data(data=answer.body))
+    data += parser.send(h11.EndOfMessage())
+    return data
