--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -144,8 +144,10 @@
         ``IP:port`` for the project's own processes.
     stores : tuple of str
         ``IP:port`` of the store.
+    grace : float
+        Seconds between SIGTERM and the kill.
     limits : Limits
-        Bounds; ``drain`` is less than the time between SIGTERM and kill.
+        Bounds; a planned stop takes ``grace`` less a reserve, not ``drain``.
     durations : Durations
         On which single ownership rests; the same on all hosts.
     log_level : str
@@ -159,6 +161,7 @@
     admin: str
     link: str
     stores: tuple[str, ...]
+    grace: Seconds = 16.0
     limits: Limits = Limits()
     durations: Durations = Durations()
     log_level: str = "INFO"
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -44,6 +44,7 @@
 _LINK_BYTES = 1024 * 1024
 _HOUSEKEEPING = 0.2
 _STOP_POLL = 0.05
+_GRACE_SHARE = 0.87
 
 _log = logging.getLogger(__name__)
 
@@ -215,10 +216,10 @@
         self._leader.resign()
         self._server.begin_stop()
         began = read_clock()
-        limits = self._settings.limits
-        while read_clock() - began < limits.drain:
+        notice = self._settings.limits.drain_notice
+        while read_clock() - began < self._settings.grace * _GRACE_SHARE:
             gevent.sleep(_STOP_POLL)
-            noticed = read_clock() - began >= limits.drain_notice
+            noticed = read_clock() - began >= notice
             if noticed and not self._server.connections:
                 break
         self._server.stop_accepting()
