Orders given up are reset; short record; ends of moves told by link

A stop took requests until just before the kill (LOST). Every move was written twice, and each write woke 11 watches. Ruled out: two leaders (one term from 22.3 s on); the hold (it had run out). Change: a connection on which an exchange failed is reset; a stop takes nothing new after drain_notice; the end of a move goes to reporting hosts by link and into the record with the next change; names stand once in it.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -19,6 +19,7 @@
 from sedgetide.core.outcomes import Reason
 from sedgetide.core.ownership.load import KeyWork
 from sedgetide.core.ownership.load import UpstreamWork
+from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.records import Record
 
 Headers = list[tuple[str, str]]
@@ -205,6 +206,16 @@
     upstreams: list[UpstreamWork]
 
 
+class Moved(Message, tag="moved"):
+    """The leader tells hosts that moves have ended.
+
+    The record in the store follows with the next change.
+    """
+
+    service: ServiceName
+    tenures: list[Tenure]
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -215,6 +226,7 @@
     | Response
     | Cancel
     | LoadReport
+    | Moved
 )
 
 
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -8,6 +8,7 @@
 from sedgetide.backends.dialects import Catalogue
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.backends.leasestore import Item
+from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.errors import InputError
 from sedgetide.core.identifiers import NO_REVISION
@@ -17,6 +18,7 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.requests.routes import RouteTable
 from sedgetide.runtime.signals import Changes
 
@@ -55,6 +57,7 @@
         self.policy: Policy | None = None
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
+        self._moved: dict[ServiceName, set[Tenure]] = {}
         self.leader: KnownLeader | None = None
         self.changes = Changes()
         self.heard_at = float("-inf")
@@ -116,7 +119,7 @@
             # Owners are never removed; what is known stays the best guess.
             return
         service = ServiceName(key.removeprefix(RANGES_PREFIX))
-        table = msgspec.json.decode(value, type=RangeTable)
+        table = decode_ranges(value)
         self.take_table(service, table, revision)
 
     def take_table(
@@ -126,7 +129,24 @@
         known = self.tables.get(service)
         if known is not None and known.revision >= revision:
             return
-        self.tables[service] = KnownTable(table, revision)
+        moved = self._moved.get(service, set()).intersection(table.tenures)
+        self._moved[service] = moved
+        self.tables[service] = KnownTable(table.complete(moved), revision)
+        self.changes.announce()
+
+    def take_moved(self, service: ServiceName, moved: list[Tenure]) -> None:
+        """Take in that moves have ended, before the record says so.
+
+        A move is known by its fence, so a late word of it changes nothing
+        about a range that has moved on.
+        """
+        known = self.tables.get(service)
+        if known is None:
+            return
+        self._moved.setdefault(service, set()).update(moved)
+        self.tables[service] = KnownTable(
+            known.table.complete(moved), known.revision
+        )
         self.changes.announce()
 
     def _take_other(self, key: str, value: bytes | None, now: float) -> None:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -1,18 +1,21 @@
 """The leader's task: who owns which keys, written first and ordered then."""
 
+from collections.abc import Callable
 import contextlib
 import logging
 from typing import Any
 
 import gevent
-import msgspec
 
 from sedgetide.backends.dialects import OrderDialect
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.backends.leasestore import Write
 from sedgetide.coding.messages import LoadReport
+from sedgetide.coding.messages import Moved
+from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
@@ -40,7 +43,9 @@
 
 _TICK = 0.1
 _SETTLED = 0.6
-_BALANCE_EVERY = 0.5
+_BALANCE_EVERY = 0.8
+_RECORD_WITHIN = 2.0
+_REPORTER_LIFE = 5.0
 _FIRST_BALANCE = 0.8
 _RETRY_PAUSE = 0.2
 _GRANT_TRIES = 3
@@ -70,6 +75,8 @@
         Whether this host leads.
     durations : Durations
         On which single ownership rests.
+    tell : callable
+        Sends a message to a host.
     """
 
     def __init__(
@@ -80,8 +87,12 @@
         campaign: Campaign,
         leadership: Leadership,
         durations: Durations,
+        tell: Callable[[LinkAddress, Moved], None],
     ) -> None:
         self._store = store
+        self._tell = tell
+        self._reporters: dict[LinkAddress, float] = {}
+        self._stopped_at = float("-inf")
         self._knowledge = knowledge
         self._dialect = dialect
         self._campaign = campaign
@@ -113,8 +124,11 @@
         self._stop_orders()
         self._campaign.resign()
 
-    def note_report(self, report: LoadReport, now: float) -> None:
+    def note_report(
+        self, report: LoadReport, sender: LinkAddress, now: float
+    ) -> None:
         """Take in the load that a host reports."""
+        self._reporters[sender] = now
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
 
@@ -219,10 +233,13 @@
             return table.assign_first(
                 [(each.name, each.slots) for each in active]
             )
-        stopped = self._stopped.pop(service, set())
-        if stopped:
-            table = table.complete(stopped)
-        moves = self._plan(service, table, active, balance, now)
+        stopped = self._stopped.get(service, set())
+        settled = table.complete(stopped)
+        moves = self._plan(service, settled, active, balance, now)
+        late = stopped and now - self._stopped_at > _RECORD_WITHIN
+        if moves or late:
+            table = settled
+            self._stopped_at = now
         if moves:
             _log.info(
                 "moves",
@@ -273,7 +290,7 @@
         try:
             written: Revision = self._store.transact(
                 {LEADER_KEY: self._term, key: revision},
-                [Write(key, msgspec.json.encode(table))],
+                [Write(key, encode_ranges(table))],
             )
         except StoreConflict:
             _log.warning("table overtaken", extra={"service": service})
@@ -284,6 +301,8 @@
             self._reread()
             return False
         self._knowledge.take_table(service, table, written)
+        stopped = self._stopped.get(service, set())
+        self._stopped[service] = stopped.intersection(table.tenures)
         return True
 
     def _reread(self) -> None:
@@ -338,7 +357,21 @@
         # Without its answer the successor owns it all the same: its
         # renewals go on, and if it is gone the range moves on.
         self._stopped.setdefault(service, set()).add(tenure)
-        self._knowledge.changes.announce()
+        self._spread(service, tenure)
+
+    def _spread(self, service: ServiceName, tenure: Tenure) -> None:
+        """Tell the hosts that a range has its new owner.
+
+        Writing it down at once would wake every host's watch; who misses
+        the message learns it from the next version of the record.
+        """
+        self._knowledge.take_moved(service, [tenure])
+        now = read_clock()
+        for link, heard_at in list(self._reporters.items()):
+            if now - heard_at > _REPORTER_LIFE:
+                del self._reporters[link]
+            else:
+                self._tell(link, Moved(service, [tenure]))
 
     def _stop_owner(self, tenure: Tenure) -> str | None:
         """Make sure that the owner has stopped; return what it hands over.
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -19,6 +19,7 @@
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
+from sedgetide.coding.messages import Moved
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -44,7 +45,7 @@
 _LINK_BYTES = 1024 * 1024
 _HOUSEKEEPING = 0.2
 _STOP_POLL = 0.05
-_GRACE_SHARE = 0.87
+_EXIT_RESERVE = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -133,6 +134,7 @@
             campaign,
             leadership,
             durations,
+            self._mail.send,
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
@@ -171,9 +173,12 @@
 
     # Links
 
-    def _handle(self, message: AnyMessage, _: str) -> None:
+    def _handle(self, message: AnyMessage, sender: str) -> None:
         if isinstance(message, LoadReport):
-            self._leader.note_report(message, read_clock())
+            link = LinkAddress(sender)
+            self._leader.note_report(message, link, read_clock())
+        elif isinstance(message, Moved):
+            self._knowledge.take_moved(message.service, message.tenures)
 
     def _drop(self, message: Message) -> None:
         """Leave a report unsent; the next one tells enough."""
@@ -184,7 +189,7 @@
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         if link == self._settings.link:
-            self._leader.note_report(report, read_clock())
+            self._leader.note_report(report, link, read_clock())
         else:
             self._mail.send(link, report)
 
@@ -208,24 +213,28 @@
     def stop(self) -> None:
         """Let callers go elsewhere and end what is in hand.
 
-        Connections are served as long as the process lives: the balancer
-        needs time to notice, and a caller's next request on an open
-        connection must not be cut.
+        First the balancer needs time to notice, and what still comes is
+        served, each answer with the wish to close. Then nothing new is
+        taken: a request that came later could outlast the grace and would
+        be cut by the end of the process while its upstream works on it.
         """
         self._stopping = True
         self._leader.resign()
         self._server.begin_stop()
         began = read_clock()
-        notice = self._settings.limits.drain_notice
-        while read_clock() - began < self._settings.grace * _GRACE_SHARE:
-            gevent.sleep(_STOP_POLL)
-            noticed = read_clock() - began >= notice
-            if noticed and not self._server.connections:
-                break
+        self._wait_until(began + self._settings.limits.drain_notice)
         self._server.stop_accepting()
         self._server.close_idle()
+        last = began + self._settings.grace - _EXIT_RESERVE
+        while read_clock() < last and self._server.connections:
+            self._server.close_idle()
+            gevent.sleep(_STOP_POLL)
         _log.info("stopped", extra={"in_hand": self._server.in_hand})
 
+    def _wait_until(self, end: float) -> None:
+        while read_clock() < end:
+            gevent.sleep(_STOP_POLL)
+
 
 def main(arguments: list[str] | None, dialects: Dialects) -> int:
     """Run a host until SIGTERM.
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import select
+import struct
 import time
 
 import gevent
@@ -29,6 +30,7 @@
 _IDLE_SHARE = 0.7
 # More answers than this in front of the own one are no mere late repeat.
 _FOREIGN_MOST = 3
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Belongs = Callable[[Headers], bool]
 
@@ -149,7 +151,7 @@
             raise self._fail(ErrorCode.BAD_ANSWER, detail) from error
         finally:
             if not whole:
-                self.close()
+                self.abort()
 
     def _fail(self, code: ErrorCode, detail: str) -> UpstreamError:
         return UpstreamError(
@@ -217,6 +219,20 @@
         """Whether it has a socket."""
         return self._socket is not None
 
+    def abort(self) -> None:
+        """Close the connection and take back what has not arrived yet.
+
+        After a plain close the kernel goes on sending what a cut holds up,
+        and an order given up long ago would be taken when the cut heals,
+        after newer ones. A reset drops it.
+        """
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+        self.close()
+
     def close(self) -> None:
         """Close the connection; closing twice does nothing."""
         if self._socket is not None:
