--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -46,16 +46,27 @@
         turn = Event()
         entry = (priority, next(self._numbers), turn)
         heapq.heappush(self._waiting, entry)
+        admitted = False
         try:
             turn.wait(wait)
+            admitted = turn.is_set()
+            return admitted
         finally:
-            if not turn.is_set():
-                with contextlib.suppress(ValueError):
-                    self._waiting.remove(entry)
-                    heapq.heapify(self._waiting)
-        if turn.is_set():
-            return True
-        return False
+            if not admitted:
+                self._withdraw(entry)
+
+    def _withdraw(self, entry: tuple[int, int, Event]) -> None:
+        """Give up a wait, or the place that it has just got.
+
+        A caller may leave in the very turn in which its request is let in;
+        without this its place would be lost for good.
+        """
+        if entry[2].is_set():
+            self.leave()
+            return
+        with contextlib.suppress(ValueError):
+            self._waiting.remove(entry)
+            heapq.heapify(self._waiting)
 
     def leave(self) -> None:
         """Give the place to whoever is next."""
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -431,5 +431,3 @@
         """
         table = self._knowledge.find_table(service)
         return table is not None and table.find(tenure.low) == tenure
-
-
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -104,9 +104,7 @@
             self._requests.is_idempotent,
             self._requests.read_limits,
         )
-        self._mail = Mail(
-            settings.link, _LINK_BYTES, self._handle, self._drop
-        )
+        self._mail = Mail(settings.link, _LINK_BYTES, self._handle, self._drop)
         self._leader = self._make_leader()
 
     def _open_store(self) -> LeaseStore:
@@ -150,7 +148,9 @@
         Reporter(self._meter, self).start(stack)
         spawn_vital(self._keep_house, stack)
         stack.callback(self._server.stop_accepting)
-        self._server.start(open_listener(*split_address(self._settings.listen)))
+        self._server.start(
+            open_listener(*split_address(self._settings.listen))
+        )
 
     def _start_admin(self, stack: contextlib.ExitStack) -> None:
         application = make_application(self, self._dialects.readiness_path)
--- a/sedgetide/platform/__main__.py
+++ b/sedgetide/platform/__main__.py
@@ -5,8 +5,8 @@
 
 from sedgetide.daemons.host import Dialects
 from sedgetide.daemons.host import main
-from sedgetide.platform import _names
 from sedgetide.platform._catalogue import PlatformCatalogue
+from sedgetide.platform._names import READINESS_PATH
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.platform._requests import PlatformRequests
 from sedgetide.platform._store import PlatformStore
@@ -24,7 +24,7 @@
                 PlatformOrders(),
                 PlatformCatalogue(),
                 lambda address: PlatformStore(address, _STORE_TIMEOUT),
-                _names.READINESS_PATH,
+                READINESS_PATH,
             ),
         )
     )
--- /dev/null
+++ b/sedgetide/testing/leasestore.py
@@ -0,0 +1,201 @@
+"""The platform's store in memory, with its faults.
+
+As the pages of the platform describe it: one revision counter, leases,
+transactions, watches with a bounded history. Time is passed in.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+
+import msgspec
+
+from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import LeaseId
+from sedgetide.backends.leasestore import Listing
+from sedgetide.backends.leasestore import NO_LEASE
+from sedgetide.backends.leasestore import Write
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import HistoryLost
+from sedgetide.core.errors import LeaseEnded
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+
+_PEER = "store"
+
+
+class StoreFault(enum.Enum):
+    """What goes wrong with the next calls.
+
+    Attributes
+    ----------
+    DOWN
+        Calls are refused; nothing is done.
+    LOST
+        Calls are carried out and not answered.
+    LATE
+        Calls are not answered and carried out when asked for.
+    """
+
+    DOWN = "down"
+    LOST = "lost"
+    LATE = "late"
+
+
+class _Lease(msgspec.Struct):
+    life: float
+    until: float
+
+
+class _Held(msgspec.Struct):
+    value: bytes
+    revision: Revision
+    lease: LeaseId
+
+
+class LeaseStoreModel:
+    """State of the store; every method takes the time.
+
+    Parameters
+    ----------
+    history : int
+        Changes that a watch may go back.
+    """
+
+    def __init__(self, history: int = 1000) -> None:
+        self._history_size = history
+        self._items: dict[str, _Held] = {}
+        self._leases: dict[LeaseId, _Lease] = {}
+        self._history: list[Item] = []
+        self._forgotten = NO_REVISION
+        self.revision = NO_REVISION
+        self._last_lease = 0
+
+    def _change(self, key: str, value: bytes | None, lease: LeaseId) -> None:
+        if value is None:
+            del self._items[key]
+        else:
+            self._items[key] = _Held(value, self.revision, lease)
+        self._history.append(Item(key, self.revision, value))
+        while len(self._history) > self._history_size:
+            self._forgotten = self._history.pop(0).revision
+
+    def expire(self, now: float) -> None:
+        """Remove the keys of leases that have ended."""
+        for lease, held in list(self._leases.items()):
+            if held.until <= now:
+                self.revoke(lease)
+
+    def revoke(self, lease: LeaseId, forget: bool = True) -> None:
+        """Remove a lease's keys.
+
+        Parameters
+        ----------
+        forget : bool
+            False: the lease itself goes on, so that no call of its holder
+            shows that its keys are gone.
+        """
+        keys = [k for k, held in self._items.items() if held.lease == lease]
+        if keys:
+            self.revision = Revision(self.revision + 1)
+        for key in keys:
+            self._change(key, None, NO_LEASE)
+        if forget:
+            self._leases.pop(lease, None)
+
+    def forget_history(self) -> None:
+        """Drop all history, as the store may at any time."""
+        self._history.clear()
+        self._forgotten = self.revision
+
+    def put(self, key: str, value: bytes | None) -> Revision:
+        """Write or remove a key as the operator or a server does."""
+        self.revision = Revision(self.revision + 1)
+        self._change(key, value, NO_LEASE)
+        return self.revision
+
+    def find(self, key: str) -> Item | None:
+        """Return the newest version of a key."""
+        held = self._items.get(key)
+        if held is None:
+            return None
+        return Item(key, held.revision, held.value)
+
+    def list(self, prefix: str) -> Listing:
+        """Return all items whose key begins with a prefix."""
+        items = [
+            Item(key, held.revision, held.value)
+            for key, held in sorted(self._items.items())
+            if key.startswith(prefix)
+        ]
+        return Listing(items, self.revision)
+
+    def list_changes(self, prefix: str, since: Revision) -> Listing:
+        """Return what has changed since a revision.
+
+        Raises
+        ------
+        HistoryLost
+            When that is no longer known.
+        """
+        if since < self._forgotten:
+            raise HistoryLost(
+                ErrorCode.STORE_UNAVAILABLE, Step.WATCH, _PEER, "forgotten"
+            )
+        items = [
+            item
+            for item in self._history
+            if item.revision > since and item.key.startswith(prefix)
+        ]
+        return Listing(items, self.revision)
+
+    def transact(
+        self, expected: Mapping[str, Revision], writes: Sequence[Write]
+    ) -> Revision:
+        """Write all if all revisions are as expected.
+
+        Raises
+        ------
+        StoreConflict
+            When one is not.
+        LeaseEnded
+            When a lease is not known.
+        """
+        for key, revision in expected.items():
+            held = self._items.get(key)
+            found = NO_REVISION if held is None else held.revision
+            if found != revision:
+                raise StoreConflict(Step.WRITE, _PEER, revision, found)
+        for write in writes:
+            if write.lease != NO_LEASE and write.lease not in self._leases:
+                raise _lose_lease()
+        self.revision = Revision(self.revision + 1)
+        for write in writes:
+            self._change(write.key, write.value, write.lease)
+        return self.revision
+
+    def open_lease(self, life: float, now: float) -> LeaseId:
+        """Return a new lease."""
+        self._last_lease += 1
+        lease = LeaseId(self._last_lease)
+        self._leases[lease] = _Lease(life, now + life)
+        return lease
+
+    def renew_lease(self, lease: LeaseId, now: float) -> None:
+        """Let a lease begin anew."""
+        held = self._leases.get(lease)
+        if held is None:
+            raise _lose_lease()
+        held.until = now + held.life
+
+    def end_lease(self, lease: LeaseId) -> None:
+        """End a lease with its keys."""
+        self.revoke(lease)
+
+
+def _lose_lease() -> LeaseEnded:
+    return LeaseEnded(
+        ErrorCode.STORE_CONFLICT, Step.WRITE, _PEER, "the lease has ended"
+    )
--- /dev/null
+++ b/sedgetide/testing/rangeholder.py
@@ -0,0 +1,83 @@
+"""An upstream that holds ranges of keys under fenced grants, in memory.
+
+It judges too: a pair of holders that begin requests on one key at a time,
+or a key taken at a fence that was passed by, is written down.
+"""
+
+import msgspec
+
+from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import Key
+from sedgetide.core.ownership.ranges import KeyRange
+
+
+class _Grant(msgspec.Struct):
+    keys: KeyRange
+    fence: Fence
+    until: float
+
+
+class RangeHolder:
+    """Grants and fences of one start of an upstream.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self._grants: list[_Grant] = []
+        self._fences: list[tuple[KeyRange, Fence]] = []
+        self.running: list[Key] = []
+
+    def _find_fence(self, keys: KeyRange) -> Fence:
+        seen = [fence for each, fence in self._fences if each.overlaps(keys)]
+        return max(seen, default=Fence(0))
+
+    def grant(
+        self, keys: KeyRange, fence: Fence, hold: float, arrived_at: float
+    ) -> bool:
+        """Take keys unless a higher fence was seen on any of them.
+
+        Parameters
+        ----------
+        arrived_at : float
+            When the order came; its life counts from then, whenever it is
+            carried out.
+        """
+        if self._find_fence(keys) > fence:
+            return False
+        self._fences.append((keys, fence))
+        self._cut(keys)
+        self._grants.append(_Grant(keys, fence, arrived_at + hold))
+        return True
+
+    def release(self, keys: KeyRange, fence: Fence) -> bool:
+        """Give keys back; return whether no work on them is left."""
+        self._fences.append((keys, fence))
+        self._cut(keys)
+        return not any(keys.low <= key <= keys.high for key in self.running)
+
+    def _cut(self, keys: KeyRange) -> None:
+        """Take keys out of all grants."""
+        kept = []
+        for grant in self._grants:
+            if not grant.keys.overlaps(keys):
+                kept.append(grant)
+                continue
+            if grant.keys.low < keys.low:
+                left = KeyRange(grant.keys.low, Key(keys.low - 1))
+                kept.append(_Grant(left, grant.fence, grant.until))
+            if keys.high < grant.keys.high:
+                right = KeyRange(Key(keys.high + 1), grant.keys.high)
+                kept.append(_Grant(right, grant.fence, grant.until))
+        self._grants = kept
+
+    def find_fence(self, key: Key, now: float) -> Fence | None:
+        """Return the fence under which a key is held, or None."""
+        for grant in self._grants:
+            if grant.keys.low <= key <= grant.keys.high and now < grant.until:
+                return grant.fence
+        return None
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -250,9 +250,7 @@
 
 def _format(request: Request) -> tuple[bytes, h11.Connection]:
     """Return a request's bytes and a parser for its answer."""
-    parser = h11.Connection(
-        h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES
-    )
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=_HEAD_BYTES)
     headers = [*request.headers]
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         headers.append(("Content-Length", str(len(request.body))))
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -6,8 +6,9 @@
 import logging
 
 import gevent
-from gevent import socket
 from gevent.event import Event
+from gevent.socket import SHUT_WR
+from gevent.socket import socket
 import h11
 
 from sedgetide.core.configuration.policy import CallerLimits
@@ -26,6 +27,14 @@
 Serve = Callable[[Request], Answer]
 
 
+class _Rejected(Exception):
+    """A request that can not be read, with the status that says so."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
 class _Turn:
     """A request and its place in the order of answers."""
 
@@ -62,9 +71,9 @@
         self.connections: set[CallerConnection] = set()
         self.in_hand = 0
         self._accepting: gevent.Greenlet | None = None
-        self._listener: socket.socket | None = None
+        self._listener: socket | None = None
 
-    def start(self, listener: socket.socket) -> None:
+    def start(self, listener: socket) -> None:
         """Begin to accept connections."""
         self._listener = listener
         self._accepting = gevent.spawn(self._accept)
@@ -114,7 +123,7 @@
         Accepted socket.
     """
 
-    def __init__(self, server: Server, connection: socket.socket) -> None:
+    def __init__(self, server: Server, connection: socket) -> None:
         self._server = server
         self._socket = connection
         self._turns: collections.deque[_Turn] = collections.deque()
@@ -212,41 +221,56 @@
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes + 4096
         )
-        head: h11.Request | None = None
-        body = bytearray()
         self._partial = bool(self._buffer)
         if self._buffer:
             parser.receive_data(self._buffer)
             self._buffer = b""
+        try:
+            request = self._parse(parser, limits)
+        except _Rejected as error:
+            self._reject(parser, error.status)
+            return None, parser
+        self._partial = False
+        self._buffer = parser.trailing_data[0]
+        return request, parser
+
+    def _parse(
+        self, parser: h11.Connection, limits: CallerLimits
+    ) -> Request | None:
+        """Read one request; None when the caller closed before any."""
+        head: h11.Request | None = None
+        body = bytearray()
         while True:
-            try:
-                event = parser.next_event()
-            except h11.RemoteProtocolError as error:
-                self._reject(parser, error.error_status_hint)
-                return None, parser
-            if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue:
-                    self._send_continue(parser)
-                self._feed(parser, limits)
-            elif isinstance(event, h11.Request):
+            event = self._next_event(parser, limits)
+            if isinstance(event, h11.Request):
                 head = event
+                if _has_two_lengths(event):
+                    raise _Rejected(400)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.body_bytes:
-                    self._reject(parser, 413)
-                    return None, parser
+                    raise _Rejected(413)
             elif isinstance(event, h11.EndOfMessage):
-                break
+                return _make_request(head, bytes(body))
             else:
-                return None, parser
-        self._partial = False
-        self._buffer = parser.trailing_data[0]
-        return _make_request(head, bytes(body)), parser
+                return None
+
+    def _next_event(
+        self, parser: h11.Connection, limits: CallerLimits
+    ) -> h11.Event:
+        while True:
+            try:
+                event = parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _Rejected(error.error_status_hint) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if parser.they_are_waiting_for_100_continue:
+                self._send_continue(parser)
+            self._feed(parser, limits)
 
     def _feed(self, parser: h11.Connection, limits: CallerLimits) -> None:
-        wait = (
-            limits.header_timeout if self._partial else limits.idle_timeout
-        )
+        wait = limits.header_timeout if self._partial else limits.idle_timeout
         data = None
         while data is None:
             with gevent.Timeout(wait, False):
@@ -316,10 +340,20 @@
                 turn.task.kill(block=False)
         self._turns.clear()
         with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_WR)
+            self._socket.shutdown(SHUT_WR)
         gevent.spawn_later(_LINGER, self._reader.kill, block=False)
 
 
+def _has_two_lengths(head: h11.Request) -> bool:
+    """Tell whether a head says in two ways where its body ends.
+
+    Two readers may believe different ones: what is a body to one is a
+    request of its own to the other, which no caller has sent.
+    """
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names and b"transfer-encoding" in names
+
+
 def _make_request(head: h11.Request, body: bytes) -> Request:
     return Request(
         head.method.decode("latin-1"),
--- /dev/null
+++ b/tests/core/ownership/test_balance.py
@@ -0,0 +1,106 @@
+"""Tests of which ranges get another owner."""
+
+import testtools
+
+from sedgetide.core.ownership.balance import plan_balance
+from sedgetide.core.ownership.balance import plan_evictions
+from sedgetide.core.ownership.balance import Taker
+from sedgetide.core.ownership.ranges import KEY_COUNT
+from sedgetide.core.ownership.ranges import RangeTable
+
+
+def make_takers(*names, **slowness):
+    return {name: Taker(name, 2, slowness.get(name, 1.0)) for name in names}
+
+
+def settle(table, moves):
+    table = table.begin(moves)
+    return table.complete(table.list_moving())
+
+
+def sum_busy(table, takers, rates):
+    busy = dict.fromkeys(takers, 0.0)
+    for key, rate in rates.items():
+        owner = table.find(key).owner
+        busy[owner] += rate * takers[owner].slowness / takers[owner].slots
+    return busy
+
+
+class TestPlanBalance(testtools.TestCase):
+    """Busy runs of keys are cut out and go to the idlest."""
+
+    def setUp(self):
+        super().setUp()
+        self.names = ["a", "b", "c", "d"]
+        self.takers = make_takers(*self.names)
+        self.table = RangeTable().assign_first(
+            [(name, 2) for name in self.names]
+        )
+
+    def balance(self, rates, takers=None, rounds=6):
+        takers = takers or self.takers
+        table = self.table
+        for _ in range(rounds):
+            moves = plan_balance(table, takers, rates)
+            if not moves:
+                break
+            table = settle(table, moves)
+        return table
+
+    def test_busy_neighbours_are_spread(self):
+        rates = {key: 0.02 for key in range(1000, 1200)}
+        table = self.balance(rates)
+        busy = sum_busy(table, self.takers, rates)
+        self.assertLess(max(busy.values()), 0.75)
+        self.assertGreater(min(busy.values()), 0.25)
+
+    def test_balanced_load_stays(self):
+        step = KEY_COUNT // 4
+        rates = {index * step + 5: 0.8 for index in range(4)}
+        self.assertEqual([], plan_balance(self.table, self.takers, rates))
+
+    def test_idle_service_stays(self):
+        rates = {5: 0.1}
+        self.assertEqual([], plan_balance(self.table, self.takers, rates))
+
+    def test_one_hot_key_keeps_its_owner_and_loses_neighbours(self):
+        # One key alone is more than half of the load: moving it would only
+        # move the trouble. Its neighbours go instead.
+        rates = {100: 1.6, 101: 0.2, 102: 0.2, 103: 0.2}
+        table = self.balance(rates)
+        self.assertEqual("a", table.find(100).owner)
+        self.assertNotEqual("a", table.find(102).owner)
+
+    def test_slow_upstream_loses_load(self):
+        takers = make_takers(*self.names, a=6.0)
+        rates = {key * 100: 0.02 for key in range(80)}
+        table = self.balance(rates, takers)
+        work = sum(
+            rate for key, rate in rates.items() if table.find(key).owner == "a"
+        )
+        self.assertLess(work, 0.4)
+
+    def test_empty_newcomer_gets_some_at_once(self):
+        takers = make_takers(*self.names, "e")
+        rates = {key * 1000: 0.02 for key in range(60)}
+        moves = plan_balance(self.table, takers, rates)
+        self.assertIn("e", [move.successor for move in moves])
+
+    def test_moves_of_one_round_do_not_cross(self):
+        rates = {key: 0.05 for key in range(0, 400)}
+        moves = plan_balance(self.table, self.takers, rates)
+        self.assertGreater(len(moves), 1)
+        self.table.begin(moves)
+
+
+class TestPlanEvictions(testtools.TestCase):
+    """Ranges of those that may own nothing any longer go to others."""
+
+    def test_ranges_of_a_leaver_are_spread(self):
+        table = RangeTable().assign_first([("a", 1), ("b", 1), ("c", 1)])
+        moves = plan_evictions(table, make_takers("b", "c"), {})
+        self.assertEqual(["a"], [table.find(m.keys.low).owner for m in moves])
+
+    def test_nobody_left_to_take_them(self):
+        table = RangeTable().assign_first([("a", 1)])
+        self.assertEqual([], plan_evictions(table, {}, {}))
--- /dev/null
+++ b/tests/core/requests/test_attempts.py
@@ -0,0 +1,83 @@
+"""Tests of where a request goes next and whether it goes once more."""
+
+import msgspec
+import testtools
+
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.configuration.policy import Share
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.outcomes import Outcome
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.requests.attempts import find_owner
+from sedgetide.core.requests.attempts import may_send_again
+from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.routes import set_times
+
+SAFE = RouteRule("r", "a", "/", True, 1.0, 0.5, 2, 1, (Share("maps", 1.0),))
+UNSAFE = msgspec.structs.replace(SAFE, idempotent=False)
+
+
+class TestFindOwner(testtools.TestCase):
+    """Only the owner may get a request, and only while it stays."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        for name in ("u-1", "u-2"):
+            self.put(name)
+        self.table = RangeTable().assign_first([("u-1", 1), ("u-2", 1)])
+
+    def put(self, name, leaving=False):
+        entry = RegisteredUpstream(name, "maps", "1.1.1.1:1", "dc", 1, leaving)
+        self.directory.put(entry, 1.0)
+
+    def test_owner(self):
+        target = find_owner(self.table, 5, self.directory)
+        self.assertEqual("u-1", target.upstream.name)
+        self.assertEqual(1, target.fence)
+
+    def test_no_owner_yet(self):
+        self.assertIs(Wait.NO_OWNER, find_owner(None, 5, self.directory))
+        self.assertIs(
+            Wait.NO_OWNER, find_owner(self.table, None, self.directory)
+        )
+
+    def test_moving_range_waits(self):
+        table = self.table.begin([Move(KeyRange(0, 9), "u-2")])
+        self.assertIs(Wait.MOVING, find_owner(table, 5, self.directory))
+
+    def test_leaving_owner_gets_nothing(self):
+        # The owner has announced its end and its keys have not moved yet.
+        # A request sent to it could be cut by its end.
+        self.put("u-1", leaving=True)
+        found = find_owner(self.table, 5, self.directory)
+        self.assertIs(Wait.OWNER_GONE, found)
+
+
+class TestMaySendAgain(testtools.TestCase):
+    """Nothing that may have run and may not run twice is sent again."""
+
+    def ask(self, route, outcome, sends=1, tried=("u-1",), now=0.1):
+        progress = Progress(outcome, tried=list(tried), sends=sends)
+        times = set_times(route, None, 0.0)
+        return may_send_again(route, progress, False, times, now)
+
+    def test_unsafe_after_a_byte_left(self):
+        self.assertFalse(self.ask(UNSAFE, Outcome.UNKNOWN))
+
+    def test_unsafe_that_was_declined(self):
+        self.assertTrue(self.ask(UNSAFE, Outcome.NOT_RUN))
+
+    def test_idempotent_after_a_byte_left(self):
+        self.assertTrue(self.ask(SAFE, Outcome.UNKNOWN))
+
+    def test_attempts_are_bounded(self):
+        two = ("u-1", "u-2")
+        self.assertFalse(self.ask(SAFE, Outcome.NOT_RUN, 2, two))
+
+    def test_no_time_left(self):
+        self.assertFalse(self.ask(SAFE, Outcome.NOT_RUN, now=0.8))
--- /dev/null
+++ b/tests/core/requests/test_routes.py
@@ -0,0 +1,83 @@
+"""Tests of the choice of a route, a service and a request's times."""
+
+import collections
+
+import testtools
+
+from sedgetide.core.configuration.policy import Policy
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.configuration.policy import Share
+from sedgetide.core.requests.routes import choose_service
+from sedgetide.core.requests.routes import RouteTable
+from sedgetide.core.requests.routes import set_times
+
+ONE_SHARE = (Share("maps", 1.0),)
+
+
+def make_route(name, host, prefix, shares=ONE_SHARE):
+    return RouteRule(name, host, prefix, True, 1.5, 0.5, 2, 1, shares)
+
+
+class TestRouteTable(testtools.TestCase):
+    """Host first, then the longest prefix that ends with a slash."""
+
+    def setUp(self):
+        super().setUp()
+        self.routes = RouteTable(
+            Policy(
+                1,
+                (
+                    make_route("all", "a.example", "/"),
+                    make_route("map", "a.example", "/map/"),
+                    make_route("tile", "a.example", "/map/tile/"),
+                    make_route("other", "b.example", "/map/"),
+                ),
+                {},
+            )
+        )
+
+    def match(self, host, path):
+        route = self.routes.match(host, path)
+        return None if route is None else route.name
+
+    def test_longest_prefix(self):
+        self.assertEqual("tile", self.match("a.example", "/map/tile/7"))
+        self.assertEqual("map", self.match("a.example", "/map/tiles"))
+        self.assertEqual("all", self.match("a.example", "/map"))
+
+    def test_host_decides_first(self):
+        self.assertEqual("other", self.match("B.example:8080", "/map/x"))
+        self.assertIsNone(self.match("b.example", "/x"))
+        self.assertIsNone(self.match("c.example", "/map/x"))
+
+
+class TestChooseService(testtools.TestCase):
+    """Shares follow the weights; one request goes one way on all hosts."""
+
+    def test_weights(self):
+        shares = (Share("old", 90), Share("new", 10))
+        route = make_route("r", "a", "/", shares)
+        counts = collections.Counter(
+            choose_service(route, f"id-{number}") for number in range(4000)
+        )
+        self.assertAlmostEqual(0.1, counts["new"] / 4000, delta=0.02)
+
+    def test_weight_of_zero_gets_nothing(self):
+        route = make_route("r", "a", "/", (Share("x", 0), Share("y", 1)))
+        chosen = {choose_service(route, f"id-{n}") for n in range(200)}
+        self.assertEqual({"y"}, chosen)
+
+
+class TestTimes(testtools.TestCase):
+    """A final answer comes at the deadline or the timeout."""
+
+    def test_the_earlier_one_counts(self):
+        route = make_route("r", "a", "/")
+        self.assertEqual(101.5, set_times(route, 3.0, 100.0).final)
+        self.assertEqual(100.2, set_times(route, 0.2, 100.0).final)
+        self.assertEqual(101.5, set_times(route, None, 100.0).final)
+
+    def test_hold_leaves_time_to_come_again(self):
+        route = make_route("r", "a", "/")
+        self.assertEqual(100.25, set_times(route, 3.0, 100.0).bound_hold())
+        self.assertEqual(100.1, set_times(route, 0.2, 100.0).bound_hold())
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,272 @@
+"""Tests of the translation between the platform and the product."""
+
+import importlib
+import pathlib
+import subprocess
+
+import msgspec
+import testtools
+
+from sedgetide.backends.dialects import CallerFields
+from sedgetide.backends.dialects import Withdrawn
+from sedgetide.core.errors import InputError
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.windows import UpstreamLoad
+from sedgetide.platform._catalogue import PlatformCatalogue
+from sedgetide.platform._orders import PlatformOrders
+from sedgetide.platform._requests import PlatformRequests
+
+NAMES = importlib.import_module("sedgetide.platform._names")
+ROOT = pathlib.Path(__file__).parents[2]
+# Names of headers, calls and keys that only the platform has.
+PLATFORM_NAMES = [
+    value
+    for name, value in vars(NAMES).items()
+    if name.isupper() and isinstance(value, str) and len(value) > 4
+]
+MOST_LINES = 900
+
+
+class TestConfinement(testtools.TestCase):
+    """Nothing outside the folder names what is the platform's."""
+
+    def test_names_stay_in_the_folder(self):
+        for path in (ROOT / "sedgetide").rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text()
+            for name in PLATFORM_NAMES:
+                self.assertNotIn(name, text, f"{path}: {name}")
+
+    def test_folder_stays_small(self):
+        paths = (ROOT / "sedgetide" / "platform").glob("*.py")
+        lines = sum(len(path.read_text().splitlines()) for path in paths)
+        self.assertLess(lines, MOST_LINES)
+
+    def test_only_testing_and_the_folder_import_it(self):
+        found = subprocess.run(
+            ["git", "grep", "-l", "sedgetide.platform", "--", "sedgetide"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        ).stdout.split()
+        allowed = ("sedgetide/platform/", "sedgetide/testing/")
+        others = [each for each in found if not each.startswith(allowed)]
+        self.assertEqual([], others)
+
+
+class TestRequests(testtools.TestCase):
+    """Headers of requests and answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.dialect = PlatformRequests()
+
+    def test_read(self):
+        fields = self.dialect.read_request(
+            [
+                ("sedgetide-request-id", "9c41"),
+                ("Sedgetide-Deadline-Ms", "1500"),
+                ("Sedgetide-Shard-Key", "65535"),
+            ]
+        )
+        self.assertEqual(CallerFields("9c41", 1.5, 65535), fields)
+
+    def test_malformed_numbers_are_refused(self):
+        for name, value in (
+            ("Sedgetide-Deadline-Ms", "-5"),
+            ("Sedgetide-Deadline-Ms", "soon"),
+            ("Sedgetide-Shard-Key", "65536"),
+        ):
+            read = self.dialect.read_request
+            self.assertRaises(ValueError, read, [(name, value)])
+
+    def test_write_names_the_instance_and_what_is_left(self):
+        headers = self.dialect.write_request(
+            [
+                ("X-Own", "1"),
+                ("Sedgetide-Request-Id", "9c41"),
+                ("Sedgetide-Deadline-Ms", "1500"),
+                ("Sedgetide-Expect-Instance", "forged"),
+            ],
+            CallerFields("9c41", 1.5, 7),
+            0.4321,
+            "i-7",
+        )
+        self.assertEqual(
+            [
+                ("X-Own", "1"),
+                ("Sedgetide-Request-Id", "9c41"),
+                ("Sedgetide-Deadline-Ms", "432"),
+                ("Sedgetide-Expect-Instance", "i-7"),
+            ],
+            headers,
+        )
+
+    def judge(self, status, *headers):
+        return self.dialect.judge(status, headers)
+
+    def test_success_needs_the_signature(self):
+        # Bytes that merely look like a success would reach the caller as
+        # its tile, though no upstream made it.
+        signed = ("Sedgetide-Response-Signature", "3e1b")
+        self.assertIs(Failure.NONE, self.judge(200, signed))
+        self.assertIs(Failure.BROKEN, self.judge(200))
+        encoded = ("Content-Encoding", "gzip")
+        self.assertIs(Failure.BROKEN, self.judge(200, signed, encoded))
+
+    def test_only_the_marker_says_not_run(self):
+        marker = ("Sedgetide-Not-Executed", "1")
+        self.assertIs(Failure.BUSY, self.judge(503, marker))
+        self.assertIs(Failure.DECLINED, self.judge(429, marker))
+        self.assertIs(Failure.NOT_OWNER, self.judge(421))
+        self.assertIs(Failure.FAILED, self.judge(503))
+        self.assertIs(Failure.FAILED, self.judge(504))
+        self.assertFalse(self.dialect.is_not_run(503, []))
+
+    def test_own_refusals_of_the_upstream_pass(self):
+        self.assertIs(Failure.NONE, self.judge(404))
+
+    def test_load(self):
+        def read(value):
+            return self.dialect.read_load([("Sedgetide-Server-Load", value)])
+
+        self.assertEqual(UpstreamLoad(3, 0, 8), read("3,0,8"))
+        self.assertIsNone(read("3,0"))
+        self.assertIsNone(read("a,b,c"))
+        self.assertIsNone(self.dialect.read_load([]))
+
+
+class TestOrders(testtools.TestCase):
+    """Grants and releases."""
+
+    def test_grant(self):
+        order = PlatformOrders().make_grant(
+            "i-7", KeyRange(4096, 8191), 12, 4.0, "5c0e"
+        )
+        self.assertEqual("/sedgetide/grant", order.path)
+        self.assertEqual(
+            {
+                "from": 4096,
+                "to": 8191,
+                "fence": 12,
+                "hold-ms": 4000,
+                "handover": "5c0e",
+            },
+            msgspec.json.decode(order.body),
+        )
+        self.assertIn(("Sedgetide-Expect-Instance", "i-7"), order.headers)
+
+    def test_release_and_its_handover(self):
+        orders = PlatformOrders()
+        order = orders.make_release("i-7", KeyRange(4096, 8191), 12)
+        self.assertEqual(
+            {"from": 4096, "to": 8191, "fence": 12},
+            msgspec.json.decode(order.body),
+        )
+        handover = orders.read_handover([("sedgetide-handover", "5c0e")])
+        self.assertEqual("5c0e", handover)
+        self.assertEqual("", orders.read_handover([]))
+
+
+class TestCatalogue(testtools.TestCase):
+    """Registry entries and configurations."""
+
+    def setUp(self):
+        super().setUp()
+        self.catalogue = PlatformCatalogue()
+
+    def test_entry(self):
+        entry = self.catalogue.read(
+            "servers/i-7f3a",
+            b'{"address":"10.128.0.9:8080","info":{"service":"huvo11a",'
+            b'"version":"v1","zone":"sala-milano","slots":2},"status":'
+            b'{"state":"draining","sequence":4,"warmup-left-ms":500}}',
+        )
+        self.assertEqual("i-7f3a", entry.name)
+        self.assertEqual("huvo11a", entry.service)
+        self.assertEqual(2, entry.slots)
+        self.assertTrue(entry.leaving)
+        self.assertEqual(0.5, entry.warmup)
+
+    def test_entry_gone(self):
+        gone = self.catalogue.read("servers/i-7f3a", None)
+        self.assertEqual(Withdrawn("i-7f3a"), gone)
+
+    def test_configuration(self):
+        policy = self.catalogue.read(
+            "op/config",
+            msgspec.json.encode(
+                {
+                    "version": "r7",
+                    "routes": {
+                        "columns": [
+                            "name",
+                            "host",
+                            "path-prefix",
+                            "kind",
+                            "timeout-ms",
+                            "target-latency-ms",
+                            "priority",
+                            "traffic-split",
+                            "max-attempts",
+                            "service",
+                        ],
+                        "rows": [
+                            [
+                                "r-1",
+                                "f.example",
+                                "/l/",
+                                "safe",
+                                1500,
+                                500,
+                                2,
+                                [
+                                    {"service": "a", "weight": 90},
+                                    {"service": "b", "weight": 10},
+                                ],
+                                2,
+                                None,
+                            ],
+                            [
+                                "r-2",
+                                "f.example",
+                                "/p/",
+                                "unsafe",
+                                2000,
+                                600,
+                                1,
+                                None,
+                                2,
+                                "a",
+                            ],
+                        ],
+                    },
+                    "services": {
+                        "columns": ["name", "max-connections", "sharded"],
+                        "rows": [["a", 130, True], ["b", 60, None]],
+                    },
+                    "limits": {"idle-timeout-ms": 5000},
+                }
+            ),
+        )
+        self.assertEqual(7, policy.version)
+        first, second = policy.routes
+        self.assertEqual([90, 10], [each.weight for each in first.shares])
+        self.assertTrue(first.idempotent)
+        self.assertFalse(second.idempotent)
+        self.assertEqual(2.0, second.timeout)
+        self.assertEqual(["a"], policy.list_keyed())
+        self.assertEqual(5.0, policy.limits.idle_timeout)
+
+    def test_unreadable_entries_are_named(self):
+        for key in ("servers/i-1", "op/config"):
+            error = self.assertRaises(
+                InputError, self.catalogue.read, key, b'{"x": 1}'
+            )
+            self.assertEqual(key, error.peer)
+
+    def test_other_keys_say_nothing(self):
+        self.assertIsNone(self.catalogue.read("else/where", b"x"))
--- /dev/null
+++ b/tests/wire/test_server.py
@@ -0,0 +1,204 @@
+"""Tests of callers' connections, with real sockets."""
+
+import contextlib
+
+import gevent
+from gevent.event import Event
+from gevent.socket import create_connection
+from gevent.socket import SHUT_WR
+import testtools
+
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.runtime.sockets import open_listener
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.server import Server
+
+LIMITS = CallerLimits(2000, 1000, 0.3, 0.5)
+
+
+class Service:
+    """Answers with the target; some targets wait for a word."""
+
+    def __init__(self):
+        self.began = []
+        self.ended = []
+        self.gates = {}
+
+    def serve(self, request):
+        self.began.append(request.target)
+        try:
+            gate = self.gates.get(request.target)
+            if gate is not None:
+                gate.wait()
+            self.ended.append(request.target)
+            return Answer(
+                200,
+                [("X-Body", str(len(request.body)))],
+                request.target.encode(),
+            )
+        except gevent.GreenletExit:
+            self.ended.append("left " + request.target)
+            raise
+
+
+class TestServer(testtools.TestCase):
+    """Answers in order, closes seen at once, nothing read by mistake."""
+
+    def setUp(self):
+        super().setUp()
+        self.service = Service()
+        self.server = Server(
+            self.service.serve,
+            lambda request: request.method == "GET",
+            lambda: LIMITS,
+        )
+        listener = open_listener("127.0.0.1", 0)
+        self.address = listener.getsockname()
+        self.server.start(listener)
+        self.addCleanup(self.server.stop_accepting)
+
+    def connect(self):
+        client = create_connection(self.address, timeout=2.0)
+        self.addCleanup(client.close)
+        return client
+
+    def hold(self, target):
+        gate = self.service.gates[target] = Event()
+        return gate
+
+    def read(self, client, wanted):
+        data = b""
+        with contextlib.suppress(TimeoutError), gevent.Timeout(2.0, False):
+            while wanted not in data:
+                block = client.recv(65536)
+                if not block:
+                    break
+                data += block
+        return data
+
+    def ask(self, client, *targets, method="GET"):
+        client.sendall(
+            b"".join(
+                f"{method} {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+                for target in targets
+            )
+        )
+
+    def test_connection_is_kept(self):
+        client = self.connect()
+        for target in ("/1", "/2"):
+            self.ask(client, target)
+            answer = self.read(client, target.encode())
+            self.assertIn(b"200", answer)
+            self.assertNotIn(b"Connection: close", answer)
+
+    def test_pipelined_requests_run_together_and_answer_in_order(self):
+        first = self.hold("/1")
+        client = self.connect()
+        self.ask(client, "/1", "/2")
+        gevent.sleep(0.05)
+        self.assertEqual(["/2"], self.service.ended)
+        first.set()
+        data = self.read(client, b"/2")
+        self.assertLess(data.index(b"/1"), data.index(b"/2"))
+
+    def test_unsafe_request_waits_for_those_before_it(self):
+        # The caller gives up the first and means to ask again; a payment
+        # begun meanwhile behind it could not be told from one not read.
+        first = self.hold("/1")
+        client = self.connect()
+        self.ask(client, "/1")
+        self.ask(client, "/2", method="POST")
+        gevent.sleep(0.15)
+        self.assertEqual(["/1"], self.service.began)
+        first.set()
+        self.read(client, b"/2")
+        self.assertEqual(["/1", "/2"], self.service.ended)
+
+    def test_caller_that_leaves_ends_its_request(self):
+        # The caller closes while its upstream works. Unseen, the work goes
+        # on for nobody and takes the slot of one who waits.
+        self.hold("/1")
+        client = self.connect()
+        self.ask(client, "/1")
+        gevent.sleep(0.05)
+        client.close()
+        gevent.sleep(0.05)
+        self.assertEqual(["left /1"], self.service.ended)
+        self.assertEqual(0, self.server.in_hand)
+
+    def test_body_in_chunks(self):
+        client = self.connect()
+        client.sendall(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+            b"\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertIn(b"X-Body: 5", self.read(client, b"/1"))
+
+    def test_body_over_the_limit(self):
+        client = self.connect()
+        client.sendall(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n"
+            + b"x" * 2000
+        )
+        self.assertIn(b" 413 ", self.read(client, b"413"))
+        self.assertEqual([], self.service.began)
+
+    def test_smuggled_request_is_not_served(self):
+        # Two lengths: one reader would take the rest for a request.
+        client = self.connect()
+        client.sendall(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        self.read(client, b"never")
+        self.assertNotIn("/2", self.service.began)
+
+    def test_half_a_request_is_closed_in_time(self):
+        client = self.connect()
+        client.sendall(b"GET /1 HTTP/1.1\r\nHo")
+        with gevent.Timeout(2.0):
+            self.assertEqual(b"", client.recv(100))
+        self.assertEqual([], self.service.began)
+
+    def test_body_that_ends_early_is_not_served(self):
+        client = self.connect()
+        client.sendall(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab"
+        )
+        client.shutdown(SHUT_WR)
+        self.read(client, b"never")
+        self.assertEqual([], self.service.began)
+
+    def test_stopping_asks_callers_to_go(self):
+        client = self.connect()
+        self.server.begin_stop()
+        self.ask(client, "/1")
+        answer = self.read(client, b"/1")
+        self.assertIn(b"close", answer)
+        self.assertEqual(b"", client.recv(100))
+
+    def test_stop_closes_only_what_is_idle(self):
+        gate = self.hold("/1")
+        busy, idle = self.connect(), self.connect()
+        self.ask(busy, "/1")
+        gevent.sleep(0.05)
+        self.server.begin_stop()
+        self.server.close_idle()
+        self.assertEqual(b"", idle.recv(100))
+        gate.set()
+        self.assertIn(b"200", self.read(busy, b"/1"))
+
+    def test_request_behind_a_closing_answer_is_not_served(self):
+        gate = self.hold("/1")
+        client = self.connect()
+        self.ask(client, "/1")
+        gevent.sleep(0.05)
+        self.server.begin_stop()
+        self.ask(client, "/2", method="POST")
+        gevent.sleep(0.05)
+        gate.set()
+        data = self.read(client, b"never")
+        self.assertIn(b"/1", data)
+        self.assertEqual(["/1"], self.service.began)
