Shorter waits after a leader's loss; outages bridged in time; bounded watches

Ruled out: moves of live upstreams (all released at once); sending orders with a request id to learn who has an address (it would be counted as a request nobody sent). Change: durations; a move seen in the record bounds what older leaders gave; an address given away proves its old process ended; unreachable is no retry; all grants renewed at the long hold once the store is silent; watches of 2.5 s, 0.2 s until the store has answered.

--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -119,6 +119,19 @@
         entry = self._entries.get(name)
         return None if entry is None or entry.leaving else entry
 
+    def has_successor(self, name: UpstreamName, address: str) -> bool:
+        """Tell whether another upstream has taken over an address.
+
+        An address is given away only after the process that had it has
+        ended, so an entry that is gone while another shows its address is
+        gone for good.
+        """
+        if name in self._entries:
+            return False
+        return any(
+            entry.address == address for entry in self._entries.values()
+        )
+
     def list_active(self, service: ServiceName) -> list[RegisteredUpstream]:
         """Return the upstreams of a service that may get new work."""
         return [
--- a/sedgetide/core/ownership/holds.py
+++ b/sedgetide/core/ownership/holds.py
@@ -54,8 +54,20 @@
         ]
         self._released.setdefault(upstream, []).append(keys)
 
-    def find_end(self, upstream: UpstreamName, keys: KeyRange) -> float:
-        """Return when an upstream certainly holds none of some keys."""
+    def find_end(
+        self,
+        upstream: UpstreamName,
+        keys: KeyRange,
+        inherited_until: float = float("inf"),
+    ) -> float:
+        """Return when an upstream certainly holds none of some keys.
+
+        Parameters
+        ----------
+        inherited_until : float
+            Closer bound of what earlier leaders gave of these keys, if one
+            is known.
+        """
         for released in self._released.get(upstream, []):
             if released.covers(keys):
                 return float("-inf")
@@ -64,7 +76,7 @@
             for hold in self._holds.get(upstream, [])
             if hold.keys.overlaps(keys)
         ]
-        return max([self._inherited_until, *ends])
+        return max([min(self._inherited_until, inherited_until), *ends])
 
     def prune(self, now: float) -> None:
         """Forget what has ended."""
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -59,11 +59,11 @@
         Added to each wait for timer granularity.
     """
 
-    lease: float = 2.5
-    proof_life: float = 2.5
-    verify: float = 0.7
-    hold: float = 4.0
-    long_hold: float = 10.0
+    lease: float = 2.0
+    proof_life: float = 1.8
+    verify: float = 0.5
+    hold: float = 3.5
+    long_hold: float = 7.0
     renew: float = 1.2
     clock_error: float = 0.02
     margin: float = 0.25
@@ -72,6 +72,13 @@
         """Return how long after its send a grant may still be held."""
         return hold * (1.0 + self.clock_error) + self.margin
 
+    def bound_unknown(self) -> float:
+        """Return how long a grant may be held that a lost leader gave.
+
+        Counted from a moment at which it may still have held its record.
+        """
+        return self.proof_life + self.bound_hold(self.long_hold)
+
 
 class Leadership:
     """Whether this host leads, and until when it may give orders.
@@ -146,8 +153,4 @@
 
     def bound_inherited(self) -> float:
         """Return until when orders of earlier leaders may hold."""
-        return (
-            self._took_over_at
-            + self._durations.proof_life
-            + self._durations.bound_hold(self._durations.long_hold)
-        )
+        return self._took_over_at + self._durations.bound_unknown()
--- a/sedgetide/daemons/_follower.py
+++ b/sedgetide/daemons/_follower.py
@@ -14,7 +14,10 @@
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.tasks import spawn_vital
 
-_WATCH = 6.0
+# A watch whose connection or store has gone silent looks like one without
+# news; this bounds how long a change of the policy can stay unseen then.
+_WATCH = 2.5
+_FIRST_WATCH = 0.2
 _PAUSE = 0.15
 _LONGEST_PAUSE = 0.6
 
@@ -69,7 +72,8 @@
             self._knowledge.take_listing(listing.items, read_clock())
             self._listed = True
         else:
-            listing = self._store.watch(self._prefix, self._since, _WATCH)
+            wait = _WATCH if self.available else _FIRST_WATCH
+            listing = self._store.watch(self._prefix, self._since, wait)
             self._knowledge.take_items(listing.items, read_clock())
         self._since = max(self._since, listing.revision)
         self._note_back()
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -58,6 +58,7 @@
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
         self._moved: dict[ServiceName, set[Tenure]] = {}
+        self._moving_since: dict[ServiceName, dict[Tenure, float]] = {}
         self.leader: KnownLeader | None = None
         self.changes = Changes()
         self.heard_at = float("-inf")
@@ -95,7 +96,7 @@
             if key == LEADER_KEY:
                 self._take_leader(value, revision)
             elif key.startswith(RANGES_PREFIX):
-                self._take_table(key, value, revision)
+                self._take_record(key, value, revision, now)
             else:
                 self._take_other(key, value, now)
         except (InputError, msgspec.MsgspecError) as error:
@@ -112,18 +113,22 @@
         name = "" if self.leader is None else self.leader.record.host
         _log.info("leader", extra={"leader": name, "revision": revision})
 
-    def _take_table(
-        self, key: str, value: bytes | None, revision: Revision
+    def _take_record(
+        self, key: str, value: bytes | None, revision: Revision, now: float
     ) -> None:
         if value is None:
             # Owners are never removed; what is known stays the best guess.
             return
         service = ServiceName(key.removeprefix(RANGES_PREFIX))
         table = decode_ranges(value)
-        self.take_table(service, table, revision)
+        self.take_table(service, table, revision, now)
 
     def take_table(
-        self, service: ServiceName, table: RangeTable, revision: Revision
+        self,
+        service: ServiceName,
+        table: RangeTable,
+        revision: Revision,
+        now: float,
     ) -> None:
         """Take in owners, unless newer ones are known."""
         known = self.tables.get(service)
@@ -131,6 +136,10 @@
             return
         moved = self._moved.get(service, set()).intersection(table.tenures)
         self._moved[service] = moved
+        since = self._moving_since.get(service, {})
+        self._moving_since[service] = {
+            tenure: since.get(tenure, now) for tenure in table.list_moving()
+        }
         self.tables[service] = KnownTable(table.complete(moved), revision)
         self.changes.announce()
 
@@ -183,6 +192,15 @@
             extra={"version": policy.version, "routes": len(policy.routes)},
         )
 
+    def find_moving_since(self, service: ServiceName, tenure: Tenure) -> float:
+        """Return when a move was first seen in the record.
+
+        No leader grants the range to its old owner after that, but for one
+        that had lost its record before and did not know yet.
+        """
+        since = self._moving_since.get(service, {})
+        return since.get(tenure, float("inf"))
+
     def find_table(self, service: ServiceName) -> RangeTable | None:
         """Return the owners of a service's keys."""
         known = self.tables.get(service)
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -87,9 +87,9 @@
         self.service_time += 0.2 * (seconds - self.service_time)
         self.failures *= 0.7
 
-    def note_failure(self, now: float) -> None:
+    def note_failure(self, now: float, weight: float = 1.0) -> None:
         """Take in that a request got no usable answer."""
-        self.failures = min(8.0, self.failures + 1.0)
+        self.failures = min(8.0, self.failures + weight)
         self.failed_at = now
 
     def is_suspect(self, now: float) -> bool:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -39,6 +39,7 @@
 from sedgetide.daemons._orders import OrderLane
 from sedgetide.daemons._orders import Taken
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.signals import Changes
 from sedgetide.runtime.tasks import spawn_vital
 
 _TICK = 0.1
@@ -109,6 +110,7 @@
         self._fenced: dict[ServiceName, set[Tenure]] = {}
         self._balanced_at = float("-inf")
         self._resigned = False
+        self._renew_now = Changes()
 
     def start(self, stack: contextlib.ExitStack) -> None:
         """Begin to stand and to lead."""
@@ -117,6 +119,7 @@
         stack.callback(self._stop_orders)
         spawn_vital(self._campaign_loop, stack)
         spawn_vital(self._loop, stack)
+        spawn_vital(self._bridge_loop, stack)
 
     def resign(self) -> None:
         """Give the lead away, for good."""
@@ -166,6 +169,25 @@
                 self._lead()
             self._knowledge.changes.wait(_TICK)
 
+    def _bridge_loop(self) -> None:
+        """Have all grants renewed as soon as the store falls silent.
+
+        The longer holds that bridge an outage must be out before the proof
+        ends, which is less than the interval of renewals away. The other
+        loops may be waiting for the store just then.
+        """
+        last = self._durations.hold
+        while True:
+            gevent.sleep(_TICK)
+            now = read_clock()
+            if not self._leadership.may_order(now):
+                continue
+            hold = self._leadership.choose_hold(now)
+            if hold > last:
+                _log.warning("bridging", extra={"hold": hold})
+                self._renew_now.announce()
+            last = hold
+
     def _note_addresses(self) -> None:
         for entry in self._knowledge.directory.list_all():
             self._addresses[entry.name] = entry.address
@@ -300,7 +322,7 @@
             _log.warning("table unwritten", extra={"error": str(error)})
             self._reread()
             return False
-        self._knowledge.take_table(service, table, written)
+        self._knowledge.take_table(service, table, written, read_clock())
         stopped = self._stopped.get(service, set())
         self._stopped[service] = stopped.intersection(table.tenures)
         return True
@@ -343,7 +365,7 @@
 
     def _move(self, service: ServiceName, tenure: Tenure) -> None:
         """Bring one range from its owner to its successor."""
-        handover = self._stop_owner(tenure)
+        handover = self._stop_owner(service, tenure)
         if handover is None:
             return
         for _ in range(_GRANT_TRIES):
@@ -373,7 +395,7 @@
             else:
                 self._tell(link, Moved(service, [tenure]))
 
-    def _stop_owner(self, tenure: Tenure) -> str | None:
+    def _stop_owner(self, service: ServiceName, tenure: Tenure) -> str | None:
         """Make sure that the owner has stopped; return what it hands over.
 
         Returns
@@ -385,7 +407,7 @@
             now = read_clock()
             if not self._leadership.may_order(now):
                 return None
-            if now >= self._holds.find_end(tenure.owner, tenure.keys):
+            if self._has_ended(service, tenure, now):
                 return ""
             lane = self._find_lane(tenure.owner)
             if lane is not None:
@@ -395,6 +417,18 @@
                     return result.handover
             gevent.sleep(_RETRY_PAUSE)
 
+    def _has_ended(
+        self, service: ServiceName, tenure: Tenure, now: float
+    ) -> bool:
+        """Tell whether the owner can not hold the range any longer."""
+        address = self._addresses.get(tenure.owner, "")
+        if self._knowledge.directory.has_successor(tenure.owner, address):
+            return True
+        since = self._knowledge.find_moving_since(service, tenure)
+        inherited = since + self._durations.bound_unknown()
+        end = self._holds.find_end(tenure.owner, tenure.keys, inherited)
+        return now >= end
+
     def _grant(
         self, upstream: UpstreamName, tenure: Tenure, handover: str
     ) -> Taken:
@@ -422,7 +456,7 @@
                     self._fenced.setdefault(service, set()).add(tenure)
                 if taken in (Taken.UNSENT, Taken.UNKNOWN, Taken.FOREIGN):
                     break
-            gevent.sleep(self._durations.renew)
+            self._renew_now.wait(self._durations.renew)
 
     def _is_current(self, service: ServiceName, tenure: Tenure) -> bool:
         """Tell whether a range is still owned as it was.
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -42,6 +42,7 @@
 _OWNERLESS_RETRY = 0.5
 _NOT_OWNER_PAUSE = 0.03
 _BUSY_PAUSE = 0.04
+_MOST_UNREACHED = 3
 _BUDGET_RATIO = 0.1
 _BUDGET_MOST = 4.0
 _FOREIGN_ZONE_COST = 1.15
@@ -74,6 +75,7 @@
     answer: Answer | None = None
     retry_after: float = _REFUSED_RETRY
     note: str = ""
+    unreached: int = 0
 
 
 class Requests:
@@ -204,6 +206,8 @@
 
     def _may_go_on(self, job: _Job) -> bool:
         now = read_clock()
+        if job.progress.failure is Failure.UNREACHABLE:
+            return self._may_look_elsewhere(job, now)
         if not may_send_again(
             job.route, job.progress, job.keyed, job.times, now
         ):
@@ -217,6 +221,19 @@
             gevent.sleep(_BUSY_PAUSE)
         return True
 
+    def _may_look_elsewhere(self, job: _Job, now: float) -> bool:
+        """Tell whether to go on after a connection that did not open.
+
+        Nothing arrived anywhere, so this is no retry; but the owner of a
+        key is the only one that may run its requests.
+        """
+        job.unreached += 1
+        if job.unreached > _MOST_UNREACHED or now >= job.times.bound_hold():
+            return False
+        if job.keyed:
+            self._knowledge.changes.wait(job.times.bound_hold() - now)
+        return True
+
     def _conclude(self, job: _Job) -> Answer:
         """Return the final answer of a request that none was got for."""
         if job.progress.outcome is Outcome.NOT_RUN:
@@ -391,7 +408,8 @@
         if failure in (Failure.BUSY, Failure.BROKEN):
             lane.window.note_refusal()
         if failure is not Failure.NOT_OWNER:
-            lane.note_failure(read_clock())
+            unreached = failure is Failure.UNREACHABLE
+            lane.note_failure(read_clock(), 2.0 if unreached else 1.0)
             self._meter.note_failure(target.upstream.name)
 
 
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -52,3 +52,17 @@
     def test_whole_registry_replaces_what_was_known(self):
         self.directory.replace([make_upstream("u-3")], 120.0)
         self.assertEqual(["u-3"], self.list_names())
+
+    def test_address_given_to_another(self):
+        # The owner crashed; its keys wait until its grant has run out. Its
+        # address is given to another service's upstream meanwhile, which
+        # proves that its process has ended.
+        address = "10.0.0.1:80"
+        self.directory.remove("u-1", 101.0)
+        self.directory.remove("u-2", 101.0)
+        self.assertFalse(self.directory.has_successor("u-1", address))
+        self.directory.put(make_upstream("u-9"), 103.0)
+        self.assertTrue(self.directory.has_successor("u-1", address))
+
+    def test_present_owner_has_no_successor(self):
+        self.assertFalse(self.directory.has_successor("u-1", "10.0.0.1:80"))
--- a/tests/core/ownership/test_holds.py
+++ b/tests/core/ownership/test_holds.py
@@ -53,3 +53,13 @@
         self.assertEqual(105.0, self.holds.find_end("u-1", KeyRange(0, 9)))
         self.holds.prune(105.0)
         self.assertEqual(NEVER, self.holds.find_end("u-1", KeyRange(0, 9)))
+
+    def test_closer_bound_of_what_was_inherited(self):
+        # The move was in the record long before this host began to lead:
+        # without the closer bound each new leader would begin the wait
+        # anew, and the keys stay dark as long as leaders are lost.
+        holds = HoldLedger(115.0)
+        keys = KeyRange(0, 9)
+        self.assertEqual(107.0, holds.find_end("u-1", keys, 107.0))
+        holds.note_grant("u-1", keys, 109.0)
+        self.assertEqual(109.0, holds.find_end("u-1", keys, 107.0))
