Ranges of one owner are joined; idle scraps go to neighbours

Change: neighbouring ranges of one owner become one at a new fence; narrow ranges that nobody asks for go to a neighbour's owner when they are many; a window that takes all busy keys of a narrow range takes the range.

--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -1,5 +1,6 @@
 """Which ranges should get another owner."""
 
+import bisect
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -18,6 +19,8 @@
 _BUSY = 0.35
 _LEAST_SHARE = 0.25
 _RANGES_EACH = 14
+_RANGES_CROWDED = 7
+_NARROW = 512
 
 
 class Taker(msgspec.Struct, frozen=True):
@@ -207,7 +210,7 @@
     """Yield runs of busy keys that hold no more work than is wanted."""
     rates = loads.rates
     taken = [move.keys for move in made]
-    for _, keys in loads.keys[source]:
+    for tenure, keys in loads.keys[source]:
         start = 0
         work = 0.0
         for end, key in enumerate(keys):
@@ -219,5 +222,45 @@
             while work > wanted * 1.1 and start <= end:
                 work -= rates[keys[start]]
                 start += 1
-            if start <= end:
+            if start > end:
+                continue
+            whole = start == 0 and end == len(keys) - 1
+            if whole and len(tenure.keys) <= _NARROW:
+                # Nothing is left to cut off for: the pieces stay few.
+                yield tenure.keys, work
+            else:
                 yield KeyRange(keys[start], key), work
+
+
+def plan_tidying(
+    table: RangeTable,
+    takers: Mapping[UpstreamName, Taker],
+    rates: Mapping[Key, float],
+    most: int,
+) -> list[Move]:
+    """Return moves of narrow idle ranges to the owner of a neighbour.
+
+    Yesterday's busy keys lie cut up among many owners. Joined again, they
+    cost fewer renewals and leave room to cut today's.
+    """
+    if len(table.tenures) <= _RANGES_CROWDED * len(takers):
+        return []
+    busy = sorted(rates)
+    moves: list[Move] = []
+    last_moved = False
+    for left, tenure in zip(table.tenures, table.tenures[1:], strict=False):
+        settled = not left.moving and not tenure.moving and not last_moved
+        foreign = tenure.owner != left.owner and left.owner in takers
+        narrow = len(tenure.keys) <= _NARROW
+        idle = not _has_busy_key(tenure, busy)
+        last_moved = settled and foreign and narrow and idle
+        if last_moved:
+            moves.append(Move(tenure.keys, left.owner))
+        if len(moves) >= most:
+            break
+    return moves
+
+
+def _has_busy_key(tenure: Tenure, busy: Sequence[Key]) -> bool:
+    index = bisect.bisect_left(busy, tenure.low)
+    return index < len(busy) and busy[index] <= tenure.high
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -176,6 +176,34 @@
         ]
         return RangeTable(self.fence, tuple(tenures))
 
+    def merge(self) -> "RangeTable":
+        """Join neighbouring ranges of one owner, each at a new fence.
+
+        Moves cut ranges ever smaller, and each costs a renewal. The owner
+        stays, so nothing has to stop first. The same table is returned
+        when there is nothing to join.
+        """
+        fence = self.fence
+        merged: list[Tenure] = []
+        grown: set[int] = set()
+        for tenure in self.tenures:
+            last = merged[-1] if merged else None
+            if last is None or not _are_joinable(last, tenure):
+                merged.append(tenure)
+                continue
+            if len(merged) - 1 not in grown:
+                grown.add(len(merged) - 1)
+                fence = Fence(fence + 1)
+            merged[-1] = Tenure(last.low, tenure.high, last.owner, fence)
+        if not grown:
+            return self
+        return RangeTable(fence, tuple(merged))
+
+
+def _are_joinable(left: Tenure, right: Tenure) -> bool:
+    settled = not left.moving and not right.moving
+    return settled and left.owner == right.owner
+
 
 def _read_low(tenure: Tenure) -> Key:
     return tenure.low
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -24,6 +24,7 @@
 from sedgetide.core.ownership.balance import MOST_MOVES
 from sedgetide.core.ownership.balance import plan_balance
 from sedgetide.core.ownership.balance import plan_evictions
+from sedgetide.core.ownership.balance import plan_tidying
 from sedgetide.core.ownership.balance import Taker
 from sedgetide.core.ownership.holds import HoldLedger
 from sedgetide.core.ownership.leadership import Durations
@@ -256,7 +257,7 @@
                 [(each.name, each.slots) for each in active]
             )
         stopped = self._stopped.get(service, set())
-        settled = table.complete(stopped)
+        settled = table.complete(stopped).merge()
         moves = self._plan(service, settled, active, balance, now)
         late = stopped and now - self._stopped_at > _RECORD_WITHIN
         if moves or late:
@@ -303,6 +304,8 @@
         if not moves and balance and ready:
             room = MOST_MOVES - len(table.list_moving())
             moves = plan_balance(table, takers, rates, max(0, room))
+            if not moves:
+                moves = plan_tidying(table, takers, rates, max(0, room))
         return moves
 
     def _write(self, service: ServiceName, table: RangeTable) -> bool:
--- a/tests/core/ownership/test_balance.py
+++ b/tests/core/ownership/test_balance.py
@@ -4,8 +4,11 @@
 
 from sedgetide.core.ownership.balance import plan_balance
 from sedgetide.core.ownership.balance import plan_evictions
+from sedgetide.core.ownership.balance import plan_tidying
 from sedgetide.core.ownership.balance import Taker
 from sedgetide.core.ownership.ranges import KEY_COUNT
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 
 
@@ -104,3 +107,22 @@
     def test_nobody_left_to_take_them(self):
         table = RangeTable().assign_first([("a", 1)])
         self.assertEqual([], plan_evictions(table, {}, {}))
+
+
+class TestPlanTidying(testtools.TestCase):
+    """Idle scraps go to a neighbour's owner."""
+
+    def test_idle_scraps_are_joined_and_busy_ones_stay(self):
+        takers = make_takers("a", "b")
+        table = RangeTable().assign_first([("a", 1), ("b", 1)])
+        for low in range(0, 400, 20):
+            table = settle(table, [Move(KeyRange(low + 5, low + 9), "b")])
+        before = len(table.tenures)
+        rates = {6: 0.5}
+        for _ in range(20):
+            moves = plan_tidying(table, takers, rates, 4)
+            if not moves:
+                break
+            table = settle(table, moves).merge()
+        self.assertEqual("b", table.find(6).owner)
+        self.assertLess(len(table.tenures), before / 2)
--- a/tests/core/ownership/test_ranges.py
+++ b/tests/core/ownership/test_ranges.py
@@ -95,3 +95,20 @@
                 holder = tenure.successor or tenure.owner
                 self.assertEqual(holder, owners.setdefault(place, holder))
         self.assertEqual(table, decode_ranges(encode_ranges(table)))
+
+    def test_neighbours_of_one_owner_are_joined_at_a_new_fence(self):
+        # Busy keys were cut out and have come back to their first owner.
+        # Left apart, the pieces fill the table until no move has room.
+        table = make_table().begin([Move(KeyRange(10, 20), "u-1")])
+        table = table.complete(table.list_moving())
+        self.assertEqual(5, len(table.tenures))
+        merged = table.merge()
+        self.check_whole(merged)
+        self.assertEqual(3, len(merged.tenures))
+        self.assertEqual(table.fence + 1, merged.find(0).fence)
+        self.assertEqual(1, merged.find(LAST_KEY).fence)
+        self.assertIs(merged, merged.merge())
+
+    def test_moving_range_is_not_joined(self):
+        table = make_table().begin([Move(KeyRange(10, 20), "u-1")])
+        self.assertIs(table, table.merge())
