--- a/sedgetide/core/ownership/holds.py
+++ b/sedgetide/core/ownership/holds.py
@@ -6,7 +6,17 @@
 from sedgetide.core.ownership.ranges import KeyRange
 
 
-class _Hold(msgspec.Struct):
+class Hold(msgspec.Struct):
+    """Keys that an upstream may hold because of one grant.
+
+    Parameters
+    ----------
+    keys : KeyRange
+        What was granted.
+    until : float
+        When it certainly is over, however late the grant arrived.
+    """
+
     keys: KeyRange
     until: float
 
@@ -26,24 +36,33 @@
 
     def __init__(self, inherited_until: float) -> None:
         self._inherited_until = inherited_until
-        self._holds: dict[UpstreamName, list[_Hold]] = {}
+        self._holds: dict[UpstreamName, list[Hold]] = {}
         self._released: dict[UpstreamName, list[KeyRange]] = {}
 
     def note_grant(
         self, upstream: UpstreamName, keys: KeyRange, until: float
-    ) -> None:
-        """Take in, before it is sent, that keys are granted."""
-        holds = self._holds.setdefault(upstream, [])
+    ) -> Hold:
+        """Take in, before it is sent, that keys are granted.
+
+        Parameters
+        ----------
+        until : float
+            End of the hold if the grant arrives at the last moment.
+
+        Returns
+        -------
+        Hold
+            Its end may be set closer once the grant has certainly arrived
+            or never will.
+        """
+        hold = Hold(keys, until)
+        self._holds.setdefault(upstream, []).append(hold)
         self._released[upstream] = [
             each
             for each in self._released.get(upstream, [])
             if not each.overlaps(keys)
         ]
-        for hold in holds:
-            if hold.keys == keys:
-                hold.until = max(hold.until, until)
-                return
-        holds.append(_Hold(keys, until))
+        return hold
 
     def note_release(self, upstream: UpstreamName, keys: KeyRange) -> None:
         """Take in that an upstream answered the release of keys."""
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -57,6 +57,9 @@
         Largest share by which an upstream's clock may run slow.
     margin : float
         Added to each wait for timer granularity.
+    order_timeout : float
+        Longest time between the send of a grant and its arrival; after it
+        the connection has been reset and the grant taken back.
     """
 
     lease: float = 2.0
@@ -67,6 +70,7 @@
     renew: float = 1.2
     clock_error: float = 0.02
     margin: float = 0.25
+    order_timeout: float = 1.0
 
     def bound_hold(self, hold: float) -> float:
         """Return how long after its send a grant may still be held."""
@@ -77,7 +81,8 @@
 
         Counted from a moment at which it may still have held its record.
         """
-        return self.proof_life + self.bound_hold(self.long_hold)
+        last = self.proof_life + self.order_timeout
+        return last + self.bound_hold(self.long_hold)
 
 
 class Leadership:
--- /dev/null
+++ b/sedgetide/core/ownership/terms.py
@@ -0,0 +1,102 @@
+"""What one leader may order in its term, and what it must wait for."""
+
+import msgspec
+
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.holds import Hold
+from sedgetide.core.ownership.holds import HoldLedger
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import KeyRange
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """Terms of one grant.
+
+    Parameters
+    ----------
+    life : float
+        Seconds for which the upstream holds the keys.
+    hold : Hold
+        Its place in the ledger.
+    """
+
+    life: float
+    hold: Hold
+
+
+class Term:
+    """Grants of one leader, from the write of its record to its end.
+
+    Parameters
+    ----------
+    leadership : Leadership
+        Proof that the record is still the own one.
+    durations : Durations
+        On which single ownership rests.
+    """
+
+    def __init__(self, leadership: Leadership, durations: Durations) -> None:
+        self._leadership = leadership
+        self._durations = durations
+        self._holds = HoldLedger(leadership.bound_inherited())
+
+    def may_order(self, now: float) -> bool:
+        """Tell whether an order may be sent at this very moment."""
+        return self._leadership.may_order(now)
+
+    def prepare_grant(
+        self, upstream: UpstreamName, keys: KeyRange, now: float
+    ) -> Grant | None:
+        """Return the terms of a grant that is sent right after.
+
+        Returns
+        -------
+        Grant or None
+            None when no order may be sent.
+
+        Notes
+        -----
+        The grant is noted before it is sent: whether or not an answer
+        comes, the upstream may hold the keys from then on. Its life begins
+        when it arrives, so until its answer is here the latest moment at
+        which it can arrive counts.
+        """
+        if not self._leadership.may_order(now):
+            return None
+        life = self._leadership.choose_hold(now)
+        latest = now + self._durations.order_timeout
+        until = latest + self._durations.bound_hold(life)
+        return Grant(life, self._holds.note_grant(upstream, keys, until))
+
+    def note_arrival(self, grant: Grant, now: float) -> None:
+        """Take in that a grant was answered, or taken back unanswered."""
+        until = now + self._durations.bound_hold(grant.life)
+        grant.hold.until = min(grant.hold.until, until)
+
+    def note_release(self, upstream: UpstreamName, keys: KeyRange) -> None:
+        """Take in that an upstream answered the release of keys."""
+        self._holds.note_release(upstream, keys)
+
+    def has_ended(
+        self,
+        upstream: UpstreamName,
+        keys: KeyRange,
+        moving_since: float,
+        now: float,
+    ) -> bool:
+        """Tell whether an upstream can not hold keys any longer.
+
+        Parameters
+        ----------
+        moving_since : float
+            When this host first saw in the record that they move. Since
+            then no leader has granted them to their old owner, but for one
+            that had lost its record before and did not know it yet.
+        """
+        inherited = moving_since + self._durations.bound_unknown()
+        return now >= self._holds.find_end(upstream, keys, inherited)
+
+    def prune(self, now: float) -> None:
+        """Forget holds that have ended."""
+        self._holds.prune(now)
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -26,13 +26,14 @@
 from sedgetide.core.ownership.balance import plan_evictions
 from sedgetide.core.ownership.balance import plan_tidying
 from sedgetide.core.ownership.balance import Taker
-from sedgetide.core.ownership.holds import HoldLedger
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.load import LoadBook
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.terms import Grant
+from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
@@ -100,9 +101,9 @@
         self._campaign = campaign
         self._leadership = leadership
         self._durations = durations
-        self._term = NO_REVISION
+        self._revision = NO_REVISION
+        self._term = Term(leadership, durations)
         self._book = LoadBook()
-        self._holds = HoldLedger(float("-inf"))
         self._lanes: dict[UpstreamName, OrderLane] = {}
         self._addresses: dict[UpstreamName, str] = {}
         self._renewals: dict[UpstreamName, gevent.Greenlet] = {}
@@ -160,11 +161,11 @@
     def _loop(self) -> None:
         while True:
             self._note_addresses()
-            term = self._leadership.term
-            if term != self._term:
+            revision = self._leadership.term
+            if revision != self._revision:
                 self._stop_orders()
-                self._term = term
-                if term != NO_REVISION:
+                self._revision = revision
+                if revision != NO_REVISION:
                     self._begin_term()
             if self._leadership.may_order(read_clock()):
                 self._lead()
@@ -194,7 +195,7 @@
             self._addresses[entry.name] = entry.address
 
     def _begin_term(self) -> None:
-        self._holds = HoldLedger(self._leadership.bound_inherited())
+        self._term = Term(self._leadership, self._durations)
         self._stopped.clear()
         self._fenced.clear()
         while self._leadership.may_order(read_clock()):
@@ -222,7 +223,7 @@
         now = read_clock()
         if self._knowledge.policy is None:
             return
-        self._holds.prune(now)
+        self._term.prune(now)
         self._knowledge.directory.expire(now)
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
@@ -314,7 +315,7 @@
         key = RANGES_PREFIX + service
         try:
             written: Revision = self._store.transact(
-                {LEADER_KEY: self._term, key: revision},
+                {LEADER_KEY: self._revision, key: revision},
                 [Write(key, encode_ranges(table))],
             )
         except StoreConflict:
@@ -362,7 +363,12 @@
             address = self._addresses.get(upstream)
             if address is None:
                 return None
-            lane = OrderLane(upstream, address, self._dialect)
+            lane = OrderLane(
+                upstream,
+                address,
+                self._dialect,
+                self._durations.order_timeout,
+            )
             self._lanes[upstream] = lane
         return lane
 
@@ -416,7 +422,7 @@
             if lane is not None:
                 result = lane.release(tenure.keys, tenure.fence)
                 if result.taken in (Taken.DONE, Taken.FOREIGN):
-                    self._holds.note_release(tenure.owner, tenure.keys)
+                    self._term.note_release(tenure.owner, tenure.keys)
                     return result.handover
             gevent.sleep(_RETRY_PAUSE)
 
@@ -428,21 +434,33 @@
         if self._knowledge.directory.has_successor(tenure.owner, address):
             return True
         since = self._knowledge.find_moving_since(service, tenure)
-        inherited = since + self._durations.bound_unknown()
-        end = self._holds.find_end(tenure.owner, tenure.keys, inherited)
-        return now >= end
+        return self._term.has_ended(tenure.owner, tenure.keys, since, now)
 
     def _grant(
         self, upstream: UpstreamName, tenure: Tenure, handover: str
     ) -> Taken:
         lane = self._find_lane(upstream)
-        now = read_clock()
-        if lane is None or not self._leadership.may_order(now):
+        if lane is None:
             return Taken.UNSENT
-        hold = self._leadership.choose_hold(now)
-        until = now + self._durations.bound_hold(hold)
-        self._holds.note_grant(upstream, tenure.keys, until)
-        return lane.grant(tenure.keys, tenure.fence, hold, handover).taken
+        grants: list[Grant] = []
+
+        def prepare() -> float | None:
+            grant = self._term.prepare_grant(
+                upstream, tenure.keys, read_clock()
+            )
+            if grant is None:
+                return None
+            grants.append(grant)
+            return grant.life
+
+        try:
+            return lane.grant(
+                tenure.keys, tenure.fence, handover, prepare
+            ).taken
+        finally:
+            # Answered or taken back: it arrives no later than now.
+            for grant in grants:
+                self._term.note_arrival(grant, read_clock())
 
     def _renew(self, service: ServiceName, owner: UpstreamName) -> None:
         """Renew all that one upstream owns, again and again."""
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -1,5 +1,6 @@
 """Orders to upstreams: grants and releases over connections kept for them."""
 
+from collections.abc import Callable
 import enum
 import logging
 
@@ -17,7 +18,6 @@
 
 _ANSWER_BYTES = 64 * 1024
 _CONNECT_TIMEOUT = 0.5
-_GRANT_TIMEOUT = 1.0
 _RELEASE_TIMEOUT = 3.0
 _OK = 200
 
@@ -68,31 +68,55 @@
         ``IP:port``.
     dialect : OrderDialect
         Form of the orders.
+    grant_timeout : float
+        Seconds after which an unanswered grant is taken back.
     """
 
     def __init__(
-        self, upstream: UpstreamName, address: str, dialect: OrderDialect
+        self,
+        upstream: UpstreamName,
+        address: str,
+        dialect: OrderDialect,
+        grant_timeout: float,
     ) -> None:
         self.upstream = upstream
         self.address = address
         self._dialect = dialect
+        self._grant_timeout = grant_timeout
         self._pool = ConnectionPool(address, _ANSWER_BYTES)
 
     def grant(
-        self, keys: KeyRange, fence: Fence, hold: float, handover: str
+        self,
+        keys: KeyRange,
+        fence: Fence,
+        handover: str,
+        prepare: Callable[[], float | None],
     ) -> OrderResult:
-        """Give keys; the caller has noted the hold before."""
-        order = self._dialect.make_grant(
-            self.upstream, keys, fence, hold, handover
-        )
-        result = self._give(order, _GRANT_TIMEOUT)
+        """Give keys.
+
+        Parameters
+        ----------
+        prepare : callable
+            Called when the order can leave at once; returns its life, or
+            None when it may not be sent any more.
+        """
+
+        def make() -> Order | None:
+            life = prepare()
+            if life is None:
+                return None
+            return self._dialect.make_grant(
+                self.upstream, keys, fence, life, handover
+            )
+
+        result = self._give(make)
         self._log("grant", keys, fence, result)
         return result
 
     def release(self, keys: KeyRange, fence: Fence) -> OrderResult:
         """Take keys back; answered when the work on them has ended."""
         order = self._dialect.make_release(self.upstream, keys, fence)
-        result = self._give(order, _RELEASE_TIMEOUT)
+        result = self._give(lambda: order, _RELEASE_TIMEOUT)
         self._log("release", keys, fence, result)
         return result
 
@@ -113,7 +137,17 @@
             },
         )
 
-    def _give(self, order: Order, timeout: float) -> OrderResult:
+    def _give(
+        self, make: Callable[[], Order | None], timeout: float | None = None
+    ) -> OrderResult:
+        try:
+            connection = self._pool.take(_CONNECT_TIMEOUT)
+        except UpstreamError:
+            return OrderResult(Taken.UNSENT)
+        order = make()
+        if order is None:
+            self._pool.give_back(connection)
+            return OrderResult(Taken.UNSENT)
         request = Request(
             "POST",
             order.path,
@@ -121,11 +155,9 @@
             order.body,
         )
         try:
-            connection = self._pool.take(_CONNECT_TIMEOUT)
-        except UpstreamError:
-            return OrderResult(Taken.UNSENT)
-        try:
-            answer = connection.exchange(request, timeout)
+            answer = connection.exchange(
+                request, timeout or self._grant_timeout
+            )
         except UpstreamError as error:
             _log.info(
                 "order unanswered",
--- /dev/null
+++ b/sedgetide/testing/ownershipworld.py
@@ -0,0 +1,368 @@
+"""A walk through faults of range ownership, in simulated time.
+
+Hosts stand, lead, move ranges and renew grants with the product's own
+decisions (:class:`Leadership`, :class:`Term`, :class:`RangeTable`). Around
+them everything fails: the store serves some hosts only, drops the leader's
+record, carries writes out late; hosts stand still or forget everything;
+upstreams can not be reached, take orders late, have slow clocks. One thing
+is judged after each step: no key is held by two upstreams.
+"""
+
+from collections.abc import Callable
+import random
+
+import msgspec
+
+from sedgetide.backends.leasestore import LeaseId
+from sedgetide.backends.leasestore import NO_LEASE
+from sedgetide.backends.leasestore import Write
+from sedgetide.coding.ranges import decode_ranges
+from sedgetide.coding.ranges import encode_ranges
+from sedgetide.core.errors import RuleError
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import Key
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import Revision
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import LAST_KEY
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.terms import Grant
+from sedgetide.core.ownership.terms import Term
+from sedgetide.testing.leasestore import LeaseStoreModel
+from sedgetide.testing.rangeholder import RangeHolder
+
+STEP = 0.1
+_LEADER = "leader"
+_TABLE = "ranges"
+_SLOW_CLOCK = 1.02
+_PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
+_FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
+_NEVER = float("inf")
+
+
+class _Late(msgspec.Struct):
+    """Something that is carried out later than it was asked for."""
+
+    due: float
+    act: Callable[[], None]
+
+
+class WorldHost:
+    """One host: what it knows, and whether it leads.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    durations : Durations
+        Shared by all.
+    """
+
+    def __init__(self, name: str, durations: Durations) -> None:
+        self.name = name
+        self.durations = durations
+        self.paused_until = 0.0
+        self.store_away_until = 0.0
+        self.unreachable: dict[UpstreamName, float] = {}
+        self.restart()
+
+    def restart(self) -> None:
+        """Forget everything."""
+        self.leadership = Leadership(self.durations)
+        self.term: Term | None = None
+        self.lease: LeaseId = NO_LEASE
+        self.table = RangeTable()
+        self.revision: Revision = NO_REVISION
+        self.moving_since: dict[Tenure, float] = {}
+        self.verified_at = -_NEVER
+        self.renewed_at: dict[UpstreamName, float] = {}
+
+    def adopt(self, table: RangeTable, revision: Revision, now: float) -> None:
+        """Take in a version of the table."""
+        if revision <= self.revision:
+            return
+        self.table = table
+        self.revision = revision
+        self.moving_since = {
+            tenure: self.moving_since.get(tenure, now)
+            for tenure in table.list_moving()
+        }
+
+
+class OwnershipWorld:
+    """Hosts, upstreams and the store, and the faults between them.
+
+    Parameters
+    ----------
+    seed : int
+        Decides all that happens.
+    hosts, upstreams : int
+        How many.
+    durations : Durations
+        On which single ownership rests.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: int = 3,
+        upstreams: int = 3,
+        durations: Durations | None = None,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.durations = durations or Durations()
+        self.store = LeaseStoreModel()
+        self.hosts = [
+            WorldHost(f"h-{index}", self.durations) for index in range(hosts)
+        ]
+        self.holders = {
+            UpstreamName(f"u-{index}"): RangeHolder(f"u-{index}")
+            for index in range(upstreams)
+        }
+        self.problems: list[str] = []
+        self.moves_ended = 0
+        self._late: list[_Late] = []
+
+    # Time
+
+    def run(self, seconds: float) -> None:
+        """Let time pass, with faults; stop at the first problem."""
+        end = self.now + seconds
+        while self.now < end and not self.problems:
+            self.now += STEP
+            self.store.expire(self.now)
+            self._carry_out()
+            self._strike()
+            for host in self.hosts:
+                if self.now >= host.paused_until:
+                    self._step(host)
+            self._judge()
+
+    def _carry_out(self) -> None:
+        due = [late for late in self._late if late.due <= self.now]
+        self._late = [late for late in self._late if late.due > self.now]
+        for late in due:
+            late.act()
+
+    def _judge(self) -> None:
+        for key in _PROBES:
+            holding = [
+                name
+                for name, holder in self.holders.items()
+                if holder.find_fence(key, self.now) is not None
+            ]
+            if len(holding) > 1:
+                self.problems.append(
+                    f"{self.now:.1f}: key {key} is held by {holding}"
+                )
+
+    # Faults
+
+    def _strike(self) -> None:
+        """Let a fault begin now and then."""
+        if self.random.random() > 0.04:
+            return
+        host = self.random.choice(self.hosts)
+        until = self.now + self.random.choice(_FAULT_TIMES)
+        kind = self.random.randrange(7)
+        if kind == 0:
+            host.paused_until = until
+        elif kind == 1:
+            host.restart()
+            host.paused_until = self.now + self.random.uniform(0.2, 2.0)
+        elif kind == 2:
+            host.store_away_until = until
+        elif kind == 3:
+            for each in self.hosts:
+                each.store_away_until = until
+        elif kind == 4:
+            self._revoke()
+        elif kind == 5:
+            name = self.random.choice(list(self.holders))
+            for each in self.hosts:
+                each.unreachable[name] = until
+        else:
+            name = self.random.choice(list(self.holders))
+            host.unreachable[name] = until
+
+    def _revoke(self) -> None:
+        """Take the leader's record away while its lease goes on."""
+        for host in self.hosts:
+            if host.lease != NO_LEASE:
+                self.store.revoke(host.lease, forget=False)
+
+    # One host
+
+    def _step(self, host: WorldHost) -> None:
+        reached = self.now >= host.store_away_until
+        if reached and self.random.random() < 0.7:
+            self._follow(host)
+        if host.leadership.term == NO_REVISION:
+            if reached and self.store.find(_LEADER) is None:
+                self._stand(host)
+            return
+        if reached and self.now - host.verified_at >= self.durations.verify:
+            self._verify(host)
+        if host.leadership.may_order(self.now):
+            self._lead(host)
+
+    def _follow(self, host: WorldHost) -> None:
+        item = self.store.find(_TABLE)
+        if item is not None:
+            host.adopt(decode_ranges(item.value), item.revision, self.now)
+
+    def _stand(self, host: WorldHost) -> None:
+        if self.random.random() < 0.7:
+            return
+        lease = self.store.open_lease(self.durations.lease, self.now)
+        revision = self.store.transact(
+            {_LEADER: NO_REVISION},
+            [Write(_LEADER, host.name.encode(), lease)],
+        )
+        host.lease = lease
+        host.verified_at = self.now
+        host.leadership.begin(revision, self.now, self.now)
+        host.term = Term(host.leadership, self.durations)
+        host.renewed_at.clear()
+        self._follow(host)
+
+    def _verify(self, host: WorldHost) -> None:
+        host.verified_at = self.now
+        try:
+            self.store.renew_lease(host.lease, self.now)
+        except StoreError:
+            host.leadership.end()
+            return
+        item = self.store.find(_LEADER)
+        revision = NO_REVISION if item is None else item.revision
+        asked_at = self.now
+        leadership = host.leadership
+        # The answer is on its way for a while.
+        self._delay(
+            self.random.uniform(0.0, 0.4),
+            lambda: leadership.note_read(revision, asked_at),
+        )
+
+    def _delay(self, seconds: float, act: Callable[[], None]) -> None:
+        self._late.append(_Late(self.now + seconds, act))
+
+    def _lead(self, host: WorldHost) -> None:
+        self._plan(host)
+        for tenure in host.table.list_moving():
+            self._move(host, tenure)
+        for name in self.holders:
+            last = host.renewed_at.get(name, -_NEVER)
+            if self.now - last >= self.durations.renew:
+                host.renewed_at[name] = self.now
+                for tenure in host.table.list_owned(name):
+                    self._grant(host, name, tenure)
+
+    def _plan(self, host: WorldHost) -> None:
+        if not host.table.tenures:
+            names = [(name, 1) for name in sorted(self.holders)]
+            self._write(host, host.table.assign_first(names))
+        elif self.random.random() < 0.15:
+            low = Key(self.random.randrange(LAST_KEY))
+            tenure = host.table.find(low)
+            high = Key(min(tenure.high, low + self.random.randrange(9000)))
+            goal = self.random.choice(sorted(self.holders))
+            try:
+                moved = host.table.begin([Move(KeyRange(low, high), goal)])
+            except RuleError:
+                return
+            self._write(host, moved.merge())
+
+    def _write(self, host: WorldHost, table: RangeTable) -> None:
+        """Write a table; the answer, or the write itself, may be late."""
+        if self.now < host.store_away_until:
+            return
+        term, expected = host.leadership.term, host.revision
+
+        def write() -> None:
+            try:
+                revision = self.store.transact(
+                    {_LEADER: term, _TABLE: expected},
+                    [Write(_TABLE, encode_ranges(table))],
+                )
+            except StoreError:
+                return
+            if not lost:
+                host.adopt(table, revision, self.now)
+
+        lost = self.random.random() < 0.1
+        if self.random.random() < 0.1:
+            lost = True
+            self._delay(self.random.uniform(0.5, 6.0), write)
+        else:
+            write()
+
+    # Orders
+
+    def _move(self, host: WorldHost, tenure: Tenure) -> None:
+        since = host.moving_since.get(tenure, _NEVER)
+        if host.term.has_ended(tenure.owner, tenure.keys, since, self.now):
+            self._complete(host, tenure)
+        elif self.random.random() < 0.4:
+            self._release(host, tenure)
+
+    def _release(self, host: WorldHost, tenure: Tenure) -> None:
+        if self.now < host.unreachable.get(tenure.owner, 0.0):
+            return
+        holder = self.holders[tenure.owner]
+        if self.random.random() < 0.15:
+            self._delay(
+                self.random.uniform(0.5, 9.0),
+                lambda: holder.release(tenure.keys, tenure.fence),
+            )
+            return
+        holder.release(tenure.keys, tenure.fence)
+        if self.random.random() < 0.9:
+            host.term.note_release(tenure.owner, tenure.keys)
+
+    def _complete(self, host: WorldHost, tenure: Tenure) -> None:
+        self._grant(host, tenure.successor, tenure)
+        done = host.table.complete([tenure])
+        if done != host.table:
+            self.moves_ended += 1
+            self._write(host, done)
+
+    def _grant(
+        self, host: WorldHost, name: UpstreamName, tenure: Tenure
+    ) -> None:
+        term = host.term
+        grant = term.prepare_grant(name, tenure.keys, self.now)
+        if grant is None:
+            return
+        if self.now < host.unreachable.get(name, 0.0):
+            term.note_arrival(grant, self.now)
+            return
+        self._delay(
+            self.random.choice((0.0, 0.0, 0.0, 0.3, 0.9)),
+            lambda: self._arrive(term, name, tenure, grant),
+        )
+
+    def _arrive(
+        self,
+        term: Term,
+        name: UpstreamName,
+        tenure: Tenure,
+        grant: Grant,
+    ) -> None:
+        holder = self.holders[name]
+        arrived_at = self.now
+        life = grant.life * _SLOW_CLOCK
+
+        def carry_out() -> None:
+            holder.grant(tenure.keys, tenure.fence, life, arrived_at)
+
+        if self.random.random() < 0.15:
+            self._delay(self.random.uniform(0.5, 9.0), carry_out)
+        else:
+            carry_out()
+        term.note_arrival(grant, arrived_at)
--- a/sedgetide/testing/rangeholder.py
+++ b/sedgetide/testing/rangeholder.py
@@ -36,6 +36,14 @@
         seen = [fence for each, fence in self._fences if each.overlaps(keys)]
         return max(seen, default=Fence(0))
 
+    def _note_fence(self, keys: KeyRange, fence: Fence) -> None:
+        self._fences = [
+            (each, seen)
+            for each, seen in self._fences
+            if seen > fence or not keys.covers(each)
+        ]
+        self._fences.append((keys, fence))
+
     def grant(
         self, keys: KeyRange, fence: Fence, hold: float, arrived_at: float
     ) -> bool:
@@ -49,14 +57,14 @@
         """
         if self._find_fence(keys) > fence:
             return False
-        self._fences.append((keys, fence))
+        self._note_fence(keys, fence)
         self._cut(keys)
         self._grants.append(_Grant(keys, fence, arrived_at + hold))
         return True
 
     def release(self, keys: KeyRange, fence: Fence) -> bool:
         """Give keys back; return whether no work on them is left."""
-        self._fences.append((keys, fence))
+        self._note_fence(keys, fence)
         self._cut(keys)
         return not any(keys.low <= key <= keys.high for key in self.running)
 
