Fault soak of real processes; the platform's store and upstreams as stand-ins

Change: store and range-holding upstreams as processes by the platform's protocol; loopback proxies; signals; promises checked from what callers and upstreams saw. One seed decides all.

--- a/sedgetide/testing/leasestore.py
+++ b/sedgetide/testing/leasestore.py
@@ -105,15 +105,22 @@
         if forget:
             self._leases.pop(lease, None)
 
+    def revoke_all(self, forget: bool = True) -> None:
+        """Remove the keys of all leases at once."""
+        for lease in list(self._leases):
+            self.revoke(lease, forget)
+
     def forget_history(self) -> None:
         """Drop all history, as the store may at any time."""
         self._history.clear()
         self._forgotten = self.revision
 
-    def put(self, key: str, value: bytes | None) -> Revision:
+    def put(
+        self, key: str, value: bytes | None, lease: LeaseId = NO_LEASE
+    ) -> Revision:
         """Write or remove a key as the operator or a server does."""
         self.revision = Revision(self.revision + 1)
-        self._change(key, value, NO_LEASE)
+        self._change(key, value, lease)
         return self.revision
 
     def find(self, key: str) -> Item | None:
--- /dev/null
+++ b/sedgetide/testing/platformstore.py
@@ -0,0 +1,247 @@
+"""The platform's store as a process, by the platform's own protocol.
+
+Faults are asked for at ``POST /fault``: see :class:`StoreFault`.
+"""
+
+import argparse
+import base64
+import time
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+
+from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import LeaseId
+from sedgetide.backends.leasestore import Listing
+from sedgetide.backends.leasestore import NO_LEASE
+from sedgetide.backends.leasestore import Write
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.errors import HistoryLost
+from sedgetide.core.errors import LeaseEnded
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.identifiers import Revision
+from sedgetide.platform import _names
+from sedgetide.runtime.signals import Changes
+from sedgetide.testing.leasestore import LeaseStoreModel
+from sedgetide.testing.leasestore import StoreFault
+from sedgetide.testing.serving import run_server
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import Request
+from sedgetide.wire.server import Server
+
+_TICK = 0.05
+_PATIENCE = 30.0
+
+
+class _Fault(msgspec.Struct):
+    kind: StoreFault
+    seconds: float = 0.0
+
+
+def _show(item: Item) -> dict[str, Any]:
+    if item.value is None:
+        return {"key": item.key, "revision": item.revision, "tombstone": True}
+    return {
+        "key": item.key,
+        "revision": item.revision,
+        "value": base64.b64encode(item.value).decode(),
+    }
+
+
+def _answer(status: int, document: Any = None) -> Answer:
+    body = b"{}" if document is None else msgspec.json.encode(document)
+    return Answer(status, [("Content-Type", "application/json")], body)
+
+
+class PlatformStoreServer:
+    """Serves a store model, with the faults that are asked for."""
+
+    def __init__(self) -> None:
+        self.model = LeaseStoreModel()
+        self._changes = Changes()
+        self._entries: dict[str, LeaseId] = {}
+        self._fault: StoreFault | None = None
+        self._fault_until = 0.0
+        self._calls = {
+            _names.ITEM_PATH: self._read,
+            _names.RANGE_PATH: self._list,
+            _names.WATCH_PATH: self._watch,
+            _names.TRANSACTION_PATH: self._transact,
+            _names.LEASE_PATH: self._open_lease,
+            "/fault": self._take_fault,
+            "/put": self._put,
+        }
+
+    def serve(self, request: Request) -> Answer:
+        """Answer one call, or do what the fault in force says."""
+        self.model.expire(time.monotonic())
+        fault = self._find_fault()
+        if request.path == "/fault" or fault is None:
+            return self._call(request)
+        if fault is StoreFault.DOWN:
+            return _answer(503)
+        if fault is StoreFault.LOST:
+            self._call(request)
+        elif fault is StoreFault.LATE:
+            gevent.spawn_later(3.0, self._call, request)
+        gevent.sleep(_PATIENCE)
+        return _answer(503)
+
+    def _find_fault(self) -> StoreFault | None:
+        if time.monotonic() >= self._fault_until:
+            return None
+        return self._fault
+
+    def _call(self, request: Request) -> Answer:
+        call = self._calls.get(request.path, self._call_lease)
+        try:
+            answer = call(request)
+        except StoreConflict:
+            return _answer(412, {"items": []})
+        except LeaseEnded:
+            return _answer(404)
+        except HistoryLost:
+            return _answer(410)
+        self._changes.announce()
+        return answer
+
+    def _query(self, request: Request) -> dict[str, str]:
+        query = parse_qs(request.target.partition("?")[2])
+        return {name: values[0] for name, values in query.items()}
+
+    def _read(self, request: Request) -> Answer:
+        item = self.model.find(self._query(request)["key"])
+        if item is None:
+            return _answer(404)
+        return _answer(200, _show(item))
+
+    def _list(self, request: Request) -> Answer:
+        query = self._query(request)
+        listing = self.model.list(query.get("path-prefix", ""))
+        return _answer(
+            200,
+            {
+                "items": [_show(item) for item in listing.items],
+                "has-more": False,
+                "as-of": listing.revision,
+            },
+        )
+
+    def _watch(self, request: Request) -> Answer:
+        query = self._query(request)
+        prefix = query.get("path-prefix", "")
+        since = Revision(int(query["after"]))
+        end = time.monotonic() + int(query["wait-ms"]) / 1000.0
+        while True:
+            listing = self.model.list_changes(prefix, since)
+            left = end - time.monotonic()
+            if listing.items or left <= 0:
+                return self._show_events(listing)
+            self._changes.wait(left)
+
+    def _show_events(self, listing: Listing) -> Answer:
+        events = [_show(item) for item in listing.items]
+        return _answer(200, {"events": events, "as-of": listing.revision})
+
+    def _transact(self, request: Request) -> Answer:
+        document = msgspec.json.decode(request.body)
+        revision = self.model.transact(
+            {row["key"]: row["revision"] for row in document["expect"]},
+            [
+                Write(
+                    row["key"],
+                    base64.b64decode(row["value"]),
+                    LeaseId(row.get("lease", 0)),
+                )
+                for row in document["writes"]
+            ],
+        )
+        return _answer(200, {"revision": revision})
+
+    def _open_lease(self, request: Request) -> Answer:
+        life = msgspec.json.decode(request.body)["ttl-ms"] / 1000.0
+        lease = self.model.open_lease(life, time.monotonic())
+        return _answer(200, {"lease": lease, "ttl-ms": int(life * 1000)})
+
+    def _call_lease(self, request: Request) -> Answer:
+        path, _, number = request.path.rpartition("/")
+        if not number.isdigit():
+            return _answer(404)
+        lease = LeaseId(int(number))
+        if path == _names.KEEP_PATH:
+            self.model.renew_lease(lease, time.monotonic())
+        elif path == _names.LEASE_END_PATH:
+            self.model.end_lease(lease)
+        else:
+            return _answer(404)
+        return _answer(200, {"ttl-ms": 0})
+
+    # What the operator, the upstreams and the tester do
+
+    def _put(self, request: Request) -> Answer:
+        """Write a key, or remove it; with a life it lapses by itself."""
+        document = msgspec.json.decode(request.body)
+        key, value = document["key"], document.get("value")
+        if value is None:
+            if self.model.find(key) is not None:
+                self.model.put(key, None)
+            return _answer(200)
+        raw = msgspec.json.encode(value)
+        lease = self._keep_entry(key, document.get("life"))
+        known = self.model.find(key)
+        if known is None or known.value != raw:
+            self.model.put(key, raw, lease)
+        return _answer(200)
+
+    def _keep_entry(self, key: str, life: float | None) -> LeaseId:
+        """Renew the lease of an entry, or give it a new one."""
+        if life is None:
+            return NO_LEASE
+        now = time.monotonic()
+        lease = self._entries.get(key)
+        try:
+            if lease is None:
+                raise KeyError(key)
+            self.model.renew_lease(lease, now)
+        except (KeyError, LeaseEnded):
+            lease = self.model.open_lease(life, now)
+            self._entries[key] = lease
+        return lease
+
+    def _take_fault(self, request: Request) -> Answer:
+        document = msgspec.json.decode(request.body)
+        if document["kind"] == "forget":
+            self.model.forget_history()
+        elif document["kind"] == "revoke":
+            self.model.revoke_all(forget=document.get("forget", True))
+        else:
+            fault = msgspec.convert(document, _Fault)
+            self._fault = fault.kind
+            self._fault_until = time.monotonic() + fault.seconds
+        return _answer(200)
+
+    def expire_loop(self) -> None:
+        """Let leases lapse also while nobody calls."""
+        while True:
+            gevent.sleep(_TICK)
+            before = self.model.revision
+            self.model.expire(time.monotonic())
+            if self.model.revision != before:
+                self._changes.announce()
+
+
+def main() -> int:
+    """Run until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    options = parser.parse_args()
+    store = PlatformStoreServer()
+    gevent.spawn(store.expire_loop)
+    server = Server(store.serve, lambda _: True, CallerLimits)
+    return run_server(server, options.port)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/sedgetide/testing/rangeupstream.py
@@ -0,0 +1,231 @@
+"""An upstream as a process: registers itself, holds ranges, runs requests.
+
+By the platform's own protocol. Every run is a line on standard output, by
+the machine's monotonic clock: what the checks of a soak go by.
+"""
+
+import argparse
+import contextlib
+import random
+import sys
+import time
+
+import gevent
+from gevent.lock import BoundedSemaphore
+import msgspec
+
+from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.identifiers import Key
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.platform import _names
+from sedgetide.runtime.signals import Changes
+from sedgetide.testing.rangeholder import RangeHolder
+from sedgetide.testing.serving import run_server
+from sedgetide.wire.client import ConnectionPool
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Request
+from sedgetide.wire.server import Server
+
+_HEARTBEAT = 0.4
+_QUEUE = 8
+_NOT_RUN = (_names.NOT_EXECUTED, "1")
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One thing that happened at an upstream.
+
+    Parameters
+    ----------
+    at : float
+        Machine's monotonic clock.
+    kind : str
+        ``begin`` or ``end`` of a run.
+    upstream : str
+        Id of this start of the process.
+    request : str
+        Id of the request.
+    key : int
+        Its key; -1 when it has none.
+    fence : int
+        Fence under which the key is held.
+    """
+
+    at: float
+    kind: str
+    upstream: str
+    request: str
+    key: int
+    fence: int
+
+
+class RangeUpstream:
+    """State of one upstream process.
+
+    Parameters
+    ----------
+    options : argparse.Namespace
+        Command line.
+    """
+
+    def __init__(self, options: argparse.Namespace) -> None:
+        self.name = options.name
+        self._options = options
+        self._holder = RangeHolder(options.name)
+        self._slots = BoundedSemaphore(options.slots)
+        self._waiting = 0
+        self._running = 0
+        self._ended = Changes()
+        self._random = random.Random(options.name)
+        self._registry = ConnectionPool(options.store, 65536)
+
+    def _read_clock(self) -> float:
+        """Return a clock that runs slow, as an upstream's may."""
+        return time.monotonic() * self._options.clock_rate
+
+    def serve(self, request: Request) -> Answer:
+        """Answer an order or run a request."""
+        expected = find_header(request.headers, _names.EXPECT_INSTANCE.lower())
+        if expected is not None and expected != self.name:
+            return Answer(_names.MISDIRECTED, [_NOT_RUN])
+        if request.path == _names.GRANT_PATH:
+            return self._take_grant(request)
+        if request.path == _names.RELEASE_PATH:
+            return self._take_release(request)
+        return self._take_request(request)
+
+    # Orders
+
+    def _take_grant(self, request: Request) -> Answer:
+        order = msgspec.json.decode(request.body)
+        arrived_at = self._read_clock()
+        keys = KeyRange(order["from"], order["to"])
+
+        def carry_out() -> bool:
+            return self._holder.grant(
+                keys, order["fence"], order["hold-ms"] / 1000.0, arrived_at
+            )
+
+        if self._random.random() < self._options.late:
+            gevent.spawn_later(self._random.uniform(0.5, 6.0), carry_out)
+            gevent.sleep(10.0)
+        return Answer(200 if carry_out() else _names.FENCED, [])
+
+    def _take_release(self, request: Request) -> Answer:
+        order = msgspec.json.decode(request.body)
+        keys = KeyRange(order["from"], order["to"])
+        self._holder.release(keys, order["fence"])
+        while any(
+            keys.low <= key <= keys.high for key in self._holder.running
+        ):
+            self._ended.wait(1.0)
+        return Answer(200, [(_names.HANDOVER, f"from-{self.name}")])
+
+    # Requests
+
+    def _take_request(self, request: Request) -> Answer:
+        number = find_header(request.headers, _names.REQUEST_ID.lower())
+        if number is None:
+            return Answer(400, [_NOT_RUN])
+        if self._waiting >= _QUEUE:
+            return Answer(503, [_NOT_RUN])
+        self._waiting += 1
+        try:
+            self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            return self._run(request, number)
+        finally:
+            self._slots.release()
+
+    def _run(self, request: Request, number: str) -> Answer:
+        shard = find_header(request.headers, _names.SHARD_KEY.lower())
+        key = -1 if shard is None else int(shard)
+        fence = 0
+        if self._options.keyed:
+            fence = self._holder.find_fence(Key(key), self._read_clock())
+            if fence is None:
+                return Answer(_names.MISDIRECTED, [_NOT_RUN])
+        self._tell("begin", number, key, fence)
+        self._holder.running.append(Key(key))
+        self._running += 1
+        try:
+            gevent.sleep(self._random.expovariate(1 / self._options.work))
+        finally:
+            self._running -= 1
+            self._holder.running.remove(Key(key))
+            self._ended.announce()
+            self._tell("end", number, key, fence)
+        body = f"{number} {key} ".encode() * 20
+        return Answer(
+            200,
+            [
+                (_names.REQUEST_ID, number),
+                (_names.SIGNATURE, f"{len(body):x}"),
+                (
+                    _names.LOAD,
+                    f"{self._running},{self._waiting},{self._options.slots}",
+                ),
+            ],
+            body,
+        )
+
+    def _tell(self, kind: str, number: str, key: int, fence: int) -> None:
+        event = Event(time.monotonic(), kind, self.name, number, key, fence)
+        sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
+        sys.stdout.buffer.flush()
+
+    # Registry
+
+    def heartbeat_loop(self) -> None:
+        """Register, and say so again while the process lives."""
+        options = self._options
+        entry = {
+            "address": options.address,
+            "info": {
+                "service": options.service,
+                "zone": options.data_centre,
+                "slots": options.slots,
+            },
+            "status": {"state": "ready"},
+        }
+        body = msgspec.json.encode(
+            {
+                "key": _names.REGISTRY_PREFIX + self.name,
+                "value": entry,
+                "life": 3 * _HEARTBEAT,
+            }
+        )
+        request = Request("POST", "/put", [("Host", options.store)], body)
+        while True:
+            with contextlib.suppress(Exception):
+                connection = self._registry.take(1.0)
+                connection.exchange(request, 1.0)
+                self._registry.give_back(connection)
+            gevent.sleep(_HEARTBEAT)
+
+
+def main() -> int:
+    """Run until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--data-centre", default="dc-1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--store", required=True)
+    parser.add_argument("--slots", type=int, default=2)
+    parser.add_argument("--work", type=float, default=0.03)
+    parser.add_argument("--late", type=float, default=0.0)
+    parser.add_argument("--clock-rate", type=float, default=1.0)
+    parser.add_argument("--keyed", action="store_true")
+    options = parser.parse_args()
+    upstream = RangeUpstream(options)
+    gevent.spawn(upstream.heartbeat_loop)
+    server = Server(upstream.serve, lambda _: True, CallerLimits)
+    return run_server(server, options.port)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/sedgetide/testing/serving.py
+++ b/sedgetide/testing/serving.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sedgetide.runtime.sockets import open_listener
+from sedgetide.wire.server import Server
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -107,3 +108,12 @@
     stopped.wait()
     server.stop(timeout=0.1)
     return 0
+
+
+def run_server(server: Server, port: int) -> int:
+    """Run a server of the project's own kind until SIGTERM."""
+    server.start(open_listener("127.0.0.1", port))
+    stopped = Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    stopped.wait()
+    return 0
--- /dev/null
+++ b/sedgetide/testing/soak.py
@@ -0,0 +1,501 @@
+"""A randomized fault soak of real processes on one machine.
+
+One seed decides which faults strike when; they overlap. Promises are
+checked from what callers and upstreams saw, never from what the hosts say.
+
+    python -m sedgetide.testing.soak --seed 7
+    python -m sedgetide.testing.soak --first 1 --count 50 --jobs 4
+"""
+
+import argparse
+import collections
+from collections.abc import Callable
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import gevent
+import msgspec
+
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.ownership.ranges import LAST_KEY
+from sedgetide.platform import _names
+from sedgetide.testing.proxies import Mode
+from sedgetide.testing.proxies import Proxy
+from sedgetide.testing.rangeupstream import Event
+from sedgetide.testing.soakfleet import call
+from sedgetide.testing.soakfleet import Fleet
+from sedgetide.testing.soakfleet import GRACE
+from sedgetide.testing.soakfleet import HOST
+from sedgetide.wire.client import Connection
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Request
+
+CALLERS = 14
+FAULT_TIME = 9.0
+CALM_TIME = 12.0
+_JUDGED_TIME = 3.0
+_DEADLINE = 1.5
+_NOT_RUN = frozenset({408, 421, 429, 503})
+_LEAST_SERVED = 0.8
+_RECONNECT = 0.03
+
+
+class Ask(msgspec.Struct):
+    """One request of a caller and what came of it.
+
+    Parameters
+    ----------
+    number : str
+        Its id.
+    unsafe : bool
+        Whether it may run at most once.
+    at : float
+        When it was sent.
+    host : int
+        Host that it was sent to.
+    status : int
+        Status of its answer; 0 when the connection gave none.
+    whole : bool
+        Whether a 2xx was the upstream's own whole answer.
+    """
+
+    number: str
+    unsafe: bool
+    at: float
+    host: int
+    status: int = 0
+    whole: bool = True
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Something that begins at a time and ends some seconds later."""
+
+    at: float
+    seconds: float
+    name: str
+    begin: Callable[[], None]
+    end: Callable[[], None] = lambda: None
+
+
+class Caller:
+    """Sends requests one after the other, on connections that it keeps."""
+
+    def __init__(self, number: int, fleet: Fleet, seed: int) -> None:
+        self._number = number
+        self._fleet = fleet
+        self._random = random.Random(f"{seed}/{number}")
+        self._connection: Connection | None = None
+        self._host = 0
+        self.asked: list[Ask] = []
+
+    def run(self) -> None:
+        """Ask until killed."""
+        while True:
+            self._ask()
+            gevent.sleep(self._random.uniform(0.0, 0.08))
+
+    def _ask(self) -> None:
+        route = self._random.choice(("map", "map", "alert", "archive"))
+        ask = Ask(
+            f"r-{self._number}-{len(self.asked)}",
+            route == "alert",
+            time.monotonic(),
+            self._host,
+        )
+        self.asked.append(ask)
+        answer = self._send(self._make_request(ask, route))
+        if answer is None:
+            return
+        ask.status = answer.status
+        if 200 <= answer.status < 300:
+            ask.whole = _is_whole(ask, answer)
+
+    def _make_request(self, ask: Ask, route: str) -> Request:
+        busy = self._random.random() < 0.5
+        key = self._random.randrange(300 if busy else LAST_KEY + 1)
+        headers = [
+            ("Host", HOST),
+            (_names.REQUEST_ID, ask.number),
+            (_names.DEADLINE_MS, str(int(_DEADLINE * 1000))),
+        ]
+        if route != "archive":
+            headers.append((_names.SHARD_KEY, str(key)))
+        method = "POST" if ask.unsafe else "GET"
+        return Request(method, f"/{route}/x", headers, b"")
+
+    def _send(self, request: Request) -> Answer | None:
+        try:
+            if self._random.random() < _RECONNECT:
+                self._leave()
+            if self._connection is None or not self._connection.usable:
+                self._connect()
+            self.asked[-1].host = self._host
+            return self._connection.exchange(request, _DEADLINE + 0.5)
+        except UpstreamError:
+            self._leave()
+            return None
+
+    def _leave(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
+    def _connect(self) -> None:
+        self._host = self._random.randrange(len(self._fleet.hosts))
+        proxy = self._fleet.hosts[self._host].front
+        self._connection = Connection(proxy.address, 1 << 20)
+        self._connection.open(0.5)
+
+
+def _is_whole(ask: Ask, answer: Answer) -> bool:
+    signature = find_header(answer.headers, _names.SIGNATURE.lower())
+    mine = answer.body.startswith(f"{ask.number} ".encode())
+    return mine and signature == f"{len(answer.body):x}"
+
+
+class Soak:
+    """One run: a fleet, callers, faults, and the promises.
+
+    Parameters
+    ----------
+    seed : int
+        Decides the faults.
+    folder : pathlib.Path
+        Where settings and output go.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.seed = seed
+        self._random = random.Random(seed)
+        late = self._random.choice((0.0, 0.0, 0.1))
+        self.fleet = Fleet(folder, late)
+        self.problems: list[str] = []
+        self.struck: list[str] = []
+        self._extra: list[str] = []
+        self._callers = [
+            Caller(number, self.fleet, seed) for number in range(CALLERS)
+        ]
+
+    # Faults
+
+    def draw_faults(self) -> list[Fault]:
+        """Return the faults of this seed, by time."""
+        makers = [
+            self._draw_host_signal,
+            self._draw_upstream_loss,
+            self._draw_store_fault,
+            self._draw_link_fault,
+            self._draw_link_fault,
+            self._draw_configuration,
+            self._draw_planned_stop,
+        ]
+        faults = [
+            self._random.choice(makers)(self._random.uniform(0.5, FAULT_TIME))
+            for _ in range(self._random.randrange(3, 8))
+        ]
+        return sorted(faults, key=lambda fault: fault.at)
+
+    def _draw_seconds(self) -> float:
+        return self._random.choice((0.3, 1.0, 2.0, 4.0))
+
+    def _draw_host_signal(self, at: float) -> Fault:
+        host = self._random.choice(self.fleet.hosts)
+        seconds = self._draw_seconds()
+        if self._random.random() < 0.5:
+            return Fault(
+                at,
+                seconds,
+                f"freeze {host.name}",
+                lambda: host.program.signal(signal.SIGSTOP),
+                lambda: host.program.signal(signal.SIGCONT),
+            )
+
+        def kill() -> None:
+            host.program.close()
+
+        return Fault(
+            at, seconds, f"kill {host.name}", kill, host.program.start
+        )
+
+    def _draw_planned_stop(self, at: float) -> Fault:
+        host = self._random.choice(self.fleet.hosts)
+
+        def begin() -> None:
+            host.program.signal(signal.SIGTERM)
+
+        def end() -> None:
+            host.program.wait()
+            host.program.close()
+            host.program.start()
+
+        return Fault(at, GRACE, f"stop {host.name}", begin, end)
+
+    def _draw_upstream_loss(self, at: float) -> Fault:
+        upstream = self._random.choice(self.fleet.upstreams)
+        seconds = self._draw_seconds()
+        if self._random.random() < 0.4:
+            return Fault(
+                at,
+                seconds,
+                "freeze an upstream",
+                lambda: upstream.program.signal(signal.SIGSTOP),
+                lambda: upstream.program.signal(signal.SIGCONT),
+            )
+        return Fault(
+            at,
+            seconds + 2.0,
+            "kill an upstream",
+            lambda: upstream.program.close(),
+            upstream.start,
+        )
+
+    def _draw_store_fault(self, at: float) -> Fault:
+        kind = self._random.choice(
+            ("down", "lost", "late", "forget", "revoke")
+        )
+        seconds = self._draw_seconds()
+        document = {"kind": kind, "seconds": seconds}
+        if kind == "revoke":
+            document["forget"] = self._random.random() < 0.5
+
+        def begin() -> None:
+            call(self.fleet.store_port, "POST", "/fault", document)
+
+        return Fault(at, seconds, f"store {kind}", begin)
+
+    def _draw_link_fault(self, at: float) -> Fault:
+        proxies = {
+            f"store of {host.name}": host.store for host in self.fleet.hosts
+        }
+        for number, upstream in enumerate(self.fleet.upstreams):
+            proxies[f"upstream {number}"] = upstream.proxy
+        for host in self.fleet.hosts:
+            proxies[f"front of {host.name}"] = host.front
+        name = self._random.choice(sorted(proxies))
+        return self._break_link(at, name, proxies[name])
+
+    def _break_link(self, at: float, name: str, proxy: Proxy) -> Fault:
+        kind = self._random.choice(
+            ("reset", "silence", "delay", "cut", "one-way", "refuse")
+        )
+        label = f"{kind} {name}"
+        if kind == "reset":
+            return Fault(at, 0.0, label, proxy.reset_all)
+        if kind == "silence":
+            return Fault(at, 0.0, label, proxy.silence_all)
+
+        def set_mode(mode: Mode) -> None:
+            proxy.mode = mode
+            if mode is Mode.REFUSE:
+                proxy.reset_all()
+
+        return Fault(
+            at,
+            self._draw_seconds(),
+            label,
+            lambda: set_mode(Mode(kind)),
+            lambda: set_mode(Mode.PASS),
+        )
+
+    def _draw_configuration(self, at: float) -> Fault:
+        def begin() -> None:
+            self._extra.append(f"extra{len(self._extra)}")
+            version = 1 + len(self._extra)
+            self.fleet.configure(version, tuple(self._extra))
+
+        return Fault(at, 0.0, "configuration", begin)
+
+    # The run
+
+    def run(self) -> None:
+        """Play the seed and check the promises."""
+        try:
+            self.fleet.start()
+            tasks = [gevent.spawn(caller.run) for caller in self._callers]
+            began = time.monotonic()
+            strikes = [
+                gevent.spawn_later(fault.at, self._strike, fault)
+                for fault in self.draw_faults()
+            ]
+            gevent.joinall(strikes)
+            calm = time.monotonic()
+            gevent.sleep(CALM_TIME)
+            ended = time.monotonic()
+            gevent.killall(tasks)
+            gevent.sleep(0.2)
+            self._check(ended)
+            self.struck.insert(0, f"calm after {calm - began:.1f} s")
+        finally:
+            self.fleet.close()
+
+    def _strike(self, fault: Fault) -> None:
+        self.struck.append(f"{fault.at:.1f} {fault.name} {fault.seconds:g}")
+        fault.begin()
+        gevent.sleep(fault.seconds)
+        fault.end()
+
+    # Promises
+
+    def _check(self, ended: float) -> None:
+        asked = [ask for caller in self._callers for ask in caller.asked]
+        events = self.fleet.read_events()
+        self._check_runs(asked, events)
+        self._check_answers(asked)
+        self._check_owners(events)
+        self._check_recovery(asked, ended)
+        self._check_configuration()
+
+    def _check_runs(self, asked: list[Ask], events: list[Event]) -> None:
+        runs = collections.Counter(
+            event.request for event in events if event.kind == "begin"
+        )
+        known = {ask.number: ask for ask in asked}
+        for number, count in runs.items():
+            ask = known.get(number)
+            if ask is None:
+                self.problems.append(f"{number} ran, and nobody asked")
+            elif ask.unsafe and count > 1:
+                self.problems.append(f"{number} ran {count} times")
+            elif ask.unsafe and ask.status in _NOT_RUN:
+                self.problems.append(f"{number} was refused and ran")
+
+    def _check_answers(self, asked: list[Ask]) -> None:
+        for ask in asked:
+            if not ask.whole:
+                self.problems.append(f"{ask.number} got a foreign answer")
+            if ask.status == 404:
+                self.problems.append(f"{ask.number} was denied its route")
+
+    def _check_owners(self, events: list[Event]) -> None:
+        """Look for two upstreams at work on one key, and fences that fall."""
+        fences: dict[int, tuple[int, str]] = {}
+        running: dict[int, collections.Counter[str]] = {}
+        for event in events:
+            if event.key < 0:
+                continue
+            at_work = running.setdefault(event.key, collections.Counter())
+            if event.kind == "end":
+                at_work[event.upstream] -= 1
+                continue
+            others = [
+                name
+                for name, count in at_work.items()
+                if count > 0 and name != event.upstream
+            ]
+            alive = [name for name in others if self._ends(events, name)]
+            if alive:
+                self.problems.append(f"key {event.key}: {event} and {alive}")
+            at_work[event.upstream] += 1
+            fence, owner = fences.get(event.key, (0, event.upstream))
+            if event.fence < fence or (
+                event.fence == fence and owner != event.upstream
+            ):
+                self.problems.append(f"key {event.key}: {event}, {fence}")
+            fences[event.key] = (event.fence, event.upstream)
+
+    def _ends(self, events: list[Event], name: str) -> bool:
+        """Tell whether an upstream was not killed: its last run has ended."""
+        counts = collections.Counter(
+            event.kind for event in events if event.upstream == name
+        )
+        return counts["begin"] == counts["end"]
+
+    def _check_recovery(self, asked: list[Ask], ended: float) -> None:
+        last = [
+            ask
+            for ask in asked
+            if ended - _JUDGED_TIME - _DEADLINE < ask.at < ended - _DEADLINE
+        ]
+        served = sum(1 for ask in last if ask.status == 200)
+        if not last or served < _LEAST_SERVED * len(last):
+            self.problems.append(
+                f"{served} of {len(last)} served {CALM_TIME:g} s after calm"
+            )
+
+    def _check_configuration(self) -> None:
+        if not self._extra:
+            return
+        for host in self.fleet.hosts:
+            headers = [("Host", HOST), (_names.REQUEST_ID, "probe")]
+            request = Request("GET", f"/{self._extra[-1]}/x", headers, b"")
+            connection = Connection(host.front.address, 1 << 20)
+            try:
+                connection.open(1.0)
+                answer = connection.exchange(request, 2.0)
+            except UpstreamError as error:
+                self.problems.append(f"{host.name}: {error}")
+                continue
+            finally:
+                connection.close()
+            if answer.status != 200:
+                self.problems.append(
+                    f"{host.name} answers {answer.status} on the last route"
+                )
+
+
+def play(seed: int, folder: pathlib.Path) -> Soak:
+    """Play one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Decides the faults.
+    folder : pathlib.Path
+        Where settings and output go; kept.
+    """
+    soak = Soak(seed, folder)
+    soak.run()
+    return soak
+
+
+def _play_here(seed: int, keep: pathlib.Path | None) -> int:
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = pathlib.Path(scratch) if keep is None else keep
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = play(seed, folder)
+    print(f"seed {seed}: {len(soak.problems)} broken; {soak.struck}")
+    for problem in soak.problems[:5]:
+        print(f"  {problem}")
+    return 1 if soak.problems else 0
+
+
+def _play_many(seeds: list[int], jobs: int) -> int:
+    waiting = list(seeds)
+    running: list[subprocess.Popen[bytes]] = []
+    broken = 0
+    while waiting or running:
+        while waiting and len(running) < jobs:
+            seed = waiting.pop(0)
+            command = [sys.executable, "-m", __spec__.name, f"--seed={seed}"]
+            running.append(subprocess.Popen(command))
+        for each in [each for each in running if each.poll() is not None]:
+            running.remove(each)
+            broken += each.returncode != 0
+        time.sleep(0.1)
+    print(f"{len(seeds)} seeds, {broken} with a broken promise")
+    return 1 if broken else 0
+
+
+def main() -> int:
+    """Play one seed, or many side by side."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--keep", type=pathlib.Path)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--count", type=int, default=50)
+    parser.add_argument("--jobs", type=int, default=3)
+    options = parser.parse_args()
+    if options.seed is not None:
+        return _play_here(options.seed, options.keep)
+    seeds = list(range(options.first, options.first + options.count))
+    return _play_many(seeds, options.jobs)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/sedgetide/testing/soakfleet.py
@@ -0,0 +1,311 @@
+"""The processes of a soak, and the proxies between them."""
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import gevent
+import msgspec
+
+from sedgetide.coding.settings import HostSettings
+from sedgetide.core.errors import UpstreamError
+from sedgetide.platform import _names
+from sedgetide.runtime.sockets import open_listener
+from sedgetide.testing.proxies import Proxy
+from sedgetide.testing.rangeupstream import Event
+from sedgetide.wire.client import Connection
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import Request
+
+HOST = "soak.example"
+KEYED = "maps"
+PLAIN = "archive"
+GRACE = 4.0
+_ENDED = 10.0
+
+
+def find_port() -> int:
+    """Return a port that is free now."""
+    listener = open_listener("127.0.0.1", 0)
+    port = listener.getsockname()[1]
+    listener.close()
+    return port
+
+
+class Program:
+    """One process, started again under the same settings when asked.
+
+    Parameters
+    ----------
+    name : str
+        For its files.
+    folder : pathlib.Path
+        Where its output goes.
+    arguments : list of str
+        What follows the interpreter.
+    """
+
+    def __init__(
+        self, name: str, folder: pathlib.Path, arguments: list[str]
+    ) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.output = folder / f"{name}.out"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start it; its output is appended to its file."""
+        with self.output.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, *self.arguments],
+                stdout=output,
+                stderr=output,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            os.kill(self._process.pid, number)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def wait(self, seconds: float = _ENDED) -> None:
+        """Wait for its end."""
+        end = time.monotonic() + seconds
+        while self.running and time.monotonic() < end:
+            gevent.sleep(0.02)
+
+    def close(self) -> None:
+        """End it, whatever it does."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.wait()
+
+
+class SoakHost:
+    """A host with the ways to it and from it to the store."""
+
+    def __init__(
+        self, number: int, folder: pathlib.Path, store_port: int
+    ) -> None:
+        self.name = f"host-{number}"
+        ports = [find_port() for _ in range(4)]
+        self.store = Proxy(store_port)
+        self.front = Proxy(ports[0])
+        settings = HostSettings(
+            host=self.name,
+            data_centre=f"dc-{number % 2}",
+            listen=f"127.0.0.1:{ports[0]}",
+            ready=f"127.0.0.1:{ports[1]}",
+            admin=f"127.0.0.1:{ports[2]}",
+            link=f"127.0.0.1:{ports[3]}",
+            stores=(self.store.address,),
+            grace=GRACE,
+        )
+        self.ready_port = ports[1]
+        path = folder / f"{self.name}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        self.program = Program(
+            self.name, folder, ["-m", "sedgetide.platform", str(path)]
+        )
+
+    def is_ready(self) -> bool:
+        """Tell what it answers the balancer."""
+        answer = call(self.ready_port, "GET", _names.READINESS_PATH)
+        return answer is not None and answer.status == 200
+
+    def close(self) -> None:
+        """End the process and its proxies."""
+        self.program.close()
+        self.store.close()
+        self.front.close()
+
+
+class SoakUpstream:
+    """A place for an upstream; each start of it has a name of its own."""
+
+    def __init__(
+        self,
+        number: int,
+        service: str,
+        folder: pathlib.Path,
+        store_port: int,
+        late: float,
+        clock_rate: float,
+    ) -> None:
+        self._folder = folder
+        self._store_port = store_port
+        self._number = number
+        self._service = service
+        self._late = late
+        self._clock_rate = clock_rate
+        self._starts = 0
+        self._port = find_port()
+        self.proxy = Proxy(self._port)
+        self.programs: list[Program] = []
+
+    @property
+    def program(self) -> Program:
+        """Its last start."""
+        return self.programs[-1]
+
+    def start(self) -> None:
+        """Start it as a new upstream at the same address."""
+        self._starts += 1
+        name = f"i-{self._number}-{self._starts}"
+        arguments = [
+            "-m",
+            "sedgetide.testing.rangeupstream",
+            f"--name={name}",
+            f"--service={self._service}",
+            f"--data-centre=dc-{self._number % 2}",
+            f"--port={self._port}",
+            f"--address={self.proxy.address}",
+            f"--store=127.0.0.1:{self._store_port}",
+            f"--late={self._late}",
+            f"--clock-rate={self._clock_rate}",
+        ]
+        if self._service == KEYED:
+            arguments.append("--keyed")
+        program = Program(name, self._folder, arguments)
+        program.start()
+        self.programs.append(program)
+
+    def close(self) -> None:
+        """End all its processes."""
+        for program in self.programs:
+            program.close()
+        self.proxy.close()
+
+
+def call(port: int, method: str, path: str, document=None) -> Answer | None:
+    """Make a plain call; None when there is no answer."""
+    address = f"127.0.0.1:{port}"
+    body = b"" if document is None else msgspec.json.encode(document)
+    connection = Connection(address, 1 << 20)
+    try:
+        connection.open(1.0)
+        request = Request(method, path, [("Host", address)], body)
+        return connection.exchange(request, 2.0)
+    except UpstreamError:
+        return None
+    finally:
+        connection.close()
+
+
+class Fleet:
+    """Store, hosts and upstreams of one soak.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where settings and output go.
+    late : float
+        Share of grants that upstreams carry out late.
+    """
+
+    def __init__(self, folder: pathlib.Path, late: float) -> None:
+        self._stack = contextlib.ExitStack()
+        self.store_port = find_port()
+        self.store = Program(
+            "store",
+            folder,
+            [
+                "-m",
+                "sedgetide.testing.platformstore",
+                f"--port={self.store_port}",
+            ],
+        )
+        self.hosts = [
+            SoakHost(number, folder, self.store_port) for number in range(3)
+        ]
+        services = [KEYED] * 4 + [PLAIN] * 2
+        self.upstreams = [
+            SoakUpstream(
+                number,
+                service,
+                folder,
+                self.store_port,
+                late,
+                0.98 if number % 2 else 1.0,
+            )
+            for number, service in enumerate(services)
+        ]
+        for each in (self.store, *self.hosts, *self.upstreams):
+            self._stack.callback(each.close)
+
+    def start(self, seconds: float = 25.0) -> None:
+        """Start all and wait until every host is ready."""
+        self.store.start()
+        end = time.monotonic() + seconds
+        while call(self.store_port, "GET", _names.RANGE_PATH) is None:
+            gevent.sleep(0.05)
+        self.configure(1, ())
+        for upstream in self.upstreams:
+            upstream.start()
+        for host in self.hosts:
+            host.program.start()
+        while not all(host.is_ready() for host in self.hosts):
+            if time.monotonic() > end:
+                raise TimeoutError("a host did not become ready")
+            gevent.sleep(0.1)
+
+    def configure(self, version: int, extra: tuple[str, ...]) -> None:
+        """Write a version of the routes, with more of them."""
+        columns = [
+            "name",
+            "host",
+            "path-prefix",
+            "kind",
+            "timeout-ms",
+            "target-latency-ms",
+            "max-attempts",
+            "service",
+        ]
+        rows = [
+            ["map", HOST, "/map/", "safe", 1500, 500, 2, KEYED],
+            ["alert", HOST, "/alert/", "unsafe", 1500, 500, 2, KEYED],
+            ["old", HOST, "/archive/", "safe", 1500, 500, 2, PLAIN],
+        ]
+        for name in extra:
+            rows.append([name, HOST, f"/{name}/", "safe", 1500, 500, 2, PLAIN])
+        document = {
+            "version": f"r{version}",
+            "routes": {"columns": columns, "rows": rows},
+            "services": {
+                "columns": ["name", "sharded"],
+                "rows": [[KEYED, True], [PLAIN, False]],
+            },
+        }
+        self.put(_names.CONFIGURATION_KEY, document)
+
+    def put(self, key: str, value: object) -> None:
+        """Write a key as the operator does, until it is taken."""
+        document = {"key": key, "value": value}
+        while True:
+            answer = call(self.store_port, "POST", "/put", document)
+            if answer is not None and answer.status == 200:
+                return
+            gevent.sleep(0.1)
+
+    def read_events(self) -> list[Event]:
+        """Return what all upstreams ran, by time."""
+        decoder = msgspec.json.Decoder(Event)
+        events = []
+        for upstream in self.upstreams:
+            for program in upstream.programs:
+                for line in program.output.read_bytes().splitlines():
+                    if line.startswith(b'{"at"') and line.endswith(b"}"):
+                        events.append(decoder.decode(line))
+        return sorted(events, key=lambda event: event.at)
+
+    def close(self) -> None:
+        """End all processes."""
+        self._stack.close()
