Logs on standard output: bounded, never in the way, an enumerated vocabulary

Cause: logs went to standard error with a blocking write and no bound, and a request's line did not say what had decided it. A request's line carries version, revision, fence and age of what decided.

--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -1,7 +1,6 @@
 """Becoming the leader, and proving again and again to be it."""
 
 import contextlib
-import logging
 import random
 
 import msgspec
@@ -20,12 +19,12 @@
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 
 _LONGEST_DELAY = 0.4
 _FRESH = 8.0
 
-_log = logging.getLogger(__name__)
-
 
 class Campaign:
     """Holds the leader's record for this host, when it can.
@@ -99,12 +98,12 @@
             self._drop_lease(lease)
             return
         except StoreError as error:
-            _log.warning("not elected", extra={"error": str(error)})
+            tell(Event.NOT_ELECTED, error=error)
             return
         self._lease = lease
         self._verified_at = asked_at
         self._leadership.begin(revision, asked_at, read_clock())
-        _log.info("leading", extra={"term": revision})
+        tell(Event.LEADING, term=revision)
 
     def _drop_lease(self, lease: LeaseId) -> None:
         with contextlib.suppress(StoreError):
@@ -124,7 +123,8 @@
             self._end("lease ended")
             return
         except StoreError as error:
-            _log.warning("not verified", extra={"error": str(error)})
+            age = read_clock() - asked_at
+            tell(Event.NOT_VERIFIED, error=error, age=f"{age:.2f}")
             self._verified_at = asked_at - self._durations.verify / 2
             return
         self._verified_at = asked_at
@@ -135,7 +135,7 @@
     def _end(self, reason: str) -> None:
         self._leadership.end()
         self._lease = NO_LEASE
-        _log.warning("leading no more", extra={"reason": reason})
+        tell(Event.LEADING_NO_MORE, reason=reason)
 
     def resign(self) -> None:
         """Stop to lead, so that another host need not wait for the lease."""
--- a/sedgetide/daemons/_follower.py
+++ b/sedgetide/daemons/_follower.py
@@ -1,7 +1,6 @@
 """The task that keeps a host's knowledge up to date."""
 
 import contextlib
-import logging
 
 import gevent
 
@@ -12,6 +11,8 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.runtime.tasks import spawn_vital
 
 # A watch whose connection or store has gone silent looks like one without
@@ -21,8 +22,6 @@
 _PAUSE = 0.15
 _LONGEST_PAUSE = 0.6
 
-_log = logging.getLogger(__name__)
-
 
 class Follower:
     """Lists the store once and watches it from there.
@@ -59,7 +58,7 @@
                 self._step()
                 pause = _PAUSE
             except HistoryLost:
-                _log.warning("store history lost")
+                tell(Event.HISTORY_LOST, revision=self._since)
                 self._listed = False
             except StoreError as error:
                 self._note_lost(error)
@@ -81,11 +80,11 @@
     def _note_lost(self, error: StoreError) -> None:
         self._knowledge.directory.note_disturbance(read_clock())
         if self.available:
-            _log.warning("store lost", extra={"error": str(error)})
+            tell(Event.STORE_LOST, error=error)
         self.available = False
 
     def _note_back(self) -> None:
         self._knowledge.heard_at = read_clock()
         if not self.available:
-            _log.info("store reached", extra={"revision": self._since})
+            tell(Event.STORE_REACHED, revision=self._since)
         self.available = True
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -1,6 +1,5 @@
 """What a host knows of the deployment, as the store last told it."""
 
-import logging
 from typing import Any
 
 import msgspec
@@ -20,14 +19,14 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.requests.routes import RouteTable
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.runtime.signals import Changes
 
 OWN_PREFIX = "sedgetide/"
 LEADER_KEY = OWN_PREFIX + "leader"
 RANGES_PREFIX = OWN_PREFIX + "ranges/"
 
-_log = logging.getLogger(__name__)
-
 
 class KnownTable(msgspec.Struct, frozen=True):
     """Owners of a service's keys, with the record's revision."""
@@ -100,9 +99,7 @@
             else:
                 self._take_other(key, value, now)
         except (InputError, msgspec.MsgspecError) as error:
-            _log.error(
-                "record refused", extra={"key": key, "problem": str(error)}
-            )
+            tell(Event.RECORD_REFUSED, key=key, problem=error)
 
     def _take_leader(self, value: bytes | None, revision: Revision) -> None:
         if value is None:
@@ -111,7 +108,7 @@
             record = msgspec.json.decode(value, type=LeaderRecord)
             self.leader = KnownLeader(record, revision)
         name = "" if self.leader is None else self.leader.record.host
-        _log.info("leader", extra={"leader": name, "revision": revision})
+        tell(Event.LEADER, leader=name, revision=revision)
 
     def _take_record(
         self, key: str, value: bytes | None, revision: Revision, now: float
@@ -164,7 +161,7 @@
             self._note_entry(entry)
             self.directory.put(entry, now)
         elif isinstance(entry, Withdrawn):
-            _log.info("upstream withdrawn", extra={"upstream": entry.upstream})
+            tell(Event.UPSTREAM_WITHDRAWN, upstream=entry.upstream)
             self.directory.remove(entry.upstream, now)
         elif isinstance(entry, Policy):
             self._take_policy(entry)
@@ -172,14 +169,12 @@
     def _note_entry(self, entry: RegisteredUpstream) -> None:
         known = self.directory.find(entry.name)
         if known is None or known.leaving != entry.leaving:
-            _log.info(
-                "upstream",
-                extra={
-                    "upstream": entry.name,
-                    "service": entry.service,
-                    "address": entry.address,
-                    "leaving": entry.leaving,
-                },
+            tell(
+                Event.UPSTREAM,
+                upstream=entry.name,
+                service=entry.service,
+                address=entry.address,
+                leaving=entry.leaving,
             )
 
     def _take_policy(self, policy: Policy) -> None:
@@ -187,9 +182,11 @@
             return
         self.policy = policy
         self.routes = RouteTable(policy)
-        _log.info(
-            "policy",
-            extra={"version": policy.version, "routes": len(policy.routes)},
+        tell(
+            Event.POLICY,
+            version=policy.version,
+            routes=len(policy.routes),
+            services=len(policy.services),
         )
 
     def find_moving_since(self, service: ServiceName, tenure: Tenure) -> float:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import contextlib
-import logging
 from typing import Any
 
 import gevent
@@ -41,6 +40,8 @@
 from sedgetide.daemons._orders import OrderLane
 from sedgetide.daemons._orders import Taken
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.runtime.signals import Changes
 from sedgetide.runtime.tasks import spawn_vital
 
@@ -53,8 +54,6 @@
 _RETRY_PAUSE = 0.2
 _GRANT_TRIES = 3
 
-_log = logging.getLogger(__name__)
-
 
 class Leader:
     """Orders grants while this host leads; does nothing else.
@@ -186,7 +185,7 @@
                 continue
             hold = self._leadership.choose_hold(now)
             if hold > last:
-                _log.warning("bridging", extra={"hold": hold})
+                tell(Event.BRIDGING, hold=hold)
                 self._renew_now.announce()
             last = hold
 
@@ -203,7 +202,7 @@
                 self._adopt_tables()
                 return
             except StoreError as error:
-                _log.warning("tables unread", extra={"error": str(error)})
+                tell(Event.TABLE_UNWRITTEN, service="", error=error)
                 gevent.sleep(_RETRY_PAUSE)
 
     def _adopt_tables(self) -> None:
@@ -265,15 +264,13 @@
             table = settled
             self._stopped_at = now
         if moves:
-            _log.info(
-                "moves",
-                extra={
-                    "service": service,
-                    "moves": " ".join(
-                        f"{each.keys.low}-{each.keys.high}>{each.successor}"
-                        for each in moves
-                    ),
-                },
+            tell(
+                Event.MOVES,
+                service=service,
+                moves=" ".join(
+                    f"{each.keys.low}-{each.keys.high}>{each.successor}"
+                    for each in moves
+                ),
             )
             table = table.begin(moves)
         return table
@@ -319,14 +316,22 @@
                 [Write(key, encode_ranges(table))],
             )
         except StoreConflict:
-            _log.warning("table overtaken", extra={"service": service})
+            tell(Event.TABLE_UNWRITTEN, service=service, error="overtaken")
             self._reread()
             return False
         except StoreError as error:
-            _log.warning("table unwritten", extra={"error": str(error)})
+            tell(Event.TABLE_UNWRITTEN, service=service, error=error)
             self._reread()
             return False
         self._knowledge.take_table(service, table, written, read_clock())
+        tell(
+            Event.TABLE_WRITTEN,
+            service=service,
+            revision=written,
+            ranges=len(table.tenures),
+            moving=len(table.list_moving()),
+            fence=table.fence,
+        )
         stopped = self._stopped.get(service, set())
         self._stopped[service] = stopped.intersection(table.tenures)
         return True
@@ -412,20 +417,44 @@
         str or None
             None when this host may give no more orders.
         """
+        began = read_clock()
         while True:
             now = read_clock()
             if not self._leadership.may_order(now):
                 return None
             if self._has_ended(service, tenure, now):
+                self._tell_stopped(service, tenure, "ended", now - began)
                 return ""
             lane = self._find_lane(tenure.owner)
             if lane is not None:
                 result = lane.release(tenure.keys, tenure.fence)
                 if result.taken in (Taken.DONE, Taken.FOREIGN):
                     self._term.note_release(tenure.owner, tenure.keys)
+                    proof = result.taken.value
+                    self._tell_stopped(
+                        service, tenure, proof, read_clock() - began
+                    )
                     return result.handover
             gevent.sleep(_RETRY_PAUSE)
 
+    def _tell_stopped(
+        self,
+        service: ServiceName,
+        tenure: Tenure,
+        proof: str,
+        seconds: float,
+    ) -> None:
+        tell(
+            Event.OWNER_STOPPED,
+            service=service,
+            upstream=tenure.owner,
+            low=tenure.low,
+            high=tenure.high,
+            fence=tenure.fence,
+            proof=proof,
+            seconds=f"{seconds:.2f}",
+        )
+
     def _has_ended(
         self, service: ServiceName, tenure: Tenure, now: float
     ) -> bool:
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import enum
-import logging
 
 import msgspec
 
@@ -12,6 +11,8 @@
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
@@ -21,8 +22,6 @@
 _RELEASE_TIMEOUT = 3.0
 _OK = 200
 
-_log = logging.getLogger(__name__)
-
 
 class Taken(enum.Enum):
     """What became of an order.
@@ -49,10 +48,21 @@
 
 
 class OrderResult(msgspec.Struct, frozen=True):
-    """What became of an order, with the state that was handed over."""
+    """What became of an order.
+
+    Parameters
+    ----------
+    taken : Taken
+        Whether it was obeyed.
+    handover : str
+        State that a release hands to the next owner.
+    detail : str
+        What went wrong, for people.
+    """
 
     taken: Taken
     handover: str = ""
+    detail: str = ""
 
 
 class OrderLane:
@@ -123,18 +133,17 @@
     def _log(
         self, order: str, keys: KeyRange, fence: Fence, result: OrderResult
     ) -> None:
-        plain = order == "grant" and result.taken is Taken.DONE
-        _log.log(
-            logging.DEBUG if plain else logging.INFO,
-            "order",
-            extra={
-                "order": order,
-                "upstream": self.upstream,
-                "low": keys.low,
-                "high": keys.high,
-                "fence": fence,
-                "taken": result.taken.value,
-            },
+        if order == "grant" and result.taken is Taken.DONE:
+            return
+        tell(
+            Event.ORDER,
+            order=order,
+            upstream=self.upstream,
+            low=keys.low,
+            high=keys.high,
+            fence=fence,
+            taken=result.taken.value,
+            detail=result.detail,
         )
 
     def _give(
@@ -142,8 +151,8 @@
     ) -> OrderResult:
         try:
             connection = self._pool.take(_CONNECT_TIMEOUT)
-        except UpstreamError:
-            return OrderResult(Taken.UNSENT)
+        except UpstreamError as error:
+            return OrderResult(Taken.UNSENT, detail=error.detail)
         order = make()
         if order is None:
             self._pool.give_back(connection)
@@ -159,11 +168,7 @@
                 request, timeout or self._grant_timeout
             )
         except UpstreamError as error:
-            _log.info(
-                "order unanswered",
-                extra={"upstream": self.upstream, "error": error.detail},
-            )
-            return OrderResult(Taken.UNKNOWN)
+            return OrderResult(Taken.UNKNOWN, detail=error.detail)
         self._pool.give_back(connection)
         return self._judge(answer)
 
@@ -176,7 +181,7 @@
         if self._dialect.is_foreign(answer.status):
             return OrderResult(Taken.FOREIGN)
         # What else it says is no proof of anything.
-        return OrderResult(Taken.UNKNOWN)
+        return OrderResult(Taken.UNKNOWN, detail=f"status {answer.status}")
 
     def close(self) -> None:
         """Close all connections."""
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -1,6 +1,5 @@
 """From a caller's request to its final answer."""
 
-import logging
 import random
 
 import gevent
@@ -31,6 +30,8 @@
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import drop_hop_headers
 from sedgetide.wire.messages import find_header
@@ -49,8 +50,6 @@
 _SUSPECT_COST = 4.0
 _FIRST_GUESS = 0.25
 
-_log = logging.getLogger(__name__)
-
 # These left the upstream's own word that nothing ran, or no byte had left.
 _NOT_RUN_FAILURES = frozenset(
     {
@@ -80,6 +79,8 @@
     retry_after: float = _REFUSED_RETRY
     note: str = ""
     unreached: int = 0
+    fence: int = 0
+    held: float = 0.0
 
 
 class Requests:
@@ -142,6 +143,7 @@
             return _say(400, str(error))
         route = self._match(request)
         if route is None:
+            self._tell_denied(fields, request)
             return _say(404, "no route")
         job = self._make_job(request, fields, route, began)
         try:
@@ -153,6 +155,17 @@
         self._log(job, answer.status, began)
         return answer
 
+    def _tell_denied(self, fields: CallerFields, request: Request) -> None:
+        tell(
+            Event.DENIED,
+            id=fields.request,
+            status=404,
+            host_header=find_header(request.headers, "host"),
+            path=request.path[:80],
+            version=self._knowledge.policy.version,
+            age_ms=int((read_clock() - self._knowledge.heard_at) * 1000),
+        )
+
     def _make_job(
         self,
         request: Request,
@@ -176,19 +189,25 @@
         return budget
 
     def _log(self, job: _Job, status: int, began: float) -> None:
-        _log.info(
-            "request",
-            extra={
-                "id": job.fields.request,
-                "route": job.route.name,
-                "key": job.fields.key,
-                "status": status,
-                "outcome": job.progress.outcome.value,
-                "failure": job.progress.failure.value,
-                "note": job.note,
-                "upstreams": ",".join(job.progress.tried),
-                "ms": int((read_clock() - began) * 1000),
-            },
+        known = self._knowledge.tables.get(job.service)
+        now = read_clock()
+        tell(
+            Event.REQUEST,
+            id=job.fields.request,
+            route=job.route.name,
+            service=job.service,
+            key=job.fields.key,
+            status=status,
+            outcome=job.progress.outcome.value,
+            failure=job.progress.failure.value,
+            note=job.note,
+            upstreams=",".join(job.progress.tried),
+            ms=int((now - began) * 1000),
+            held_ms=int(job.held * 1000),
+            version=self._knowledge.policy.version,
+            revision=0 if known is None else known.revision,
+            fence=job.fence,
+            age_ms=int((now - self._knowledge.heard_at) * 1000),
         )
 
     # Attempts
@@ -329,6 +348,9 @@
         progress.sends += 1
         progress.tried.append(name)
         began = read_clock()
+        if progress.sends == 1:
+            job.held = began - job.times.began
+        job.fence = target.fence
         # Until an answer tells otherwise, it may have run.
         before, progress.outcome = progress.outcome, Outcome.UNKNOWN
         try:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -2,12 +2,11 @@
 
 from collections.abc import Callable
 import contextlib
-import logging
 import signal
 from typing import Any
 
 import gevent
-from gevent.event import Event
+from gevent.event import Event as StopEvent
 from gevent.pywsgi import WSGIServer
 import msgspec
 
@@ -38,6 +37,8 @@
 from sedgetide.daemons._requests import Requests
 from sedgetide.links import Mail
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.runtime.sockets import open_listener
 from sedgetide.runtime.tasks import spawn_vital
 from sedgetide.wire.server import Server
@@ -47,8 +48,6 @@
 _STOP_POLL = 0.05
 _EXIT_RESERVE = 0.25
 
-_log = logging.getLogger(__name__)
-
 
 class Dialects(msgspec.Struct, frozen=True):
     """All that a deployment's adapter brings.
@@ -89,6 +88,7 @@
         self._settings = settings
         self._dialects = dialects
         self._stopping = False
+        self.incarnation = make_incarnation()
         self._knowledge = Knowledge(dialects.catalogue)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
@@ -115,7 +115,7 @@
         leadership = Leadership(durations)
         record = LeaderRecord(
             self._settings.host_name,
-            make_incarnation(),
+            self.incarnation,
             LinkAddress(self._settings.link),
         )
         campaign = Campaign(
@@ -219,6 +219,11 @@
         be cut by the end of the process while its upstream works on it.
         """
         self._stopping = True
+        tell(
+            Event.STOPPING,
+            in_hand=self._server.in_hand,
+            connections=len(self._server.connections),
+        )
         self._leader.resign()
         self._server.begin_stop()
         began = read_clock()
@@ -229,7 +234,11 @@
         while read_clock() < last and self._server.connections:
             self._server.close_idle()
             gevent.sleep(_STOP_POLL)
-        _log.info("stopped", extra={"in_hand": self._server.in_hand})
+        tell(
+            Event.STOPPED,
+            in_hand=self._server.in_hand,
+            seconds=f"{read_clock() - began:.1f}",
+        )
 
     def _wait_until(self, end: float) -> None:
         while read_clock() < end:
@@ -249,20 +258,23 @@
     settings = read_settings(
         "sedgetide-host", __doc__, HostSettings, arguments
     )
-    stopped = Event()
+    stopped = StopEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
     gevent.signal_handler(signal.SIGHUP, _note_reload)
     with contextlib.ExitStack() as stack:
         host = Host(settings, dialects)
         host.start(stack)
-        _log.info("started", extra={"listen": settings.listen})
+        tell(
+            Event.STARTED,
+            listen=settings.listen,
+            incarnation=host.incarnation,
+        )
         stopped.wait()
-        _log.info("stopping")
         host.stop()
     return 0
 
 
 def _note_reload() -> None:
     """Say that the settings of a running process do not change."""
-    _log.info("reload asked; addresses and limits stay until a restart")
+    tell(Event.RELOAD)
--- /dev/null
+++ b/sedgetide/runtime/events.py
@@ -0,0 +1,254 @@
+"""All events that a host logs, with their fields.
+
+The page docs/logs.md is made from this list.
+"""
+
+import enum
+import logging
+from typing import Any
+from typing import NamedTuple
+
+_log = logging.getLogger("sedgetide")
+
+
+class Definition(NamedTuple):
+    """One kind of line.
+
+    Parameters
+    ----------
+    name : str
+        What stands behind ``event=``.
+    level : int
+        Severity, as of the logging module.
+    meaning : str
+        When it is written, for people.
+    fields : tuple of str
+        All that it may carry.
+    """
+
+    name: str
+    level: int
+    meaning: str
+    fields: tuple[str, ...] = ()
+
+
+class Event(enum.Enum):
+    """Kinds of lines."""
+
+    STARTED = Definition(
+        "started", logging.INFO, "The host listens.", ("listen", "incarnation")
+    )
+    STOPPING = Definition(
+        "stopping",
+        logging.INFO,
+        "SIGTERM came; callers are asked to go elsewhere.",
+        ("in_hand", "connections"),
+    )
+    STOPPED = Definition(
+        "stopped",
+        logging.INFO,
+        "The process ends; what is in hand is cut.",
+        ("in_hand", "seconds"),
+    )
+    RELOAD = Definition(
+        "reload",
+        logging.INFO,
+        "SIGHUP came; addresses and limits stay until a restart.",
+    )
+    OMITTED = Definition(
+        "omitted",
+        logging.WARNING,
+        "Lines left out in the last second: the bound was reached or the "
+        "reader of standard output did not read.",
+        ("lines",),
+    )
+    STORE_LOST = Definition(
+        "store-lost",
+        logging.WARNING,
+        "The store gave no usable answer; what is known grows old.",
+        ("error",),
+    )
+    STORE_REACHED = Definition(
+        "store-reached",
+        logging.INFO,
+        "The store answers, for the first time or again.",
+        ("revision",),
+    )
+    HISTORY_LOST = Definition(
+        "history-lost",
+        logging.WARNING,
+        "The store forgot what came after a revision; all is listed anew.",
+        ("revision",),
+    )
+    RECORD_REFUSED = Definition(
+        "record-refused",
+        logging.ERROR,
+        "A record can not be read; what was known before stays in force.",
+        ("key", "problem"),
+    )
+    POLICY = Definition(
+        "policy",
+        logging.INFO,
+        "A version of the routes is in force on this host.",
+        ("version", "routes", "services"),
+    )
+    UPSTREAM = Definition(
+        "upstream",
+        logging.INFO,
+        "An upstream has registered, or announced its end.",
+        ("upstream", "service", "address", "leaving"),
+    )
+    UPSTREAM_WITHDRAWN = Definition(
+        "upstream-withdrawn",
+        logging.INFO,
+        "An upstream's entry has disappeared. It gets no new work, unless "
+        "the store was disturbed just before.",
+        ("upstream",),
+    )
+    LEADER = Definition(
+        "leader",
+        logging.INFO,
+        "Another host leads, or none.",
+        ("leader", "revision"),
+    )
+    LEADING = Definition(
+        "leading",
+        logging.INFO,
+        "This host leads; the term is the revision of its record.",
+        ("term",),
+    )
+    NOT_ELECTED = Definition(
+        "not-elected",
+        logging.WARNING,
+        "This host stood to lead, and the store gave no usable answer.",
+        ("error",),
+    )
+    NOT_VERIFIED = Definition(
+        "not-verified",
+        logging.WARNING,
+        "The leader could not read its record; it orders until its last "
+        "proof is too old.",
+        ("error", "age"),
+    )
+    LEADING_NO_MORE = Definition(
+        "leading-no-more",
+        logging.WARNING,
+        "This host gives no more orders.",
+        ("reason",),
+    )
+    BRIDGING = Definition(
+        "bridging",
+        logging.WARNING,
+        "The store is silent; all grants are renewed with a longer life.",
+        ("hold",),
+    )
+    TABLE_WRITTEN = Definition(
+        "table-written",
+        logging.INFO,
+        "A new version of a service's owners is in the store.",
+        ("service", "revision", "ranges", "moving", "fence"),
+    )
+    TABLE_UNWRITTEN = Definition(
+        "table-unwritten",
+        logging.WARNING,
+        "A new version was refused or not answered; the record is read anew.",
+        ("service", "error"),
+    )
+    MOVES = Definition(
+        "moves",
+        logging.INFO,
+        "Ranges begin to move: from-to>successor.",
+        ("service", "reason", "moves"),
+    )
+    ORDER = Definition(
+        "order",
+        logging.INFO,
+        "An order to an upstream and what became of it; grants that were "
+        "obeyed are left out.",
+        ("order", "upstream", "low", "high", "fence", "taken", "detail"),
+    )
+    OWNER_STOPPED = Definition(
+        "owner-stopped",
+        logging.INFO,
+        "A moving range has no owner any more, and how that is known.",
+        ("service", "upstream", "low", "high", "fence", "proof", "seconds"),
+    )
+    REQUEST = Definition(
+        "request",
+        logging.INFO,
+        "A caller's request got its final answer; status 0: the caller left "
+        "first. The fields after the times are what decided: version of the "
+        "routes, revision and fence of the owner, and for how many "
+        "milliseconds nothing was heard from the store.",
+        (
+            "id",
+            "route",
+            "service",
+            "key",
+            "status",
+            "outcome",
+            "failure",
+            "note",
+            "upstreams",
+            "ms",
+            "held_ms",
+            "version",
+            "revision",
+            "fence",
+            "age_ms",
+        ),
+    )
+    DENIED = Definition(
+        "denied",
+        logging.INFO,
+        "A request was answered without a route.",
+        ("id", "status", "host_header", "path", "version", "age_ms"),
+    )
+
+
+_FIELDS = {event: frozenset(event.value.fields) for event in Event}
+
+
+def tell(event: Event, **fields: Any) -> None:
+    """Log an event.
+
+    Raises
+    ------
+    ValueError
+        When a field is not among those of the event.
+    """
+    definition = event.value
+    if not _log.isEnabledFor(definition.level):
+        return
+    unknown = fields.keys() - _FIELDS[event]
+    if unknown:
+        raise ValueError(
+            f"{definition.name}: {sorted(unknown)}: accepted are "
+            f"{definition.fields}"
+        )
+    _log.log(definition.level, definition.name, extra=fields)
+
+
+def make_page() -> str:
+    """Return the page that documents all events."""
+    lines = [
+        "# Logs",
+        "",
+        "One line of `key=value` pairs for each event on standard output:",
+        "`time`, `level`, `event`, `host`, `program`, then the event's own.",
+        "This page is made from `sedgetide/runtime/events.py` by",
+        "`python -m sedgetide.runtime.events`.",
+        "",
+        "| event | level | when | fields |",
+        "| --- | --- | --- | --- |",
+    ]
+    for event in Event:
+        name, level, meaning, fields = event.value
+        shown = ", ".join(f"`{field}`" for field in fields)
+        level_name = logging.getLevelName(level).lower()
+        lines.append(f"| `{name}` | {level_name} | {meaning} | {shown} |")
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(make_page(), end="")
--- /dev/null
+++ b/tests/daemons/test_logs.py
@@ -0,0 +1,104 @@
+"""Tests of the logs: bounded, never in the way, and documented."""
+
+import logging
+import os
+import pathlib
+
+import testtools
+
+from sedgetide.daemons._logs import BoundedHandler
+from sedgetide.daemons._logs import format_pairs
+from sedgetide.daemons._logs import LineBound
+from sedgetide.daemons._logs import make_formatter
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import make_page
+from sedgetide.runtime.events import tell
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "logs.md"
+
+
+class TestFormat(testtools.TestCase):
+    """Values that hold spaces or quotes stay one value."""
+
+    def test_pairs(self):
+        line = format_pairs({"event": "a b", "n": 3, "q": 'x"\n', "e": ""})
+        self.assertEqual('event="a b" n=3 q="x\\"\\n" e=""', line)
+
+
+class TestLineBound(testtools.TestCase):
+    """Answered requests are left out first."""
+
+    def test_failures_are_kept_before_successes(self):
+        bound = LineBound(10, 4)
+        kept = [bound.admit(True, 5.0) for _ in range(20)]
+        self.assertEqual(6, sum(kept))
+        kept = [bound.admit(False, 5.1) for _ in range(20)]
+        self.assertEqual(4, sum(kept))
+        self.assertEqual(30, bound.take_omitted())
+        self.assertTrue(bound.admit(True, 6.0))
+
+
+class TestBoundedHandler(testtools.TestCase):
+    """The loop goes on whatever the reader of the lines does."""
+
+    def setUp(self):
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.handler = BoundedHandler(self.writer, LineBound(10**6, 0))
+        self.handler.setFormatter(make_formatter("h-1", "p"))
+
+    def emit(self, count):
+        for number in range(count):
+            self.handler.emit(logging.makeLogRecord({"msg": f"line {number}"}))
+
+    def read_all(self):
+        os.set_blocking(self.reader, False)
+        data = b""
+        while True:
+            try:
+                block = os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return data
+            data += block
+
+    def test_reader_that_stops(self):
+        # Whoever reads the output stops reading. The pipe fills up; a
+        # blocking write would now stop every request of the host.
+        self.emit(20_000)
+        first = self.read_all()
+        self.assertIn(b"line 0", first)
+        # It reads again: whole lines go on, what was left out is counted.
+        self.handler._told_at = 0.0
+        while True:
+            self.emit(1)
+            more = self.read_all()
+            first += more
+            if b"event=omitted" in first:
+                break
+        lines = first.split(b"\n")
+        self.assertTrue(all(b"event=" in line for line in lines[:-1]))
+
+    def test_reader_that_is_gone(self):
+        self.emit(1)
+        os.dup2(os.open(os.devnull, os.O_RDONLY), self.writer)
+        self.emit(10)
+
+
+class TestVocabulary(testtools.TestCase):
+    """Events and fields are those of the page."""
+
+    def test_page_is_up_to_date(self):
+        self.assertEqual(make_page(), PAGE.read_text())
+
+    def test_unknown_field_is_refused(self):
+        log = logging.getLogger("sedgetide")
+        level = log.level
+        self.addCleanup(log.setLevel, level)
+        log.setLevel(logging.INFO)
+        self.assertRaises(ValueError, tell, Event.LEADING, color="red")
+
+    def test_names_are_unique(self):
+        names = [event.value.name for event in Event]
+        self.assertEqual(len(names), len(set(names)))
