--- /dev/null
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -0,0 +1,60 @@
+"""Metrics of a host."""
+
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+REQUESTS = Counter(
+    "sedgetide_requests",
+    "Final answers to callers.",
+    ["service", "outcome", "failure"],
+)
+REQUEST_SECONDS = Histogram(
+    "sedgetide_request_seconds",
+    "Time from a whole request to its final answer.",
+    ["service"],
+    buckets=(0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0),
+)
+HELD_SECONDS = Histogram(
+    "sedgetide_request_held_seconds",
+    "Time from a whole request to its first send.",
+    ["service"],
+    buckets=(0.001, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0),
+)
+SENDS = Counter("sedgetide_sends", "Requests sent to upstreams.", ["service"])
+RETRIES = Counter(
+    "sedgetide_retries",
+    "Second sends by what the budget said.",
+    ["service", "verdict"],
+)
+REQUESTS_IN_HAND = Gauge(
+    "sedgetide_requests_in_hand", "Requests without a final answer."
+)
+CALLER_CONNECTIONS = Gauge(
+    "sedgetide_caller_connections", "Open connections of callers."
+)
+STORE_CALLS = Counter(
+    "sedgetide_store_calls", "Calls to the store.", ["step", "result"]
+)
+STORE_SILENCE_SECONDS = Gauge(
+    "sedgetide_store_silence_seconds",
+    "Time since the store was last heard: age of policy, owners, directory.",
+)
+POLICY_VERSION = Gauge(
+    "sedgetide_policy_version", "Version of the routes in force."
+)
+UPSTREAMS = Gauge("sedgetide_upstreams", "Registered upstreams.")
+LEADING = Gauge("sedgetide_leading", "Whether this host gives orders.")
+RANGES = Gauge("sedgetide_ranges", "Ranges of a service's keys.", ["service"])
+RANGES_MOVING = Gauge(
+    "sedgetide_ranges_moving", "Ranges without an owner.", ["service"]
+)
+MOVES = Counter(
+    "sedgetide_moves", "Ranges that got another owner.", ["service"]
+)
+ORDERS = Counter(
+    "sedgetide_orders", "Orders to upstreams.", ["order", "taken"]
+)
+LOG_LINES_OMITTED = Gauge(
+    "sedgetide_log_lines_omitted", "Lines left out since the start."
+)
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -34,6 +34,9 @@
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._hostmetrics import MOVES
+from sedgetide.daemons._hostmetrics import RANGES
+from sedgetide.daemons._hostmetrics import RANGES_MOVING
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.daemons._knowledge import RANGES_PREFIX
@@ -332,6 +335,8 @@
             moving=len(table.list_moving()),
             fence=table.fence,
         )
+        RANGES.labels(service).set(len(table.tenures))
+        RANGES_MOVING.labels(service).set(len(table.list_moving()))
         stopped = self._stopped.get(service, set())
         self._stopped[service] = stopped.intersection(table.tenures)
         return True
@@ -393,6 +398,7 @@
         # Without its answer the successor owns it all the same: its
         # renewals go on, and if it is gone the range moves on.
         self._stopped.setdefault(service, set()).add(tenure)
+        MOVES.labels(service).inc()
         self._spread(service, tenure)
 
     def _spread(self, service: ServiceName, tenure: Tenure) -> None:
--- a/sedgetide/daemons/_logs.py
+++ b/sedgetide/daemons/_logs.py
@@ -14,6 +14,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from sedgetide.daemons._hostmetrics import LOG_LINES_OMITTED
 from sedgetide.runtime.events import Event
 
 LINES_PER_SECOND = 300
@@ -150,6 +151,7 @@
             "sedgetide", definition.level, "", 0, definition.name, (), None
         )
         record.lines = self._bound.take_omitted()
+        LOG_LINES_OMITTED.inc(record.lines)
         self._keep(self.format(record))
 
     def _flush(self) -> None:
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -11,6 +11,7 @@
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.daemons._hostmetrics import ORDERS
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
 from sedgetide.wire.client import ConnectionPool
@@ -133,6 +134,7 @@
     def _log(
         self, order: str, keys: KeyRange, fence: Fence, result: OrderResult
     ) -> None:
+        ORDERS.labels(order, result.taken.value).inc()
         if order == "grant" and result.taken is Taken.DONE:
             return
         tell(
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -25,6 +25,11 @@
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.routes import Timetable
 from sedgetide.core.retries import RetryBudget
+from sedgetide.daemons._hostmetrics import HELD_SECONDS
+from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
+from sedgetide.daemons._hostmetrics import REQUESTS
+from sedgetide.daemons._hostmetrics import RETRIES
+from sedgetide.daemons._hostmetrics import SENDS
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
 from sedgetide.daemons._lanes import Lanes
@@ -153,8 +158,19 @@
             self._log(job, 0, began)
             raise
         self._log(job, answer.status, began)
+        self._count(job, began)
         return answer
 
+    def _count(self, job: _Job, began: float) -> None:
+        progress = job.progress
+        REQUESTS.labels(
+            job.service, progress.outcome.value, progress.failure.value
+        ).inc()
+        REQUEST_SECONDS.labels(job.service).observe(read_clock() - began)
+        if progress.sends:
+            HELD_SECONDS.labels(job.service).observe(job.held)
+            SENDS.labels(job.service).inc(progress.sends)
+
     def _tell_denied(self, fields: CallerFields, request: Request) -> None:
         tell(
             Event.DENIED,
@@ -237,7 +253,9 @@
             return False
         if not self._find_budget(job.service).spend():
             job.note = "no retry budget"
+            RETRIES.labels(job.service, "refused").inc()
             return False
+        RETRIES.labels(job.service, "spent").inc()
         if job.progress.failure is Failure.NOT_OWNER:
             self._knowledge.changes.wait(_NOT_OWNER_PAUSE)
         elif job.progress.failure is Failure.BUSY:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -26,7 +26,14 @@
 from sedgetide.daemons._admin import Inspectable
 from sedgetide.daemons._admin import make_application
 from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._countedstore import CountedStore
 from sedgetide.daemons._follower import Follower
+from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
+from sedgetide.daemons._hostmetrics import LEADING
+from sedgetide.daemons._hostmetrics import POLICY_VERSION
+from sedgetide.daemons._hostmetrics import REQUESTS_IN_HAND
+from sedgetide.daemons._hostmetrics import STORE_SILENCE_SECONDS
+from sedgetide.daemons._hostmetrics import UPSTREAMS
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._leader import Leader
@@ -106,9 +113,25 @@
         )
         self._mail = Mail(settings.link, _LINK_BYTES, self._handle, self._drop)
         self._leader = self._make_leader()
+        self._bind_gauges()
+
+    def _bind_gauges(self) -> None:
+        knowledge = self._knowledge
+        REQUESTS_IN_HAND.set_function(lambda: self._server.in_hand)
+        CALLER_CONNECTIONS.set_function(lambda: len(self._server.connections))
+        STORE_SILENCE_SECONDS.set_function(
+            lambda: read_clock() - knowledge.heard_at
+        )
+        POLICY_VERSION.set_function(
+            lambda: 0 if knowledge.policy is None else knowledge.policy.version
+        )
+        UPSTREAMS.set_function(lambda: len(knowledge.directory.list_all()))
+        LEADING.set_function(lambda: float(self._leader.leading))
 
     def _open_store(self) -> LeaseStore:
-        return self._dialects.open_store(self._settings.stores[0])
+        return CountedStore(
+            self._dialects.open_store(self._settings.stores[0])
+        )
 
     def _make_leader(self) -> Leader:
         durations = self._settings.durations
