--- a/sedgetide/__init__.py
+++ b/sedgetide/__init__.py
@@ -9,12 +9,12 @@
 from sedgetide.coding.settings import load_settings
 from sedgetide.coding.text import check_change
 from sedgetide.coding.text import check_text
-from sedgetide.core.assignment import Assignment
+from sedgetide.core.configuration.services import Text
 from sedgetide.core.errors import SedgetideError
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.routing import Router
-from sedgetide.core.services import Text
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.routing import Router
 
 __all__ = [
     "Assignment",
--- a/sedgetide/backends/httpstore.py
+++ b/sedgetide/backends/httpstore.py
@@ -17,6 +17,7 @@
 from sedgetide.backends.store import Changes
 from sedgetide.backends.store import Store
 from sedgetide.coding.values import MAX_VALUE_BYTES
+from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreConflict
@@ -24,7 +25,6 @@
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.records import Record
 
 _OK = 200
 _NOT_FOUND = 404
--- a/sedgetide/backends/httpupstream.py
+++ b/sedgetide/backends/httpupstream.py
@@ -17,11 +17,11 @@
 from sedgetide.backends.upstream import UpstreamStatus
 from sedgetide.backends.upstream import Work
 from sedgetide.backends.upstream import WorkResult
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import Epoch
+from sedgetide.core.ownership.assignment import ShardKey
 
 OWN_PREFIX = "sedgetide-"
 HEADER_NUMBER = "sedgetide-request"
--- a/sedgetide/backends/store.py
+++ b/sedgetide/backends/store.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from sedgetide.core.configuration.records import Record
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.records import Record
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/sedgetide/backends/upstream.py
+++ b/sedgetide/backends/upstream.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from sedgetide.backends._connection import HttpAnswer
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.identifiers import Epoch
+from sedgetide.core.ownership.assignment import ShardKey
 
 
 class Order(msgspec.Struct, frozen=True):
--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
+from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import LinkError
 from sedgetide.core.errors import Step
@@ -15,12 +14,13 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.core.ownership.load import KeyWork
 from sedgetide.core.ownership.load import UpstreamWork
 from sedgetide.core.ownership.ranges import Tenure
-from sedgetide.core.records import Record
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
 
 Headers = list[tuple[str, str]]
 
--- a/sedgetide/coding/text.py
+++ b/sedgetide/coding/text.py
@@ -8,11 +8,11 @@
 from sedgetide.coding.checking import describe_value
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.core.configuration.services import KEY_SEGMENT
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
 from sedgetide.core.identifiers import Shard
-from sedgetide.core.keyspace import find_home
-from sedgetide.core.services import KEY_SEGMENT
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
+from sedgetide.core.ownership.keyspace import find_home
 
 MAX_TEXT_BYTES = 512 * 1024
 
--- a/sedgetide/coding/values.py
+++ b/sedgetide/coding/values.py
@@ -2,11 +2,6 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import Ownership
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
@@ -14,6 +9,11 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import Ownership
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
 
 MAX_VALUE_BYTES = 1024 * 1024
 
--- a/sedgetide/command/configuration.py
+++ b/sedgetide/command/configuration.py
@@ -14,8 +14,10 @@
 from sedgetide.coding.values import decode_text
 from sedgetide.coding.values import encode_text
 from sedgetide.coding.values import StoredText
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.configuration.records import CONFIGURATION_KEY
+from sedgetide.core.configuration.records import name_assignment
+from sedgetide.core.configuration.services import Text
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import Step
@@ -25,11 +27,9 @@
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.keyspace import find_shard
-from sedgetide.core.records import CONFIGURATION_KEY
-from sedgetide.core.records import name_assignment
-from sedgetide.core.services import Text
-from sedgetide.core.services import UpstreamState
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.keyspace import find_shard
 
 
 class Current(msgspec.Struct, frozen=True):
--- a/sedgetide/command/main.py
+++ b/sedgetide/command/main.py
@@ -14,15 +14,15 @@
 from sedgetide.coding.addresses import ADDRESS_FORM
 from sedgetide.coding.addresses import split_address
 from sedgetide.command import configuration
-from sedgetide.core.assignment import ShardKey
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import SedgetideError
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.keyspace import find_home
-from sedgetide.core.keyspace import find_shard
-from sedgetide.core.services import UpstreamState
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.keyspace import find_home
+from sedgetide.core.ownership.keyspace import find_shard
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
--- a/sedgetide/core/council.py
+++ b/sedgetide/core/membership/datacentre.py
@@ -9,12 +9,10 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.authority import Authority
-from sedgetide.core.handover import ReleaseTracker
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
+from sedgetide.core.configuration.services import Upstream
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
@@ -25,28 +23,30 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.keyspace import list_shards
-from sedgetide.core.leasing import Report
-from sedgetide.core.leasing import Standing
-from sedgetide.core.liveness import Liveness
-from sedgetide.core.liveness import PeerState
-from sedgetide.core.planning import plan_change
-from sedgetide.core.planning import Situation
-from sedgetide.core.rendezvous import choose_candidate
-from sedgetide.core.rendezvous import rank_candidates
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
-from sedgetide.core.services import Upstream
-from sedgetide.core.services import UpstreamState
+from sedgetide.core.membership.liveness import Liveness
+from sedgetide.core.membership.liveness import PeerState
+from sedgetide.core.membership.rendezvous import choose_candidate
+from sedgetide.core.membership.rendezvous import rank_candidates
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.authority import Authority
+from sedgetide.core.ownership.handover import ReleaseTracker
+from sedgetide.core.ownership.keyspace import list_shards
+from sedgetide.core.ownership.leasing import Authorization
+from sedgetide.core.ownership.leasing import Report
+from sedgetide.core.ownership.planning import plan_change
+from sedgetide.core.ownership.planning import Situation
 from sedgetide.core.timing import Timing
 
 WATCHERS = 2
 # A keeper repeats a report, and a joiner its question, with each heartbeat.
-_WORD_LIFE = 1.0
+_REPORT_LIFE = 1.0
 _ABSENT_AFTER = 60.0
 
 
-class Testimony(msgspec.Struct, frozen=True):
+class MemberReport(msgspec.Struct, frozen=True):
     """What a member says of its knowledge.
 
     Parameters
@@ -99,7 +99,7 @@
     }
 
 
-class Council:
+class DataCentreView:
     """Decisions of one keeper about its data centre.
 
     Parameters
@@ -172,8 +172,8 @@
     def _find_service(self, name: ServiceName) -> Service | None:
         return None if self.text is None else self.text.find_service(name)
 
-    def note_testimony(
-        self, host: HostName, asked_at: float, said: Testimony, now: float
+    def note_member_report(
+        self, host: HostName, asked_at: float, said: MemberReport, now: float
     ) -> None:
         """Take in the answer of a member to a question of ``asked_at``."""
         self.authority.note_member(
@@ -201,9 +201,9 @@
         """Take in what a keeper says of its upstream."""
         self._reports[report.upstream] = (now, report)
 
-    def give_testimony(self, now: float) -> Testimony:
+    def make_member_report(self, now: float) -> MemberReport:
         """Return what this keeper says of its knowledge."""
-        return Testimony(
+        return MemberReport(
             self.revision,
             self.authority.counting,
             self.authority.store_age(now),
@@ -213,7 +213,7 @@
 
     # What may be done
 
-    def renew(self, now: float) -> Standing:
+    def renew(self, now: float) -> Authorization:
         """Work out what may be acted on from now."""
         until = self.authority.renew_proof(
             now, self.revision, self.assignment.members
@@ -225,7 +225,7 @@
             self.authority.counting,
             self.assignment.members,
         )
-        return Standing(self.assignment, until)
+        return Authorization(self.assignment, until)
 
     def is_warm(self, now: float) -> bool:
         """Tell whether every living peer has had time to answer."""
@@ -318,7 +318,7 @@
 
     def _list_reports(self, now: float) -> Iterable[Report]:
         for at, report in self._reports.values():
-            if now - at < _WORD_LIFE:
+            if now - at < _REPORT_LIFE:
                 yield report
 
     def _describe(self, now: float) -> Situation:
@@ -391,7 +391,7 @@
         joiners = {
             host: member
             for host, (at, member) in self._joiners.items()
-            if now - at < _WORD_LIFE
+            if now - at < _REPORT_LIFE
         }
         joiners[self.host] = self._member
         return joiners
--- a/sedgetide/core/authority.py
+++ b/sedgetide/core/ownership/authority.py
@@ -24,7 +24,7 @@
     return size // 2 + 1
 
 
-class Testimony(msgspec.Struct, frozen=True):
+class Acknowledgement(msgspec.Struct, frozen=True):
     """What a member said: it knows nothing newer than ``revision``.
 
     Parameters
@@ -56,8 +56,8 @@
     def __init__(self, host: HostName, proof_life: float) -> None:
         self._host = host
         self._proof_life = proof_life
-        self._store = Testimony(NEVER, NO_REVISION, False)
-        self._members: dict[HostName, Testimony] = {}
+        self._store = Acknowledgement(NEVER, NO_REVISION, False)
+        self._members: dict[HostName, Acknowledgement] = {}
         self._counting = False
 
     @property
@@ -77,7 +77,7 @@
             Revision that was read.
         """
         if asked_at >= self._store.asked_at:
-            self._store = Testimony(asked_at, revision, True)
+            self._store = Acknowledgement(asked_at, revision, True)
 
     def note_member(
         self,
@@ -90,7 +90,7 @@
         known = self._members.get(member)
         if known is not None and known.asked_at > asked_at:
             return
-        self._members[member] = Testimony(asked_at, revision, counting)
+        self._members[member] = Acknowledgement(asked_at, revision, counting)
 
     def store_age(self, now: float) -> float | None:
         """Return the age of the store's word, or None when too old."""
--- a/sedgetide/core/grants.py
+++ b/sedgetide/core/ownership/grants.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.identifiers import Epoch
+from sedgetide.core.ownership.assignment import ShardKey
 
 
 class Token(msgspec.Struct, frozen=True):
--- a/sedgetide/core/handover.py
+++ b/sedgetide/core/ownership/handover.py
@@ -6,12 +6,12 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.authority import count_majority
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.authority import count_majority
 
 
 class _Wait(msgspec.Struct):
--- a/sedgetide/core/leasing.py
+++ b/sedgetide/core/ownership/leasing.py
@@ -1,4 +1,4 @@
-"""One keeper's standing towards one upstream: orders, grants, requests.
+"""One keeper's authorization towards one upstream: orders, grants, requests.
 
 The task that owns the connections asks :meth:`UpstreamLease.next_call` what
 to send, sends it, and gives the answer back. Nothing here does I/O.
@@ -9,16 +9,16 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
-from sedgetide.core.grants import GrantLedger
-from sedgetide.core.grants import Token
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import NO_EPOCH
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.outcomes import Reason
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
+from sedgetide.core.ownership.grants import GrantLedger
+from sedgetide.core.ownership.grants import Token
+from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.timing import Timing
 
 NEVER = float("-inf")
@@ -54,7 +54,7 @@
     not_after: float = ALWAYS
 
 
-class Standing(msgspec.Struct, frozen=True):
+class Authorization(msgspec.Struct, frozen=True):
     """What may be acted on.
 
     Parameters
@@ -160,7 +160,7 @@
         self._orderer = orderer
         self._timing = timing
         self._outranks = outranks
-        self._standing = Standing()
+        self._authorization = Authorization()
         self._ledger = GrantLedger(timing.grant_life, timing.clock_error)
         self._in_flight: dict[ShardKey, int] = {}
         self._released: dict[ShardKey, Epoch] = {}
@@ -178,10 +178,10 @@
         """Newest stamp of the upstream."""
         return self._ledger.token
 
-    def update(self, standing: Standing) -> bool:
+    def update(self, authorization: Authorization) -> bool:
         """Take in what may be acted on; return whether it has news."""
-        known, self._standing = self._standing, standing
-        return known.assignment is not standing.assignment
+        known, self._authorization = self._authorization, authorization
+        return known.assignment is not authorization.assignment
 
     def retire(self) -> None:
         """Leave all requests to others from now on."""
@@ -203,9 +203,9 @@
             return Reason.NOT_KEEPER
         if shard is None:
             return None
-        if now >= self._standing.proved_until:
+        if now >= self._authorization.proved_until:
             return Reason.NO_GRANT
-        owner = self._standing.assignment.find_owner(shard)
+        owner = self._authorization.assignment.find_owner(shard)
         if owner is None or owner.upstream != self.upstream:
             return Reason.STALE_EPOCH
         if owner.state is not ShardState.OWNED:
@@ -218,13 +218,13 @@
         """Return the epoch under which a request goes out."""
         if shard is None:
             return NO_EPOCH
-        return self._standing.assignment.find_owner(shard).epoch
+        return self._authorization.assignment.find_owner(shard).epoch
 
     def find_limit(self, shard: ShardKey | None, expires: float) -> float:
         """Return the clock time after which a request may not be sent."""
         if shard is None:
             return expires
-        return min(expires, self._standing.proved_until)
+        return min(expires, self._authorization.proved_until)
 
     def begin_request(self, shard: ShardKey | None) -> None:
         """Note that a request is being handed to the upstream."""
@@ -250,14 +250,14 @@
             for key in ready:
                 self._ledger.drop(key)
             return Call(CallKind.RELEASE, self._ledger.token, ready)
-        if now >= self._standing.proved_until:
+        if now >= self._authorization.proved_until:
             # Without authority the call only shows whether it is alive.
             return Call(CallKind.STATUS)
         return Call(
             CallKind.GRANT,
             self._ledger.token,
             self._find_grantable(),
-            self._standing.proved_until,
+            self._authorization.proved_until,
         )
 
     def note_answer(self, call: Call, answer: Answer) -> bool:
@@ -275,7 +275,7 @@
             # The process that held these grants is gone with its state.
             # The shards go through a release, as after any loss.
             self._gone.update(
-                self._standing.assignment.list_owned(self.upstream)
+                self._authorization.assignment.list_owned(self.upstream)
             )
             return True
         foreign = answer.orderer not in ("", self._orderer)
@@ -324,7 +324,7 @@
 
     def list_lost(self) -> dict[ShardKey, Epoch]:
         """Return shards whose owner's process is gone or silent."""
-        owned = self._standing.assignment.list_owned(self.upstream)
+        owned = self._authorization.assignment.list_owned(self.upstream)
         if self.health is Health.LOST:
             return owned
         return {
@@ -343,7 +343,7 @@
         }
 
     def _list_releasing(self) -> dict[ShardKey, Epoch]:
-        releasing = self._standing.assignment.list_releasing()
+        releasing = self._authorization.assignment.list_releasing()
         return {
             key: owner.epoch
             for key, owner in releasing.items()
@@ -366,7 +366,7 @@
         }
 
     def _find_grantable(self) -> dict[ShardKey, Epoch]:
-        owned = self._standing.assignment.list_owned(self.upstream)
+        owned = self._authorization.assignment.list_owned(self.upstream)
         return {
             key: epoch
             for key, epoch in owned.items()
--- a/sedgetide/core/planning.py
+++ b/sedgetide/core/ownership/planning.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
 
 
 class Situation(msgspec.Struct, frozen=True):
--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -12,8 +12,8 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
-from sedgetide.core.outcomes import Outcome
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.routes import Timetable
 
 
--- a/sedgetide/core/operations.py
+++ b/sedgetide/core/requests/operations.py
@@ -41,7 +41,7 @@
     return (parsed.int >> _UUID7_TIME_SHIFT) / _MILLISECONDS
 
 
-class Verdict(enum.Enum):
+class Admission(enum.Enum):
     """What to do with a request that carries an operation id.
 
     Attributes
@@ -121,7 +121,7 @@
         shard: Hashable,
         wall: float,
         first_attempt: bool = False,
-    ) -> Verdict:
+    ) -> Admission:
         """Decide what to do with an operation.
 
         Parameters
@@ -139,12 +139,12 @@
         self._forget_old(wall)
         entry = self._entries.get(operation)
         if entry is not None:
-            return Verdict.JOIN if entry.answer is None else Verdict.REPEAT
+            return Admission.JOIN if entry.answer is None else Admission.REPEAT
         if not first_attempt and self._may_have_run(operation, shard, wall):
-            return Verdict.LOST
+            return Admission.LOST
         if len(self._entries) >= self._capacity:
-            return Verdict.FULL
-        return Verdict.RUN
+            return Admission.FULL
+        return Admission.RUN
 
     def _may_have_run(
         self, operation: OperationId, shard: Hashable, wall: float
--- a/sedgetide/core/queues.py
+++ b/sedgetide/core/requests/queues.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from sedgetide.core.outcomes import Reason
+from sedgetide.core.requests.outcomes import Reason
 
 ItemT = TypeVar("ItemT")
 
--- a/sedgetide/core/routing.py
+++ b/sedgetide/core/requests/routing.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from sedgetide.core.services import KEY_SEGMENT
-from sedgetide.core.services import Route
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
+from sedgetide.core.configuration.services import KEY_SEGMENT
+from sedgetide.core.configuration.services import Route
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
 
 
 class Match(msgspec.Struct, frozen=True):
--- a/sedgetide/daemons/_assignmentwriter.py
+++ b/sedgetide/daemons/_assignmentwriter.py
@@ -5,7 +5,7 @@
 import gevent
 
 from sedgetide.backends.store import Store
-from sedgetide.core.council import Plan
+from sedgetide.core.membership.datacentre import Plan
 from sedgetide.daemons._metrics import ASSIGNMENT_CHANGES
 from sedgetide.daemons._storetask import StoreOwner
 from sedgetide.daemons._storetask import swap_assignment
--- a/sedgetide/daemons/_control.py
+++ b/sedgetide/daemons/_control.py
@@ -21,31 +21,31 @@
 from sedgetide.coding.text import check_text
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import decode_text
-from sedgetide.core.assignment import Member
-from sedgetide.core.council import Council
-from sedgetide.core.council import Testimony
+from sedgetide.core.configuration.records import CONFIGURATION_KEY
+from sedgetide.core.configuration.records import name_assignment
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Upstream
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.leasing import Report
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.records import CONFIGURATION_KEY
-from sedgetide.core.records import name_assignment
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
-from sedgetide.core.services import Service
-from sedgetide.core.services import Upstream
+from sedgetide.core.membership.datacentre import DataCentreView
+from sedgetide.core.membership.datacentre import MemberReport
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.leasing import Report
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
 from sedgetide.daemons._admin import Inspectable
 from sedgetide.daemons._assignmentwriter import AssignmentWriter
-from sedgetide.daemons._beacon import Beacon
-from sedgetide.daemons._beacon import BeaconOwner
+from sedgetide.daemons._heartbeats import Heartbeats
+from sedgetide.daemons._heartbeats import HeartbeatsOwner
 from sedgetide.daemons._metrics import CONFIGURATION_REVISION
 from sedgetide.daemons._storetask import StoreOwner
 from sedgetide.daemons._storetask import StoreTask
 from sedgetide.daemons._upstreamtask import UpstreamTask
-from sedgetide.links import Mail
+from sedgetide.links import Transport
 from sedgetide.runtime.tasks import spawn_vital
 
 _UNUSED_LINK = 30.0
@@ -78,7 +78,7 @@
     )
 
 
-class Control(BeaconOwner, StoreOwner, Inspectable):
+class Control(HeartbeatsOwner, StoreOwner, Inspectable):
     """Everything of a keeper but the work on single upstreams.
 
     Parameters
@@ -100,20 +100,22 @@
         self._retired: list[UpstreamTask] = []
         self._pinged_at = float("-inf")
         self._stack = contextlib.ExitStack()
-        self._mail = Mail(
+        self._transport = Transport(
             settings.link,
             settings.limits.body_bytes,
             self._handle,
             _drop_message,
         )
-        self._stack.callback(self._mail.close)
-        self._beacon = Beacon(self._mail, self._cache, self._timing, self)
-        self._council = Council(
+        self._stack.callback(self._transport.close)
+        self._heartbeats = Heartbeats(
+            self._transport, self._cache, self._timing, self
+        )
+        self._view = DataCentreView(
             settings.host_name,
             settings.home,
             self._member,
             self._timing,
-            self._beacon.liveness,
+            self._heartbeats.liveness,
             time.monotonic(),
         )
         self._store = StoreTask(
@@ -129,7 +131,7 @@
 
     def start(self) -> None:
         """Listen and begin all loops."""
-        self._mail.start()
+        self._transport.start()
         self._store.start(self._stack)
         spawn_vital(self._loop, self._stack)
 
@@ -141,7 +143,7 @@
 
     def begin_leaving(self) -> None:
         """Tell the peers that this process is about to stop."""
-        self._council.leaving = True
+        self._view.leaving = True
         self._tick(time.monotonic())
 
     @property
@@ -153,12 +155,12 @@
     # What this process says of itself
 
     def make_status(self, now: float) -> Status:
-        said = self._council.give_testimony(now)
+        said = self._view.make_member_report(now)
         # Members need no introduction; most heartbeats stay short so.
-        listed = self._council.assignment.members.get(self._council.host)
+        listed = self._view.assignment.members.get(self._view.host)
         introduction = None if listed == self._member else self._member
         return Status(
-            self._council.host,
+            self._view.host,
             self._incarnation,
             self._settings.home,
             now,
@@ -168,32 +170,32 @@
             said.store_age,
             said.store_revision,
             said.store_away,
-            self._council.leaving,
+            self._view.leaving,
             introduction,
         )
 
     def is_ready(self) -> bool:
-        return self._council.text is not None and not self._council.leaving
+        return self._view.text is not None and not self._view.leaving
 
     def dump_state(self) -> dict[str, Any]:
         now = time.monotonic()
-        council = self._council
+        view = self._view
         return {
-            "host": council.host,
+            "host": view.host,
             "incarnation": self._incarnation,
-            "data_centre": council.data_centre,
-            "leaving": council.leaving,
+            "data_centre": view.data_centre,
+            "leaving": view.leaving,
             "revisions": self._cache.list_revisions(),
-            "counting": council.authority.counting,
-            "proved_for": council.renew(now).proved_until - now,
+            "counting": view.authority.counting,
+            "proved_for": view.renew(now).proved_until - now,
             "store_error": self._store.last_error,
-            "members": sorted(council.assignment.members),
-            "alive": council.list_alive(now),
-            "watching": council.is_watching(now),
-            "assigner": council.find_assigner(now) == council.host,
-            "releasing": len(council.assignment.list_releasing()),
-            "links": self._mail.list_peers(),
-            "traffic": self._mail.traffic,
+            "members": sorted(view.assignment.members),
+            "alive": view.list_alive(now),
+            "watching": view.is_watching(now),
+            "assigner": view.find_assigner(now) == view.host,
+            "releasing": len(view.assignment.list_releasing()),
+            "links": self._transport.list_peers(),
+            "traffic": self._transport.traffic,
             "upstreams": [task.dump_state() for task in self._tasks.values()],
         }
 
@@ -208,23 +210,23 @@
                 for task in self._tasks.values():
                     task.cancel(message.number)
             case LossReport():
-                self._council.note_report(_read_report(message), now)
+                self._view.note_report(_read_report(message), now)
             case _:
-                self._beacon.handle(message, sender, now)
+                self._heartbeats.handle(message, sender, now)
 
     def note_status(
         self, address: LinkAddress, asked_at: float, status: Status
     ) -> None:
         if status.data_centre != self._settings.home:
             return
-        said = Testimony(
+        said = MemberReport(
             status.revision,
             status.counting,
             status.store_age,
             status.store_revision,
             status.store_away,
         )
-        self._council.note_testimony(
+        self._view.note_member_report(
             status.host, asked_at, said, time.monotonic()
         )
 
@@ -232,7 +234,7 @@
         if status.member is None or status.leaving:
             return
         if status.data_centre == self._settings.home:
-            self._council.note_joiner(
+            self._view.note_joiner(
                 status.host, status.member, time.monotonic()
             )
 
@@ -245,11 +247,11 @@
 
     def _take_assignment(self, record: Record) -> None:
         assignment = decode_assignment(record.value)
-        self._council.take_assignment(assignment, record.revision)
+        self._view.take_assignment(assignment, record.revision)
         if assignment.list_releasing():
             # The wait for the old owner begins when a majority has said
             # that it knows; asking now saves up to a heartbeat of it.
-            self._beacon.ping(self._list_peers(), time.monotonic())
+            self._heartbeats.ping(self._list_peers(), time.monotonic())
 
     def _take_text(self, record: Record) -> None:
         text, problems = check_text(decode_text(record.value).text.encode())
@@ -262,29 +264,29 @@
                 },
             )
             return
-        self._council.take_text(text)
+        self._view.take_text(text)
         CONFIGURATION_REVISION.set(record.revision)
 
     # The store
 
     def is_watching(self) -> bool:
-        return self._council.is_watching(time.monotonic())
+        return self._view.is_watching(time.monotonic())
 
     def take_records(self, records: list[Record]) -> None:
-        newer = self._beacon.apply(records)
+        newer = self._heartbeats.apply(records)
         if newer:
-            self._beacon.push(self._list_peers(), newer)
+            self._heartbeats.push(self._list_peers(), newer)
 
     def take_proof(
         self, asked_at: float, revision: Revision, record: Record | None
     ) -> None:
         if record is not None:
             self.take_records([record])
-        self._council.authority.note_store(asked_at, revision)
+        self._view.authority.note_store(asked_at, revision)
         self._renew(time.monotonic())
 
     def note_store_away(self, away: bool) -> None:
-        self._council.store_away = away
+        self._view.store_away = away
 
     # The loop
 
@@ -293,52 +295,52 @@
             now = time.monotonic()
             if now - self._pinged_at >= self._timing.heartbeat * 0.9:
                 self._pinged_at = now
-                self._beacon.ping(self._list_peers(), now)
-                self._mail.close_unused(_UNUSED_LINK)
+                self._heartbeats.ping(self._list_peers(), now)
+                self._transport.close_unused(_UNUSED_LINK)
                 self._report(now)
             self._tick(now)
             # A takeover's wait ends between heartbeats.
-            waiting = self._council.tracker.waiting
+            waiting = self._view.tracker.waiting
             gevent.sleep(self._timing.heartbeat / (3 if waiting else 1))
 
     def _list_peers(self) -> list[LinkAddress]:
-        addresses = self._council.list_links()
+        addresses = self._view.list_links()
         addresses.update(LinkAddress(a) for a in self._settings.keepers)
         addresses.discard(LinkAddress(self._settings.link))
         return sorted(addresses)
 
     def _report(self, now: float) -> None:
-        assigner = self._council.find_assigner(now)
-        member = self._council.assignment.members.get(assigner)
+        assigner = self._view.find_assigner(now)
+        member = self._view.assignment.members.get(assigner)
         if member is None:
             return
         for task in self._tasks.values():
             if not task.lease.has_news():
                 continue
             report = task.lease.make_report()
-            if assigner == self._council.host:
-                self._council.note_report(report, now)
+            if assigner == self._view.host:
+                self._view.note_report(report, now)
             else:
-                self._mail.send(member.link, _write_report(report))
+                self._transport.send(member.link, _write_report(report))
 
     def _tick(self, now: float) -> None:
         self._renew(now)
         self._claim_upstreams(now)
         if self._writer.busy:
             return
-        plan = self._council.plan(now, ChangeId(uuid.uuid4().hex))
+        plan = self._view.plan(now, ChangeId(uuid.uuid4().hex))
         if plan is not None:
             self._writer.write(plan)
 
     def _renew(self, now: float) -> None:
-        standing = self._council.renew(now)
+        authorization = self._view.renew(now)
         for task in self._tasks.values():
-            task.update(standing)
+            task.update(authorization)
 
     # Upstreams
 
     def _claim_upstreams(self, now: float) -> None:
-        wanted = self._council.list_kept(now)
+        wanted = self._view.list_kept(now)
         for name, task in list(self._tasks.items()):
             if name not in wanted:
                 self._tasks.pop(name).retire()
@@ -372,29 +374,29 @@
     ) -> None:
         name = UpstreamName(upstream.name)
         task = UpstreamTask(
-            f"{self._council.host}/{self._incarnation}",
+            f"{self._view.host}/{self._incarnation}",
             service,
             upstream,
             self._open_upstream(upstream),
             self._settings,
-            lambda orderer: self._council.outranks(
+            lambda orderer: self._view.outranks(
                 orderer, name, time.monotonic()
             ),
             lambda: self._report(time.monotonic()),
         )
         self._tasks[name] = task
-        task.update(self._council.renew(now))
+        task.update(self._view.renew(now))
         task.start()
 
     # Requests
 
     def _take_request(self, request: Request, sender: str, now: float) -> None:
         def reply(response: Response) -> None:
-            self._mail.send(sender, response)
+            self._transport.send(sender, response)
 
         task = self._tasks.get(request.upstream)
         stranger = request.addressee != self._incarnation
-        if task is None or stranger or self._council.leaving:
+        if task is None or stranger or self._view.leaving:
             reply(
                 Response(
                     request.number,
--- a/sedgetide/daemons/_dispatcher.py
+++ b/sedgetide/daemons/_dispatcher.py
@@ -22,10 +22,13 @@
 from sedgetide.coding.text import check_text
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import decode_text
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
+from sedgetide.core.configuration.records import ASSIGNMENT_PREFIX
+from sedgetide.core.configuration.records import CONFIGURATION_KEY
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import LinkAddress
@@ -33,31 +36,28 @@
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.keyspace import find_home
-from sedgetide.core.keyspace import find_shard
-from sedgetide.core.liveness import PeerState
-from sedgetide.core.outcomes import combine_outcomes
-from sedgetide.core.outcomes import may_resend
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.outcomes import TRANSIENT_REASONS
-from sedgetide.core.outcomes import UNSURE_REASONS
-from sedgetide.core.records import ASSIGNMENT_PREFIX
-from sedgetide.core.records import CONFIGURATION_KEY
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
-from sedgetide.core.rendezvous import rank_candidates
-from sedgetide.core.retries import RetryBudget
-from sedgetide.core.routing import Match
-from sedgetide.core.routing import Router
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
-from sedgetide.core.services import UpstreamState
-from sedgetide.daemons._beacon import Beacon
-from sedgetide.daemons._beacon import BeaconOwner
+from sedgetide.core.membership.liveness import PeerState
+from sedgetide.core.membership.rendezvous import rank_candidates
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
+from sedgetide.core.ownership.keyspace import find_home
+from sedgetide.core.ownership.keyspace import find_shard
+from sedgetide.core.requests.outcomes import combine_outcomes
+from sedgetide.core.requests.outcomes import may_resend
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.outcomes import TRANSIENT_REASONS
+from sedgetide.core.requests.outcomes import UNSURE_REASONS
+from sedgetide.core.requests.retries import RetryBudget
+from sedgetide.core.requests.routing import Match
+from sedgetide.core.requests.routing import Router
+from sedgetide.daemons._heartbeats import Heartbeats
+from sedgetide.daemons._heartbeats import HeartbeatsOwner
 from sedgetide.daemons._metrics import CONFIGURATION_REVISION
 from sedgetide.daemons._metrics import ENTRY_RETRIES
-from sedgetide.links import Mail
+from sedgetide.links import Transport
 from sedgetide.runtime.tasks import spawn_vital
 
 _SYNCHRONISED_WITH = 2
@@ -97,7 +97,7 @@
     result: AsyncResult
 
 
-class Dispatcher(BeaconOwner):
+class Dispatcher(HeartbeatsOwner):
     """Knows owners and keepers, and sends each request to the right one.
 
     Parameters
@@ -123,19 +123,21 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._turns = itertools.count()
         self._ranks: dict[tuple[UpstreamName, int], list[LinkAddress]] = {}
-        self._mail = Mail(
+        self._transport = Transport(
             settings.link,
             settings.limits.body_bytes,
             self._handle,
             self._drop,
         )
-        self._beacon = Beacon(self._mail, self._cache, self._timing, self)
+        self._heartbeats = Heartbeats(
+            self._transport, self._cache, self._timing, self
+        )
         self._stack = contextlib.ExitStack()
-        self._stack.callback(self._mail.close)
+        self._stack.callback(self._transport.close)
 
     def start(self) -> None:
         """Listen and begin to learn from keepers."""
-        self._mail.start()
+        self._transport.start()
         spawn_vital(self._loop, self._stack)
 
     def close(self) -> None:
@@ -152,7 +154,7 @@
 
     def has_keeper(self, now: float) -> bool:
         """Tell whether any keeper answers."""
-        return bool(self._beacon.liveness.list_alive(now))
+        return bool(self._heartbeats.liveness.list_alive(now))
 
     def match(self, method: str, path: str) -> Match | None:
         """Find the rule of a request; see :meth:`Router.match`."""
@@ -166,9 +168,9 @@
         return {
             "revisions": self._cache.list_revisions(),
             "in_hand": len(self._pending),
-            "alive": sorted(self._beacon.liveness.list_alive(now)),
-            "links": self._mail.list_peers(),
-            "traffic": self._mail.traffic,
+            "alive": sorted(self._heartbeats.liveness.list_alive(now)),
+            "links": self._transport.list_peers(),
+            "traffic": self._transport.traffic,
             "data_centres": sorted(self._assignments),
         }
 
@@ -210,7 +212,7 @@
     def _loop(self) -> None:
         while True:
             now = time.monotonic()
-            self._beacon.ping(self._list_asked(now), now)
+            self._heartbeats.ping(self._list_asked(now), now)
             self._fail_silent(now)
             gevent.sleep(self._timing.heartbeat)
 
@@ -225,7 +227,7 @@
         alive = [
             link
             for link in links
-            if self._beacon.find_state(link, now) is not PeerState.SILENT
+            if self._heartbeats.find_state(link, now) is not PeerState.SILENT
         ]
         asked = set(self._used)
         asked.update((alive or links)[:_SYNCHRONISED_WITH])
@@ -237,7 +239,7 @@
         """End requests whose keeper fell silent; they need not wait."""
         silent = set()
         for address in {each.address for each in self._pending.values()}:
-            if self._beacon.find_state(address, now) is PeerState.SILENT:
+            if self._heartbeats.find_state(address, now) is PeerState.SILENT:
                 silent.add(address)
         for number, each in list(self._pending.items()):
             if each.address in silent:
@@ -252,7 +254,7 @@
             if pending is not None:
                 pending.result.set(message)
             return
-        self._beacon.handle(message, sender, time.monotonic())
+        self._heartbeats.handle(message, sender, time.monotonic())
 
     def _drop(self, message: Message) -> None:
         """End a request that was never handed over."""
@@ -269,19 +271,19 @@
         """
         now = time.monotonic()
         self._used[address] = now
-        state = self._beacon.find_state(address, now)
+        state = self._heartbeats.find_state(address, now)
         if state is not PeerState.SILENT:
             return state is PeerState.ALIVE
-        if self._beacon.is_known_silent(address, now):
+        if self._heartbeats.is_known_silent(address, now):
             # Waiting once more would only delay the refusal.
             return False
         event = self._answered.get(address)
         if event is None:
             event = self._answered[address] = Event()
-            self._beacon.ping([address], now)
+            self._heartbeats.ping([address], now)
         event.wait(min(_GREETING_TIME, max(0.0, deadline - now)))
         now = time.monotonic()
-        return self._beacon.find_state(address, now) is PeerState.ALIVE
+        return self._heartbeats.find_state(address, now) is PeerState.ALIVE
 
     # Requests
 
@@ -346,7 +348,7 @@
         if address in declined:
             # All have declined; ask from the first one again.
             declined.clear()
-        status = self._beacon.statuses[address]
+        status = self._heartbeats.statuses[address]
         response = self._exchange(call, target, address, status)
         if response.reason is Reason.NOT_KEEPER:
             declined.add(address)
@@ -435,7 +437,9 @@
         if not links:
             # Nothing has been heard of the data centre yet.
             return Reason.NO_OWNER
-        silent = all(self._beacon.is_known_silent(link, now) for link in links)
+        silent = all(
+            self._heartbeats.is_known_silent(link, now) for link in links
+        )
         return Reason.CUT_OFF if silent else Reason.UNREACHABLE
 
     def _rank_links(
@@ -463,12 +467,12 @@
         pending = _Pending(address, AsyncResult())
         self._pending[number] = pending
         try:
-            self._mail.send(address, request)
+            self._transport.send(address, request)
             return pending.result.get(
                 timeout=call.deadline + _ANSWER_GRACE - now
             )
         except gevent.Timeout:
-            self._mail.send(address, Cancel(number))
+            self._transport.send(address, Cancel(number))
             return Response(number, Outcome.UNKNOWN, Reason.SILENT)
         finally:
             del self._pending[number]
@@ -509,5 +513,5 @@
         is later than the deadline: a request that waited in a buffer is not
         begun after its caller was told the outcome.
         """
-        received = self._beacon.find_receipt(address)
+        received = self._heartbeats.find_receipt(address)
         return status.clock + (deadline - received)
--- a/sedgetide/daemons/_frontend.py
+++ b/sedgetide/daemons/_frontend.py
@@ -17,10 +17,10 @@
 from sedgetide.coding.settings import Limits
 from sedgetide.core.identifiers import OperationId
 from sedgetide.core.identifiers import RequestId
-from sedgetide.core.operations import find_issue_time
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.routing import Match
+from sedgetide.core.requests.operations import find_issue_time
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.routing import Match
 from sedgetide.daemons._dispatcher import Call
 from sedgetide.daemons._dispatcher import Dispatcher
 from sedgetide.daemons._metrics import ENTRY_IN_HAND
--- a/sedgetide/daemons/_beacon.py
+++ b/sedgetide/daemons/_heartbeats.py
@@ -10,19 +10,19 @@
 from sedgetide.coding.messages import Pull
 from sedgetide.coding.messages import Records
 from sedgetide.coding.messages import Status
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.liveness import Liveness
-from sedgetide.core.liveness import PeerState
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
+from sedgetide.core.membership.liveness import Liveness
+from sedgetide.core.membership.liveness import PeerState
 from sedgetide.core.timing import Timing
-from sedgetide.links import Mail
+from sedgetide.links import Transport
 
 _log = logging.getLogger(__name__)
 
 
-class BeaconOwner(abc.ABC):
-    """The process a beacon speaks for."""
+class HeartbeatsOwner(abc.ABC):
+    """The process a heartbeats speaks for."""
 
     @abc.abstractmethod
     def make_status(self, now: float) -> Status:
@@ -43,29 +43,29 @@
         """Take in a newer version of a record."""
 
 
-class Beacon:
+class Heartbeats:
     """Asks peers for a sign of life and hands records on.
 
     Parameters
     ----------
-    mail : Mail
+    transport : Transport
         Links of the process.
     cache : RecordCache
         Records of the process.
     timing : Timing
         Intervals.
-    owner : BeaconOwner
+    owner : HeartbeatsOwner
         The process.
     """
 
     def __init__(
         self,
-        mail: Mail,
+        transport: Transport,
         cache: RecordCache,
         timing: Timing,
-        owner: BeaconOwner,
+        owner: HeartbeatsOwner,
     ) -> None:
-        self._mail = mail
+        self._transport = transport
         self._cache = cache
         self._timing = timing
         self._owner = owner
@@ -86,8 +86,8 @@
             if unheard <= self._timing.silence:
                 unheard = 0
             else:
-                self._mail.redial(address, 2 * self._timing.silence)
-            self._mail.send(address, Ping(now, unheard, status))
+                self._transport.redial(address, 2 * self._timing.silence)
+            self._transport.send(address, Ping(now, unheard, status))
 
     def _note_question(self, address: LinkAddress, now: float) -> float:
         """Return since when a peer has been asked without a break."""
@@ -102,7 +102,7 @@
     ) -> None:
         """Send records to peers without being asked."""
         for address in addresses:
-            self._mail.send(address, Records(records))
+            self._transport.send(address, Records(records))
 
     def find_state(self, address: LinkAddress, now: float) -> PeerState:
         """Return the state of a peer."""
@@ -135,7 +135,7 @@
             case Pull():
                 newer = list(self._cache.list_newer(message.revisions))
                 if newer:
-                    self._mail.send(sender, Records(newer))
+                    self._transport.send(sender, Records(newer))
             case Records():
                 self.apply(message.records)
 
@@ -154,9 +154,9 @@
         if ping.unheard > self._timing.silence:
             # The way back may be the one that is silent, and only the
             # sender of the ping can notice it.
-            self._mail.redial(address, 2 * self._timing.silence)
+            self._transport.redial(address, 2 * self._timing.silence)
         status = self._owner.make_status(now)
-        self._mail.send(address, Pong(ping.asked_at, status))
+        self._transport.send(address, Pong(ping.asked_at, status))
         self._owner.note_ping(address, ping.status)
         self._compare(ping.status, address)
 
@@ -173,4 +173,4 @@
     def _compare(self, status: Status, address: LinkAddress) -> None:
         if status.digest and status.digest != self._cache.digest:
             pull = Pull(self._cache.list_revisions())
-            self._mail.send(address, pull)
+            self._transport.send(address, pull)
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -12,8 +12,6 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.outcomes import combine_outcomes
-from sedgetide.core.outcomes import Outcome
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import find_owner
 from sedgetide.core.requests.attempts import list_candidates
@@ -21,10 +19,12 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.outcomes import combine_outcomes
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.retries import RetryBudget
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.routes import Timetable
-from sedgetide.core.retries import RetryBudget
 from sedgetide.daemons._hostmetrics import HELD_SECONDS
 from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
 from sedgetide.daemons._hostmetrics import REQUESTS
--- a/sedgetide/daemons/_storetask.py
+++ b/sedgetide/daemons/_storetask.py
@@ -10,12 +10,12 @@
 from sedgetide.backends.store import Store
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import encode_assignment
-from sedgetide.core.assignment import Assignment
+from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.records import Record
+from sedgetide.core.ownership.assignment import Assignment
 from sedgetide.runtime.tasks import spawn_vital
 
 _WATCH_WAIT = 5.0
--- a/sedgetide/daemons/_upstreamtask.py
+++ b/sedgetide/daemons/_upstreamtask.py
@@ -21,28 +21,28 @@
 from sedgetide.coding.messages import Request
 from sedgetide.coding.messages import Response
 from sedgetide.coding.settings import KeeperSettings
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Upstream
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
-from sedgetide.core.grants import Token
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.leasing import Answer
-from sedgetide.core.leasing import Call
-from sedgetide.core.leasing import CallKind
-from sedgetide.core.leasing import Health
-from sedgetide.core.leasing import Standing
-from sedgetide.core.leasing import UpstreamLease
-from sedgetide.core.operations import OperationLog
-from sedgetide.core.operations import Verdict
-from sedgetide.core.outcomes import judge_failure
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Phase
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.queues import UpstreamQueue
-from sedgetide.core.services import Service
-from sedgetide.core.services import Upstream
+from sedgetide.core.ownership.grants import Token
+from sedgetide.core.ownership.leasing import Answer
+from sedgetide.core.ownership.leasing import Authorization
+from sedgetide.core.ownership.leasing import Call
+from sedgetide.core.ownership.leasing import CallKind
+from sedgetide.core.ownership.leasing import Health
+from sedgetide.core.ownership.leasing import UpstreamLease
+from sedgetide.core.requests.operations import Admission
+from sedgetide.core.requests.operations import OperationLog
+from sedgetide.core.requests.outcomes import judge_failure
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Phase
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.queues import UpstreamQueue
 from sedgetide.daemons._metrics import KEEPER_REQUESTS
 from sedgetide.daemons._metrics import UPSTREAM_ERRORS
 from sedgetide.runtime.tasks import spawn_vital
@@ -95,7 +95,7 @@
     settings : KeeperSettings
         Durations and bounds.
     outranks : callable
-        See :class:`~sedgetide.core.leasing.UpstreamLease`.
+        See :class:`~sedgetide.core.ownership.leasing.UpstreamLease`.
     tell_news : callable
         Called when the assigner should hear of the upstream at once.
     """
@@ -184,9 +184,9 @@
         """Whether no request is in hand."""
         return not self._jobs
 
-    def update(self, standing: Standing) -> None:
+    def update(self, authorization: Authorization) -> None:
         """Take in what may be acted on from now on."""
-        if self.lease.update(standing):
+        if self.lease.update(authorization):
             self._woken.set()
 
     def dump_state(self) -> dict[str, Any]:
@@ -268,19 +268,19 @@
             request.first_attempt,
         )
         match verdict:
-            case Verdict.RUN:
+            case Admission.RUN:
                 self._operations.begin(request.operation, time.time())
                 job.owns_operation = True
                 return self._send(job)
-            case Verdict.JOIN:
+            case Admission.JOIN:
                 waiting = self._joined.setdefault(request.operation, [])
                 waiting.append(job)
-            case Verdict.REPEAT:
+            case Admission.REPEAT:
                 remembered = self._operations.find_answer(request.operation)
                 self._reply(job, remembered)
-            case Verdict.LOST:
+            case Admission.LOST:
                 self._finish(job, Outcome.UNKNOWN, Reason.OPERATION_LOST)
-            case Verdict.FULL:
+            case Admission.FULL:
                 self._refuse(job, Reason.OVERLOAD, 1.0)
         return False
 
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -42,7 +42,7 @@
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.daemons._reporter import Reporter
 from sedgetide.daemons._requests import Requests
-from sedgetide.links import Mail
+from sedgetide.links import Transport
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -111,7 +111,9 @@
             self._requests.is_idempotent,
             self._requests.read_limits,
         )
-        self._mail = Mail(settings.link, _LINK_BYTES, self._handle, self._drop)
+        self._transport = Transport(
+            settings.link, _LINK_BYTES, self._handle, self._drop
+        )
         self._leader = self._make_leader()
         self._bind_gauges()
 
@@ -155,15 +157,15 @@
             campaign,
             leadership,
             durations,
-            self._mail.send,
+            self._transport.send,
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
         """Begin to listen, to follow, and to stand."""
         self._start_admin(stack)
         stack.callback(self._lanes.close)
-        stack.callback(self._mail.close)
-        self._mail.start()
+        stack.callback(self._transport.close)
+        self._transport.start()
         for prefix in self._dialects.catalogue.list_prefixes():
             follower = Follower(self._open_store(), prefix, self._knowledge)
             follower.start(stack)
@@ -214,7 +216,7 @@
         if link == self._settings.link:
             self._leader.note_report(report, link, read_clock())
         else:
-            self._mail.send(link, report)
+            self._transport.send(link, report)
 
     # Admin
 
@@ -228,7 +230,7 @@
             "connections": len(self._server.connections),
             "knowledge": self._knowledge.dump_state(),
             "leader": self._leader.dump_state(),
-            "traffic": msgspec.to_builtins(self._mail.traffic),
+            "traffic": msgspec.to_builtins(self._transport.traffic),
         }
 
     # Stop
--- a/sedgetide/links/__init__.py
+++ b/sedgetide/links/__init__.py
@@ -1,6 +1,6 @@
 """Links between the project's own processes."""
 
-from sedgetide.links._mail import Handler
-from sedgetide.links._mail import Mail
+from sedgetide.links._transport import Handler
+from sedgetide.links._transport import Transport
 
-__all__ = ["Handler", "Mail"]
+__all__ = ["Handler", "Transport"]
--- a/sedgetide/links/_mail.py
+++ b/sedgetide/links/_transport.py
@@ -89,7 +89,7 @@
         self._socket.close()
 
 
-class Mail:
+class Transport:
     """All links of one process.
 
     Parameters
--- a/sedgetide/testing/demo.py
+++ b/sedgetide/testing/demo.py
@@ -18,7 +18,7 @@
 from sedgetide.backends.httpstore import HttpStore
 from sedgetide.command.configuration import pin_shard
 from sedgetide.command.configuration import require_text
-from sedgetide.core.keyspace import find_shard
+from sedgetide.core.ownership.keyspace import find_shard
 from sedgetide.testing.callers import Load
 from sedgetide.testing.fleet import Fleet
 from sedgetide.testing.fleet import wait_for
--- a/sedgetide/testing/faults.py
+++ b/sedgetide/testing/faults.py
@@ -2,20 +2,20 @@
 
 from collections.abc import Callable
 
-from sedgetide.testing.scenes import Scene
-from sedgetide.testing.scenes import start_again
+from sedgetide.testing.scenarios import Scenario
+from sedgetide.testing.scenarios import start_again
 from sedgetide.testing.storemodel import StoreFault
 from sedgetide.testing.world import FakeKeeper
 from sedgetide.testing.world import Running
 from sedgetide.testing.world import STORE
 
 
-def _kill(scene: Scene, keeper: FakeKeeper) -> None:
+def _kill(scenario: Scenario, keeper: FakeKeeper) -> None:
     keeper.state = Running.DEAD
-    scene.later(scene.pause, lambda: start_again(keeper))
+    scenario.later(scenario.pause, lambda: start_again(keeper))
 
 
-def _pause(scene: Scene, keeper: FakeKeeper) -> None:
+def _pause(scenario: Scenario, keeper: FakeKeeper) -> None:
     if keeper.state is not Running.RUNNING:
         return
     keeper.pause()
@@ -24,12 +24,12 @@
         if keeper.state is Running.PAUSED:
             keeper.resume()
 
-    scene.later(scene.pause, resume)
+    scenario.later(scenario.pause, resume)
 
 
-def _pause_at_write(scene: Scene) -> None:
+def _pause_at_write(scenario: Scenario) -> None:
     """Pause the assigner between its plan and its write."""
-    keeper = scene.assigner()
+    keeper = scenario.assigner()
     keeper.pause_at_write = True
 
     def resume() -> None:
@@ -37,12 +37,12 @@
         if keeper.state is Running.PAUSED:
             keeper.resume()
 
-    scene.later(scene.pause, resume)
+    scenario.later(scenario.pause, resume)
 
 
-def _delay_records(scene: Scene) -> None:
+def _delay_records(scenario: Scenario) -> None:
     """Let today's records reach every keeper once more, much later."""
-    world = scene.world
+    world = scenario.world
     text, text_revision = world.text, world.text_revision
     assignment, revision = world.read_assignment()
 
@@ -51,100 +51,100 @@
             keeper.take_text(text, text_revision)
             keeper.take_record(assignment, revision)
 
-    scene.later(scene.pause, arrive)
-    scene.drain("u2")
+    scenario.later(scenario.pause, arrive)
+    scenario.drain("u2")
 
 
-def _restart(scene: Scene) -> None:
-    scene.keeper().start()
+def _restart(scenario: Scenario) -> None:
+    scenario.keeper().start()
 
 
-def _find_watcher(scene: Scene) -> FakeKeeper:
-    for keeper in scene.world.keepers.values():
-        now = keeper.clock.read(scene.world.now)
+def _find_watcher(scenario: Scenario) -> FakeKeeper:
+    for keeper in scenario.world.keepers.values():
+        now = keeper.clock.read(scenario.world.now)
         running = keeper.state is Running.RUNNING
-        if running and keeper.council.is_watching(now):
+        if running and keeper.view.is_watching(now):
             return keeper
-    return scene.any_keeper()
+    return scenario.any_keeper()
 
 
-def _heal(scene: Scene) -> None:
-    scene.world.heal()
+def _heal(scenario: Scenario) -> None:
+    scenario.world.heal()
 
 
-def _cut_keeper(scene: Scene, store: bool, peers: bool) -> None:
-    keeper = scene.keeper()
+def _cut_keeper(scenario: Scenario, store: bool, peers: bool) -> None:
+    keeper = scenario.keeper()
     if store:
-        scene.world.cut(keeper.host, STORE)
+        scenario.world.cut(keeper.host, STORE)
     if peers:
-        for host in scene.world.keepers:
+        for host in scenario.world.keepers:
             if host != keeper.host:
-                scene.world.cut(keeper.host, host)
-    scene.later(scene.pause, lambda: _heal(scene))
+                scenario.world.cut(keeper.host, host)
+    scenario.later(scenario.pause, lambda: _heal(scenario))
 
 
-def _cut_centre(scene: Scene) -> None:
-    for host in scene.world.keepers:
-        scene.world.cut(host, STORE)
-    scene.later(scene.pause, lambda: _heal(scene))
+def _cut_centre(scenario: Scenario) -> None:
+    for host in scenario.world.keepers:
+        scenario.world.cut(host, STORE)
+    scenario.later(scenario.pause, lambda: _heal(scenario))
 
 
-def _cut_entry(scene: Scene) -> None:
-    for host in scene.world.keepers:
-        scene.world.cut(scene.callers.name, host)
-    scene.later(scene.pause, lambda: _heal(scene))
+def _cut_entry(scenario: Scenario) -> None:
+    for host in scenario.world.keepers:
+        scenario.world.cut(scenario.callers.name, host)
+    scenario.later(scenario.pause, lambda: _heal(scenario))
 
 
-def _cut_upstream(scene: Scene) -> None:
-    scene.world.cut(scene.keeper().host, scene.owner())
-    scene.later(scene.pause, lambda: _heal(scene))
+def _cut_upstream(scenario: Scenario) -> None:
+    scenario.world.cut(scenario.keeper().host, scenario.owner())
+    scenario.later(scenario.pause, lambda: _heal(scenario))
 
 
-def _fail_store(scene: Scene, fault: StoreFault) -> None:
-    scene.world.store_fault = fault
+def _fail_store(scenario: Scenario, fault: StoreFault) -> None:
+    scenario.world.store_fault = fault
 
     def end() -> None:
-        scene.world.store_fault = StoreFault.NONE
+        scenario.world.store_fault = StoreFault.NONE
 
-    scene.later(scene.pause, end)
+    scenario.later(scenario.pause, end)
 
 
-def _kill_upstream(scene: Scene) -> None:
-    upstream = scene.world.upstreams[scene.owner()]
+def _kill_upstream(scenario: Scenario) -> None:
+    upstream = scenario.world.upstreams[scenario.owner()]
     upstream.state = Running.DEAD
-    scene.later(scene.pause, upstream.restart)
+    scenario.later(scenario.pause, upstream.restart)
 
 
-def _restart_upstream(scene: Scene) -> None:
-    scene.world.upstreams[scene.owner()].restart()
+def _restart_upstream(scenario: Scenario) -> None:
+    scenario.world.upstreams[scenario.owner()].restart()
 
 
-def _freeze_upstream(scene: Scene) -> None:
-    upstream = scene.world.upstreams[scene.owner()]
+def _freeze_upstream(scenario: Scenario) -> None:
+    upstream = scenario.world.upstreams[scenario.owner()]
     if upstream.state is not Running.RUNNING:
         return
     upstream.state = Running.PAUSED
 
     def resume() -> None:
         if upstream.state is Running.PAUSED:
-            upstream.resume(scene.world.now)
+            upstream.resume(scenario.world.now)
 
-    scene.later(scene.pause, resume)
+    scenario.later(scenario.pause, resume)
 
 
-def _race_edits(scene: Scene) -> None:
-    scene.drain("u2")
-    scene.tick()
-    scene.drain("u3")
+def _race_edits(scenario: Scenario) -> None:
+    scenario.drain("u2")
+    scenario.tick()
+    scenario.drain("u3")
 
 
-def _skew(scene: Scene, rate: float) -> None:
+def _skew(scenario: Scenario, rate: float) -> None:
     """Let keepers' clocks run at another rate than the upstreams'."""
-    error = scene.world.timing.clock_error / 2
-    now = scene.world.now
-    for keeper in scene.world.keepers.values():
+    error = scenario.world.timing.clock_error / 2
+    now = scenario.world.now
+    for keeper in scenario.world.keepers.values():
         _set_rate(keeper.clock, 1.0 + rate * error, now)
-    for upstream in scene.world.upstreams.values():
+    for upstream in scenario.world.upstreams.values():
         _set_rate(upstream.clock, 1.0 - rate * error, now)
 
 
@@ -153,28 +153,36 @@
     clock.rate = rate
 
 
-FAULTS: dict[str, Callable[[Scene], None]] = {
-    "none": lambda scene: None,
-    "keeper killed": lambda scene: _kill(scene, scene.keeper()),
+FAULTS: dict[str, Callable[[Scenario], None]] = {
+    "none": lambda scenario: None,
+    "keeper killed": lambda scenario: _kill(scenario, scenario.keeper()),
     "keeper restarted": _restart,
-    "keeper paused": lambda scene: _pause(scene, scene.keeper()),
-    "assigner killed": lambda scene: _kill(scene, scene.assigner()),
-    "assigner paused": lambda scene: _pause(scene, scene.assigner()),
+    "keeper paused": lambda scenario: _pause(scenario, scenario.keeper()),
+    "assigner killed": lambda scenario: _kill(scenario, scenario.assigner()),
+    "assigner paused": lambda scenario: _pause(scenario, scenario.assigner()),
     "assigner paused at a write": _pause_at_write,
     "records overtaken": _delay_records,
-    "watcher killed": lambda scene: _kill(scene, _find_watcher(scene)),
+    "watcher killed": lambda scenario: _kill(
+        scenario, _find_watcher(scenario)
+    ),
     "upstream killed": _kill_upstream,
     "upstream restarted": _restart_upstream,
     "upstream frozen": _freeze_upstream,
-    "keeper cut from store": lambda scene: _cut_keeper(scene, True, False),
-    "keeper cut from peers": lambda scene: _cut_keeper(scene, False, True),
-    "keeper cut from both": lambda scene: _cut_keeper(scene, True, True),
+    "keeper cut from store": lambda scenario: _cut_keeper(
+        scenario, True, False
+    ),
+    "keeper cut from peers": lambda scenario: _cut_keeper(
+        scenario, False, True
+    ),
+    "keeper cut from both": lambda scenario: _cut_keeper(scenario, True, True),
     "keeper cut from upstream": _cut_upstream,
     "centre cut from platform": _cut_centre,
     "centre cut from others": _cut_entry,
-    "store down": lambda scene: _fail_store(scene, StoreFault.DOWN),
-    "reply lost": lambda scene: _fail_store(scene, StoreFault.LOST_REPLY),
+    "store down": lambda scenario: _fail_store(scenario, StoreFault.DOWN),
+    "reply lost": lambda scenario: _fail_store(
+        scenario, StoreFault.LOST_REPLY
+    ),
     "racing edits": _race_edits,
-    "clocks fast": lambda scene: _skew(scene, 1.0),
-    "clocks slow": lambda scene: _skew(scene, -1.0),
+    "clocks fast": lambda scenario: _skew(scenario, 1.0),
+    "clocks slow": lambda scenario: _skew(scenario, -1.0),
 }
--- a/sedgetide/testing/matrix.py
+++ b/sedgetide/testing/matrix.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sedgetide.testing.faults import FAULTS
-from sedgetide.testing.scenes import Scene
+from sedgetide.testing.scenarios import Scenario
 from sedgetide.testing.steps import STEPS
 
 _AFTER = 5.0
@@ -58,24 +58,24 @@
     faults: tuple[str, ...], step: str, checks_orders: bool = True
 ) -> Cell:
     """Run one cell from a fresh start."""
-    scene = Scene(checks_orders)
-    STEPS[step](scene)
+    scenario = Scenario(checks_orders)
+    STEPS[step](scenario)
     if faults != ("none",):
-        scene.planned_only = False
+        scenario.planned_only = False
     for fault in faults:
-        FAULTS[fault](scene)
-        scene.tick()
-    scene.run(scene.pause + _AFTER)
-    scene.load = False
-    scene.run(_SETTLE)
-    scene.check_at_end()
-    served = not scene.dark
+        FAULTS[fault](scenario)
+        scenario.tick()
+    scenario.run(scenario.pause + _AFTER)
+    scenario.load = False
+    scenario.run(_SETTLE)
+    scenario.check_at_end()
+    served = not scenario.dark
     return Cell(
         faults,
         step,
-        tuple(scene.broken),
-        scene.longest_dark,
-        scene.refused,
+        tuple(scenario.broken),
+        scenario.longest_dark,
+        scenario.refused,
         served,
     )
 
--- a/sedgetide/testing/mutations.py
+++ b/sedgetide/testing/mutations.py
@@ -10,16 +10,16 @@
 
 import msgspec
 
-import sedgetide.core.authority as authority
-from sedgetide.core.council import Council
-from sedgetide.core.operations import OperationLog
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
+from sedgetide.core.membership.datacentre import DataCentreView
+import sedgetide.core.ownership.authority as authority
+from sedgetide.core.requests.operations import OperationLog
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.timing import Timing
 from sedgetide.testing.matrix import Cell
 from sedgetide.testing.matrix import run_cell
-from sedgetide.testing.scenes import Scene
+from sedgetide.testing.scenarios import Scenario
 from sedgetide.testing.storemodel import StoreModel
 from sedgetide.testing.storemodel import SwapResult
 from sedgetide.testing.upstreammodel import UpstreamModel
@@ -183,7 +183,7 @@
     Mutation(
         "a draining upstream still given shards",
         LEAVING,
-        Council,
+        DataCentreView,
         "_list_takers",
         _list_all_takers,
         ("none",),
@@ -192,7 +192,7 @@
     Mutation(
         "a stop without a notice",
         STOP,
-        Scene,
+        Scenario,
         "stop_notice",
         0.05,
         ("none",),
--- a/sedgetide/testing/processfaults.py
+++ b/sedgetide/testing/processfaults.py
@@ -14,8 +14,8 @@
 
 from sedgetide.backends.httpstore import HttpStore
 from sedgetide.command.configuration import set_upstream_state
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.errors import StoreConflict
-from sedgetide.core.services import UpstreamState
 from sedgetide.testing.callers import Load
 from sedgetide.testing.callers import Told
 from sedgetide.testing.fleet import Daemon
--- a/sedgetide/testing/scenes.py
+++ b/sedgetide/testing/scenarios.py
@@ -4,17 +4,17 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Ownership
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
+from sedgetide.core.configuration.services import PriorityClass
+from sedgetide.core.configuration.services import Route
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
+from sedgetide.core.configuration.services import Upstream
+from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.services import PriorityClass
-from sedgetide.core.services import Route
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
-from sedgetide.core.services import Upstream
-from sedgetide.core.services import UpstreamState
+from sedgetide.core.ownership.assignment import Ownership
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.testing.journals import find_doubled
 from sedgetide.testing.journals import find_two_owners
 from sedgetide.testing.storemodel import StoreFault
@@ -64,7 +64,7 @@
     return Text("w", ("one",), (PriorityClass("c", 0),), (service,))
 
 
-class Scene:
+class Scenario:
     """A world under a load, with the promises checked after each tick.
 
     Parameters
@@ -174,13 +174,13 @@
         """Return the keeper that changes the assignment."""
         keeper = self.any_keeper()
         now = keeper.clock.read(self.world.now)
-        host = keeper.council.find_assigner(now)
+        host = keeper.view.find_assigner(now)
         return keeper if host is None else self.world.keepers[host]
 
     def drain(self, name: str) -> None:
         """Have the operators drain an upstream."""
         self.world.edit_text(make_text(name, self._checks_orders))
-        self._drained = {name: self.world.now}
+        self._drained = {name: self.world.now} if name else {}
         self._edited_at = self.world.now
 
     # Promises
--- a/sedgetide/testing/slopes.py
+++ b/sedgetide/testing/slopes.py
@@ -17,10 +17,6 @@
 
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import encode_assignment
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
@@ -28,7 +24,11 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.operations import OperationLog
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.requests.operations import OperationLog
 from sedgetide.testing.callers import make_operation_id
 from sedgetide.testing.fleet import call
 from sedgetide.testing.fleet import Daemon
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 import pathlib
 import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -44,6 +45,7 @@
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _LEAST_SERVED = 0.8
 _RECONNECT = 0.03
+_KEPT = "build/soak"
 
 
 class Ask(msgspec.Struct):
@@ -414,8 +416,10 @@
         ]
         served = sum(1 for ask in last if ask.status == 200)
         if not last or served < _LEAST_SERVED * len(last):
+            statuses = collections.Counter(ask.status for ask in last)
             self.problems.append(
-                f"{served} of {len(last)} served {CALM_TIME:g} s after calm"
+                f"{served} of {len(last)} served {CALM_TIME:g} s after calm: "
+                f"{dict(statuses)}"
             )
 
     def _check_configuration(self) -> None:
@@ -459,6 +463,8 @@
         folder = pathlib.Path(scratch) if keep is None else keep
         folder.mkdir(parents=True, exist_ok=True)
         soak = play(seed, folder)
+        if soak.problems and keep is None:
+            shutil.copytree(scratch, f"{_KEPT}/{seed}", dirs_exist_ok=True)
     print(f"seed {seed}: {len(soak.problems)} broken; {soak.struck}")
     for problem in soak.problems[:5]:
         print(f"  {problem}")
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -1,6 +1,7 @@
 """The processes of a soak, and the proxies between them."""
 
 import contextlib
+import itertools
 import os
 import pathlib
 import signal
@@ -28,12 +29,20 @@
 _ENDED = 10.0
 
 
+# Below the range from which the kernel takes the ports of connections; a
+# slice for each process, since several soaks may run side by side.
+_PORTS = itertools.count(20_000 + os.getpid() * 64 % 12_000)
+
+
 def find_port() -> int:
-    """Return a port that is free now."""
-    listener = open_listener("127.0.0.1", 0)
-    port = listener.getsockname()[1]
-    listener.close()
-    return port
+    """Return a port that is free and that nobody else will choose."""
+    for port in _PORTS:
+        try:
+            open_listener("127.0.0.1", port).close()
+        except OSError:
+            continue
+        return port
+    raise AssertionError("unreachable")
 
 
 class Program:
--- a/sedgetide/testing/steps.py
+++ b/sedgetide/testing/steps.py
@@ -1,125 +1,128 @@
-"""Steps of the fault matrix: each brings a scene to where a fault strikes."""
+"""Steps of the fault matrix: each leads to where a fault strikes."""
 
 from collections.abc import Callable
 
-from sedgetide.core.outcomes import Phase
-from sedgetide.testing.scenes import Scene
-from sedgetide.testing.scenes import start_again
+from sedgetide.core.requests.outcomes import Phase
+from sedgetide.testing.scenarios import Scenario
+from sedgetide.testing.scenarios import start_again
 from sedgetide.testing.world import Running
 
 
-def _settle(scene: Scene) -> None:
-    scene.run_until(
+def _settle(scenario: Scenario) -> None:
+    scenario.run_until(
         lambda: (
             all(
-                len(scene.world.list_owners(key)) == 1
-                for key in scene.world.list_keys()
+                len(scenario.world.list_owners(key)) == 1
+                for key in scenario.world.list_keys()
             )
-            and len(scene.world.assignment.members) == 3
+            and len(scenario.world.assignment.members) == 3
         )
     )
-    scene.run(1.0)
-    scene.longest_dark = 0.0
-    scene.dark.clear()
+    scenario.run(1.0)
+    scenario.longest_dark = 0.0
+    scenario.dark.clear()
 
 
-def _reach_phase(scene: Scene, phase: Phase) -> None:
-    _settle(scene)
-    scene.watched = scene.callers.send(scene.target)
-    scene.run_until(
-        lambda: scene.watched.phase is phase or scene.watched.told is not None
+def _reach_phase(scenario: Scenario, phase: Phase) -> None:
+    _settle(scenario)
+    scenario.watched = scenario.callers.send(scenario.target)
+    scenario.run_until(
+        lambda: (
+            scenario.watched.phase is phase
+            or scenario.watched.told is not None
+        )
     )
 
 
-def _reach_accepted(scene: Scene) -> None:
-    _settle(scene)
-    scene.watched = scene.callers.send(scene.target)
+def _reach_accepted(scenario: Scenario) -> None:
+    _settle(scenario)
+    scenario.watched = scenario.callers.send(scenario.target)
 
 
-def _reach_running(scene: Scene) -> None:
-    _reach_phase(scene, Phase.HANDED_OVER)
-    scene.tick()
+def _reach_running(scenario: Scenario) -> None:
+    _reach_phase(scenario, Phase.HANDED_OVER)
+    scenario.tick()
 
 
-def _reach_answering(scene: Scene) -> None:
-    _reach_phase(scene, Phase.HANDED_OVER)
-    scene.run(0.1)
+def _reach_answering(scenario: Scenario) -> None:
+    _reach_phase(scenario, Phase.HANDED_OVER)
+    scenario.run(0.1)
 
 
-def _reach_move(scene: Scene) -> None:
-    _settle(scene)
-    scene.drain(scene.owner())
+def _reach_move(scenario: Scenario) -> None:
+    _settle(scenario)
+    scenario.drain(scenario.owner())
 
 
-def _is_releasing(scene: Scene) -> bool:
-    return bool(scene.world.assignment.list_releasing())
+def _is_releasing(scenario: Scenario) -> bool:
+    return bool(scenario.world.assignment.list_releasing())
 
 
-def _reach_releasing(scene: Scene) -> None:
-    _reach_move(scene)
-    scene.run_until(lambda: _is_releasing(scene))
+def _reach_releasing(scenario: Scenario) -> None:
+    _reach_move(scenario)
+    scenario.run_until(lambda: _is_releasing(scenario))
 
 
-def _reach_moved(scene: Scene) -> None:
-    _reach_releasing(scene)
-    scene.run_until(lambda: not _is_releasing(scene))
+def _reach_moved(scenario: Scenario) -> None:
+    _reach_releasing(scenario)
+    scenario.run_until(lambda: not _is_releasing(scenario))
 
 
-def _reach_loss(scene: Scene) -> None:
-    _settle(scene)
-    scene.world.upstreams[scene.owner()].state = Running.DEAD
+def _reach_loss(scenario: Scenario) -> None:
+    _settle(scenario)
+    scenario.world.upstreams[scenario.owner()].state = Running.DEAD
 
 
-def _reach_takeover(scene: Scene) -> None:
-    _reach_loss(scene)
-    scene.run_until(lambda: _is_releasing(scene))
+def _reach_takeover(scenario: Scenario) -> None:
+    _reach_loss(scenario)
+    scenario.run_until(lambda: _is_releasing(scenario))
 
 
-def _reach_takeover_told(scene: Scene) -> None:
-    _reach_takeover(scene)
-    scene.run(0.6)
+def _reach_takeover_told(scenario: Scenario) -> None:
+    _reach_takeover(scenario)
+    scenario.run(0.6)
 
 
-def _reach_taken_over(scene: Scene) -> None:
-    _reach_takeover(scene)
-    scene.run_until(lambda: not _is_releasing(scene))
+def _reach_taken_over(scenario: Scenario) -> None:
+    _reach_takeover(scenario)
+    scenario.run_until(lambda: not _is_releasing(scenario))
 
 
-def _reach_drain_end(scene: Scene) -> None:
-    _reach_moved(scene)
-    scene.run(2.5)
+def _reach_drain_end(scenario: Scenario) -> None:
+    _reach_moved(scenario)
+    scenario.run(2.5)
 
 
-def _reach_stop(scene: Scene) -> None:
-    _settle(scene)
-    keeper = scene.keeper()
-    keeper.council.leaving = True
+def _reach_stop(scenario: Scenario) -> None:
+    _settle(scenario)
+    keeper = scenario.keeper()
+    keeper.view.leaving = True
 
     def stop() -> None:
         keeper.state = Running.DEAD
 
-    scene.planned_only = True
-    scene.later(scene.stop_notice, stop)
-    scene.later(2.0, lambda: start_again(keeper))
+    scenario.planned_only = True
+    scenario.later(scenario.stop_notice, stop)
+    scenario.later(2.0, lambda: start_again(keeper))
 
 
-def _reach_replacement(scene: Scene) -> None:
-    _settle(scene)
-    keeper = scene.keeper()
+def _reach_replacement(scenario: Scenario) -> None:
+    _settle(scenario)
+    keeper = scenario.keeper()
     keeper.state = Running.DEAD
-    scene.run(1.0)
+    scenario.run(1.0)
     keeper.start()
 
 
-STEPS: dict[str, Callable[[Scene], None]] = {
-    "start": lambda scene: None,
-    "first assignment": lambda scene: scene.run_until(
-        lambda: bool(scene.world.assignment.shards)
+STEPS: dict[str, Callable[[Scenario], None]] = {
+    "start": lambda scenario: None,
+    "first assignment": lambda scenario: scenario.run_until(
+        lambda: bool(scenario.world.assignment.shards)
     ),
     "request accepted": _reach_accepted,
-    "request queued": lambda scene: _reach_phase(scene, Phase.QUEUED),
-    "request handed over": lambda scene: _reach_phase(
-        scene, Phase.HANDED_OVER
+    "request queued": lambda scenario: _reach_phase(scenario, Phase.QUEUED),
+    "request handed over": lambda scenario: _reach_phase(
+        scenario, Phase.HANDED_OVER
     ),
     "request running": _reach_running,
     "request answering": _reach_answering,
--- a/sedgetide/testing/store.py
+++ b/sedgetide/testing/store.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 
 from sedgetide.coding.values import MAX_VALUE_BYTES
-from sedgetide.core.records import Record
+from sedgetide.core.configuration.records import Record
 from sedgetide.testing import serving
 from sedgetide.testing.storemodel import StoreFault
 from sedgetide.testing.storemodel import StoreModel
--- a/sedgetide/testing/storemodel.py
+++ b/sedgetide/testing/storemodel.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
+from sedgetide.core.configuration.records import Record
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.records import Record
 
 
 class StoreFault(enum.Enum):
--- a/sedgetide/testing/upstream.py
+++ b/sedgetide/testing/upstream.py
@@ -19,10 +19,10 @@
 import msgspec
 
 from sedgetide.backends import httpupstream as protocol
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
+from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.testing import serving
 from sedgetide.testing.upstreammodel import JournalEntry
 from sedgetide.testing.upstreammodel import UpstreamModel
--- a/sedgetide/testing/world.py
+++ b/sedgetide/testing/world.py
@@ -11,13 +11,12 @@
 
 import msgspec
 
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.council import Council
-from sedgetide.core.council import Plan
-from sedgetide.core.grants import Token
+from sedgetide.core.configuration.records import CONFIGURATION_KEY
+from sedgetide.core.configuration.records import name_assignment
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Text
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
@@ -28,18 +27,19 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.leasing import Answer
-from sedgetide.core.leasing import Call
-from sedgetide.core.leasing import CallKind
-from sedgetide.core.leasing import UpstreamLease
-from sedgetide.core.liveness import Liveness
-from sedgetide.core.operations import OperationLog
-from sedgetide.core.records import CONFIGURATION_KEY
-from sedgetide.core.records import name_assignment
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
-from sedgetide.core.services import Service
-from sedgetide.core.services import Text
+from sedgetide.core.membership.datacentre import DataCentreView
+from sedgetide.core.membership.datacentre import Plan
+from sedgetide.core.membership.liveness import Liveness
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.grants import Token
+from sedgetide.core.ownership.leasing import Answer
+from sedgetide.core.ownership.leasing import Call
+from sedgetide.core.ownership.leasing import CallKind
+from sedgetide.core.ownership.leasing import UpstreamLease
+from sedgetide.core.requests.operations import OperationLog
 from sedgetide.core.timing import Timing
 from sedgetide.testing.storemodel import StoreFault
 from sedgetide.testing.storemodel import StoreModel
@@ -137,7 +137,7 @@
         self.state = Running.RUNNING
         self.incarnation = uuid.uuid4().hex
         self.liveness = Liveness(self.world.timing.silence)
-        self.council = Council(
+        self.view = DataCentreView(
             self.host,
             CENTRE,
             Member(self.link, ""),
@@ -183,23 +183,23 @@
 
     def take_record(self, assignment: Assignment, revision: Revision) -> None:
         """Take in an assignment as from the store or a peer."""
-        self.council.take_assignment(assignment, revision)
+        self.view.take_assignment(assignment, revision)
 
     def take_text(self, text: Text, revision: Revision) -> None:
         """Take in a text unless a newer one is in force."""
         if self.cache.apply(Record(CONFIGURATION_KEY, revision, b"")):
-            self.council.take_text(text)
+            self.view.take_text(text)
 
     def tick(self) -> None:
         """Do one round of everything the daemon's loops do."""
         now = self.clock.read(self.world.now)
         self._ask_peers(now)
-        if self.council.is_watching(now):
+        if self.view.is_watching(now):
             self._ask_store(now)
-        standing = self.council.renew(now)
+        authorization = self.view.renew(now)
         self._claim(now)
         for name, lease in list(self.leases.items()):
-            lease.update(standing)
+            lease.update(authorization)
             for _ in range(2):
                 call = lease.next_call(now)
                 answered = self.send(name, call, now)
@@ -207,37 +207,39 @@
                 if not answered or kind is call.kind:
                     break
         self._report(now)
-        plan = self.council.plan(now, ChangeId(uuid.uuid4().hex))
+        plan = self.view.plan(now, ChangeId(uuid.uuid4().hex))
         if plan is not None:
             self._write(plan)
 
     def _ask_peers(self, now: float) -> None:
         for peer in self.world.list_reachable_keepers(self.host):
-            said = peer.council.give_testimony(peer.clock.read(self.world.now))
-            self.liveness.note_answer(peer.link, now, peer.council.leaving)
-            self.council.note_testimony(peer.host, now, said, now)
-            peer.council.note_joiner(
+            said = peer.view.make_member_report(
+                peer.clock.read(self.world.now)
+            )
+            self.liveness.note_answer(peer.link, now, peer.view.leaving)
+            self.view.note_member_report(peer.host, now, said, now)
+            peer.view.note_joiner(
                 self.host,
                 Member(self.link, ""),
                 peer.clock.read(self.world.now),
             )
-            self.take_record(peer.council.assignment, peer.council.revision)
-            if peer.council.text is not None:
-                self.take_text(peer.council.text, peer.text_revision)
+            self.take_record(peer.view.assignment, peer.view.revision)
+            if peer.view.text is not None:
+                self.take_text(peer.view.text, peer.text_revision)
 
     def _ask_store(self, now: float) -> None:
-        self.council.store_away = not self.world.reaches_store(self.host)
-        if self.council.store_away:
+        self.view.store_away = not self.world.reaches_store(self.host)
+        if self.view.store_away:
             return
         assignment, revision = self.world.read_assignment()
         if revision:
             self.take_record(assignment, revision)
-        self.council.authority.note_store(now, revision)
+        self.view.authority.note_store(now, revision)
         if self.world.text_revision:
             self.take_text(self.world.text, self.world.text_revision)
 
     def _claim(self, now: float) -> None:
-        wanted = self.council.list_kept(now)
+        wanted = self.view.list_kept(now)
         for name in list(self.leases):
             if name not in wanted:
                 del self.leases[name]
@@ -254,7 +256,7 @@
             self.orderer,
             service.checks_orders,
             self.world.timing,
-            lambda orderer: self.council.outranks(
+            lambda orderer: self.view.outranks(
                 orderer, name, self.clock.read(self.world.now)
             ),
             now,
@@ -295,7 +297,7 @@
         return True
 
     def _report(self, now: float) -> None:
-        assigner = self.council.find_assigner(now)
+        assigner = self.view.find_assigner(now)
         if assigner is None:
             return
         peer = self.world.keepers[assigner]
@@ -304,7 +306,7 @@
         at = peer.clock.read(self.world.now)
         for lease in self.leases.values():
             if lease.has_news():
-                peer.council.note_report(lease.make_report(), at)
+                peer.view.note_report(lease.make_report(), at)
 
     def _write(self, plan: Plan) -> None:
         if self.pause_at_write:
@@ -313,7 +315,7 @@
             self.late_plan = plan
             return
         if not self.world.reaches_store(self.host):
-            self.council.store_away = True
+            self.view.store_away = True
             return
         revision = self.world.swap(plan.assignment, plan.expected)
         if revision is None or self.world.store_fault is StoreFault.LOST_REPLY:
--- a/sedgetide/testing/worldrequests.py
+++ b/sedgetide/testing/worldrequests.py
@@ -2,21 +2,21 @@
 
 import msgspec
 
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.assignment import ShardState
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import OperationId
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.operations import Verdict
-from sedgetide.core.outcomes import combine_outcomes
-from sedgetide.core.outcomes import judge_failure
-from sedgetide.core.outcomes import may_resend
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Phase
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.outcomes import TRANSIENT_REASONS
-from sedgetide.core.outcomes import UNSURE_REASONS
-from sedgetide.core.rendezvous import rank_candidates
+from sedgetide.core.membership.rendezvous import rank_candidates
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.assignment import ShardState
+from sedgetide.core.requests.operations import Admission
+from sedgetide.core.requests.outcomes import combine_outcomes
+from sedgetide.core.requests.outcomes import judge_failure
+from sedgetide.core.requests.outcomes import may_resend
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Phase
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.outcomes import TRANSIENT_REASONS
+from sedgetide.core.requests.outcomes import UNSURE_REASONS
 from sedgetide.testing.callers import make_operation_id
 from sedgetide.testing.upstreammodel import JournalEntry
 from sedgetide.testing.upstreammodel import UpstreamModel
@@ -136,11 +136,11 @@
     def _find_keeper(self, attempt: Attempt) -> FakeKeeper | None:
         """Return the first keeper of the owner that answers."""
         for peer in self._list_peers():
-            owner = peer.council.assignment.find_owner(attempt.key)
+            owner = peer.view.assignment.find_owner(attempt.key)
             if owner is None or owner.state is not ShardState.OWNED:
                 continue
             attempt.upstream = owner.upstream
-            members = peer.council.assignment.members
+            members = peer.view.assignment.members
             for host in rank_candidates(owner.upstream, members):
                 if self.world.talks(self.name, host):
                     return self.world.keepers[HostName(host)]
@@ -153,7 +153,7 @@
             for name, peer in self.world.keepers.items()
             if self.world.talks(self.name, name)
         ]
-        peers.sort(key=lambda peer: -peer.council.revision)
+        peers.sort(key=lambda peer: -peer.view.revision)
         return peers
 
     def _hand_over(self, attempt: Attempt) -> None:
@@ -178,7 +178,7 @@
 
     def _queue(self, attempt: Attempt, keeper: FakeKeeper) -> None:
         lease = keeper.leases.get(attempt.upstream)
-        if lease is None or lease.standing_back or keeper.council.leaving:
+        if lease is None or lease.standing_back or keeper.view.leaving:
             self._reply(attempt, keeper, Outcome.NOT_RUN, Reason.NOT_KEEPER)
             return
         attempt.phase = Phase.QUEUED
@@ -231,14 +231,14 @@
         verdict = log.judge(
             attempt.operation, attempt.key, self.world.wall, attempt.first
         )
-        if verdict is Verdict.RUN:
+        if verdict is Admission.RUN:
             log.begin(attempt.operation, self.world.wall)
             attempt.owns_operation = True
             return True
-        if verdict is Verdict.REPEAT:
+        if verdict is Admission.REPEAT:
             told = log.find_answer(attempt.operation)
             self._reply(attempt, keeper, told.outcome, told.reason)
-        elif verdict is Verdict.LOST:
+        elif verdict is Admission.LOST:
             self._reply(
                 attempt, keeper, Outcome.UNKNOWN, Reason.OPERATION_LOST
             )
--- a/tests/coding/test_text.py
+++ b/tests/coding/test_text.py
@@ -11,7 +11,7 @@
 from sedgetide.coding.text import check_change
 from sedgetide.coding.text import check_text
 from sedgetide.core.errors import InputError
-from sedgetide.core.routing import Router
+from sedgetide.core.requests.routing import Router
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 
--- a/tests/core/test_assignment.py
+++ b/tests/core/ownership/test_assignment.py
@@ -4,10 +4,6 @@
 
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import encode_assignment
-from sedgetide.core.assignment import Assignment
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import Member
-from sedgetide.core.assignment import ShardKey
 from sedgetide.core.errors import RuleError
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
@@ -16,8 +12,12 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.planning import plan_change
-from sedgetide.core.planning import Situation
+from sedgetide.core.ownership.assignment import Assignment
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import Member
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.planning import plan_change
+from sedgetide.core.ownership.planning import Situation
 
 S = ServiceName("s")
 KEYS = [ShardKey(S, Shard(number)) for number in range(4)]
--- a/tests/core/test_authority.py
+++ b/tests/core/ownership/test_authority.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from sedgetide.core.authority import Authority
-from sedgetide.core.authority import NEVER
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.ownership.authority import Authority
+from sedgetide.core.ownership.authority import NEVER
 
 A, B, C = HostName("a"), HostName("b"), HostName("c")
 MEMBERS = [A, B, C]
--- a/tests/core/test_handover.py
+++ b/tests/core/ownership/test_handover.py
@@ -2,9 +2,6 @@
 
 import testtools
 
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.handover import ReleaseTracker
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
@@ -12,6 +9,9 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.handover import ReleaseTracker
 
 A, B, C = HostName("a"), HostName("b"), HostName("c")
 MEMBERS = [A, B, C]
--- a/tests/core/test_leasing.py
+++ b/tests/core/ownership/test_leasing.py
@@ -1,20 +1,20 @@
-"""Tests of one keeper's standing towards one upstream."""
+"""Tests of one keeper's authorization towards one upstream."""
 
 import testtools
 
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import ShardKey
-from sedgetide.core.grants import Token
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import Shard
 from sedgetide.core.identifiers import UpstreamName
-from sedgetide.core.leasing import Answer
-from sedgetide.core.leasing import CallKind
-from sedgetide.core.leasing import Health
-from sedgetide.core.leasing import Standing
-from sedgetide.core.leasing import UpstreamLease
-from sedgetide.core.outcomes import Reason
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.grants import Token
+from sedgetide.core.ownership.leasing import Answer
+from sedgetide.core.ownership.leasing import Authorization
+from sedgetide.core.ownership.leasing import CallKind
+from sedgetide.core.ownership.leasing import Health
+from sedgetide.core.ownership.leasing import UpstreamLease
+from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.timing import Timing
 
 KEY = ShardKey(ServiceName("s"), Shard(0))
@@ -32,7 +32,7 @@
         self.lease = UpstreamLease(
             U, ME, True, Timing(), self.first.__contains__, 0.0
         )
-        self.lease.update(Standing(OWNED, 100.0))
+        self.lease.update(Authorization(OWNED, 100.0))
 
     def answer(self, now, orderer=ME, held=0.5, incarnation="a", **fields):
         token = Token(str(now), now, now, incarnation)
@@ -61,12 +61,12 @@
 
     def test_serves_no_longer_than_its_proof(self):
         self.grant(1.0)
-        self.lease.update(Standing(OWNED, 1.2))
+        self.lease.update(Authorization(OWNED, 1.2))
         self.assertIs(Reason.NO_GRANT, self.obstacle(1.2))
 
     def test_gives_no_grants_without_proof(self):
         self.grant(1.0)
-        self.lease.update(Standing(OWNED, 1.2))
+        self.lease.update(Authorization(OWNED, 1.2))
         self.assertIs(CallKind.STATUS, self.lease.next_call(1.3).kind)
 
     def test_leaves_an_upstream_to_the_keeper_that_comes_first(self):
@@ -87,7 +87,7 @@
         # A planned move must cut no request.
         self.grant(1.0)
         self.lease.begin_request(KEY)
-        self.lease.update(Standing(RELEASED, 100.0))
+        self.lease.update(Authorization(RELEASED, 100.0))
         self.assertIs(Reason.MOVING, self.obstacle(1.1))
         self.assertIs(CallKind.GRANT, self.lease.next_call(1.1).kind)
         self.lease.end_request(KEY)
@@ -95,7 +95,7 @@
 
     def test_refused_release_is_not_reported(self):
         self.grant(1.0)
-        self.lease.update(Standing(RELEASED, 100.0))
+        self.lease.update(Authorization(RELEASED, 100.0))
         self.answer(1.1, refused=frozenset([KEY]))
         self.assertEqual({}, self.lease.list_released())
         self.answer(1.2)
@@ -105,7 +105,7 @@
         # It would take a late renewal after its confirmation.
         self.grant(1.0)
         self.lease.checks_orders = False
-        self.lease.update(Standing(RELEASED, 100.0))
+        self.lease.update(Authorization(RELEASED, 100.0))
         self.assertIs(CallKind.GRANT, self.lease.next_call(1.1).kind)
 
     def test_restarted_upstream_has_lost_its_shards(self):
--- a/tests/core/requests/test_attempts.py
+++ b/tests/core/requests/test_attempts.py
@@ -7,7 +7,6 @@
 from sedgetide.core.configuration.policy import Share
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
-from sedgetide.core.outcomes import Outcome
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
@@ -15,6 +14,7 @@
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.routes import set_times
 
 SAFE = RouteRule("r", "a", "/", True, 1.0, 0.5, 2, 1, (Share("maps", 1.0),))
--- a/tests/core/test_operations.py
+++ b/tests/core/requests/test_operations.py
@@ -3,9 +3,9 @@
 import testtools
 
 from sedgetide.core.identifiers import Epoch
-from sedgetide.core.operations import find_issue_time
-from sedgetide.core.operations import OperationLog
-from sedgetide.core.operations import Verdict
+from sedgetide.core.requests.operations import Admission
+from sedgetide.core.requests.operations import find_issue_time
+from sedgetide.core.requests.operations import OperationLog
 from sedgetide.testing.callers import make_operation_id
 
 SHARD = "s/1"
@@ -31,11 +31,11 @@
     def test_repeat_joins_and_then_gets_the_answer(self):
         wall = START + 10
         operation = make_operation_id(wall)
-        self.assertIs(Verdict.RUN, self.judge(operation, wall))
+        self.assertIs(Admission.RUN, self.judge(operation, wall))
         self.log.begin(operation, wall)
-        self.assertIs(Verdict.JOIN, self.judge(operation, wall))
+        self.assertIs(Admission.JOIN, self.judge(operation, wall))
         self.log.finish(operation, "answer")
-        self.assertIs(Verdict.REPEAT, self.judge(operation, wall + 5))
+        self.assertIs(Admission.REPEAT, self.judge(operation, wall + 5))
         self.assertEqual("answer", self.log.find_answer(operation))
 
     def test_withdrawn_operation_may_run(self):
@@ -43,44 +43,44 @@
         operation = make_operation_id(wall)
         self.log.begin(operation, wall)
         self.log.withdraw(operation)
-        self.assertIs(Verdict.RUN, self.judge(operation, wall))
+        self.assertIs(Admission.RUN, self.judge(operation, wall))
 
     def test_id_from_before_the_tenure_is_lost(self):
         # The caller was told unknown when a keeper was killed and repeats
         # its alert. The successor can not know whether it ran; running it
         # could send a second notice.
         operation = make_operation_id(START - 5)
-        self.assertIs(Verdict.LOST, self.judge(operation, START + 1))
+        self.assertIs(Admission.LOST, self.judge(operation, START + 1))
 
     def test_clock_skew_counts_as_before(self):
         operation = make_operation_id(START + 0.5)
-        self.assertIs(Verdict.LOST, self.judge(operation, START + 2))
+        self.assertIs(Admission.LOST, self.judge(operation, START + 2))
 
     def test_first_attempt_runs_whatever_the_tenure(self):
         operation = make_operation_id(START - 5)
-        self.assertIs(Verdict.RUN, self.judge(operation, START, True))
+        self.assertIs(Admission.RUN, self.judge(operation, START, True))
 
     def test_orders_of_another_keeper_end_the_tenure(self):
         # Two keepers by turns: what ran at the other is not known here.
         operation = make_operation_id(START + 10)
         self.log.end_tenures()
         self.log.begin_tenure(SHARD, Epoch(1), START + 20)
-        self.assertIs(Verdict.LOST, self.judge(operation, START + 21))
+        self.assertIs(Admission.LOST, self.judge(operation, START + 21))
 
     def test_new_epoch_begins_a_new_tenure(self):
         self.log.begin_tenure(SHARD, Epoch(3), START + 20)
         operation = make_operation_id(START + 10)
-        self.assertIs(Verdict.LOST, self.judge(operation, START + 22))
+        self.assertIs(Admission.LOST, self.judge(operation, START + 22))
 
     def test_id_beyond_the_window_is_lost(self):
         operation = make_operation_id(START + 10)
         self.log.begin(operation, START + 10)
         self.log.finish(operation, "answer")
-        self.assertIs(Verdict.LOST, self.judge(operation, START + 700))
+        self.assertIs(Admission.LOST, self.judge(operation, START + 700))
         self.assertEqual(0, len(self.log))
 
     def test_full_log_refuses_instead_of_forgetting(self):
         for _ in range(3):
             self.log.begin(make_operation_id(START + 10), START + 10)
         operation = make_operation_id(START + 11)
-        self.assertIs(Verdict.FULL, self.judge(operation, START + 11))
+        self.assertIs(Admission.FULL, self.judge(operation, START + 11))
--- a/tests/core/test_outcomes.py
+++ b/tests/core/requests/test_outcomes.py
@@ -2,11 +2,11 @@
 
 import testtools
 
-from sedgetide.core.outcomes import combine_outcomes
-from sedgetide.core.outcomes import judge_failure
-from sedgetide.core.outcomes import may_resend
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Phase
+from sedgetide.core.requests.outcomes import combine_outcomes
+from sedgetide.core.requests.outcomes import judge_failure
+from sedgetide.core.requests.outcomes import may_resend
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Phase
 
 
 class OutcomeTest(testtools.TestCase):
--- a/tests/core/test_queues.py
+++ b/tests/core/requests/test_queues.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.queues import UpstreamQueue
-from sedgetide.core.retries import RetryBudget
+from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.queues import UpstreamQueue
+from sedgetide.core.requests.retries import RetryBudget
 
 LATE = 1000.0
 
--- a/tests/daemons/test_beacon.py
+++ b/tests/daemons/test_heartbeats.py
@@ -7,15 +7,15 @@
 from sedgetide.coding.messages import Pull
 from sedgetide.coding.messages import Records
 from sedgetide.coding.messages import Status
+from sedgetide.core.configuration.records import Record
+from sedgetide.core.configuration.records import RecordCache
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.records import Record
-from sedgetide.core.records import RecordCache
 from sedgetide.core.timing import Timing
-from sedgetide.daemons._beacon import Beacon
-from sedgetide.daemons._beacon import BeaconOwner
+from sedgetide.daemons._heartbeats import Heartbeats
+from sedgetide.daemons._heartbeats import HeartbeatsOwner
 
 PEER = LinkAddress("10.0.0.2:1")
 
@@ -36,7 +36,7 @@
         self.redialled.append(address)
 
 
-class FakeOwner(BeaconOwner):
+class FakeOwner(HeartbeatsOwner):
     def __init__(self):
         self.records = []
 
@@ -56,55 +56,57 @@
 class BeaconTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.mail = FakeMail()
+        self.transport = FakeMail()
         self.owner = FakeOwner()
         self.cache = RecordCache()
-        self.beacon = Beacon(self.mail, self.cache, Timing(), self.owner)
+        self.heartbeats = Heartbeats(
+            self.transport, self.cache, Timing(), self.owner
+        )
 
     def answer(self, asked_at, now, **fields):
         pong = Pong(asked_at, make_status("peer", **fields))
-        self.beacon.handle(pong, PEER, now)
+        self.heartbeats.handle(pong, PEER, now)
 
     def test_peer_asked_in_vain_is_known_silent(self):
         for step in range(5):
-            self.beacon.ping([PEER], 10.0 + step * 0.15)
-        self.assertFalse(self.beacon.is_known_silent(PEER, 10.3))
-        self.assertTrue(self.beacon.is_known_silent(PEER, 10.6))
+            self.heartbeats.ping([PEER], 10.0 + step * 0.15)
+        self.assertFalse(self.heartbeats.is_known_silent(PEER, 10.3))
+        self.assertTrue(self.heartbeats.is_known_silent(PEER, 10.6))
 
     def test_peer_not_asked_of_late_is_not_known_silent(self):
         # The caller sees its reads of one upstream hang until the deadline.
         # An entry heard a keeper at its start and then asked it no more.
         # When that keeper took the upstream over, the entry held it for
         # lost and went to another, which refused as not the keeper.
-        self.beacon.ping([PEER], 10.0)
+        self.heartbeats.ping([PEER], 10.0)
         self.answer(10.0, 10.01)
-        self.assertFalse(self.beacon.is_known_silent(PEER, 20.0))
-        self.beacon.ping([PEER], 20.0)
-        self.assertFalse(self.beacon.is_known_silent(PEER, 20.1))
+        self.assertFalse(self.heartbeats.is_known_silent(PEER, 20.0))
+        self.heartbeats.ping([PEER], 20.0)
+        self.assertFalse(self.heartbeats.is_known_silent(PEER, 20.1))
 
     def test_silent_link_is_redialled_by_both_sides(self):
         # The connection went silent for good, but new ones work. Only the
         # sender of pings notices when the way back is the silent one.
         for step in range(5):
-            self.beacon.ping([PEER], 10.0 + step * 0.15)
-        self.assertEqual([PEER], self.mail.redialled)
+            self.heartbeats.ping([PEER], 10.0 + step * 0.15)
+        self.assertEqual([PEER], self.transport.redialled)
         ping = Ping(1.0, 0.6, make_status("peer"))
-        self.beacon.handle(ping, PEER, 11.0)
-        self.assertEqual([PEER, PEER], self.mail.redialled)
+        self.heartbeats.handle(ping, PEER, 11.0)
+        self.assertEqual([PEER, PEER], self.transport.redialled)
 
     def test_difference_of_records_is_pulled(self):
         record = Record("k", Revision(3), b"v")
         self.answer(10.0, 10.0, digest=5)
-        self.assertEqual((PEER, Pull({})), self.mail.sent[-1])
-        self.beacon.handle(Records([record]), PEER, 10.1)
+        self.assertEqual((PEER, Pull({})), self.transport.sent[-1])
+        self.heartbeats.handle(Records([record]), PEER, 10.1)
         self.assertEqual([record], self.owner.records)
         self.answer(10.2, 10.2, digest=self.cache.digest)
-        self.assertEqual(1, len(self.mail.sent))
+        self.assertEqual(1, len(self.transport.sent))
 
     def test_lower_revision_is_not_applied(self):
         # Two ways of spreading overtake each other; the withdrawn text
         # must not come back into force.
         new, old = Record("k", Revision(3), b"n"), Record("k", 2, b"o")
-        self.beacon.handle(Records([new]), PEER, 10.0)
-        self.beacon.handle(Records([old]), PEER, 10.1)
+        self.heartbeats.handle(Records([new]), PEER, 10.0)
+        self.heartbeats.handle(Records([old]), PEER, 10.1)
         self.assertEqual([new], self.owner.records)
--- a/tests/daemons/test_storetask.py
+++ b/tests/daemons/test_storetask.py
@@ -6,13 +6,13 @@
 from sedgetide.backends.store import Store
 from sedgetide.coding.values import decode_assignment
 from sedgetide.coding.values import encode_assignment
-from sedgetide.core.assignment import Assignment
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.ownership.assignment import Assignment
 from sedgetide.daemons._storetask import StoreOwner
 from sedgetide.daemons._storetask import StoreTask
 from sedgetide.daemons._storetask import swap_assignment
--- a/tests/daemons/test_upstreamtask.py
+++ b/tests/daemons/test_upstreamtask.py
@@ -13,16 +13,16 @@
 from sedgetide.backends.upstream import WorkResult
 from sedgetide.coding.messages import Request
 from sedgetide.coding.settings import KeeperSettings
-from sedgetide.core.assignment import EMPTY_ASSIGNMENT
-from sedgetide.core.assignment import ShardKey
+from sedgetide.core.configuration.services import Service
+from sedgetide.core.configuration.services import Upstream
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
-from sedgetide.core.leasing import Standing
-from sedgetide.core.outcomes import Outcome
-from sedgetide.core.outcomes import Reason
-from sedgetide.core.services import Service
-from sedgetide.core.services import Upstream
+from sedgetide.core.ownership.assignment import EMPTY_ASSIGNMENT
+from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.leasing import Authorization
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.timing import Timing
 from sedgetide.daemons._upstreamtask import UpstreamTask
 from sedgetide.testing.callers import make_operation_id
@@ -90,7 +90,7 @@
         )
         self.addCleanup(self.task.close)
         owned = EMPTY_ASSIGNMENT.assign_first({KEY: "u"}, "1")
-        self.task.update(Standing(owned, float("inf")))
+        self.task.update(Authorization(owned, float("inf")))
         self.task.start()
         while not self.task.lease.list_granted(time.monotonic()):
             gevent.sleep(0.001)
--- a/tests/links/test_mail.py
+++ b/tests/links/test_transport.py
@@ -7,8 +7,8 @@
 from sedgetide.coding.messages import Cancel
 from sedgetide.coding.messages import Response
 from sedgetide.core.identifiers import RequestId
-from sedgetide.core.outcomes import Outcome
-from sedgetide.links import Mail
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.links import Transport
 from sedgetide.testing.fleet import reserve_address
 
 BODY_LIMIT = 1000
@@ -23,14 +23,14 @@
     def make_mail(self):
         received = Queue()
         dropped = []
-        mail = Mail(
+        transport = Transport(
             reserve_address(),
             BODY_LIMIT,
             lambda message, sender: received.put((message, sender)),
             dropped.append,
         )
-        self.addCleanup(mail.close)
-        return mail, received, dropped
+        self.addCleanup(transport.close)
+        return transport, received, dropped
 
     def test_message_arrives_with_its_sender(self):
         one, _, _ = self.make_mail()
--- a/tests/testing/test_matrix.py
+++ b/tests/testing/test_matrix.py
@@ -14,7 +14,7 @@
 from sedgetide.testing.matrix import run_cell
 from sedgetide.testing.matrix import run_cells
 from sedgetide.testing.mutations import MUTATIONS
-from sedgetide.testing.scenes import Scene
+from sedgetide.testing.scenarios import Scenario
 from sedgetide.testing.steps import STEPS
 
 PROCESSES = os.cpu_count() or 1
@@ -65,31 +65,31 @@
 
     def __init__(self):
         super().__init__()
-        self.scene = Scene()
-        STEPS["renewal"](self.scene)
+        self.scenario = Scenario()
+        STEPS["renewal"](self.scenario)
 
     @rule(fault=st.sampled_from(sorted(FAULTS)))
     def strike(self, fault):
-        FAULTS[fault](self.scene)
-        self.scene.tick()
+        FAULTS[fault](self.scenario)
+        self.scenario.tick()
 
     @rule(ticks=st.integers(1, 40))
     def let_time_pass(self, ticks):
         for _ in range(ticks):
-            self.scene.tick()
+            self.scenario.tick()
 
     @rule(name=st.sampled_from(["u1", "u2", "u3", ""]))
     def edit(self, name):
-        self.scene.drain(name)
+        self.scenario.drain(name)
 
     @invariant()
     def promises_hold(self):
-        assert self.scene.broken == []
+        assert self.scenario.broken == []
 
     def teardown(self):
-        self.scene.run(1.0)
-        self.scene.check_at_end()
-        assert self.scene.broken == []
+        self.scenario.run(1.0)
+        self.scenario.check_at_end()
+        assert self.scenario.broken == []
 
 
 RandomWalk.TestCase.settings = settings(
