--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo faults slopes bench lint clean
+.PHONY: test demo faults soak slopes lint clean
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -19,6 +19,9 @@
 faults: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.faultreport
 
+soak: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.soak --first 1 --count 50 --jobs 4
+
 slopes: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.slopes --output build/slopes.json
 
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -146,6 +146,11 @@
         ``IP:port`` of the store.
     grace : float
         Seconds between SIGTERM and the kill.
+    max_hold_ms : int
+        Longest life of a grant that upstreams accept.
+    retry_ratio : float
+        Share of the requests for a service that all hosts together may
+        send once more; each keeps to half of it on its own.
     limits : Limits
         Bounds; a planned stop takes ``grace`` less a reserve, not ``drain``.
     durations : Durations
@@ -162,6 +167,8 @@
     link: str
     stores: tuple[str, ...]
     grace: Seconds = 16.0
+    max_hold_ms: Count = 10_000
+    retry_ratio: Seconds = 0.2
     limits: Limits = Limits()
     durations: Durations = Durations()
     log_level: str = "INFO"
@@ -171,6 +178,10 @@
         """Host as a typed identifier."""
         return HostName(self.host)
 
+    def fit_durations(self) -> Durations:
+        """Return the durations within what upstreams accept."""
+        return self.durations.fit(self.max_hold_ms / 1000.0)
+
 
 def _check_addresses(settings: ProcessSettings) -> Iterator[Problem]:
     for field in ("admin", "listen", "ready", "link"):
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -16,6 +16,7 @@
 from sedgetide.core.identifiers import Revision
 
 NEVER = float("-inf")
+_RENEWALS_IN_A_HOLD = 3
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
@@ -72,6 +73,15 @@
     margin: float = 0.25
     order_timeout: float = 1.0
 
+    def fit(self, longest_hold: float) -> "Durations":
+        """Return these durations with no hold over what upstreams accept."""
+        return msgspec.structs.replace(
+            self,
+            hold=min(self.hold, longest_hold),
+            long_hold=min(self.long_hold, longest_hold),
+            renew=min(self.renew, longest_hold / _RENEWALS_IN_A_HOLD),
+        )
+
     def bound_hold(self, hold: float) -> float:
         """Return how long after its send a grant may still be held."""
         return hold * (1.0 + self.clock_error) + self.margin
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -10,6 +10,8 @@
 from sedgetide.core.requests.windows import Window
 from sedgetide.wire.client import ConnectionPool
 
+_SETTLING = 0.003
+
 
 class Lane:
     """Way from this host to one upstream.
@@ -23,7 +25,7 @@
     """
 
     def __init__(self, upstream: RegisteredUpstream, body_limit: int) -> None:
-        self.pool = ConnectionPool(upstream.address, body_limit)
+        self.pool = ConnectionPool(upstream.address, body_limit, _SETTLING)
         self.window = Window(upstream.slots)
         self.service_time: float | None = None
         self.failures = 0.0
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -49,7 +49,6 @@
 _NOT_OWNER_PAUSE = 0.03
 _BUSY_PAUSE = 0.04
 _MOST_UNREACHED = 3
-_BUDGET_RATIO = 0.1
 _BUDGET_MOST = 4.0
 _FOREIGN_ZONE_COST = 1.15
 _SUSPECT_COST = 4.0
@@ -103,6 +102,8 @@
         Counts load for the leader.
     data_centre : str
         Own data centre.
+    retry_ratio : float
+        Share of the own requests that may be sent once more.
     """
 
     def __init__(
@@ -112,12 +113,14 @@
         lanes: Lanes,
         meter: LoadMeter,
         data_centre: str,
+        retry_ratio: float,
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
         self._lanes = lanes
         self._meter = meter
         self._data_centre = data_centre
+        self._retry_ratio = retry_ratio
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._random = random.Random(data_centre)
 
@@ -200,7 +203,7 @@
     def _find_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(_BUDGET_RATIO, _BUDGET_MOST)
+            budget = RetryBudget(self._retry_ratio, _BUDGET_MOST)
             self._budgets[service] = budget
         return budget
 
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -54,6 +54,10 @@
 _HOUSEKEEPING = 0.2
 _STOP_POLL = 0.05
 _EXIT_RESERVE = 0.25
+# Hosts do not know of each other's retries. A share of each one's own
+# requests adds up to that share of all, whoever can talk to whom.
+_OWN_SHARE = 0.5
+_NOTICE_SHARE = 0.49
 
 
 class Dialects(msgspec.Struct, frozen=True):
@@ -105,6 +109,7 @@
             self._lanes,
             self._meter,
             settings.data_centre,
+            settings.retry_ratio * _OWN_SHARE,
         )
         self._server = Server(
             self._requests.serve,
@@ -136,7 +141,7 @@
         )
 
     def _make_leader(self) -> Leader:
-        durations = self._settings.durations
+        durations = self._settings.fit_durations()
         leadership = Leadership(durations)
         record = LeaderRecord(
             self._settings.host_name,
@@ -252,7 +257,9 @@
         self._leader.resign()
         self._server.begin_stop()
         began = read_clock()
-        self._wait_until(began + self._settings.limits.drain_notice)
+        longest = self._settings.grace * _NOTICE_SHARE
+        notice = min(self._settings.limits.drain_notice, longest)
+        self._wait_until(began + notice)
         self._server.stop_accepting()
         self._server.close_idle()
         last = began + self._settings.grace - _EXIT_RESERVE
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent import socket
+from gevent.socket import wait_read
 import h11
 
 from sedgetide.coding.addresses import split_address
@@ -97,6 +98,28 @@
             ) from error
         self._used_at = time.monotonic()
 
+    def settle(self, seconds: float) -> None:
+        """Wait a moment for a server that is full to reset the connection.
+
+        A reset that comes after the request has left says nothing about
+        whether it ran; before, it proves that nothing did.
+
+        Raises
+        ------
+        UpstreamError
+            With ``sent`` false.
+        """
+        with contextlib.suppress(TimeoutError):
+            wait_read(self._socket.fileno(), timeout=seconds)
+            self.close()
+            raise UpstreamError(
+                ErrorCode.UPSTREAM_UNREACHABLE,
+                Step.CONNECT,
+                self.address,
+                "closed before anything was sent",
+                sent=False,
+            )
+
     @property
     def usable(self) -> bool:
         """Whether a request may be sent on it now.
@@ -276,11 +299,17 @@
         ``IP:port`` of the server.
     body_limit : int
         Largest body accepted in an answer.
+    settling : float
+        Seconds to wait on a new connection for a reset; see
+        :meth:`Connection.settle`.
     """
 
-    def __init__(self, address: str, body_limit: int) -> None:
+    def __init__(
+        self, address: str, body_limit: int, settling: float = 0.0
+    ) -> None:
         self.address = address
         self._body_limit = body_limit
+        self._settling = settling
         self._idle: list[Connection] = []
         self._closed = False
 
@@ -299,6 +328,8 @@
             connection.close()
         connection = Connection(self.address, self._body_limit)
         connection.open(timeout)
+        if self._settling:
+            connection.settle(self._settling)
         return connection
 
     def give_back(self, connection: Connection) -> None:
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -188,6 +188,33 @@
         self.assertFalse(connection.usable)
 
 
+class TestSettling(testtools.TestCase):
+    """A server that is full resets new connections."""
+
+    def test_reset_before_the_send_proves_that_nothing_ran(self):
+        # The upstream has no room and closes what it accepts. Sent at once,
+        # an alert would count as one that may have run, and its caller
+        # could not try again.
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+        self.addCleanup(listener.close)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        task = gevent.spawn(lambda: listener.accept()[0].close())
+        pool = ConnectionPool(address, LIMIT, 1.0)
+        error = self.assertRaises(UpstreamError, pool.take, 1.0)
+        self.assertFalse(error.sent)
+        task.join()
+
+    def test_quiet_connection_is_used(self):
+        server = Server(WHOLE)
+        self.addCleanup(server.close)
+        connection = ConnectionPool(server.address, LIMIT, 0.01).take(1.0)
+        self.addCleanup(connection.close)
+        answer = connection.exchange(make_request(), 2.0)
+        self.assertEqual(b"ok", answer.body)
+
+
 class TestConnectionPool(testtools.TestCase):
     """Idle connections are used again while they are sound."""
 
