Hosts are fed by the leader instead of a watch each

Ruled out: rarer changes of owners (a third of the calls only; the rest are registrations of upstreams). Change: hosts report to the leader anyway; it answers with what they lack of the store's versions, pushes news, and says how old its own word is. A host that has not heard for a second watches again; a gap is never passed over.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sedgetide.backends.leasestore import Item
 from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import LinkError
@@ -200,10 +201,36 @@
         Work asked for since the last report.
     upstreams : list of UpstreamWork
         What was seen of upstreams since then.
+    revision : Revision
+        Up to which the host knows what the store holds.
     """
 
     keys: list[KeyWork]
     upstreams: list[UpstreamWork]
+    revision: Revision = Revision(0)
+
+
+class StoreFeed(Message, tag="feed"):
+    """The leader passes on what the store told it.
+
+    Parameters
+    ----------
+    since, as_of : Revision
+        The items are all that changed between these.
+    age : float
+        Seconds since the leader heard from the store.
+    disturbed : float
+        Seconds for which missing entries of the registry are not to be
+        believed yet.
+    items : list of Item
+        Newest versions.
+    """
+
+    since: Revision
+    as_of: Revision
+    age: float
+    disturbed: float
+    items: list[Item]
 
 
 class Moved(Message, tag="moved"):
@@ -227,6 +254,7 @@
     | Cancel
     | LoadReport
     | Moved
+    | StoreFeed
 )
 
 
--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -64,9 +64,23 @@
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
-    def note_disturbance(self, now: float) -> None:
-        """Take in that the registry gave no usable answer just now."""
-        self._disturbed_until = now + self._grace
+    def note_disturbance(
+        self, now: float, seconds: float | None = None
+    ) -> None:
+        """Take in that the registry gave no usable answer just now.
+
+        Parameters
+        ----------
+        seconds : float or None
+            For how long missing entries are not believed; the grace when
+            None.
+        """
+        until = now + (self._grace if seconds is None else seconds)
+        self._disturbed_until = max(self._disturbed_until, until)
+
+    def find_disturbance(self, now: float) -> float:
+        """Return for how long missing entries are not believed yet."""
+        return max(0.0, self._disturbed_until - now)
 
     def put(self, upstream: RegisteredUpstream, now: float) -> None:
         """Take in an entry."""
--- /dev/null
+++ b/sedgetide/daemons/_feed.py
@@ -0,0 +1,126 @@
+"""What the store told the leader, passed on to the hosts that report to it.
+
+A watch of each host costs a call of the store for each event and host. So
+hosts that hear from the leader leave theirs out, and begin it again as soon
+as they have not heard for a second. The feed carries versions, never
+beliefs: whoever sends it, a host can not be led back.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from sedgetide.coding.messages import StoreFeed
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import Revision
+from sedgetide.daemons._knowledge import Knowledge
+
+FEED_LIFE = 1.0
+_SUBSCRIBER_LIFE = 3.0
+# Older knowledge is no better than what the host could ask for itself.
+_OLDEST = 4.0
+ENDED = 1e9
+
+
+class _Subscriber(msgspec.Struct):
+    heard_at: float
+    revision: Revision
+
+
+class FeedSource:
+    """The leader's side.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What is passed on.
+    send : callable
+        Sends a message to a host.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        send: Callable[[LinkAddress, StoreFeed], None],
+    ) -> None:
+        self._knowledge = knowledge
+        self._send = send
+        self._subscribers: dict[LinkAddress, _Subscriber] = {}
+
+    def note_report(
+        self, link: LinkAddress, revision: Revision, now: float
+    ) -> None:
+        """Take in how far a host is, and tell it what is newer."""
+        self._subscribers[link] = _Subscriber(now, revision)
+        self._feed(link, self._subscribers[link], now)
+
+    def publish(self, now: float) -> None:
+        """Tell all hosts what has come since they were told last."""
+        for link, subscriber in list(self._subscribers.items()):
+            if now - subscriber.heard_at > _SUBSCRIBER_LIFE:
+                del self._subscribers[link]
+            elif subscriber.revision < self._knowledge.as_of:
+                self._feed(link, subscriber, now)
+
+    def _feed(
+        self, link: LinkAddress, subscriber: _Subscriber, now: float
+    ) -> None:
+        items = self._knowledge.list_newer(subscriber.revision)
+        if items is None:
+            # It is too far behind; without the feed it lists the store.
+            return
+        age = now - self._knowledge.heard_at
+        if age > _OLDEST:
+            return
+        disturbed = self._knowledge.directory.find_disturbance(now)
+        as_of = self._knowledge.as_of
+        message = StoreFeed(subscriber.revision, as_of, age, disturbed, items)
+        self._send(link, message)
+        subscriber.revision = as_of
+
+    def list_links(self, now: float) -> list[LinkAddress]:
+        """Return the hosts that reported lately."""
+        return [
+            link
+            for link, subscriber in self._subscribers.items()
+            if now - subscriber.heard_at <= _SUBSCRIBER_LIFE
+        ]
+
+    def end(self) -> None:
+        """Have all hosts follow the store themselves again."""
+        as_of = self._knowledge.as_of
+        for link in self._subscribers:
+            self._send(link, StoreFeed(as_of, as_of, ENDED, 0.0, []))
+        self._subscribers.clear()
+
+
+class FeedSink:
+    """A host's side.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What is kept up to date.
+    """
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        self._knowledge = knowledge
+        self._fresh_at = float("-inf")
+
+    def take(self, message: StoreFeed, now: float) -> None:
+        """Take in what the leader passed on."""
+        if message.age > _OLDEST:
+            self._fresh_at = float("-inf")
+            return
+        if message.since > self._knowledge.as_of:
+            # A message before it was lost; what it brought is not known.
+            return
+        if message.disturbed > 0:
+            self._knowledge.directory.note_disturbance(now, message.disturbed)
+        self._knowledge.take_items(message.items, now)
+        self._knowledge.note_heard(message.as_of, now - message.age)
+        self._fresh_at = now
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the own watch can be left out."""
+        return now - self._fresh_at < FEED_LIFE
--- a/sedgetide/daemons/_follower.py
+++ b/sedgetide/daemons/_follower.py
@@ -1,5 +1,6 @@
 """The task that keeps a host's knowledge up to date."""
 
+from collections.abc import Callable
 import contextlib
 
 import gevent
@@ -7,8 +8,6 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.core.errors import HistoryLost
 from sedgetide.core.errors import StoreError
-from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -20,6 +19,7 @@
 _WATCH = 2.5
 _FIRST_WATCH = 0.2
 _PAUSE = 0.15
+_FED_PAUSE = 0.1
 _LONGEST_PAUSE = 0.6
 
 
@@ -34,16 +34,22 @@
         Beginning of all keys to follow.
     knowledge : Knowledge
         What is kept up to date.
+    is_fed : callable
+        Whether the leader passes on all that the store tells.
     """
 
     def __init__(
-        self, store: LeaseStore, prefix: str, knowledge: Knowledge
+        self,
+        store: LeaseStore,
+        prefix: str,
+        knowledge: Knowledge,
+        is_fed: Callable[[], bool],
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._knowledge = knowledge
         self._listed = False
-        self._since: Revision = NO_REVISION
+        self._is_fed = is_fed
         self.available = False
 
     def start(self, stack: contextlib.ExitStack) -> None:
@@ -54,11 +60,14 @@
     def _loop(self) -> None:
         pause = _PAUSE
         while True:
+            if self._listed and self._is_fed():
+                gevent.sleep(_FED_PAUSE)
+                continue
             try:
                 self._step()
                 pause = _PAUSE
             except HistoryLost:
-                tell(Event.HISTORY_LOST, revision=self._since)
+                tell(Event.HISTORY_LOST, revision=self._knowledge.as_of)
                 self._listed = False
             except StoreError as error:
                 self._note_lost(error)
@@ -68,13 +77,14 @@
     def _step(self) -> None:
         if not self._listed:
             listing = self._store.list(self._prefix)
-            self._knowledge.take_listing(listing.items, read_clock())
+            self._knowledge.take_listing(listing, read_clock())
             self._listed = True
         else:
             wait = _WATCH if self.available else _FIRST_WATCH
-            listing = self._store.watch(self._prefix, self._since, wait)
+            since = self._knowledge.as_of
+            listing = self._store.watch(self._prefix, since, wait)
             self._knowledge.take_items(listing.items, read_clock())
-        self._since = max(self._since, listing.revision)
+        self._knowledge.note_heard(listing.revision, read_clock())
         self._note_back()
 
     def _note_lost(self, error: StoreError) -> None:
@@ -84,7 +94,6 @@
         self.available = False
 
     def _note_back(self) -> None:
-        self._knowledge.heard_at = read_clock()
         if not self.available:
-            tell(Event.STORE_REACHED, revision=self._since)
+            tell(Event.STORE_REACHED, revision=self._knowledge.as_of)
         self.available = True
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -7,6 +7,7 @@
 from sedgetide.backends.dialects import Catalogue
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.errors import InputError
@@ -26,6 +27,7 @@
 OWN_PREFIX = "sedgetide/"
 LEADER_KEY = OWN_PREFIX + "leader"
 RANGES_PREFIX = OWN_PREFIX + "ranges/"
+_MOST_REMOVED = 2000
 
 
 class KnownTable(msgspec.Struct, frozen=True):
@@ -62,32 +64,57 @@
         self.changes = Changes()
         self.heard_at = float("-inf")
         self._catalogue = catalogue
-        self._revisions: dict[str, Revision] = {}
+        self._items: dict[str, Item] = {}
+        self._forgotten = NO_REVISION
+        self.as_of = NO_REVISION
 
-    def take_listing(self, items: list[Item], now: float) -> None:
-        """Take in everything that the store holds."""
-        present = {item.key for item in items}
-        for key in list(self._revisions):
-            if key not in present:
-                self._remove(key, now)
-        self.take_items(items, now)
+    def note_heard(self, as_of: Revision, heard_at: float) -> None:
+        """Take in that all is known up to a revision, and since when."""
+        self.as_of = max(self.as_of, as_of)
+        self.heard_at = max(self.heard_at, heard_at)
 
-    def _remove(self, key: str, now: float) -> None:
-        del self._revisions[key]
-        self._take(key, None, NO_REVISION, now)
+    def take_listing(self, listing: Listing, now: float) -> None:
+        """Take in everything that the store holds."""
+        present = {item.key for item in listing.items}
+        gone = [
+            Item(key, listing.revision, None)
+            for key, item in self._items.items()
+            if key not in present and item.value is not None
+        ]
+        self.take_items([*gone, *listing.items], now)
 
     def take_items(self, items: list[Item], now: float) -> None:
         """Take in new versions; older ones than known change nothing."""
         taken = False
         for item in items:
-            if item.revision <= self._revisions.get(item.key, NO_REVISION):
+            known = self._items.get(item.key)
+            if known is not None and item.revision <= known.revision:
                 continue
-            self._revisions[item.key] = item.revision
+            self._items[item.key] = item
             self._take(item.key, item.value, item.revision, now)
             taken = True
         if taken:
+            self._forget_removed()
             self.changes.announce()
 
+    def _forget_removed(self) -> None:
+        """Bound what is kept of keys that are gone."""
+        removed = [each for each in self._items.values() if each.value is None]
+        if len(removed) <= _MOST_REMOVED:
+            return
+        removed.sort(key=lambda each: each.revision)
+        for item in removed[: len(removed) // 2]:
+            self._forgotten = max(self._forgotten, item.revision)
+            del self._items[item.key]
+
+    def list_newer(self, revision: Revision) -> list[Item] | None:
+        """Return what changed after a revision; None when not all is known."""
+        if revision < self._forgotten:
+            return None
+        return [
+            item for item in self._items.values() if item.revision > revision
+        ]
+
     def _take(
         self, key: str, value: bytes | None, revision: Revision, now: float
     ) -> None:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -10,6 +10,7 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.backends.leasestore import Write
 from sedgetide.coding.messages import LoadReport
+from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
@@ -34,6 +35,7 @@
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._feed import FeedSource
 from sedgetide.daemons._hostmetrics import MOVES
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
@@ -53,7 +55,6 @@
 _SETTLED = 0.6
 _BALANCE_EVERY = 0.8
 _RECORD_WITHIN = 2.0
-_REPORTER_LIFE = 5.0
 _FIRST_BALANCE = 0.8
 _RETRY_PAUSE = 0.2
 _GRANT_TRIES = 3
@@ -81,7 +82,7 @@
         Whether this host leads.
     durations : Durations
         On which single ownership rests.
-    tell : callable
+    send : callable
         Sends a message to a host.
     """
 
@@ -93,11 +94,11 @@
         campaign: Campaign,
         leadership: Leadership,
         durations: Durations,
-        tell: Callable[[LinkAddress, Moved], None],
+        send: Callable[[LinkAddress, Message], None],
     ) -> None:
         self._store = store
-        self._tell = tell
-        self._reporters: dict[LinkAddress, float] = {}
+        self._send = send
+        self._feed = FeedSource(knowledge, send)
         self._stopped_at = float("-inf")
         self._knowledge = knowledge
         self._dialect = dialect
@@ -131,12 +132,20 @@
         self._resigned = True
         self._stop_orders()
         self._campaign.resign()
+        self._feed.end()
 
     def note_report(
-        self, report: LoadReport, sender: LinkAddress, now: float
+        self, report: LoadReport, sender: LinkAddress | None, now: float
     ) -> None:
-        """Take in the load that a host reports."""
-        self._reporters[sender] = now
+        """Take in the load that a host reports, and how far it is.
+
+        Parameters
+        ----------
+        sender : LinkAddress or None
+            Who reports; None for the own host.
+        """
+        if sender is not None and self._leadership.may_order(now):
+            self._feed.note_report(sender, report.revision, now)
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
 
@@ -171,6 +180,7 @@
                 if revision != NO_REVISION:
                     self._begin_term()
             if self._leadership.may_order(read_clock()):
+                self._feed.publish(read_clock())
                 self._lead()
             self._knowledge.changes.wait(_TICK)
 
@@ -409,12 +419,8 @@
         the message learns it from the next version of the record.
         """
         self._knowledge.take_moved(service, [tenure])
-        now = read_clock()
-        for link, heard_at in list(self._reporters.items()):
-            if now - heard_at > _REPORTER_LIFE:
-                del self._reporters[link]
-            else:
-                self._tell(link, Moved(service, [tenure]))
+        for link in self._feed.list_links(read_clock()):
+            self._send(link, Moved(service, [tenure]))
 
     def _stop_owner(self, service: ServiceName, tenure: Tenure) -> str | None:
         """Make sure that the owner has stopped; return what it hands over.
--- a/sedgetide/daemons/_reporter.py
+++ b/sedgetide/daemons/_reporter.py
@@ -8,6 +8,7 @@
 from sedgetide.coding.messages import LoadReport
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
@@ -71,10 +72,14 @@
         """Count a request without a usable answer."""
         self._upstreams.setdefault(upstream, _Seen()).failures += 1
 
-    def take_report(self) -> LoadReport | None:
-        """Return what was counted, and begin anew; None when nothing."""
-        if not self._keys and not self._upstreams:
-            return None
+    def take_report(self, revision: Revision) -> LoadReport:
+        """Return what was counted, and begin anew.
+
+        Parameters
+        ----------
+        revision : Revision
+            Up to which the store's items are known.
+        """
         keys = [
             KeyWork(service, key, round(seconds, 4))
             for (service, key), seconds in self._keys.items()
@@ -88,7 +93,7 @@
         ]
         self._keys.clear()
         self._upstreams.clear()
-        return LoadReport(keys[:_MOST_KEYS], upstreams)
+        return LoadReport(keys[:_MOST_KEYS], upstreams, revision)
 
 
 class ReportReceiver(Protocol):
@@ -97,6 +102,9 @@
     def find_leader_link(self) -> LinkAddress | None:
         """Return where the leader takes reports; None when unknown."""
 
+    def find_revision(self) -> Revision:
+        """Return up to which the store's items are known."""
+
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         """Hand a report over."""
 
@@ -126,6 +134,6 @@
             link = self._receiver.find_leader_link()
             if link is None:
                 continue
-            report = self._meter.take_report()
-            if report is not None:
-                self._receiver.send_report(link, report)
+            revision = self._receiver.find_revision()
+            report = self._meter.take_report(revision)
+            self._receiver.send_report(link, report)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -19,14 +19,17 @@
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
+from sedgetide.coding.messages import StoreFeed
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import Revision
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._admin import Inspectable
 from sedgetide.daemons._admin import make_application
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._countedstore import CountedStore
+from sedgetide.daemons._feed import FeedSink
 from sedgetide.daemons._follower import Follower
 from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
 from sedgetide.daemons._hostmetrics import LEADING
@@ -101,6 +104,7 @@
         self._stopping = False
         self.incarnation = make_incarnation()
         self._knowledge = Knowledge(dialects.catalogue)
+        self._feed = FeedSink(self._knowledge)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
         self._requests = Requests(
@@ -172,7 +176,9 @@
         stack.callback(self._transport.close)
         self._transport.start()
         for prefix in self._dialects.catalogue.list_prefixes():
-            follower = Follower(self._open_store(), prefix, self._knowledge)
+            follower = Follower(
+                self._open_store(), prefix, self._knowledge, self._is_fed
+            )
             follower.start(stack)
         self._leader.start(stack)
         Reporter(self._meter, self).start(stack)
@@ -207,19 +213,27 @@
         if isinstance(message, LoadReport):
             link = LinkAddress(sender)
             self._leader.note_report(message, link, read_clock())
+        elif isinstance(message, StoreFeed):
+            self._feed.take(message, read_clock())
         elif isinstance(message, Moved):
             self._knowledge.take_moved(message.service, message.tenures)
 
     def _drop(self, message: Message) -> None:
         """Leave a report unsent; the next one tells enough."""
 
+    def _is_fed(self) -> bool:
+        return not self._leader.leading and self._feed.is_fresh(read_clock())
+
+    def find_revision(self) -> Revision:
+        return self._knowledge.as_of
+
     def find_leader_link(self) -> LinkAddress | None:
         leader = self._knowledge.leader
         return None if leader is None else leader.record.link
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         if link == self._settings.link:
-            self._leader.note_report(report, link, read_clock())
+            self._leader.note_report(report, None, read_clock())
         else:
             self._transport.send(link, report)
 
--- /dev/null
+++ b/tests/daemons/test_feed.py
@@ -0,0 +1,161 @@
+"""Tests of what the leader passes on to the other hosts."""
+
+import testtools
+
+from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import Withdrawn
+from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import Listing
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.daemons._feed import FEED_LIFE
+from sedgetide.daemons._feed import FeedSink
+from sedgetide.daemons._feed import FeedSource
+from sedgetide.daemons._knowledge import Knowledge
+
+LINK = "10.0.0.2:1"
+
+
+class FakeCatalogue(Catalogue):
+    """Every key is an upstream."""
+
+    def list_prefixes(self):
+        return ("",)
+
+    def read(self, key, value):
+        if value is None:
+            return Withdrawn(key)
+        return RegisteredUpstream(key, "maps", "a", "dc")
+
+
+class TestFeed(testtools.TestCase):
+    """Versions go from the leader to hosts; a gap is never passed over."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader = Knowledge(FakeCatalogue())
+        self.host = Knowledge(FakeCatalogue())
+        self.sink = FeedSink(self.host)
+        self.sent = []
+        self.source = FeedSource(
+            self.leader, lambda _, message: self.sent.append(message)
+        )
+
+    def tell_leader(self, revision, key, value=b"x", now=100.0):
+        self.leader.take_items([Item(key, revision, value)], now)
+        self.leader.note_heard(revision, now)
+
+    def report(self, now):
+        self.source.note_report(LINK, self.host.as_of, now)
+
+    def deliver(self, now):
+        messages, self.sent = self.sent, []
+        for message in messages:
+            self.sink.take(message, now)
+
+    def list_names(self):
+        entries = self.host.directory.list_active("maps")
+        return sorted(entry.name for entry in entries)
+
+    def test_host_gets_what_it_lacks(self):
+        self.tell_leader(5, "u-1")
+        self.tell_leader(6, "u-2")
+        self.report(100.1)
+        self.deliver(100.1)
+        self.assertEqual(["u-1", "u-2"], self.list_names())
+        self.assertEqual(6, self.host.as_of)
+        self.assertTrue(self.sink.is_fresh(100.2))
+
+    def test_news_are_pushed_once(self):
+        self.report(100.0)
+        self.deliver(100.0)
+        self.tell_leader(5, "u-1")
+        self.source.publish(100.1)
+        self.source.publish(100.2)
+        self.assertEqual(1, len(self.sent))
+
+    def test_lost_message_leaves_no_gap(self):
+        # A push is lost, the next one comes: taken as it is, the host would
+        # believe to know all and never hear that u-1 exists.
+        self.report(100.0)
+        self.deliver(100.0)
+        self.tell_leader(5, "u-1")
+        self.source.publish(100.1)
+        self.sent.clear()
+        self.tell_leader(6, "u-2")
+        self.source.publish(100.2)
+        self.deliver(100.2)
+        self.assertEqual([], self.list_names())
+        self.assertEqual(0, self.host.as_of)
+        self.report(100.4)
+        self.deliver(100.4)
+        self.assertEqual(["u-1", "u-2"], self.list_names())
+
+    def test_removal_is_passed_on(self):
+        self.tell_leader(5, "u-1")
+        self.report(100.0)
+        self.deliver(100.0)
+        self.tell_leader(7, "u-1", None)
+        self.source.publish(100.1)
+        self.deliver(100.1)
+        self.assertEqual([], self.list_names())
+
+    def test_late_message_leads_nobody_back(self):
+        self.tell_leader(5, "u-1")
+        self.report(100.0)
+        old = list(self.sent)
+        self.deliver(100.0)
+        self.tell_leader(7, "u-1", None)
+        self.source.publish(100.1)
+        self.deliver(100.1)
+        self.sent = old
+        self.deliver(100.2)
+        self.assertEqual([], self.list_names())
+        self.assertEqual(7, self.host.as_of)
+
+    def test_silence_ends_the_feed(self):
+        # The leader is gone, or cut off: the host watches again.
+        self.report(100.0)
+        self.tell_leader(5, "u-1")
+        self.source.publish(100.0)
+        self.deliver(100.0)
+        self.assertFalse(self.sink.is_fresh(100.0 + FEED_LIFE))
+
+    def test_leader_that_hears_nothing_passes_nothing_on(self):
+        # The leader's own watch has gone silent. What it says then would
+        # keep every host from asking the store.
+        self.tell_leader(5, "u-1")
+        self.report(110.0)
+        self.assertEqual([], self.sent)
+
+    def test_leader_that_resigns_says_so(self):
+        self.tell_leader(5, "u-1")
+        self.report(100.0)
+        self.deliver(100.0)
+        self.source.end()
+        self.deliver(100.1)
+        self.assertFalse(self.sink.is_fresh(100.1))
+
+    def test_outage_seen_by_the_leader_protects_entries(self):
+        # The registry lapsed in an outage that this host did not see; the
+        # entries are gone for two seconds and come back.
+        self.tell_leader(5, "u-1")
+        self.report(100.0)
+        self.deliver(100.0)
+        self.leader.directory.note_disturbance(101.0)
+        self.tell_leader(7, "u-1", None, 101.0)
+        self.source.publish(101.0)
+        self.deliver(101.0)
+        self.assertEqual(["u-1"], self.list_names())
+
+
+class TestListing(testtools.TestCase):
+    """A listing of the store, taken while other news come in."""
+
+    def test_newer_entry_survives_an_older_listing(self):
+        # The listing was read before u-2 registered and arrives after the
+        # feed has told of it.
+        known = Knowledge(FakeCatalogue())
+        known.take_items([Item("u-1", 3, b"x"), Item("u-2", 9, b"x")], 1.0)
+        known.take_listing(Listing([Item("u-3", 4, b"x")], 5), 2.0)
+        names = [each.name for each in known.directory.list_all()]
+        self.assertEqual(["u-2", "u-3"], sorted(names))
