--- a/sedgetide/core/requests/windows.py
+++ b/sedgetide/core/requests/windows.py
@@ -2,7 +2,9 @@
 
 Hosts do not know of each other's requests. Each lets its share grow while
 the upstream says that nobody waits there, and shrink when many do, so that
-together they stay below what makes the upstream refuse.
+together they stay below what makes the upstream refuse. Where hosts are
+more than an upstream's slots, the share falls below one request: the host
+then waits between two of them.
 """
 
 import msgspec
@@ -10,7 +12,8 @@
 _GROWTH = 0.5
 _SHRINK = 0.7
 _REFUSED = 0.5
-_SMALLEST = 1.0
+_SMALLEST = 0.05
+_FRACTION_GROWTH = 1.5
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True):
@@ -36,27 +39,58 @@
         self.in_flight = 0
         self._waiting = 0
         self._told_at = float("-inf")
+        self._next_at = float("-inf")
 
     @property
-    def limit(self) -> int:
-        """Requests that may be in flight."""
-        return int(self._limit)
+    def limit(self) -> float:
+        """Requests that may be in flight; below one, a share of the time."""
+        return self._limit
 
-    @property
-    def free(self) -> bool:
-        """Whether one more request may be sent."""
-        return self.in_flight < int(self._limit)
+    def find_opening(self, now: float) -> float | None:
+        """Return when one more request may be sent; None: after an answer.
+
+        Parameters
+        ----------
+        now : float
+            Own clock.
+        """
+        if self.in_flight >= max(1, int(self._limit)):
+            return None
+        return now if self._limit >= 1.0 else max(now, self._next_at)
+
+    def is_free(self, now: float) -> bool:
+        """Tell whether one more request may be sent now."""
+        opening = self.find_opening(now)
+        return opening is not None and opening <= now
+
+    def note_end(self, seconds: float, now: float) -> None:
+        """Take in that a request has ended.
+
+        Parameters
+        ----------
+        seconds : float
+            How long requests take there.
+        """
+        self.in_flight -= 1
+        if self._limit < 1.0:
+            self._next_at = now + seconds * (1.0 / self._limit - 1.0)
 
     def note_load(self, load: UpstreamLoad, now: float) -> None:
         """Take in what the upstream said."""
         self._waiting = load.waiting
         self._told_at = now
         if load.waiting == 0:
-            most = 2.0 * self.slots + 1
-            self._limit = min(most, self._limit + _GROWTH)
+            self._grow()
         elif load.waiting > self.slots:
             self._limit = max(_SMALLEST, self._limit * _SHRINK)
 
+    def _grow(self) -> None:
+        if self._limit < 1.0:
+            self._limit = min(1.0, self._limit * _FRACTION_GROWTH)
+        else:
+            most = 2.0 * self.slots + 1
+            self._limit = min(most, self._limit + _GROWTH)
+
     def note_refusal(self) -> None:
         """Take in that the upstream had no room."""
         self._limit = max(_SMALLEST, self._limit * _REFUSED)
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -4,13 +4,16 @@
 import heapq
 import itertools
 
+import gevent
 from gevent.event import Event
 
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.windows import Window
+from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.client import ConnectionPool
 
 _SETTLING = 0.003
+_FIRST_GUESS = 0.2
 
 
 class Lane:
@@ -32,6 +35,7 @@
         self.failed_at = float("-inf")
         self._numbers = itertools.count()
         self._waiting: list[tuple[int, int, Event]] = []
+        self._timer: gevent.Greenlet | None = None
 
     @property
     def queue_length(self) -> int:
@@ -40,7 +44,7 @@
 
     def enter(self, priority: int, wait: float) -> bool:
         """Wait for a place in the window; return whether one was got."""
-        if self.window.free and not self._waiting:
+        if not self._waiting and self.window.is_free(read_clock()):
             self.window.in_flight += 1
             return True
         if wait <= 0:
@@ -48,6 +52,7 @@
         turn = Event()
         entry = (priority, next(self._numbers), turn)
         heapq.heappush(self._waiting, entry)
+        self.admit()
         admitted = False
         try:
             turn.wait(wait)
@@ -72,16 +77,32 @@
 
     def leave(self) -> None:
         """Give the place to whoever is next."""
-        self.window.in_flight -= 1
+        seconds = self.service_time or _FIRST_GUESS
+        self.window.note_end(seconds, read_clock())
         self.admit()
 
     def admit(self) -> None:
         """Let in as many as the window holds, the most urgent first."""
-        while self._waiting and self.window.free:
+        while self._waiting:
+            now = read_clock()
+            opening = self.window.find_opening(now)
+            if opening is None:
+                return
+            if opening > now:
+                self._admit_at(opening, now)
+                return
             _, _, turn = heapq.heappop(self._waiting)
             self.window.in_flight += 1
             turn.set()
 
+    def _admit_at(self, opening: float, now: float) -> None:
+        if self._timer is None or self._timer.ready():
+            self._timer = gevent.spawn_later(opening - now, self._on_time)
+
+    def _on_time(self) -> None:
+        self._timer = None
+        self.admit()
+
     def note_success(self, seconds: float) -> None:
         """Take in the time of an answer."""
         if self.service_time is None:
