A host that the store turns away stops calling itself the leader; explain

Change: after proof_life and a lease without a proof the term is over. `sedgetide explain ID LOG...` makes one timeline of a request out of all hosts' logs and names the cause and what it was decided by.

--- a/sedgetide/command/main.py
+++ b/sedgetide/command/main.py
@@ -14,6 +14,7 @@
 from sedgetide.coding.addresses import ADDRESS_FORM
 from sedgetide.coding.addresses import split_address
 from sedgetide.command import configuration
+from sedgetide.command import explain
 from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import SedgetideError
@@ -181,6 +182,17 @@
     show.set_defaults(run=show_config)
 
 
+def explain_request(options: argparse.Namespace) -> int:
+    """Print one timeline of a request out of the logs of all hosts."""
+    try:
+        lines = explain.read_lines(options.logs)
+        for line in explain.explain_request(options.request, lines):
+            print(line)
+    except InputError as error:
+        return _complain(f"{error.peer}: {error.detail}")
+    return EXIT_OK
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -209,6 +221,12 @@
     move.add_argument("upstream")
     _add_store(move)
     move.set_defaults(run=move_shard)
+    reason = commands.add_parser(
+        "explain", help="tell why a request ended as it did"
+    )
+    reason.add_argument("request", metavar="REQUEST-ID")
+    reason.add_argument("logs", nargs="+", type=pathlib.Path, metavar="LOG")
+    reason.set_defaults(run=explain_request)
     return parser
 
 
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -157,6 +157,16 @@
             and now < self._proved_at + self._durations.proof_life
         )
 
+    def is_hopeless(self, now: float) -> bool:
+        """Tell whether the record is certainly gone, though nobody said so.
+
+        A host that the store turns away hears neither that its lease has
+        ended nor who leads now. Believing itself the leader, it would take
+        no news from the one that is.
+        """
+        gone = self._durations.proof_life + self._durations.lease
+        return self._term != NO_REVISION and now >= self._proved_at + gone
+
     def choose_hold(self, now: float) -> float:
         """Return the life of a grant that is given now.
 
--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -63,6 +63,8 @@
 
     def step(self, now: float) -> None:
         """Do what is due: stand, or prove to be leader still."""
+        if self._leadership.is_hopeless(now):
+            self._end("proof too old")
         if self._leadership.term != NO_REVISION:
             if now - self._verified_at >= self._durations.verify:
                 self._verify()
--- a/tests/core/ownership/test_leadership.py
+++ b/tests/core/ownership/test_leadership.py
@@ -63,6 +63,17 @@
         hold = self.leadership.choose_hold(102.0)
         self.assertEqual(self.durations.long_hold, hold)
 
+    def test_host_turned_away_gives_up(self):
+        # The store turns this host away and serves the others, one of which
+        # leads by now. Nothing tells this host; it must not go on calling
+        # itself the leader, since a leader takes no news from others.
+        self.lead(100.0)
+        end = 100.0 + self.durations.proof_life + self.durations.lease
+        self.assertFalse(self.leadership.is_hopeless(end - 0.01))
+        self.assertTrue(self.leadership.is_hopeless(end))
+        self.leadership.end()
+        self.assertFalse(self.leadership.is_hopeless(end))
+
     def test_successor_outwaits_the_last_order(self):
         # The predecessor's record is taken away right after its last read.
         # It orders until its proof ends, with the longest hold; an
--- /dev/null
+++ b/tests/daemons/test_campaign.py
@@ -0,0 +1,136 @@
+"""Tests of becoming the leader and of proving to be it."""
+
+import testtools
+
+from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.leasestore import LeaseStore
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import LeaderRecord
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.runtime.clock import read_clock
+from sedgetide.testing.leasestore import LeaseStoreModel
+
+
+class FakeCatalogue(Catalogue):
+    """Knows nothing."""
+
+    def list_prefixes(self):
+        return ("",)
+
+    def read(self, key, value):
+        return None
+
+
+class ModelStore(LeaseStore):
+    """The store's model as a client of it; may be away."""
+
+    def __init__(self, model):
+        self.model = model
+        self.away = False
+
+    def _reach(self):
+        if self.away:
+            raise StoreError(
+                ErrorCode.STORE_UNAVAILABLE, Step.READ, "store", "away"
+            )
+
+    def read(self, key):
+        self._reach()
+        return self.model.find(key)
+
+    def list(self, prefix):
+        self._reach()
+        return self.model.list(prefix)
+
+    def watch(self, prefix, since, wait):
+        self._reach()
+        return self.model.list_changes(prefix, since)
+
+    def transact(self, expected, writes):
+        self._reach()
+        return self.model.transact(expected, writes)
+
+    def open_lease(self, life):
+        self._reach()
+        return self.model.open_lease(life, read_clock())
+
+    def renew_lease(self, lease):
+        self._reach()
+        self.model.renew_lease(lease, read_clock())
+
+    def end_lease(self, lease):
+        self._reach()
+        self.model.end_lease(lease)
+
+    def close(self):
+        pass
+
+
+class TestCampaign(testtools.TestCase):
+    """Steps of one host, with the store's model behind it."""
+
+    def setUp(self):
+        super().setUp()
+        self.model = LeaseStoreModel()
+        self.store = ModelStore(self.model)
+        self.durations = Durations(verify=0.001)
+        self.leadership = Leadership(self.durations)
+        self.knowledge = Knowledge(FakeCatalogue())
+        self.campaign = Campaign(
+            self.store,
+            LeaderRecord("h-1", "x", "1.1.1.1:1"),
+            self.leadership,
+            self.knowledge,
+            self.durations,
+        )
+
+    def step(self, later=0.0):
+        self.knowledge.heard_at = read_clock() + later
+        self.campaign.step(read_clock() + later)
+
+    def stand(self):
+        self.step()
+        self.step(1.0)
+        self.assertTrue(self.leadership.may_order(read_clock()))
+
+    def test_stands_where_nobody_leads(self):
+        self.stand()
+        self.assertIsNotNone(self.model.find(LEADER_KEY))
+
+    def test_does_not_stand_on_old_news(self):
+        # The host was cut off; that nobody leads is what it knew then.
+        self.campaign.step(read_clock())
+        self.campaign.step(read_clock() + 1.0)
+        self.assertEqual(NO_REVISION, self.leadership.term)
+
+    def test_faster_host_wins(self):
+        self.model.put(LEADER_KEY, b"{}")
+        self.step()
+        self.step(1.0)
+        self.assertEqual(NO_REVISION, self.leadership.term)
+
+    def test_record_taken_away_while_the_lease_goes_on(self):
+        self.stand()
+        self.model.revoke_all(forget=False)
+        self.step(2.0)
+        self.assertEqual(NO_REVISION, self.leadership.term)
+
+    def test_turned_away_long_enough_it_gives_up(self):
+        self.stand()
+        self.store.away = True
+        self.step(1.0)
+        self.assertNotEqual(NO_REVISION, self.leadership.term)
+        self.step(10.0)
+        self.assertEqual(NO_REVISION, self.leadership.term)
+
+    def test_resigned_record_is_gone_at_once(self):
+        self.stand()
+        self.campaign.resign()
+        self.assertIsNone(self.model.find(LEADER_KEY))
