A leader orders only by tables read in its term; a move counts as known later

Cause: found by reading. A new leader whose first read of the tables failed went on with what it happened to know once its proof was renewed. And a leader that never learnt that its own write had landed went on renewing the old owner, while its successor, which had seen the move long before, waited for nothing. Change: no order before the tables were read in the same term; a move counts as known to all leaders only from a later version that still has it.

--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -82,19 +82,20 @@
         self,
         upstream: UpstreamName,
         keys: KeyRange,
-        moving_since: float,
+        known_since: float,
         now: float,
     ) -> bool:
         """Tell whether an upstream can not hold keys any longer.
 
         Parameters
         ----------
-        moving_since : float
-            When this host first saw in the record that they move. Since
-            then no leader has granted them to their old owner, but for one
-            that had lost its record before and did not know it yet.
+        known_since : float
+            Since when each leader knows that they move; see
+            :class:`MoveSightings`. After that none has granted them to
+            their old owner, but for one that had lost its record before
+            and did not know it yet.
         """
-        inherited = moving_since + self._durations.bound_unknown()
+        inherited = known_since + self._durations.bound_unknown()
         return now >= self._holds.find_end(upstream, keys, inherited)
 
     def prune(self, now: float) -> None:
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -19,6 +19,7 @@
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.requests.routes import RouteTable
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -59,7 +60,7 @@
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
         self._moved: dict[ServiceName, set[Tenure]] = {}
-        self._moving_since: dict[ServiceName, dict[Tenure, float]] = {}
+        self._sightings: dict[ServiceName, MoveSightings] = {}
         self.leader: KnownLeader | None = None
         self.changes = Changes()
         self.heard_at = float("-inf")
@@ -160,10 +161,8 @@
             return
         moved = self._moved.get(service, set()).intersection(table.tenures)
         self._moved[service] = moved
-        since = self._moving_since.get(service, {})
-        self._moving_since[service] = {
-            tenure: since.get(tenure, now) for tenure in table.list_moving()
-        }
+        sightings = self._sightings.setdefault(service, MoveSightings())
+        sightings.note_table(table, now)
         self.tables[service] = KnownTable(table.complete(moved), revision)
         self.changes.announce()
 
@@ -216,14 +215,12 @@
             services=len(policy.services),
         )
 
-    def find_moving_since(self, service: ServiceName, tenure: Tenure) -> float:
-        """Return when a move was first seen in the record.
-
-        No leader grants the range to its old owner after that, but for one
-        that had lost its record before and did not know yet.
-        """
-        since = self._moving_since.get(service, {})
-        return since.get(tenure, float("inf"))
+    def find_known_since(self, service: ServiceName, tenure: Tenure) -> float:
+        """Return since when each leader knows of a move."""
+        sightings = self._sightings.get(service)
+        if sightings is None:
+            return float("inf")
+        return sightings.find_known_since(tenure)
 
     def find_table(self, service: ServiceName) -> RangeTable | None:
         """Return the owners of a service's keys."""
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -115,6 +115,7 @@
         self._stopped: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
         self._balanced_at = float("-inf")
+        self._adopted = False
         self._resigned = False
         self._renew_now = Changes()
 
@@ -175,13 +176,11 @@
             self._note_addresses()
             revision = self._leadership.term
             if revision != self._revision:
-                self._stop_orders()
-                self._revision = revision
-                if revision != NO_REVISION:
-                    self._begin_term()
+                self._begin_term(revision)
             if self._leadership.may_order(read_clock()):
                 self._feed.publish(read_clock())
-                self._lead()
+                if self._has_adopted():
+                    self._lead()
             self._knowledge.changes.wait(_TICK)
 
     def _bridge_loop(self) -> None:
@@ -207,17 +206,27 @@
         for entry in self._knowledge.directory.list_all():
             self._addresses[entry.name] = entry.address
 
-    def _begin_term(self) -> None:
+    def _begin_term(self, revision: Revision) -> None:
+        self._stop_orders()
+        self._revision = revision
         self._term = Term(self._leadership, self._durations)
         self._stopped.clear()
         self._fenced.clear()
-        while self._leadership.may_order(read_clock()):
+        self._adopted = False
+
+    def _has_adopted(self) -> bool:
+        """Read the tables once in each term, before the first order.
+
+        A leader that ordered by what it happened to know could renew the
+        grant of an owner that its predecessor has waited for and replaced.
+        """
+        if not self._adopted:
             try:
                 self._adopt_tables()
-                return
+                self._adopted = True
             except StoreError as error:
-                tell(Event.TABLE_UNWRITTEN, service="", error=error)
-                gevent.sleep(_RETRY_PAUSE)
+                tell(Event.TABLES_UNREAD, error=error)
+        return self._adopted
 
     def _adopt_tables(self) -> None:
         """Read what earlier leaders have written, to the last change."""
@@ -271,11 +280,11 @@
                 [(each.name, each.slots) for each in active]
             )
         stopped = self._stopped.get(service, set())
-        settled = table.complete(stopped).merge()
-        moves = self._plan(service, settled, active, balance, now)
+        joined = table.complete(stopped).merge()
+        moves = self._plan(service, joined, active, balance, now)
         late = stopped and now - self._stopped_at > _RECORD_WITHIN
         if moves or late:
-            table = settled
+            table = joined
             self._stopped_at = now
         if moves:
             tell(
@@ -475,7 +484,7 @@
         address = self._addresses.get(tenure.owner, "")
         if self._knowledge.directory.has_successor(tenure.owner, address):
             return True
-        since = self._knowledge.find_moving_since(service, tenure)
+        since = self._knowledge.find_known_since(service, tenure)
         return self._term.has_ended(tenure.owner, tenure.keys, since, now)
 
     def _grant(
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -148,6 +148,12 @@
         "A new version of a service's owners is in the store.",
         ("service", "revision", "ranges", "moving", "fence"),
     )
+    TABLES_UNREAD = Definition(
+        "tables-unread",
+        logging.WARNING,
+        "A new leader could not read the owners and gives no orders yet.",
+        ("error",),
+    )
     TABLE_UNWRITTEN = Definition(
         "table-unwritten",
         logging.WARNING,
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -31,6 +31,7 @@
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
 from sedgetide.testing.leasestore import LeaseStoreModel
@@ -67,6 +68,8 @@
         self.name = name
         self.durations = durations
         self.paused_until = 0.0
+        # How often a step brings news; a watch may be silent for long.
+        self.follows = 0.7
         self.store_away_until = 0.0
         self.unreachable: dict[UpstreamName, float] = {}
         self.restart()
@@ -78,7 +81,7 @@
         self.lease: LeaseId = NO_LEASE
         self.table = RangeTable()
         self.revision: Revision = NO_REVISION
-        self.moving_since: dict[Tenure, float] = {}
+        self.sightings = MoveSightings()
         self.verified_at = -_NEVER
         self.renewed_at: dict[UpstreamName, float] = {}
 
@@ -88,10 +91,7 @@
             return
         self.table = table
         self.revision = revision
-        self.moving_since = {
-            tenure: self.moving_since.get(tenure, now)
-            for tenure in table.list_moving()
-        }
+        self.sightings.note_table(table, now)
 
 
 class OwnershipWorld:
@@ -170,28 +170,45 @@
             return
         host = self.random.choice(self.hosts)
         until = self.now + self.random.choice(_FAULT_TIMES)
-        kind = self.random.randrange(7)
-        if kind == 0:
-            host.paused_until = until
-        elif kind == 1:
-            host.restart()
-            host.paused_until = self.now + self.random.uniform(0.2, 2.0)
-        elif kind == 2:
+        faults = (
+            self._pause,
+            self._restart,
+            self._hide_store,
+            self._stop_store,
+            self._revoke,
+            self._hide_upstream,
+            self._cut_from_upstream,
+            self._slow_news,
+        )
+        self.random.choice(faults)(host, until)
+
+    def _pause(self, host: WorldHost, until: float) -> None:
+        host.paused_until = until
+
+    def _restart(self, host: WorldHost, _: float) -> None:
+        host.restart()
+        host.paused_until = self.now + self.random.uniform(0.2, 2.0)
+
+    def _hide_store(self, host: WorldHost, until: float) -> None:
+        host.store_away_until = until
+
+    def _stop_store(self, _: WorldHost, until: float) -> None:
+        for host in self.hosts:
             host.store_away_until = until
-        elif kind == 3:
-            for each in self.hosts:
-                each.store_away_until = until
-        elif kind == 4:
-            self._revoke()
-        elif kind == 5:
-            name = self.random.choice(list(self.holders))
-            for each in self.hosts:
-                each.unreachable[name] = until
-        else:
-            name = self.random.choice(list(self.holders))
+
+    def _hide_upstream(self, _: WorldHost, until: float) -> None:
+        name = self.random.choice(list(self.holders))
+        for host in self.hosts:
             host.unreachable[name] = until
 
-    def _revoke(self) -> None:
+    def _cut_from_upstream(self, host: WorldHost, until: float) -> None:
+        name = self.random.choice(list(self.holders))
+        host.unreachable[name] = until
+
+    def _slow_news(self, host: WorldHost, _: float) -> None:
+        host.follows = self.random.choice((0.0, 0.02, 0.7))
+
+    def _revoke(self, *_: object) -> None:
         """Take the leader's record away while its lease goes on."""
         for host in self.hosts:
             if host.lease != NO_LEASE:
@@ -201,7 +218,7 @@
 
     def _step(self, host: WorldHost) -> None:
         reached = self.now >= host.store_away_until
-        if reached and self.random.random() < 0.7:
+        if reached and self.random.random() < host.follows:
             self._follow(host)
         if host.leadership.term == NO_REVISION:
             if reached and self.store.find(_LEADER) is None:
@@ -305,7 +322,7 @@
     # Orders
 
     def _move(self, host: WorldHost, tenure: Tenure) -> None:
-        since = host.moving_since.get(tenure, _NEVER)
+        since = host.sightings.find_known_since(tenure)
         if host.term.has_ended(tenure.owner, tenure.keys, since, self.now):
             self._complete(host, tenure)
         elif self.random.random() < 0.4:
--- a/tests/testing/test_ownershipworld.py
+++ b/tests/testing/test_ownershipworld.py
@@ -7,6 +7,7 @@
 from sedgetide.core.ownership.holds import HoldLedger
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.ownership.terms import Term
 from sedgetide.testing.ownershipworld import OwnershipWorld
 from sedgetide.testing.rangeholder import RangeHolder
@@ -75,6 +76,19 @@
 
         self.check_found(Leadership, "note_read", trust)
 
+    def test_move_taken_for_known_as_soon_as_it_is_seen(self):
+        # The answer to the write of a move is lost, and the leader's watch
+        # is silent: it goes on renewing the old owner. Its successor, which
+        # has seen the move long ago, waits for nothing.
+        def note(sightings, table, now):
+            since = sightings._known_since
+            sightings._known_since = {
+                tenure: since.get(tenure, now)
+                for tenure in table.list_moving()
+            }
+
+        self.check_found(MoveSightings, "note_table", note)
+
     def test_fence_not_raised_by_a_move(self):
         real = RangeTable.begin
 
