What is gone is forgotten: lanes, addresses, slowness, idle connections

Cause: reading as a newcomer: a leader kept a connection pool, an address and a load figure for every upstream that ever was; idle connections that the server had closed stayed open until a next request. Run: tests of the pool.

--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -1,5 +1,6 @@
 """How busy keys and upstreams are, as hosts report it to the leader."""
 
+from collections.abc import Collection
 import math
 
 import msgspec
@@ -110,6 +111,12 @@
         keys = self._work.get(service, {})
         return {key: seconds / span for key, seconds in keys.items()}
 
+    def forget(self, known: Collection[UpstreamName]) -> None:
+        """Forget upstreams that are gone."""
+        for name in list(self._slowness):
+            if name not in known:
+                del self._slowness[name]
+
     def find_slowness(self, upstream: UpstreamName, now: float) -> float:
         """Return by what factor an upstream takes longer than usual."""
         known = self._slowness.get(upstream)
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -147,6 +147,8 @@
             lane = self._lanes[name]
             if name not in known and not lane.window.in_flight:
                 self._lanes.pop(name).pool.close()
+            else:
+                lane.pool.prune()
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -250,9 +250,23 @@
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
             self._balanced_at = now
+            self._forget_gone()
         for service in self._knowledge.policy.list_keyed():
             self._lead_service(service, balance, now)
 
+    def _forget_gone(self) -> None:
+        """Forget upstreams that neither are registered nor own anything."""
+        known = {each.name for each in self._knowledge.directory.list_all()}
+        for each in self._knowledge.tables.values():
+            known.update(tenure.owner for tenure in each.table.tenures)
+        self._book.forget(known)
+        for name in list(self._addresses):
+            if name not in known:
+                del self._addresses[name]
+        for name in list(self._lanes):
+            if name not in known:
+                self._lanes.pop(name).close()
+
     def _lead_service(
         self, service: ServiceName, balance: bool, now: float
     ) -> None:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import itertools
 import signal
 from typing import Any
 
@@ -55,6 +56,7 @@
 
 _LINK_BYTES = 1024 * 1024
 _HOUSEKEEPING = 0.2
+_PRUNED_EVERY = 10
 _STOP_POLL = 0.05
 _EXIT_RESERVE = 0.25
 # Hosts do not know of each other's retries. A share of each one's own
@@ -199,13 +201,14 @@
             stack.callback(server.stop, timeout=0.1)
 
     def _keep_house(self) -> None:
-        while True:
+        for turn in itertools.count():
             gevent.sleep(_HOUSEKEEPING)
             now = read_clock()
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
-            entries = self._knowledge.directory.list_all()
-            self._lanes.prune({entry.name for entry in entries})
+            if turn % _PRUNED_EVERY == 0:
+                entries = self._knowledge.directory.list_all()
+                self._lanes.prune({entry.name for entry in entries})
 
     # Links
 
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -339,6 +339,13 @@
         elif connection.open_now:
             self._idle.append(connection)
 
+    def prune(self) -> None:
+        """Close idle connections that nothing can be sent on any more."""
+        for connection in list(self._idle):
+            if not connection.usable:
+                self._idle.remove(connection)
+                connection.close()
+
     def close(self) -> None:
         """Close all idle connections, and those that come back."""
         self._closed = True
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -235,3 +235,14 @@
         pool.give_back(second)
         pool.close()
         self.assertFalse(second.open_now)
+
+    def test_connections_that_the_server_closed_are_not_kept(self):
+        server = Server(WHOLE, close=True)
+        self.addCleanup(server.close)
+        pool = ConnectionPool(server.address, LIMIT)
+        connection = pool.take(1.0)
+        connection.exchange(make_request(), 2.0)
+        pool.give_back(connection)
+        gevent.sleep(0.05)
+        pool.prune()
+        self.assertFalse(connection.open_now)
