Orders belong to one term; hosts are sent to the store at a missed proof

Found by reading meanwhile: an order prepared in one term could be sent in the next one of the same host. Ruled out: the host's own watch (it was left out, as designed). Change: the feed ends as soon as a proof is late; each term has an order desk of its own, and its orders end with it.

--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -17,6 +17,7 @@
 
 NEVER = float("-inf")
 _RENEWALS_IN_A_HOLD = 3
+_MISSED = 2
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
@@ -173,8 +174,19 @@
         Long ones bridge an outage of the store, short ones keep the keys
         of a lost upstream dark for less time.
         """
-        fresh = now - self._proved_at < 2 * self._durations.verify
-        return self._durations.hold if fresh else self._durations.long_hold
+        if self.is_fresh(now):
+            return self._durations.hold
+        return self._durations.long_hold
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the last proof came when it was due.
+
+        A leader that misses one may be the only host that the store turns
+        away. It may order a while longer, but what it knows of the store is
+        no longer good enough for others to do without their own.
+        """
+        due = _MISSED * self._durations.verify
+        return self._term != NO_REVISION and now - self._proved_at < due
 
     def bound_inherited(self) -> float:
         """Return until when orders of earlier leaders may hold."""
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -38,11 +38,18 @@
 
     def __init__(self, leadership: Leadership, durations: Durations) -> None:
         self._leadership = leadership
+        self._revision = leadership.term
         self._durations = durations
         self._holds = HoldLedger(leadership.bound_inherited())
 
     def may_order(self, now: float) -> bool:
-        """Tell whether an order may be sent at this very moment."""
+        """Tell whether an order may be sent at this very moment.
+
+        An order prepared in an earlier term of the same host knows nothing
+        of what another leader did in between.
+        """
+        if self._leadership.term != self._revision:
+            return False
         return self._leadership.may_order(now)
 
     def prepare_grant(
@@ -62,7 +69,7 @@
         when it arrives, so until its answer is here the latest moment at
         which it can arrive counts.
         """
-        if not self._leadership.may_order(now):
+        if not self.may_order(now):
             return None
         life = self._leadership.choose_hold(now)
         latest = now + self._durations.order_timeout
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -19,7 +19,6 @@
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.balance import MOST_MOVES
 from sedgetide.core.ownership.balance import plan_balance
@@ -32,23 +31,19 @@
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
-from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._feed import FeedSource
-from sedgetide.daemons._hostmetrics import MOVES
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.daemons._knowledge import RANGES_PREFIX
-from sedgetide.daemons._orders import OrderLane
-from sedgetide.daemons._orders import Taken
-from sedgetide.daemons._renewal import renew_round
+from sedgetide.daemons._orderdesk import OrderDesk
+from sedgetide.daemons._orderdesk import OrderLanes
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
-from sedgetide.runtime.signals import Changes
 from sedgetide.runtime.tasks import spawn_vital
 
 _TICK = 0.1
@@ -56,8 +51,6 @@
 _BALANCE_EVERY = 0.8
 _RECORD_WITHIN = 2.0
 _FIRST_BALANCE = 0.8
-_RETRY_PAUSE = 0.2
-_GRANT_TRIES = 3
 
 
 class Leader:
@@ -101,29 +94,22 @@
         self._feed = FeedSource(knowledge, send)
         self._stopped_at = float("-inf")
         self._knowledge = knowledge
-        self._dialect = dialect
         self._campaign = campaign
         self._leadership = leadership
         self._durations = durations
         self._revision = NO_REVISION
-        self._term = Term(leadership, durations)
+        self._lanes = OrderLanes(dialect, durations.order_timeout)
+        self._desk = self._open_desk()
         self._book = LoadBook()
-        self._lanes: dict[UpstreamName, OrderLane] = {}
-        self._addresses: dict[UpstreamName, str] = {}
-        self._renewals: dict[UpstreamName, gevent.Greenlet] = {}
-        self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
-        self._stopped: dict[ServiceName, set[Tenure]] = {}
-        self._fenced: dict[ServiceName, set[Tenure]] = {}
         self._balanced_at = float("-inf")
         self._adopted = False
         self._resigned = False
-        self._renew_now = Changes()
 
     def start(self, stack: contextlib.ExitStack) -> None:
         """Begin to stand and to lead."""
         stack.callback(self._store.close)
         stack.callback(self._campaign.close)
-        stack.callback(self._stop_orders)
+        stack.callback(lambda: self._desk.close())
         spawn_vital(self._campaign_loop, stack)
         spawn_vital(self._loop, stack)
         spawn_vital(self._bridge_loop, stack)
@@ -131,7 +117,7 @@
     def resign(self) -> None:
         """Give the lead away, for good."""
         self._resigned = True
-        self._stop_orders()
+        self._desk.close()
         self._campaign.resign()
         self._feed.end()
 
@@ -145,7 +131,7 @@
         sender : LinkAddress or None
             Who reports; None for the own host.
         """
-        if sender is not None and self._leadership.may_order(now):
+        if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.revision, now)
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
@@ -161,7 +147,7 @@
         return {
             "term": self._leadership.term,
             "may_order": self._leadership.may_order(now),
-            "moving": len(self._moves),
+            "moving": self._desk.moving,
         }
 
     # Loops
@@ -173,45 +159,56 @@
 
     def _loop(self) -> None:
         while True:
-            self._note_addresses()
+            self._lanes.note_addresses(self._knowledge.directory)
             revision = self._leadership.term
             if revision != self._revision:
                 self._begin_term(revision)
-            if self._leadership.may_order(read_clock()):
-                self._feed.publish(read_clock())
-                if self._has_adopted():
-                    self._lead()
+            self._feed_hosts(read_clock())
+            ordering = self._leadership.may_order(read_clock())
+            if ordering and self._has_adopted():
+                self._lead()
             self._knowledge.changes.wait(_TICK)
 
     def _bridge_loop(self) -> None:
-        """Have all grants renewed as soon as the store falls silent.
+        """Act at once when the store falls silent.
 
-        The longer holds that bridge an outage must be out before the proof
-        ends, which is less than the interval of renewals away. The other
-        loops may be waiting for the store just then.
+        Hosts that rely on this one are sent to the store, and all grants
+        are renewed: the longer holds that bridge an outage must be out
+        before the proof ends, which is less than the interval of renewals
+        away. The other loops may be waiting for the store just then.
         """
         last = self._durations.hold
         while True:
             gevent.sleep(_TICK)
             now = read_clock()
+            self._feed_hosts(now)
             if not self._leadership.may_order(now):
                 continue
             hold = self._leadership.choose_hold(now)
             if hold > last:
                 tell(Event.BRIDGING, hold=hold)
-                self._renew_now.announce()
+                self._desk.renew_all()
             last = hold
 
-    def _note_addresses(self) -> None:
-        for entry in self._knowledge.directory.list_all():
-            self._addresses[entry.name] = entry.address
+    def _feed_hosts(self, now: float) -> None:
+        if self._leadership.is_fresh(now):
+            self._feed.publish(now)
+        else:
+            self._feed.end()
+
+    def _open_desk(self) -> OrderDesk:
+        return OrderDesk(
+            Term(self._leadership, self._durations),
+            self._knowledge,
+            self._lanes,
+            self._durations,
+            self._spread,
+        )
 
     def _begin_term(self, revision: Revision) -> None:
-        self._stop_orders()
+        self._desk.close()
         self._revision = revision
-        self._term = Term(self._leadership, self._durations)
-        self._stopped.clear()
-        self._fenced.clear()
+        self._desk = self._open_desk()
         self._adopted = False
 
     def _has_adopted(self) -> bool:
@@ -233,19 +230,13 @@
         listing = self._store.list(RANGES_PREFIX)
         self._knowledge.take_items(listing.items, read_clock())
 
-    def _stop_orders(self) -> None:
-        for task in [*self._renewals.values(), *self._moves.values()]:
-            task.kill(block=False)
-        self._renewals.clear()
-        self._moves.clear()
-
     # Leading
 
     def _lead(self) -> None:
         now = read_clock()
         if self._knowledge.policy is None:
             return
-        self._term.prune(now)
+        self._desk.term.prune(now)
         self._knowledge.directory.expire(now)
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
@@ -260,12 +251,7 @@
         for each in self._knowledge.tables.values():
             known.update(tenure.owner for tenure in each.table.tenures)
         self._book.forget(known)
-        for name in list(self._addresses):
-            if name not in known:
-                del self._addresses[name]
-        for name in list(self._lanes):
-            if name not in known:
-                self._lanes.pop(name).close()
+        self._lanes.forget(known)
 
     def _lead_service(
         self, service: ServiceName, balance: bool, now: float
@@ -274,7 +260,7 @@
         changed = self._change(service, table, balance, now)
         if changed is not table and self._write(service, changed):
             table = changed
-        self._order(service, table)
+        self._desk.follow(service, table)
 
     def _change(
         self,
@@ -293,10 +279,10 @@
             return table.assign_first(
                 [(each.name, each.slots) for each in active]
             )
-        stopped = self._stopped.get(service, set())
-        joined = table.complete(stopped).merge()
+        ended = self._desk.list_ended(service)
+        joined = table.complete(ended).merge()
         moves = self._plan(service, joined, active, balance, now)
-        late = stopped and now - self._stopped_at > _RECORD_WITHIN
+        late = ended and now - self._stopped_at > _RECORD_WITHIN
         if moves or late:
             table = joined
             self._stopped_at = now
@@ -330,7 +316,7 @@
         }
         rates = self._book.list_rates(service, now)
         moves = plan_evictions(table, takers, rates)
-        for tenure in self._fenced.pop(service, set()):
+        for tenure in self._desk.take_fenced(service):
             # Its fence was passed by; the same owner goes on at a new one.
             if tenure in table.tenures and tenure.owner in takers:
                 moves.append(Move(tenure.keys, tenure.owner))
@@ -371,70 +357,13 @@
         )
         RANGES.labels(service).set(len(table.tenures))
         RANGES_MOVING.labels(service).set(len(table.list_moving()))
-        stopped = self._stopped.get(service, set())
-        self._stopped[service] = stopped.intersection(table.tenures)
+        self._desk.note_written(service, table)
         return True
 
     def _reread(self) -> None:
         with contextlib.suppress(StoreError):
             self._adopt_tables()
 
-    # Orders
-
-    def _order(self, service: ServiceName, table: RangeTable) -> None:
-        moving = set(table.list_moving())
-        for tenure in moving:
-            place = (service, tenure)
-            stopped = tenure in self._stopped.get(service, ())
-            if place not in self._moves and not stopped:
-                self._moves[place] = gevent.spawn(self._move, service, tenure)
-        for place, task in list(self._moves.items()):
-            if task.ready() or (
-                place[0] == service and place[1] not in moving
-            ):
-                task.kill(block=False)
-                del self._moves[place]
-        for owner in {each.owner for each in table.tenures}:
-            task = self._renewals.get(owner)
-            if task is None or task.ready():
-                self._renewals[owner] = gevent.spawn(
-                    self._renew, service, owner
-                )
-
-    def _find_lane(self, upstream: UpstreamName) -> OrderLane | None:
-        lane = self._lanes.get(upstream)
-        if lane is None:
-            address = self._addresses.get(upstream)
-            if address is None:
-                return None
-            lane = OrderLane(
-                upstream,
-                address,
-                self._dialect,
-                self._durations.order_timeout,
-            )
-            self._lanes[upstream] = lane
-        return lane
-
-    def _move(self, service: ServiceName, tenure: Tenure) -> None:
-        """Bring one range from its owner to its successor."""
-        handover = self._stop_owner(service, tenure)
-        if handover is None:
-            return
-        for _ in range(_GRANT_TRIES):
-            now = read_clock()
-            if not self._leadership.may_order(now):
-                return
-            taken = self._grant(tenure.successor, tenure, handover)
-            if taken is Taken.DONE:
-                break
-            gevent.sleep(_RETRY_PAUSE)
-        # Without its answer the successor owns it all the same: its
-        # renewals go on, and if it is gone the range moves on.
-        self._stopped.setdefault(service, set()).add(tenure)
-        MOVES.labels(service).inc()
-        self._spread(service, tenure)
-
     def _spread(self, service: ServiceName, tenure: Tenure) -> None:
         """Tell the hosts that a range has its new owner.
 
@@ -444,113 +373,3 @@
         self._knowledge.take_moved(service, [tenure])
         for link in self._feed.list_links(read_clock()):
             self._send(link, Moved(service, [tenure]))
-
-    def _stop_owner(self, service: ServiceName, tenure: Tenure) -> str | None:
-        """Make sure that the owner has stopped; return what it hands over.
-
-        Returns
-        -------
-        str or None
-            None when this host may give no more orders.
-        """
-        began = read_clock()
-        while True:
-            now = read_clock()
-            if not self._leadership.may_order(now):
-                return None
-            if self._has_ended(service, tenure, now):
-                self._tell_stopped(service, tenure, "ended", now - began)
-                return ""
-            lane = self._find_lane(tenure.owner)
-            if lane is not None:
-                result = lane.release(tenure.keys, tenure.fence)
-                if result.taken in (Taken.DONE, Taken.FOREIGN):
-                    self._term.note_release(tenure.owner, tenure.keys)
-                    proof = result.taken.value
-                    self._tell_stopped(
-                        service, tenure, proof, read_clock() - began
-                    )
-                    return result.handover
-            gevent.sleep(_RETRY_PAUSE)
-
-    def _tell_stopped(
-        self,
-        service: ServiceName,
-        tenure: Tenure,
-        proof: str,
-        seconds: float,
-    ) -> None:
-        tell(
-            Event.OWNER_STOPPED,
-            service=service,
-            upstream=tenure.owner,
-            low=tenure.low,
-            high=tenure.high,
-            fence=tenure.fence,
-            proof=proof,
-            seconds=f"{seconds:.2f}",
-        )
-
-    def _has_ended(
-        self, service: ServiceName, tenure: Tenure, now: float
-    ) -> bool:
-        """Tell whether the owner can not hold the range any longer."""
-        address = self._addresses.get(tenure.owner, "")
-        if self._knowledge.directory.has_successor(tenure.owner, address):
-            return True
-        since = self._knowledge.find_known_since(service, tenure)
-        return self._term.has_ended(tenure.owner, tenure.keys, since, now)
-
-    def _grant(
-        self, upstream: UpstreamName, tenure: Tenure, handover: str
-    ) -> Taken:
-        lane = self._find_lane(upstream)
-        if lane is None:
-            return Taken.UNSENT
-        grants: list[Grant] = []
-
-        def prepare() -> float | None:
-            grant = self._term.prepare_grant(
-                upstream, tenure.keys, read_clock()
-            )
-            if grant is None:
-                return None
-            grants.append(grant)
-            return grant.life
-
-        try:
-            return lane.grant(
-                tenure.keys, tenure.fence, handover, prepare
-            ).taken
-        finally:
-            # Answered or taken back: it arrives no later than now.
-            for grant in grants:
-                self._term.note_arrival(grant, read_clock())
-
-    def _renew(self, service: ServiceName, owner: UpstreamName) -> None:
-        """Renew all that one upstream owns, again and again."""
-        while True:
-            table = self._knowledge.find_table(service)
-            owned = [] if table is None else table.list_owned(owner)
-            if not owned:
-                return
-            results = renew_round(
-                owned, lambda tenure: self._renew_one(service, tenure)
-            )
-            for tenure, taken in results.items():
-                if taken is Taken.FENCED and self._is_current(service, tenure):
-                    self._fenced.setdefault(service, set()).add(tenure)
-            self._renew_now.wait(self._durations.renew)
-
-    def _renew_one(self, service: ServiceName, tenure: Tenure) -> Taken:
-        if not self._is_current(service, tenure):
-            return Taken.DONE
-        return self._grant(tenure.owner, tenure, "")
-
-    def _is_current(self, service: ServiceName, tenure: Tenure) -> bool:
-        """Tell whether a range is still owned as it was.
-
-        A renewal must not follow the release of a part of its range.
-        """
-        table = self._knowledge.find_table(service)
-        return table is not None and table.find(tenure.low) == tenure
--- /dev/null
+++ b/sedgetide/daemons/_orderdesk.py
@@ -0,0 +1,293 @@
+"""Orders of one term: grants renewed, ranges brought to their successors."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+
+import gevent
+
+from sedgetide.backends.dialects import OrderDialect
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.terms import Grant
+from sedgetide.core.ownership.terms import Term
+from sedgetide.daemons._hostmetrics import MOVES
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._orders import OrderLane
+from sedgetide.daemons._orders import Taken
+from sedgetide.daemons._renewal import renew_round
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
+from sedgetide.runtime.signals import Changes
+
+_RETRY_PAUSE = 0.2
+_GRANT_TRIES = 3
+
+
+class OrderLanes:
+    """Ways on which orders go, kept over all terms of a host.
+
+    Parameters
+    ----------
+    dialect : OrderDialect
+        Form of the orders.
+    grant_timeout : float
+        Seconds after which an unanswered grant is taken back.
+    """
+
+    def __init__(self, dialect: OrderDialect, grant_timeout: float) -> None:
+        self._dialect = dialect
+        self._grant_timeout = grant_timeout
+        self._lanes: dict[UpstreamName, OrderLane] = {}
+        self._addresses: dict[UpstreamName, str] = {}
+
+    def note_addresses(self, directory: Directory) -> None:
+        """Remember where upstreams are, also once they have left."""
+        for entry in directory.list_all():
+            self._addresses[entry.name] = entry.address
+
+    def find_address(self, upstream: UpstreamName) -> str:
+        """Return where an upstream is or was; empty when unknown."""
+        return self._addresses.get(upstream, "")
+
+    def find(self, upstream: UpstreamName) -> OrderLane | None:
+        """Return the way to an upstream, if its address is known."""
+        lane = self._lanes.get(upstream)
+        if lane is None and upstream in self._addresses:
+            lane = OrderLane(
+                upstream,
+                self._addresses[upstream],
+                self._dialect,
+                self._grant_timeout,
+            )
+            self._lanes[upstream] = lane
+        return lane
+
+    def forget(self, known: Collection[UpstreamName]) -> None:
+        """Forget upstreams that are not among the known ones."""
+        for name in list(self._addresses):
+            if name not in known:
+                del self._addresses[name]
+        for name in list(self._lanes):
+            if name not in known:
+                self._lanes.pop(name).close()
+
+
+class OrderDesk:
+    """Gives the orders of one term, by the tables that are in force.
+
+    Parameters
+    ----------
+    term : Term
+        What may be ordered, and what must be waited for.
+    knowledge : Knowledge
+        Owners, as the store acknowledged them.
+    lanes : OrderLanes
+        Ways to upstreams.
+    durations : Durations
+        On which single ownership rests.
+    on_moved : callable
+        Called when a range has its new owner.
+    """
+
+    def __init__(
+        self,
+        term: Term,
+        knowledge: Knowledge,
+        lanes: OrderLanes,
+        durations: Durations,
+        on_moved: Callable[[ServiceName, Tenure], None],
+    ) -> None:
+        self.term = term
+        self._knowledge = knowledge
+        self._lanes = lanes
+        self._durations = durations
+        self._on_moved = on_moved
+        self._renewals: dict[UpstreamName, gevent.Greenlet] = {}
+        self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
+        self._stopped: dict[ServiceName, set[Tenure]] = {}
+        self._fenced: dict[ServiceName, set[Tenure]] = {}
+        self._renew_now = Changes()
+
+    @property
+    def moving(self) -> int:
+        """Number of moves under way."""
+        return len(self._moves)
+
+    def close(self) -> None:
+        """Give no more orders."""
+        for task in [*self._renewals.values(), *self._moves.values()]:
+            task.kill(block=False)
+        self._renewals.clear()
+        self._moves.clear()
+
+    def renew_all(self) -> None:
+        """Renew all grants now."""
+        self._renew_now.announce()
+
+    def list_ended(self, service: ServiceName) -> set[Tenure]:
+        """Return moves that have ended and may not be written down yet."""
+        return self._stopped.get(service, set())
+
+    def note_written(self, service: ServiceName, table: RangeTable) -> None:
+        """Forget ended moves that the record shows as ended."""
+        ended = self.list_ended(service)
+        self._stopped[service] = ended.intersection(table.tenures)
+
+    def take_fenced(self, service: ServiceName) -> set[Tenure]:
+        """Return ranges whose fence was passed by, and forget them."""
+        return self._fenced.pop(service, set())
+
+    def follow(self, service: ServiceName, table: RangeTable) -> None:
+        """Begin what a table asks for, and end what it no longer does."""
+        moving = set(table.list_moving())
+        for tenure in moving:
+            place = (service, tenure)
+            stopped = tenure in self.list_ended(service)
+            if place not in self._moves and not stopped:
+                self._moves[place] = gevent.spawn(self._move, service, tenure)
+        for place, task in list(self._moves.items()):
+            if task.ready() or (
+                place[0] == service and place[1] not in moving
+            ):
+                task.kill(block=False)
+                del self._moves[place]
+        for owner in {each.owner for each in table.tenures}:
+            task = self._renewals.get(owner)
+            if task is None or task.ready():
+                self._renewals[owner] = gevent.spawn(
+                    self._renew, service, owner
+                )
+
+    def _move(self, service: ServiceName, tenure: Tenure) -> None:
+        """Bring one range from its owner to its successor."""
+        handover = self._stop_owner(service, tenure)
+        if handover is None:
+            return
+        for _ in range(_GRANT_TRIES):
+            now = read_clock()
+            if not self.term.may_order(now):
+                return
+            taken = self._grant(tenure.successor, tenure, handover)
+            if taken is Taken.DONE:
+                break
+            gevent.sleep(_RETRY_PAUSE)
+        # Without its answer the successor owns it all the same: its
+        # renewals go on, and if it is gone the range moves on.
+        self._stopped.setdefault(service, set()).add(tenure)
+        MOVES.labels(service).inc()
+        self._on_moved(service, tenure)
+
+    def _stop_owner(self, service: ServiceName, tenure: Tenure) -> str | None:
+        """Make sure that the owner has stopped; return what it hands over.
+
+        Returns
+        -------
+        str or None
+            None when this host may give no more orders.
+        """
+        began = read_clock()
+        while True:
+            now = read_clock()
+            if not self.term.may_order(now):
+                return None
+            if self._has_ended(service, tenure, now):
+                self._tell_stopped(service, tenure, "ended", now - began)
+                return ""
+            lane = self._lanes.find(tenure.owner)
+            if lane is not None:
+                result = lane.release(tenure.keys, tenure.fence)
+                if result.taken in (Taken.DONE, Taken.FOREIGN):
+                    self.term.note_release(tenure.owner, tenure.keys)
+                    proof = result.taken.value
+                    self._tell_stopped(
+                        service, tenure, proof, read_clock() - began
+                    )
+                    return result.handover
+            gevent.sleep(_RETRY_PAUSE)
+
+    def _tell_stopped(
+        self,
+        service: ServiceName,
+        tenure: Tenure,
+        proof: str,
+        seconds: float,
+    ) -> None:
+        tell(
+            Event.OWNER_STOPPED,
+            service=service,
+            upstream=tenure.owner,
+            low=tenure.low,
+            high=tenure.high,
+            fence=tenure.fence,
+            proof=proof,
+            seconds=f"{seconds:.2f}",
+        )
+
+    def _has_ended(
+        self, service: ServiceName, tenure: Tenure, now: float
+    ) -> bool:
+        """Tell whether the owner can not hold the range any longer."""
+        address = self._lanes.find_address(tenure.owner)
+        if self._knowledge.directory.has_successor(tenure.owner, address):
+            return True
+        since = self._knowledge.find_known_since(service, tenure)
+        return self.term.has_ended(tenure.owner, tenure.keys, since, now)
+
+    def _grant(
+        self, upstream: UpstreamName, tenure: Tenure, handover: str
+    ) -> Taken:
+        lane = self._lanes.find(upstream)
+        if lane is None:
+            return Taken.UNSENT
+        grants: list[Grant] = []
+
+        def prepare() -> float | None:
+            grant = self.term.prepare_grant(
+                upstream, tenure.keys, read_clock()
+            )
+            if grant is None:
+                return None
+            grants.append(grant)
+            return grant.life
+
+        try:
+            return lane.grant(
+                tenure.keys, tenure.fence, handover, prepare
+            ).taken
+        finally:
+            # Answered or taken back: it arrives no later than now.
+            for grant in grants:
+                self.term.note_arrival(grant, read_clock())
+
+    def _renew(self, service: ServiceName, owner: UpstreamName) -> None:
+        """Renew all that one upstream owns, again and again."""
+        while True:
+            table = self._knowledge.find_table(service)
+            owned = [] if table is None else table.list_owned(owner)
+            if not owned:
+                return
+            results = renew_round(
+                owned, lambda tenure: self._renew_one(service, tenure)
+            )
+            for tenure, taken in results.items():
+                if taken is Taken.FENCED and self._is_current(service, tenure):
+                    self._fenced.setdefault(service, set()).add(tenure)
+            self._renew_now.wait(self._durations.renew)
+
+    def _renew_one(self, service: ServiceName, tenure: Tenure) -> Taken:
+        if not self._is_current(service, tenure):
+            return Taken.DONE
+        return self._grant(tenure.owner, tenure, "")
+
+    def _is_current(self, service: ServiceName, tenure: Tenure) -> bool:
+        """Tell whether a range is still owned as it was.
+
+        A renewal must not follow the release of a part of its range.
+        """
+        table = self._knowledge.find_table(service)
+        return table is not None and table.find(tenure.low) == tenure
--- a/tests/core/ownership/test_leadership.py
+++ b/tests/core/ownership/test_leadership.py
@@ -6,6 +6,8 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.terms import Term
 
 TERM = Revision(7)
 
@@ -63,6 +65,17 @@
         hold = self.leadership.choose_hold(102.0)
         self.assertEqual(self.durations.long_hold, hold)
 
+    def test_missed_proof_ends_what_others_rely_on(self):
+        # The store turns away the leader and nobody else, and takes its
+        # record away. It may order until its proof ends; but fed by it, all
+        # hosts would miss a change of routes for as long.
+        self.lead(100.0)
+        due = 100.0 + 2 * self.durations.verify
+        self.assertTrue(self.leadership.is_fresh(due - 0.01))
+        self.assertFalse(self.leadership.is_fresh(due))
+        self.assertTrue(self.leadership.may_order(due))
+        self.assertFalse(Leadership(self.durations).is_fresh(100.0))
+
     def test_host_turned_away_gives_up(self):
         # The store turns this host away and serves the others, one of which
         # leads by now. Nothing tells this host; it must not go on calling
@@ -85,3 +98,23 @@
         successor = Leadership(durations)
         successor.begin(Revision(8), 100.0, 100.0)
         self.assertGreater(successor.bound_inherited(), held_until)
+
+
+class TestTerm(testtools.TestCase):
+    """Orders belong to the term in which they were prepared."""
+
+    def test_order_of_an_earlier_term_is_not_sent(self):
+        # This host leads, loses its record, and leads again. An order of
+        # the first term was about to be sent all the while; the leader in
+        # between has given its range to another.
+        durations = Durations()
+        leadership = Leadership(durations)
+        leadership.begin(TERM, 100.0, 100.0)
+        first = Term(leadership, durations)
+        keys = KeyRange(0, 9)
+        self.assertIsNotNone(first.prepare_grant("u-1", keys, 100.1))
+        leadership.end()
+        leadership.begin(Revision(9), 104.0, 104.0)
+        self.assertIsNone(first.prepare_grant("u-1", keys, 104.1))
+        second = Term(leadership, durations)
+        self.assertIsNotNone(second.prepare_grant("u-1", keys, 104.1))
