--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -46,6 +46,8 @@
 _LEAST_SERVED = 0.8
 _RECONNECT = 0.03
 _KEPT = "build/soak"
+_RESETS = 40
+_RESET_PAUSE = 0.05
 
 
 class Ask(msgspec.Struct):
@@ -85,6 +87,13 @@
     end: Callable[[], None] = lambda: None
 
 
+def _reset_often(proxy: Proxy) -> None:
+    """Reset what is open again and again, so that some of it is at work."""
+    for _ in range(_RESETS):
+        proxy.reset_all()
+        gevent.sleep(_RESET_PAUSE)
+
+
 class Caller:
     """Sends requests one after the other, on connections that it keeps."""
 
@@ -288,7 +297,9 @@
         )
         label = f"{kind} {name}"
         if kind == "reset":
-            return Fault(at, 0.0, label, proxy.reset_all)
+            return Fault(
+                at, 0.0, label, lambda: gevent.spawn(_reset_often, proxy)
+            )
         if kind == "silence":
             return Fault(at, 0.0, label, proxy.silence_all)
 
