--- a/sedgetide/testing/proxies.py
+++ b/sedgetide/testing/proxies.py
@@ -113,10 +113,12 @@
             while True:
                 data = source.recv(_BLOCK)
                 self._hold_up(inward)
-                if pair.silent:
+                if pair.silent and data:
                     # Whoever lost track of the connection says nothing of
                     # it, not even its end.
                     continue
+                if pair.silent:
+                    return
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
