Large items are read from the store instead of being fed to every host

Cause: a policy of 1,400 routes is some 140 KB; the leader sent a copy of it to each of 90 hosts, 12.6 MB on a link of 10 to 200 Mbit/s, and orders and news waited behind it. Change: items over 32 KB end the feed of a host, which reads them from the store by one watch and is fed again from there.

--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sedgetide.backends.leasestore import Item
 from sedgetide.coding.messages import StoreFeed
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
@@ -20,6 +21,8 @@
 # Older knowledge is no better than what the host could ask for itself.
 _OLDEST = 4.0
 ENDED = 1e9
+# One copy for each of many hosts would keep the leader's link busy.
+_LARGE_BYTES = 32 * 1024
 
 
 class _Subscriber(msgspec.Struct):
@@ -27,6 +30,16 @@
     revision: Revision
 
 
+def _are_large(items: list[Item]) -> bool:
+    """Tell whether items are too large to be sent to every host.
+
+    A large policy for each of ninety hosts keeps the leader's link busy
+    for seconds, and grants and news wait behind it. The store has a link
+    for that, and each host reads it there once.
+    """
+    return sum(len(item.value or b"") for item in items) > _LARGE_BYTES
+
+
 class FeedSource:
     """The leader's side.
 
@@ -69,6 +82,9 @@
         if items is None:
             # It is too far behind; without the feed it lists the store.
             return
+        if _are_large(items):
+            self._send_to_store(link)
+            return
         age = now - self._knowledge.heard_at
         if age > _OLDEST:
             return
@@ -78,6 +94,10 @@
         self._send(link, message)
         subscriber.revision = as_of
 
+    def _send_to_store(self, link: LinkAddress) -> None:
+        as_of = self._knowledge.as_of
+        self._send(link, StoreFeed(as_of, as_of, ENDED, 0.0, []))
+
     def list_links(self, now: float) -> list[LinkAddress]:
         """Return the hosts that reported lately."""
         return [
@@ -88,9 +108,8 @@
 
     def end(self) -> None:
         """Have all hosts follow the store themselves again."""
-        as_of = self._knowledge.as_of
         for link in self._subscribers:
-            self._send(link, StoreFeed(as_of, as_of, ENDED, 0.0, []))
+            self._send_to_store(link)
         self._subscribers.clear()
 
 
--- a/tests/daemons/test_feed.py
+++ b/tests/daemons/test_feed.py
@@ -135,6 +135,32 @@
         self.deliver(100.1)
         self.assertFalse(self.sink.is_fresh(100.1))
 
+    def test_large_item_is_left_to_the_store(self):
+        # The operators add 1,400 routes. The leader's link has room for
+        # one copy of them in a tenth of a second, not for one to each of
+        # ninety hosts: orders and news would wait behind them for seconds.
+        # Each host is sent to the store instead, which serves them all.
+        self.report(100.0)
+        self.deliver(100.0)
+        self.tell_leader(5, "u-1", b"x" * 140_000)
+        self.source.publish(100.1)
+        self.assertEqual([[]], [each.items for each in self.sent])
+        self.deliver(100.1)
+        self.assertFalse(self.sink.is_fresh(100.1))
+        self.assertEqual(0, self.host.as_of)
+
+    def test_host_that_read_the_large_item_is_fed_again(self):
+        self.tell_leader(5, "u-1", b"x" * 1_000_000)
+        self.report(100.0)
+        self.deliver(100.0)
+        self.assertFalse(self.sink.is_fresh(100.0))
+        self.host.note_heard(5, 100.1)
+        self.tell_leader(6, "u-2", now=100.2)
+        self.report(100.3)
+        self.deliver(100.3)
+        self.assertTrue(self.sink.is_fresh(100.3))
+        self.assertEqual(["u-2"], self.list_names())
+
     def test_outage_seen_by_the_leader_protects_entries(self):
         # The registry lapsed in an outage that this host did not see; the
         # entries are gone for two seconds and come back.
