Ranges on their way at a time grow with the upstreams

Cause: eight moves a round were set for 21 upstreams. Also found: the search for a source recursed once for each upstream that can give nothing and failed at a thousand upstreams. Change: 0.4 moves for each upstream, eight at least; a loop. Before, in the test: busiest over mean 2.7 after four rounds of 160 upstreams, and RecursionError at 1,200. After: under 1.5, and no moves.

--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -1,9 +1,11 @@
 """Which ranges should get another owner."""
 
 import bisect
+import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -14,7 +16,8 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 
-MOST_MOVES = 8
+_LEAST_BOUND = 8
+_MOVES_EACH = 0.4
 # What one upstream is asked for in the memory of the load book varies by a
 # fifth by chance alone; less than this is no reason to move anything.
 _TOLERATED_DIFFERENCE = 0.25
@@ -25,6 +28,21 @@
 _NARROW = 512
 
 
+def bound_moves(takers: int) -> int:
+    """Return how many ranges may be on their way at a time.
+
+    Each upstream gives or gets one in a round or two, however many there
+    are: a bound that did not grow with them would leave a large service
+    unbalanced for minutes.
+
+    Parameters
+    ----------
+    takers : int
+        Number of upstreams that may own keys.
+    """
+    return max(_LEAST_BOUND, math.ceil(_MOVES_EACH * takers))
+
+
 class Taker(msgspec.Struct, frozen=True):
     """An upstream that may own keys.
 
@@ -58,6 +76,9 @@
         }
         self.work = dict.fromkeys(takers, 0.0)
         self.counts = dict.fromkeys(takers, 0)
+        self.cuts: dict[UpstreamName, list[KeyRange]] = (
+            collections.defaultdict(list)
+        )
         self.rates = rates
         ordered = sorted(rates)
         start = 0
@@ -136,7 +157,7 @@
     table: RangeTable,
     takers: Mapping[UpstreamName, Taker],
     rates: Mapping[Key, float],
-    most: int = MOST_MOVES,
+    most: int = _LEAST_BOUND,
 ) -> list[Move]:
     """Return moves from the busiest upstreams to the idlest.
 
@@ -150,36 +171,40 @@
         return []
     loads = _Loads(table.tenures, takers, rates)
     moves: list[Move] = []
-    tired: set[UpstreamName] = set()
-    for _ in range(most):
-        move = _plan_one(loads, moves, tired)
-        if move is None:
+    sources = set(takers)
+    while sources and len(moves) < most:
+        source = max(sources, key=lambda name: (loads.find_busy(name), name))
+        goal = loads.find_idlest()
+        if not _is_worth_a_move(loads, source, goal):
             break
-        moves.append(move)
+        move = _plan_one(loads, source, goal)
+        if move is None:
+            sources.remove(source)
+        else:
+            moves.append(move)
     return moves
 
 
+def _is_worth_a_move(
+    loads: _Loads, source: UpstreamName, goal: UpstreamName
+) -> bool:
+    if loads.counts[goal] == 0:
+        return True
+    busy, idle = loads.find_busy(source), loads.find_busy(goal)
+    tolerated = max(_TOLERATED_DIFFERENCE, 0.25 * busy)
+    return busy >= _BUSY and busy - idle >= tolerated
+
+
 def _plan_one(
-    loads: _Loads, made: list[Move], tired: set[UpstreamName]
+    loads: _Loads, source: UpstreamName, goal: UpstreamName
 ) -> Move | None:
-    sources = [name for name in loads.takers if name not in tired]
-    if not sources:
-        return None
-    source = max(sources, key=lambda name: (loads.find_busy(name), name))
-    goal = loads.find_idlest()
-    busy, idle = loads.find_busy(source), loads.find_busy(goal)
-    empty = loads.counts[goal] == 0
-    if not empty and (
-        busy - idle < max(_TOLERATED_DIFFERENCE, 0.25 * busy) or busy < _BUSY
-    ):
-        return None
-    wanted = _find_wanted(loads, source, goal, busy - idle)
-    found = _cut_range(loads, source, wanted, made)
+    gap = loads.find_busy(source) - loads.find_busy(goal)
+    found = _cut_range(loads, source, _find_wanted(loads, source, goal, gap))
     if found is None:
-        tired.add(source)
-        return _plan_one(loads, made, tired)
+        return None
     keys, work = found
     loads.shift(work, source, goal)
+    loads.cuts[source].append(keys)
     return Move(keys, goal)
 
 
@@ -195,10 +220,10 @@
 
 
 def _cut_range(
-    loads: _Loads, source: UpstreamName, wanted: float, made: list[Move]
+    loads: _Loads, source: UpstreamName, wanted: float
 ) -> tuple[KeyRange, float] | None:
     best: tuple[KeyRange, float] | None = None
-    for keys, work in _list_windows(loads, source, wanted, made):
+    for keys, work in _list_windows(loads, source, wanted):
         if best is None or work > best[1]:
             best = (keys, work)
     if best is None or best[1] < _LEAST_SHARE * wanted:
@@ -207,11 +232,11 @@
 
 
 def _list_windows(
-    loads: _Loads, source: UpstreamName, wanted: float, made: list[Move]
+    loads: _Loads, source: UpstreamName, wanted: float
 ) -> Iterator[tuple[KeyRange, float]]:
     """Yield runs of busy keys that hold no more work than is wanted."""
     rates = loads.rates
-    taken = [move.keys for move in made]
+    taken = loads.cuts[source]
     for tenure, keys in loads.keys[source]:
         start = 0
         work = 0.0
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -20,7 +20,7 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
-from sedgetide.core.ownership.balance import MOST_MOVES
+from sedgetide.core.ownership.balance import bound_moves
 from sedgetide.core.ownership.balance import plan_balance
 from sedgetide.core.ownership.balance import plan_evictions
 from sedgetide.core.ownership.balance import plan_tidying
@@ -323,7 +323,7 @@
         began = self._book.began_at
         ready = began is not None and now - began >= _FIRST_BALANCE
         if not moves and balance and ready:
-            room = MOST_MOVES - len(table.list_moving())
+            room = bound_moves(len(takers)) - len(table.list_moving())
             moves = plan_balance(table, takers, rates, max(0, room))
             if not moves:
                 moves = plan_tidying(table, takers, rates, max(0, room))
--- a/tests/core/ownership/test_balance.py
+++ b/tests/core/ownership/test_balance.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sedgetide.core.ownership.balance import bound_moves
 from sedgetide.core.ownership.balance import plan_balance
 from sedgetide.core.ownership.balance import plan_evictions
 from sedgetide.core.ownership.balance import plan_tidying
@@ -89,6 +90,30 @@
         moves = plan_balance(self.table, takers, rates)
         self.assertIn("e", [move.successor for move in moves])
 
+    def test_large_service_is_spread_as_soon_as_a_small_one(self):
+        # Callers of a service of 160 upstreams wait at full ones for as
+        # long as it takes to move the busy keys away. Eight moves a round
+        # do for twenty upstreams; here they would take half a minute.
+        names = [f"u{number:03}" for number in range(160)]
+        takers = make_takers(*names)
+        table = RangeTable().assign_first([(name, 2) for name in names])
+        rates = {key * 8: 0.04 for key in range(3000)}
+        for _ in range(4):
+            moves = plan_balance(table, takers, rates, bound_moves(160))
+            table = settle(table, moves)
+        busy = sum_busy(table, takers, rates)
+        self.assertLess(max(busy.values()), 1.5 * sum(busy.values()) / 160)
+
+    def test_every_upstream_may_be_without_a_cut(self):
+        # Each of a thousand upstreams is busy with one key alone; looking
+        # for one that can give something must end.
+        names = [f"u{number:04}" for number in range(1200)]
+        takers = make_takers(*names)
+        table = RangeTable().assign_first([(name, 2) for name in names])
+        rates = {tenure.low: 2.0 for tenure in table.tenures[:-1]}
+        moves = plan_balance(table, takers, rates, bound_moves(1200))
+        self.assertEqual([], moves)
+
     def test_moves_of_one_round_do_not_cross(self):
         rates = {key: 0.05 for key in range(0, 400)}
         moves = plan_balance(self.table, self.takers, rates)
