Weak hosts let stronger ones lead

Cause: the leader renews every grant. Change: settings name the host's processors; one with less than a core waits up to 0.6 s longer before it stands. Test: a host with 0.4 of a core does not stand before the last of the strong.

--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -9,6 +9,7 @@
 from sedgetide.coding.addresses import check_address
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.core.constraints import Amount
 from sedgetide.core.constraints import Count
 from sedgetide.core.constraints import Name
 from sedgetide.core.constraints import Seconds
@@ -151,6 +152,10 @@
     retry_ratio : float
         Share of the requests for a service that all hosts together may
         send once more; each keeps to half of it on its own.
+    processor_share : float
+        Share of its processors' time that the host may take.
+    processors : float
+        How many times as fast as one core they are.
     limits : Limits
         Bounds; a planned stop takes ``grace`` less a reserve, not ``drain``.
     durations : Durations
@@ -168,7 +173,9 @@
     stores: tuple[str, ...]
     grace: Seconds = 16.0
     max_hold_ms: Count = 10_000
-    retry_ratio: Seconds = 0.2
+    retry_ratio: Amount = 0.2
+    processor_share: Amount = 1.0
+    processors: Amount = 1.0
     limits: Limits = Limits()
     durations: Durations = Durations()
     log_level: str = "INFO"
@@ -178,6 +185,11 @@
         """Host as a typed identifier."""
         return HostName(self.host)
 
+    @property
+    def processor_time(self) -> float:
+        """Cores' worth of time that the host has."""
+        return self.processor_share * self.processors
+
     def fit_durations(self) -> Durations:
         """Return the durations within what upstreams accept."""
         return self.durations.fit(self.max_hold_ms / 1000.0)
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -18,6 +18,24 @@
 NEVER = float("-inf")
 _RENEWALS_IN_A_HOLD = 3
 _MISSED = 2
+_AMPLE_PROCESSORS = 1.0
+_LONGEST_YIELD = 0.6
+
+
+def find_yield(processors: float) -> float:
+    """Return for how many seconds a host lets stronger ones stand first.
+
+    The leader renews every grant and feeds every host. On a weak host of a
+    large deployment that takes all there is, and grants run out while they
+    wait for their turn.
+
+    Parameters
+    ----------
+    processors : float
+        Cores' worth of time that the host has.
+    """
+    lacking = max(0.0, _AMPLE_PROCESSORS - processors)
+    return _LONGEST_YIELD * lacking / _AMPLE_PROCESSORS
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -14,6 +14,7 @@
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import find_yield
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._knowledge import Knowledge
@@ -41,6 +42,8 @@
         Who leads, as the store told last.
     durations : Durations
         Life of the lease.
+    processors : float
+        Cores' worth of time that the host has.
     """
 
     def __init__(
@@ -50,8 +53,10 @@
         leadership: Leadership,
         knowledge: Knowledge,
         durations: Durations,
+        processors: float = 1.0,
     ) -> None:
         self._store = store
+        self._yield = find_yield(processors)
         self._record = record
         self._leadership = leadership
         self._knowledge = knowledge
@@ -84,7 +89,7 @@
             return False
         if self._try_at is None:
             delay = self._random.uniform(0.0, _LONGEST_DELAY)
-            self._try_at = now + delay
+            self._try_at = now + self._yield + delay
         return now >= self._try_at
 
     def _stand(self, now: float) -> None:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -160,6 +160,7 @@
             leadership,
             self._knowledge,
             durations,
+            self._settings.processor_time,
         )
         return Leader(
             self._open_store(),
--- a/tests/daemons/test_campaign.py
+++ b/tests/daemons/test_campaign.py
@@ -9,6 +9,7 @@
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import find_yield
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._campaign import Campaign
@@ -104,6 +105,27 @@
         self.stand()
         self.assertIsNotNone(self.model.find(LEADER_KEY))
 
+    def test_weak_host_lets_stronger_ones_stand_first(self):
+        # The leader of ninety hosts is killed. The next one renews some
+        # five hundred grants a second: a host with 0.4 of a core falls
+        # behind, grants run out and their keys' callers are refused.
+        last_of_the_strong = find_yield(2.0) + 0.4
+        weak = Campaign(
+            self.store,
+            LeaderRecord("h-2", "y", "1.1.1.2:1"),
+            Leadership(self.durations),
+            self.knowledge,
+            self.durations,
+            processors=0.4,
+        )
+        now = read_clock()
+        for later in (0.0, 0.2, 0.3):
+            self.knowledge.heard_at = now
+            weak.step(now + later)
+        self.assertIsNone(self.model.find(LEADER_KEY))
+        weak.step(now + last_of_the_strong + find_yield(0.4))
+        self.assertIsNotNone(self.model.find(LEADER_KEY))
+
     def test_does_not_stand_on_old_news(self):
         # The host was cut off; that nobody leads is what it knew then.
         self.campaign.step(read_clock())
