Requests that may run once shun connections that rested too long

Cause: upstreams may forget idle connections without notice. What is sent next is reset, and an alert is lost: nothing tells whether it ran. The rest stands in the logs.

--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -7,7 +7,9 @@
 import gevent
 from gevent.event import Event
 
+from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.idling import RestBound
 from sedgetide.core.requests.windows import Window
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.client import ConnectionPool
@@ -25,10 +27,19 @@
         Where it leads.
     body_limit : int
         Largest body accepted in an answer.
+    rests : RestBound
+        How long its connections may rest; of all upstreams of the service,
+        since one alone is sent too little to learn it from.
     """
 
-    def __init__(self, upstream: RegisteredUpstream, body_limit: int) -> None:
+    def __init__(
+        self,
+        upstream: RegisteredUpstream,
+        body_limit: int,
+        rests: RestBound,
+    ) -> None:
         self.pool = ConnectionPool(upstream.address, body_limit, _SETTLING)
+        self.rests = rests
         self.window = Window(upstream.slots)
         self.service_time: float | None = None
         self.failures = 0.0
@@ -132,12 +143,14 @@
     def __init__(self, body_limit: int) -> None:
         self._body_limit = body_limit
         self._lanes: dict[str, Lane] = {}
+        self._rests: dict[ServiceName, RestBound] = {}
 
     def find(self, upstream: RegisteredUpstream) -> Lane:
         """Return the way to an upstream."""
         lane = self._lanes.get(upstream.name)
         if lane is None:
-            lane = Lane(upstream, self._body_limit)
+            rests = self._rests.setdefault(upstream.service, RestBound())
+            lane = Lane(upstream, self._body_limit, rests)
             self._lanes[upstream.name] = lane
         return lane
 
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -85,6 +85,7 @@
     unreached: int = 0
     fence: int = 0
     held: float = 0.0
+    rested: float = 0.0
 
 
 class Requests:
@@ -223,6 +224,7 @@
             upstreams=",".join(job.progress.tried),
             ms=int((now - began) * 1000),
             held_ms=int(job.held * 1000),
+            rested_ms=int(job.rested * 1000),
             version=self._knowledge.policy.version,
             revision=0 if known is None else known.revision,
             fence=job.fence,
@@ -361,7 +363,8 @@
             return
         try:
             connection = lane.pool.take(
-                min(_CONNECT_TIMEOUT, job.times.final - now)
+                min(_CONNECT_TIMEOUT, job.times.final - now),
+                _choose_rest(job, lane, now),
             )
         except UpstreamError:
             self._note_failure(job, target, lane, Failure.UNREACHABLE)
@@ -372,6 +375,7 @@
         if progress.sends == 1:
             job.held = began - job.times.began
         job.fence = target.fence
+        job.rested = connection.rested
         # Until an answer tells otherwise, it may have run.
         before, progress.outcome = progress.outcome, Outcome.UNKNOWN
         try:
@@ -382,6 +386,8 @@
             )
         except UpstreamError as error:
             silent = error.code is ErrorCode.UPSTREAM_SILENT
+            if not silent:
+                lane.rests.note_reset(connection.rested, read_clock())
             self._note_failure(
                 job,
                 target,
@@ -461,6 +467,16 @@
             self._meter.note_failure(target.upstream.name)
 
 
+def _choose_rest(job: _Job, lane: Lane, now: float) -> float:
+    """Return how long a connection may have rested for a request.
+
+    One that may run again is sent again; the others have one chance.
+    """
+    if job.route.idempotent:
+        return float("inf")
+    return lane.rests.find_longest(now)
+
+
 def _refuse(retry_after: float) -> Answer:
     """Return the answer of a request that has not run and never will."""
     return Answer(503, [("Retry-After", f"{retry_after:g}")], b"not run\n")
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -185,7 +185,8 @@
         "A caller's request got its final answer; status 0: the caller left "
         "first. The fields after the times are what decided: version of the "
         "routes, revision and fence of the owner, and for how many "
-        "milliseconds nothing was heard from the store.",
+        "milliseconds nothing was heard from the store. rested_ms: how long "
+        "the connection to the upstream had been idle; 0 on a new one.",
         (
             "id",
             "route",
@@ -198,6 +199,7 @@
             "upstreams",
             "ms",
             "held_ms",
+            "rested_ms",
             "version",
             "revision",
             "fence",
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -72,6 +72,7 @@
         self._socket: socket.socket | None = None
         self._used_at = 0.0
         self._idle_life = _IDLE_LIFE
+        self.rested = 0.0
 
     def open(self, timeout: float) -> None:
         """Connect.
@@ -135,6 +136,10 @@
         poll.register(self._socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    def note_rest(self) -> None:
+        """Remember for how long it has been idle, before it is used."""
+        self.rested = time.monotonic() - self._used_at
+
     def exchange(
         self,
         request: Request,
@@ -313,25 +318,45 @@
         self._idle: list[Connection] = []
         self._closed = False
 
-    def take(self, timeout: float) -> Connection:
+    def take(
+        self, timeout: float, longest_rest: float = float("inf")
+    ) -> Connection:
         """Return an open connection, the one used last if any is idle.
 
+        Parameters
+        ----------
+        timeout : float
+            Seconds for a new connection to open.
+        longest_rest : float
+            Seconds; one that was idle for longer is left to others.
+
         Raises
         ------
         UpstreamError
             With ``sent`` false when none can be opened.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable:
-                return connection
-            connection.close()
+        connection = self._take_idle(longest_rest)
+        if connection is not None:
+            return connection
         connection = Connection(self.address, self._body_limit)
         connection.open(timeout)
         if self._settling:
             connection.settle(self._settling)
         return connection
 
+    def _take_idle(self, longest_rest: float) -> Connection | None:
+        while self._idle:
+            connection = self._idle[-1]
+            connection.note_rest()
+            if connection.rested > longest_rest:
+                # The one used last; the others have rested for longer.
+                return None
+            self._idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return None
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if it is still open."""
         if self._closed:
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -236,6 +236,22 @@
         pool.close()
         self.assertFalse(second.open_now)
 
+    def test_rested_connection_is_left_to_those_who_may_repeat(self):
+        server = Server(WHOLE, WHOLE)
+        self.addCleanup(server.close)
+        pool = ConnectionPool(server.address, LIMIT)
+        self.addCleanup(pool.close)
+        first = pool.take(1.0)
+        first.exchange(make_request(), 2.0)
+        pool.give_back(first)
+        gevent.sleep(0.05)
+        careful = pool.take(1.0, longest_rest=0.04)
+        self.addCleanup(careful.close)
+        self.assertIsNot(first, careful)
+        self.assertEqual(0.0, careful.rested)
+        self.assertIs(first, pool.take(1.0))
+        self.assertGreater(first.rested, 0.04)
+
     def test_connections_that_the_server_closed_are_not_kept(self):
         server = Server(WHOLE, close=True)
         self.addCleanup(server.close)
