Retries that hosts save up shrink with the number of hosts

Cause: each host could save four retries, which was chosen for 8 to 11 hosts. 91 hosts save 364 for each service, the deployment grants 222 beside a fifth of the requests; a quiet service whose upstreams fall silent could go beyond. Change: the leader's feed says how many hosts there are; a host saves its part of the slack, one to four. Test: 91 hosts and 182 requests stay within the grant; with four each they do not.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -224,6 +224,9 @@
         believed yet.
     items : list of Item
         Newest versions.
+    hosts : int
+        Number of hosts that the leader hears of, itself included; zero
+        when it does not say.
     """
 
     since: Revision
@@ -231,6 +234,7 @@
     age: float
     disturbed: float
     items: list[Item]
+    hosts: int = 0
 
 
 class Moved(Message, tag="moved"):
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -152,6 +152,8 @@
     retry_ratio : float
         Share of the requests for a service that all hosts together may
         send once more; each keeps to half of it on its own.
+    retry_slack : int
+        Retries that all hosts together may make besides, at a time.
     processor_share : float
         Share of its processors' time that the host may take.
     processors : float
@@ -174,6 +176,7 @@
     grace: Seconds = 16.0
     max_hold_ms: Count = 10_000
     retry_ratio: Amount = 0.2
+    retry_slack: Count = 50
     processor_share: Amount = 1.0
     processors: Amount = 1.0
     limits: Limits = Limits()
--- a/sedgetide/core/requests/retries.py
+++ b/sedgetide/core/requests/retries.py
@@ -1,6 +1,47 @@
 """Retry budget: retries stay a share of requests, whatever fails."""
 
+import msgspec
+
 _INITIAL_TOKENS = 10.0
+_LEAST_BURST = 1.0
+_LARGEST_BURST = 4.0
+# Hosts that have just started count twice: before the loss and after it.
+_RESERVE = 0.8
+
+
+class RetryTerms(msgspec.Struct, frozen=True):
+    """What a deployment grants for retries.
+
+    Parameters
+    ----------
+    ratio : float
+        Share of a host's own requests that it may send once more.
+    slack : float
+        Retries granted beside, to all hosts together.
+    """
+
+    ratio: float
+    slack: float
+
+
+def bound_burst(slack: float, hosts: int | None) -> float:
+    """Return how many retries a host may save up.
+
+    All hosts may fall back on what they saved in the same moment, when an
+    upstream's loss meets them all. Together that has to stay within what
+    the deployment grants beside the share of its requests.
+
+    Parameters
+    ----------
+    slack : float
+        Retries granted to all hosts together beside the share.
+    hosts : int or None
+        Number of hosts; None when it is not known yet.
+    """
+    if hosts is None:
+        return _LEAST_BURST
+    share = slack * _RESERVE / max(1, hosts)
+    return min(_LARGEST_BURST, max(_LEAST_BURST, share))
 
 
 class RetryBudget:
@@ -22,6 +63,11 @@
         self._most = most
         self._tokens = min(_INITIAL_TOKENS, most)
 
+    def limit(self, most: float) -> None:
+        """Set how many tokens are kept at most."""
+        self._most = most
+        self._tokens = min(self._tokens, most)
+
     def note_request(self) -> None:
         """Earn for a request."""
         self._tokens = min(self._most, self._tokens + self._ratio)
--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -90,10 +90,18 @@
             return
         disturbed = self._knowledge.directory.find_disturbance(now)
         as_of = self._knowledge.as_of
-        message = StoreFeed(subscriber.revision, as_of, age, disturbed, items)
+        message = StoreFeed(
+            subscriber.revision, as_of, age, disturbed, items, self._count()
+        )
         self._send(link, message)
         subscriber.revision = as_of
 
+    def _count(self) -> int:
+        """Return how many hosts there are, and remember it."""
+        hosts = len(self._subscribers) + 1
+        self._knowledge.note_hosts(hosts)
+        return hosts
+
     def _send_to_store(self, link: LinkAddress) -> None:
         as_of = self._knowledge.as_of
         self._send(link, StoreFeed(as_of, as_of, ENDED, 0.0, []))
@@ -128,6 +136,8 @@
 
     def take(self, message: StoreFeed, now: float) -> None:
         """Take in what the leader passed on."""
+        if message.hosts:
+            self._knowledge.note_hosts(message.hosts)
         if message.age > _OLDEST:
             self._fresh_at = float("-inf")
             return
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -64,11 +64,20 @@
         self.leader: KnownLeader | None = None
         self.changes = Changes()
         self.heard_at = float("-inf")
+        self.hosts: int | None = None
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
         self._forgotten = NO_REVISION
         self.as_of = NO_REVISION
 
+    def note_hosts(self, hosts: int) -> None:
+        """Take in how many hosts there are.
+
+        The largest number ever heard stays: a leader that is cut off from
+        some counts fewer, and they go on all the same.
+        """
+        self.hosts = max(self.hosts or 0, hosts)
+
     def note_heard(self, as_of: Revision, heard_at: float) -> None:
         """Take in that all is known up to a revision, and since when."""
         self.as_of = max(self.as_of, as_of)
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -21,7 +21,9 @@
 from sedgetide.core.requests.attempts import Wait
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.retries import bound_burst
 from sedgetide.core.requests.retries import RetryBudget
+from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.routes import Timetable
@@ -49,7 +51,6 @@
 _NOT_OWNER_PAUSE = 0.03
 _BUSY_PAUSE = 0.04
 _MOST_UNREACHED = 3
-_BUDGET_MOST = 4.0
 _FOREIGN_ZONE_COST = 1.15
 _SUSPECT_COST = 4.0
 _FIRST_GUESS = 0.25
@@ -103,8 +104,8 @@
         Counts load for the leader.
     data_centre : str
         Own data centre.
-    retry_ratio : float
-        Share of the own requests that may be sent once more.
+    retries : RetryTerms
+        What the deployment grants.
     """
 
     def __init__(
@@ -114,14 +115,14 @@
         lanes: Lanes,
         meter: LoadMeter,
         data_centre: str,
-        retry_ratio: float,
+        retries: RetryTerms,
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
         self._lanes = lanes
         self._meter = meter
         self._data_centre = data_centre
-        self._retry_ratio = retry_ratio
+        self._retries = retries
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._random = random.Random(data_centre)
 
@@ -156,7 +157,9 @@
             return _say(404, "no route")
         job = self._make_job(request, fields, route, began)
         try:
-            self._find_budget(job.service).note_request()
+            budget = self._find_budget(job.service)
+            budget.limit(self._bound_burst())
+            budget.note_request()
             answer = self._run(job)
         except gevent.GreenletExit:
             self._log(job, 0, began)
@@ -204,10 +207,13 @@
     def _find_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._retry_ratio, _BUDGET_MOST)
+            budget = RetryBudget(self._retries.ratio, self._bound_burst())
             self._budgets[service] = budget
         return budget
 
+    def _bound_burst(self) -> float:
+        return bound_burst(self._retries.slack, self._knowledge.hosts)
+
     def _log(self, job: _Job, status: int, began: float) -> None:
         known = self._knowledge.tables.get(job.service)
         now = read_clock()
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -26,6 +26,7 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.daemons._admin import Inspectable
 from sedgetide.daemons._admin import make_application
 from sedgetide.daemons._campaign import Campaign
@@ -115,7 +116,9 @@
             self._lanes,
             self._meter,
             settings.data_centre,
-            settings.retry_ratio * _OWN_SHARE,
+            RetryTerms(
+                settings.retry_ratio * _OWN_SHARE, settings.retry_slack
+            ),
         )
         self._server = Server(
             self._requests.serve,
--- /dev/null
+++ b/tests/core/requests/test_retries.py
@@ -0,0 +1,50 @@
+"""Tests of how many retries all hosts may make together."""
+
+import testtools
+
+from sedgetide.core.requests.retries import bound_burst
+from sedgetide.core.requests.retries import RetryBudget
+
+
+class TestBoundBurst(testtools.TestCase):
+    """An upstream falls silent, and every host has saved up retries.
+
+    Each sends its requests once more within the same second, without
+    hearing of the others. The upstreams that are left get more than the
+    deployment grants, when most of them have the least room.
+    """
+
+    def spend_all(self, hosts, requests, slack, most):
+        spent = 0
+        for _ in range(hosts):
+            budget = RetryBudget(0.1, most)
+            for _ in range(requests // hosts):
+                budget.note_request()
+                spent += budget.spend()
+            while budget.spend():
+                spent += 1
+        return spent
+
+    def test_many_hosts_stay_within_the_slack(self):
+        for hosts, requests, slack in (
+            (8, 340, 56),
+            (11, 315, 62),
+            (59, 970, 158),
+            (91, 820, 222),
+            (91, 182, 222),
+        ):
+            most = bound_burst(slack, hosts)
+            spent = self.spend_all(hosts, requests, slack, most)
+            self.assertLess(spent, 0.2 * requests + slack)
+
+    def test_host_that_knows_of_no_other_saves_little(self):
+        self.assertEqual(1.0, bound_burst(222, None))
+
+    def test_few_hosts_save_no_more_than_they_need(self):
+        self.assertEqual(4.0, bound_burst(62, 11))
+
+    def test_saved_ones_beyond_a_new_bound_are_lost(self):
+        budget = RetryBudget(0.1, 4.0)
+        budget.limit(1.0)
+        self.assertTrue(budget.spend())
+        self.assertFalse(budget.spend())
--- a/tests/daemons/test_feed.py
+++ b/tests/daemons/test_feed.py
@@ -65,6 +65,20 @@
         self.assertEqual(6, self.host.as_of)
         self.assertTrue(self.sink.is_fresh(100.2))
 
+    def test_host_learns_how_many_there_are(self):
+        # Each host saves its part of the retries granted to all; one that
+        # a cut hides from the leader goes on to use its own.
+        self.tell_leader(5, "u-1")
+        self.source.note_report("10.0.0.3:1", 0, 100.0)
+        self.report(100.0)
+        self.deliver(100.0)
+        self.assertEqual(3, self.host.hosts)
+        self.assertEqual(3, self.leader.hosts)
+        self.source.publish(104.0)
+        self.report(104.0)
+        self.deliver(104.0)
+        self.assertEqual(3, self.host.hosts)
+
     def test_news_are_pushed_once(self):
         self.report(100.0)
         self.deliver(100.0)
