A wait for a place that can not come in time is refused at once

Cause: with many hosts the share of an upstream falls to one request in some seconds. Change: the window estimates the wait at best; longer than what is left, the answer is no at once, and Retry-After is the estimate, 0.25 to 1 s.

--- a/sedgetide/core/requests/windows.py
+++ b/sedgetide/core/requests/windows.py
@@ -14,6 +14,7 @@
 _REFUSED = 0.5
 _SMALLEST = 0.05
 _FRACTION_GROWTH = 1.5
+_REST_AT_BEST = 0.25
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True):
@@ -63,6 +64,24 @@
         opening = self.find_opening(now)
         return opening is not None and opening <= now
 
+    def estimate_wait(self, ahead: int, seconds: float, now: float) -> float:
+        """Return after how long one more request might be sent, at best.
+
+        Parameters
+        ----------
+        ahead : int
+            Requests that wait and go first.
+        seconds : float
+            How long requests take there.
+        now : float
+            Own clock.
+        """
+        opening = self.find_opening(now)
+        if opening is None:
+            # What is in flight has been for some time already.
+            opening = now + seconds * _REST_AT_BEST
+        return opening - now + ahead * seconds / self._limit
+
     def note_end(self, seconds: float, now: float) -> None:
         """Take in that a request has ended.
 
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -54,11 +54,15 @@
         return len(self._waiting)
 
     def enter(self, priority: int, wait: float) -> bool:
-        """Wait for a place in the window; return whether one was got."""
+        """Wait for a place in the window; return whether one was got.
+
+        Where none can come in time the answer is no at once: a caller that
+        waits to hear it loses time that it needs elsewhere.
+        """
         if not self._waiting and self.window.is_free(read_clock()):
             self.window.in_flight += 1
             return True
-        if wait <= 0:
+        if wait <= 0 or self.estimate_wait(priority) > wait:
             return False
         turn = Event()
         entry = (priority, next(self._numbers), turn)
@@ -73,6 +77,12 @@
             if not admitted:
                 self._withdraw(entry)
 
+    def estimate_wait(self, priority: int) -> float:
+        """Return after how long a request might get a place, at best."""
+        ahead = sum(1 for each in self._waiting if each[0] <= priority)
+        seconds = self.service_time or _FIRST_GUESS
+        return self.window.estimate_wait(ahead, seconds, read_clock())
+
     def _withdraw(self, entry: tuple[int, int, Event]) -> None:
         """Give up a wait, or the place that it has just got.
 
@@ -114,6 +124,10 @@
         self._timer = None
         self.admit()
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.close()
+
     def note_success(self, seconds: float) -> None:
         """Take in the time of an answer."""
         if self.service_time is None:
@@ -159,11 +173,11 @@
         for name in list(self._lanes):
             lane = self._lanes[name]
             if name not in known and not lane.window.in_flight:
-                self._lanes.pop(name).pool.close()
+                self._lanes.pop(name).close()
             else:
                 lane.pool.prune()
 
     def close(self) -> None:
         """Close all idle connections."""
         for lane in self._lanes.values():
-            lane.pool.close()
+            lane.close()
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -47,6 +47,7 @@
 _CONNECT_TIMEOUT = 0.4
 _NO_CONFIGURATION_RETRY = 0.5
 _REFUSED_RETRY = 0.25
+_LONGEST_RETRY = 1.0
 _OWNERLESS_RETRY = 0.5
 _NOT_OWNER_PAUSE = 0.03
 _BUSY_PAUSE = 0.04
@@ -310,6 +311,9 @@
                 wait = min(limit, job.times.final) - now
                 if not lane.enter(job.route.priority, wait):
                     job.note = "window"
+                    job.retry_after = _bound_retry(
+                        lane.estimate_wait(job.route.priority)
+                    )
                     return None
                 if self._still_holds(job, target):
                     return target, lane
@@ -483,6 +487,10 @@
     return lane.rests.find_longest(now)
 
 
+def _bound_retry(seconds: float) -> float:
+    return min(_LONGEST_RETRY, max(_REFUSED_RETRY, round(seconds, 2)))
+
+
 def _refuse(retry_after: float) -> Answer:
     """Return the answer of a request that has not run and never will."""
     return Answer(503, [("Retry-After", f"{retry_after:g}")], b"not run\n")
--- a/tests/core/requests/test_windows.py
+++ b/tests/core/requests/test_windows.py
@@ -15,6 +15,23 @@
             window.note_load(UpstreamLoad(1, 0, 2), 1.0)
         self.assertEqual(5, window.limit)
 
+    def test_tells_how_long_one_more_has_to_wait(self):
+        window = Window(2)
+        self.assertEqual(0.0, window.estimate_wait(0, 0.2, 1.0))
+        window.in_flight = 2
+        soon = window.estimate_wait(0, 0.2, 1.0)
+        late = window.estimate_wait(10, 0.2, 1.0)
+        self.assertLess(soon, 0.2)
+        self.assertEqual(1.0, round(late - soon, 6))
+
+    def test_share_of_the_time_makes_the_wait_longer(self):
+        window = Window(2)
+        for _ in range(50):
+            window.note_load(UpstreamLoad(2, 6, 2), 1.0)
+        window.in_flight += 1
+        window.note_end(0.2, 1.0)
+        self.assertGreater(window.estimate_wait(0, 0.2, 1.0), 1.0)
+
     def test_shrinks_below_one_request(self):
         # Ninety hosts ask one upstream of ten places for its hot key. With
         # one request each at least, eighty are reset, and an alert among
