--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -12,6 +12,7 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import find_owner
 from sedgetide.core.requests.attempts import list_candidates
@@ -19,6 +20,8 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.choice import Candidate
+from sedgetide.core.requests.choice import choose_upstream
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.retries import bound_burst
@@ -52,9 +55,8 @@
 _NOT_OWNER_PAUSE = 0.03
 _BUSY_PAUSE = 0.04
 _MOST_UNREACHED = 3
-_FOREIGN_ZONE_COST = 1.15
-_SUSPECT_COST = 4.0
 _FIRST_GUESS = 0.25
+_USUAL_GAIN = 0.1
 
 # These left the upstream's own word that nothing ran, or no byte had left.
 _NOT_RUN_FAILURES = frozenset(
@@ -107,6 +109,8 @@
         Own data centre.
     retries : RetryTerms
         What the deployment grants.
+    source : random.Random
+        Blurs choices, on each host in its own way.
     """
 
     def __init__(
@@ -117,6 +121,7 @@
         meter: LoadMeter,
         data_centre: str,
         retries: RetryTerms,
+        source: random.Random,
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
@@ -125,7 +130,8 @@
         self._data_centre = data_centre
         self._retries = retries
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._random = random.Random(data_centre)
+        self._random = source
+        self._usual: dict[ServiceName, float] = {}
 
     def read_limits(self) -> CallerLimits:
         """Return the bounds of callers in force."""
@@ -346,20 +352,20 @@
         )
         if not candidates:
             return Wait.NO_UPSTREAM
-        costs = []
-        for upstream in candidates:
-            lane = self._lanes.find(upstream)
-            cost = (lane.service_time or _FIRST_GUESS) * (
-                0.7
-                + (lane.window.estimate_queue(now) + lane.queue_length)
-                / upstream.slots
-            )
-            if upstream.data_centre != self._data_centre:
-                cost *= _FOREIGN_ZONE_COST
-            if lane.is_suspect(now):
-                cost *= _SUSPECT_COST
-            costs.append((cost * self._random.uniform(0.9, 1.1), upstream))
-        return Target(min(costs, key=lambda each: each[0])[1])
+        seen = [self._describe(upstream, now) for upstream in candidates]
+        return Target(choose_upstream(seen, self._random))
+
+    def _describe(self, upstream: RegisteredUpstream, now: float) -> Candidate:
+        lane = self._lanes.find(upstream)
+        usual = self._usual.get(upstream.service, _FIRST_GUESS)
+        return Candidate(
+            upstream,
+            lane.service_time or usual,
+            lane.window.estimate_queue(now) + lane.queue_length,
+            upstream.data_centre == self._data_centre,
+            lane.pool.has_idle,
+            lane.is_suspect(now),
+        )
 
     # One attempt
 
@@ -447,6 +453,7 @@
         failure = self._dialect.judge(answer.status, answer.headers)
         if failure is Failure.NONE:
             lane.note_success(now - began)
+            self._note_usual(job.service, now - began)
             self._meter.note_answer(
                 job.route.name, target.upstream.name, now - began, load
             )
@@ -464,6 +471,10 @@
             )
         self._note_failure(job, target, lane, failure)
 
+    def _note_usual(self, service: ServiceName, seconds: float) -> None:
+        usual = self._usual.setdefault(service, seconds)
+        self._usual[service] = usual + _USUAL_GAIN * (seconds - usual)
+
     def _note_failure(
         self, job: _Job, target: Target, lane: Lane, failure: Failure
     ) -> None:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import random
 import signal
 from typing import Any
 
@@ -119,6 +120,7 @@
             RetryTerms(
                 settings.retry_ratio * _OWN_SHARE, settings.retry_slack
             ),
+            random.Random(settings.host),
         )
         self._server = Server(
             self._requests.serve,
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -357,6 +357,11 @@
             connection.close()
         return None
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is kept that nobody uses."""
+        return bool(self._idle)
+
     def give_back(self, connection: Connection) -> None:
         """Keep a connection for the next request, if it is still open."""
         if self._closed:
