--- a/sedgetide/testing/proxies.py
+++ b/sedgetide/testing/proxies.py
@@ -3,6 +3,7 @@
 import contextlib
 import enum
 import struct
+import time
 
 import gevent
 from gevent import socket
@@ -10,6 +11,7 @@
 from sedgetide.runtime.sockets import open_listener
 
 _BLOCK = 65536
+_FORGOTTEN = 0.2
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -28,6 +30,8 @@
         Holds up what goes to the server; answers still come.
     REFUSE
         Resets every connection, also new ones.
+    FORGET
+        Resets a connection on the first bytes that come after a rest.
     """
 
     PASS = "pass"
@@ -35,6 +39,7 @@
     CUT = "cut"
     ONE_WAY = "one-way"
     REFUSE = "refuse"
+    FORGET = "forget"
 
 
 class _Pair:
@@ -44,6 +49,13 @@
         self.near = near
         self.far = far
         self.silent = False
+        self._used_at = time.monotonic()
+
+    def note_use(self) -> float:
+        """Return for how long it rested, and count from now."""
+        now = time.monotonic()
+        rested, self._used_at = now - self._used_at, now
+        return rested
 
     def reset(self) -> None:
         for end in (self.near, self.far):
@@ -112,6 +124,10 @@
         try:
             while True:
                 data = source.recv(_BLOCK)
+                rested = pair.note_use()
+                if self.mode is Mode.FORGET and inward and rested > _FORGOTTEN:
+                    pair.reset()
+                    return
                 self._hold_up(inward)
                 if pair.silent and data:
                     # Whoever lost track of the connection says nothing of
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -47,6 +47,7 @@
 _RECONNECT = 0.03
 _KEPT = "build/soak"
 _RESETS = 40
+_FIRST_WITH_FORGETTING = 1000
 _RESET_PAUSE = 0.05
 
 
@@ -291,10 +292,15 @@
         name = self._random.choice(sorted(proxies))
         return self._break_link(at, name, proxies[name])
 
+    def _list_link_faults(self) -> tuple[str, ...]:
+        kinds = ("reset", "silence", "delay", "cut", "one-way", "refuse")
+        if self.seed < _FIRST_WITH_FORGETTING:
+            # Regressions go on drawing the faults that they were found with.
+            return kinds
+        return (*kinds, Mode.FORGET.value, Mode.FORGET.value)
+
     def _break_link(self, at: float, name: str, proxy: Proxy) -> Fault:
-        kind = self._random.choice(
-            ("reset", "silence", "delay", "cut", "one-way", "refuse")
-        )
+        kind = self._random.choice(self._list_link_faults())
         label = f"{kind} {name}"
         if kind == "reset":
             return Fault(
--- a/tests/testing/test_proxies.py
+++ b/tests/testing/test_proxies.py
@@ -51,6 +51,16 @@
         self.proxy.reset_all()
         self.assertRaises(ConnectionResetError, near.recv, 10)
 
+    def test_forgotten_connection_is_reset_when_it_is_used(self):
+        near, far = self.connect()
+        near.sendall(b"x")
+        self.assertEqual(b"x", far.recv(10))
+        self.proxy.mode = Mode.FORGET
+        gevent.sleep(0.3)
+        near.sendall(b"x")
+        self.assertRaises(ConnectionResetError, near.recv, 10)
+        self.assertRaises(ConnectionResetError, far.recv, 10)
+
     def test_cut_holds_bytes_up(self):
         near, far = self.connect()
         self.proxy.mode = Mode.CUT
