--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -28,7 +28,8 @@
 _PROBE_AFTER_S = 1
 _PROBES = 3
 _IDLE_LIFE = 8.0
-_IDLE_SHARE = 0.7
+_LONGEST_IDLE = 30.0
+_IDLE_SHARE = 0.9
 # More answers than this in front of the own one are no mere late repeat.
 _FOREIGN_MOST = 3
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -240,7 +241,7 @@
 
     def set_idle_life(self, seconds: float) -> None:
         """Set for how long the server keeps an idle connection."""
-        self._idle_life = min(_IDLE_LIFE, seconds * _IDLE_SHARE)
+        self._idle_life = min(_LONGEST_IDLE, seconds * _IDLE_SHARE)
 
     @property
     def open_now(self) -> bool:
