An upstream without keys that refuses for keys is another one

Change: such a refusal means that another upstream has the address; the entry is left out for 3 s, or until it lapses. Test: the three decisions; the address was chosen again before.

--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -10,6 +10,8 @@
 
 # A registry that comes back has all live entries again within this time.
 RETURN_GRACE = 2.3
+# A lost upstream's entry lapses within this time.
+_FOREIGN_LIFE = 3.0
 
 
 class RegisteredUpstream(msgspec.Struct, frozen=True):
@@ -61,6 +63,7 @@
         self._grace = grace
         self._entries: dict[UpstreamName, RegisteredUpstream] = {}
         self._missing: set[UpstreamName] = set()
+        self._foreign: dict[UpstreamName, float] = {}
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
@@ -119,7 +122,22 @@
             self._drop(name, now)
         return True
 
+    def note_foreign(self, name: UpstreamName, now: float) -> None:
+        """Take in that another upstream answered at an entry's address.
+
+        A lost upstream stands in the registry until its entry lapses, and
+        its address may be given away before. Whoever has it now refuses
+        everything within a millisecond, so that it seems the fastest of
+        all and would get every request and every retry.
+        """
+        self._foreign[name] = now + _FOREIGN_LIFE
+
+    def is_foreign(self, name: UpstreamName, now: float) -> bool:
+        """Tell whether another upstream answered at its address lately."""
+        return now < self._foreign.get(name, float("-inf"))
+
     def _drop(self, name: UpstreamName, now: float) -> None:
+        self._foreign.pop(name, None)
         self._missing.discard(name)
         self._entries.pop(name, None)
         self.changed_at = now
--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -95,13 +95,29 @@
     directory: Directory,
     service: ServiceName,
     tried: Collection[UpstreamName],
+    now: float,
 ) -> list[RegisteredUpstream]:
     """Return upstreams without keys, those not yet tried before others."""
-    active = directory.list_active(service)
+    active = [
+        each
+        for each in directory.list_active(service)
+        if not directory.is_foreign(each.name, now)
+    ]
     fresh = [each for each in active if each.name not in tried]
     return fresh or active
 
 
+def refine_failure(failure: Failure, keyed: bool) -> Failure:
+    """Return what a failure means for a service with or without keys.
+
+    An upstream without keys has none to refuse for: where it seems to,
+    another one has its address.
+    """
+    if failure is Failure.NOT_OWNER and not keyed:
+        return Failure.FOREIGN
+    return failure
+
+
 def may_send_again(
     route: RouteRule,
     progress: Progress,
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -18,6 +18,7 @@
 from sedgetide.core.requests.attempts import list_candidates
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.attempts import refine_failure
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.attempts import Wait
 from sedgetide.core.requests.choice import Candidate
@@ -63,6 +64,7 @@
     {
         Failure.BUSY,
         Failure.NOT_OWNER,
+        Failure.FOREIGN,
         Failure.DECLINED,
         Failure.UNREACHABLE,
     }
@@ -348,7 +350,7 @@
             table = self._knowledge.find_table(job.service)
             return find_owner(table, job.fields.key, directory)
         candidates = list_candidates(
-            directory, job.service, job.progress.tried
+            directory, job.service, job.progress.tried, now
         )
         if not candidates:
             return Wait.NO_UPSTREAM
@@ -450,7 +452,9 @@
         if load is not None:
             lane.window.note_load(load, now)
             lane.admit()
-        failure = self._dialect.judge(answer.status, answer.headers)
+        failure = refine_failure(
+            self._dialect.judge(answer.status, answer.headers), job.keyed
+        )
         if failure is Failure.NONE:
             lane.note_success(now - began)
             self._note_usual(job.service, now - began)
@@ -463,6 +467,8 @@
                 answer.status, drop_hop_headers(answer.headers), answer.body
             )
             return
+        if failure is Failure.FOREIGN:
+            self._knowledge.directory.note_foreign(target.upstream.name, now)
         if failure in _NOT_RUN_FAILURES:
             job.progress.outcome = combine_outcomes(before, Outcome.NOT_RUN)
         elif failure is Failure.FAILED:
--- a/tests/core/requests/test_attempts.py
+++ b/tests/core/requests/test_attempts.py
@@ -10,9 +10,12 @@
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import find_owner
+from sedgetide.core.requests.attempts import list_candidates
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.attempts import refine_failure
 from sedgetide.core.requests.attempts import Wait
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.routes import set_times
@@ -21,6 +24,44 @@
 UNSAFE = msgspec.structs.replace(SAFE, idempotent=False)
 
 
+class TestListCandidates(testtools.TestCase):
+    """An upstream crashes, and its address goes to another service's.
+
+    The registry shows it for three heartbeats more. Whoever has the
+    address refuses each request at once, so the dead one seems the fastest
+    of all; callers' requests and the retries of all hosts go there and are
+    refused, while the others are free.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        for name in ("u-1", "u-2"):
+            entry = RegisteredUpstream(name, "roster", "1.1.1.1:1", "dc")
+            self.directory.put(entry, 1.0)
+
+    def list_names(self, now, tried=()):
+        found = list_candidates(self.directory, "roster", tried, now)
+        return sorted(each.name for each in found)
+
+    def test_refusal_without_keys_means_another_upstream(self):
+        self.assertIs(
+            Failure.FOREIGN, refine_failure(Failure.NOT_OWNER, keyed=False)
+        )
+        self.assertIs(
+            Failure.NOT_OWNER, refine_failure(Failure.NOT_OWNER, keyed=True)
+        )
+
+    def test_address_of_another_is_left_out(self):
+        self.directory.note_foreign("u-1", 10.0)
+        self.assertEqual(["u-2"], self.list_names(10.1))
+        self.assertEqual(["u-2"], self.list_names(10.1, tried=["u-2"]))
+
+    def test_entry_that_stays_is_tried_again(self):
+        self.directory.note_foreign("u-1", 10.0)
+        self.assertEqual(["u-1", "u-2"], self.list_names(14.0))
+
+
 class TestFindOwner(testtools.TestCase):
     """Only the owner may get a request, and only while it stays."""
 
