--- /dev/null
+++ b/sedgetide/core/ownership/_loads.py
@@ -0,0 +1,95 @@
+"""How busy upstreams are, and would be after moves that are planned."""
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+import msgspec
+
+from sedgetide.core.identifiers import Key
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Tenure
+
+
+class Taker(msgspec.Struct, frozen=True):
+    """An upstream that may own keys.
+
+    Parameters
+    ----------
+    name : UpstreamName
+        Which.
+    slots : int
+        Requests it works on at a time.
+    slowness : float
+        Factor by which its requests take longer than usual.
+    """
+
+    name: UpstreamName
+    slots: int
+    slowness: float = 1.0
+
+
+class Loads:
+    """Busy share of each taker, as it would be after the moves so far."""
+
+    def __init__(
+        self,
+        tenures: Sequence[Tenure],
+        takers: Mapping[UpstreamName, Taker],
+        rates: Mapping[Key, float],
+    ) -> None:
+        self.takers = takers
+        self.keys: dict[UpstreamName, list[tuple[Tenure, list[Key]]]] = {
+            name: [] for name in takers
+        }
+        self.work = dict.fromkeys(takers, 0.0)
+        self.counts = dict.fromkeys(takers, 0)
+        self.cuts: dict[UpstreamName, list[KeyRange]] = (
+            collections.defaultdict(list)
+        )
+        # Upstreams that have more than enough to do with one key alone.
+        self.crowded: set[UpstreamName] = set()
+        self.rates = rates
+        ordered = sorted(rates)
+        start = 0
+        for tenure in tenures:
+            end = start
+            while end < len(ordered) and ordered[end] <= tenure.high:
+                end += 1
+            keys = ordered[start:end]
+            start = end
+            holder = tenure.successor or tenure.owner
+            if holder not in takers:
+                continue
+            self.counts[holder] += 1
+            self.work[holder] += sum(rates[key] for key in keys)
+            if not tenure.moving:
+                self.keys[holder].append((tenure, keys))
+
+    def find_busy(self, name: UpstreamName, more: float = 0.0) -> float:
+        taker = self.takers[name]
+        return (self.work[name] + more) * taker.slowness / taker.slots
+
+    def find_mean(self) -> float:
+        """Return how busy an upstream is on average."""
+        busy = sum(self.find_busy(name) for name in self.takers)
+        return busy / len(self.takers)
+
+    def find_idlest(self) -> UpstreamName:
+        return min(
+            self.takers.keys() - self.crowded or self.takers,
+            key=lambda name: (
+                self.find_busy(name),
+                self.counts[name] / self.takers[name].slots,
+                name,
+            ),
+        )
+
+    def shift(
+        self, work: float, source: UpstreamName | None, goal: UpstreamName
+    ) -> None:
+        if source in self.work:
+            self.work[source] -= work
+        self.work[goal] += work
+        self.counts[goal] += 1
--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -1,16 +1,16 @@
 """Which ranges should get another owner."""
 
 import bisect
-import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 
-import msgspec
-
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.ownership._loads import Loads
+from sedgetide.core.ownership._loads import Taker
+from sedgetide.core.ownership.isolation import plan_isolation
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
@@ -43,82 +43,6 @@
     return max(_LEAST_BOUND, math.ceil(_MOVES_EACH * takers))
 
 
-class Taker(msgspec.Struct, frozen=True):
-    """An upstream that may own keys.
-
-    Parameters
-    ----------
-    name : UpstreamName
-        Which.
-    slots : int
-        Requests it works on at a time.
-    slowness : float
-        Factor by which its requests take longer than usual.
-    """
-
-    name: UpstreamName
-    slots: int
-    slowness: float = 1.0
-
-
-class _Loads:
-    """Busy share of each taker, as it would be after the moves so far."""
-
-    def __init__(
-        self,
-        tenures: Sequence[Tenure],
-        takers: Mapping[UpstreamName, Taker],
-        rates: Mapping[Key, float],
-    ) -> None:
-        self.takers = takers
-        self.keys: dict[UpstreamName, list[tuple[Tenure, list[Key]]]] = {
-            name: [] for name in takers
-        }
-        self.work = dict.fromkeys(takers, 0.0)
-        self.counts = dict.fromkeys(takers, 0)
-        self.cuts: dict[UpstreamName, list[KeyRange]] = (
-            collections.defaultdict(list)
-        )
-        self.rates = rates
-        ordered = sorted(rates)
-        start = 0
-        for tenure in tenures:
-            end = start
-            while end < len(ordered) and ordered[end] <= tenure.high:
-                end += 1
-            keys = ordered[start:end]
-            start = end
-            holder = tenure.successor or tenure.owner
-            if holder not in takers:
-                continue
-            self.counts[holder] += 1
-            self.work[holder] += sum(rates[key] for key in keys)
-            if not tenure.moving:
-                self.keys[holder].append((tenure, keys))
-
-    def find_busy(self, name: UpstreamName, more: float = 0.0) -> float:
-        taker = self.takers[name]
-        return (self.work[name] + more) * taker.slowness / taker.slots
-
-    def find_idlest(self) -> UpstreamName:
-        return min(
-            self.takers,
-            key=lambda name: (
-                self.find_busy(name),
-                self.counts[name] / self.takers[name].slots,
-                name,
-            ),
-        )
-
-    def shift(
-        self, work: float, source: UpstreamName | None, goal: UpstreamName
-    ) -> None:
-        if source in self.work:
-            self.work[source] -= work
-        self.work[goal] += work
-        self.counts[goal] += 1
-
-
 def plan_evictions(
     table: RangeTable,
     takers: Mapping[UpstreamName, Taker],
@@ -137,7 +61,7 @@
     """
     if not takers:
         return []
-    loads = _Loads(table.tenures, takers, rates)
+    loads = Loads(table.tenures, takers, rates)
     moves = []
     for tenure in table.tenures:
         if tenure.moving or tenure.owner in takers:
@@ -169,9 +93,9 @@
         return []
     if len(table.tenures) > _RANGES_EACH * len(takers):
         return []
-    loads = _Loads(table.tenures, takers, rates)
-    moves: list[Move] = []
-    sources = set(takers)
+    loads = Loads(table.tenures, takers, rates)
+    moves = plan_isolation(loads, most)
+    sources = set(takers).difference(loads.crowded)
     while sources and len(moves) < most:
         source = max(sources, key=lambda name: (loads.find_busy(name), name))
         goal = loads.find_idlest()
@@ -186,7 +110,7 @@
 
 
 def _is_worth_a_move(
-    loads: _Loads, source: UpstreamName, goal: UpstreamName
+    loads: Loads, source: UpstreamName, goal: UpstreamName
 ) -> bool:
     if loads.counts[goal] == 0:
         return True
@@ -196,7 +120,7 @@
 
 
 def _plan_one(
-    loads: _Loads, source: UpstreamName, goal: UpstreamName
+    loads: Loads, source: UpstreamName, goal: UpstreamName
 ) -> Move | None:
     gap = loads.find_busy(source) - loads.find_busy(goal)
     found = _cut_range(loads, source, _find_wanted(loads, source, goal, gap))
@@ -209,7 +133,7 @@
 
 
 def _find_wanted(
-    loads: _Loads, source: UpstreamName, goal: UpstreamName, gap: float
+    loads: Loads, source: UpstreamName, goal: UpstreamName, gap: float
 ) -> float:
     """Return the work that makes both upstreams equally busy."""
     cost = sum(
@@ -220,7 +144,7 @@
 
 
 def _cut_range(
-    loads: _Loads, source: UpstreamName, wanted: float
+    loads: Loads, source: UpstreamName, wanted: float
 ) -> tuple[KeyRange, float] | None:
     best: tuple[KeyRange, float] | None = None
     for keys, work in _list_windows(loads, source, wanted):
@@ -232,7 +156,7 @@
 
 
 def _list_windows(
-    loads: _Loads, source: UpstreamName, wanted: float
+    loads: Loads, source: UpstreamName, wanted: float
 ) -> Iterator[tuple[KeyRange, float]]:
     """Yield runs of busy keys that hold no more work than is wanted."""
     rates = loads.rates
--- /dev/null
+++ b/tests/core/ownership/test_isolation.py
@@ -0,0 +1,73 @@
+"""Tests of what becomes of a key that is more than one upstream's work."""
+
+import testtools
+
+from sedgetide.core.ownership.balance import bound_moves
+from sedgetide.core.ownership.balance import plan_balance
+from sedgetide.core.ownership.balance import Taker
+from sedgetide.core.ownership.ranges import RangeTable
+
+COUNT = 16
+
+
+class TestIsolation(testtools.TestCase):
+    """Two fifths of the callers ask for one key for some seconds.
+
+    Its upstream has work for ten. Other keys of the same upstream wait in
+    the same queue until they are refused, though every other upstream has
+    room; moving only what equals half of the difference moves nothing,
+    since all besides the hot key is far less than that.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.names = [f"u{number:02}" for number in range(COUNT)]
+        self.table = RangeTable().assign_first(
+            [(name, 2) for name in self.names]
+        )
+        self.rates = {key * 64: 0.02 for key in range(1024)}
+        self.hot = 64 * 100
+        self.rates[self.hot] = 20.0
+
+    def balance(self, rounds=6, **slowness):
+        takers = {
+            name: Taker(name, 2, slowness.get(name, 1.0))
+            for name in self.names
+        }
+        table = self.table
+        for _ in range(rounds):
+            moves = plan_balance(table, takers, self.rates, bound_moves(COUNT))
+            table = table.begin(moves)
+            table = table.complete(table.list_moving()).merge()
+        return table
+
+    def test_hot_key_is_left_alone(self):
+        table = self.balance()
+        owner = table.find(self.hot).owner
+        owned = table.list_owned(owner)
+        self.assertEqual(
+            [(self.hot, self.hot)], [(each.low, each.high) for each in owned]
+        )
+
+    def test_it_goes_to_the_fastest(self):
+        owner = self.table.find(self.hot).owner
+        table = self.balance(**{owner: 1.6, "u09": 0.7})
+        self.assertEqual("u09", table.find(self.hot).owner)
+        self.assertEqual(1, len(table.list_owned("u09")))
+
+    def test_it_stays_where_none_is_much_faster(self):
+        owner = self.table.find(self.hot).owner
+        table = self.balance(u09=0.8)
+        self.assertEqual(owner, table.find(self.hot).owner)
+
+    def test_once_isolated_nothing_more_moves(self):
+        self.table = self.balance(12)
+        self.assertEqual(self.table, self.balance(1))
+
+    def test_few_upstreams_keep_what_they_have(self):
+        # With three upstreams one less for all other keys is too many.
+        names = self.names[:3]
+        takers = {name: Taker(name, 2) for name in names}
+        table = RangeTable().assign_first([(name, 2) for name in names])
+        rates = {self.hot: 20.0}
+        self.assertEqual([], plan_balance(table, takers, rates))
