A refusal with room is a fault of the upstream, and its caller returns soon

Each refusal halved the host's share, so that the hosts refused what was left, and the callers were told to come again in 0.25 s. Change: a refusal of an upstream that says nobody waits leaves the share alone; Retry-After is 0.05 s and what waits there takes, 1 s at most. Test: both decisions; failed before.

--- a/sedgetide/core/requests/windows.py
+++ b/sedgetide/core/requests/windows.py
@@ -15,6 +15,9 @@
 _SMALLEST = 0.05
 _FRACTION_GROWTH = 1.5
 _REST_AT_BEST = 0.25
+_RETURN_UNKNOWN = 0.25
+_RETURN_LEAST = 0.05
+_RETURN_MOST = 1.0
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True):
@@ -25,6 +28,22 @@
     slots: int
 
 
+def estimate_return(load: UpstreamLoad | None, seconds: float) -> float:
+    """Return when a refused request does well to come again, in seconds.
+
+    Parameters
+    ----------
+    load : UpstreamLoad or None
+        What the upstream said when it refused.
+    seconds : float
+        How long requests take there.
+    """
+    if load is None:
+        return _RETURN_UNKNOWN
+    wait = load.waiting * seconds / max(1, load.slots)
+    return min(_RETURN_MOST, _RETURN_LEAST + wait)
+
+
 class Window:
     """Bound of the requests in flight from this host to one upstream.
 
@@ -110,8 +129,18 @@
             most = 2.0 * self.slots + 1
             self._limit = min(most, self._limit + _GROWTH)
 
-    def note_refusal(self) -> None:
-        """Take in that the upstream had no room."""
+    def note_refusal(self, load: UpstreamLoad | None = None) -> None:
+        """Take in that the upstream took a request for one too many.
+
+        Parameters
+        ----------
+        load : UpstreamLoad or None
+            What it said of itself. One that refuses while nobody waits
+            there has room and a fault: sending it less would add our own
+            refusals to its.
+        """
+        if load is not None and load.waiting == 0:
+            return
         self._limit = max(_SMALLEST, self._limit * _REFUSED)
 
     def estimate_queue(self, now: float) -> float:
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -32,6 +32,8 @@
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.routes import Timetable
+from sedgetide.core.requests.windows import estimate_return
+from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.daemons._hostmetrics import HELD_SECONDS
 from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
 from sedgetide.daemons._hostmetrics import REQUESTS
@@ -478,18 +480,26 @@
             job.answer = Answer(
                 answer.status, drop_hop_headers(answer.headers), answer.body
             )
-        self._note_failure(job, target, lane, failure)
+        if failure is Failure.BUSY:
+            seconds = lane.service_time or _FIRST_GUESS
+            job.retry_after = estimate_return(load, seconds)
+        self._note_failure(job, target, lane, failure, load)
 
     def _note_usual(self, service: ServiceName, seconds: float) -> None:
         usual = self._usual.setdefault(service, seconds)
         self._usual[service] = usual + _USUAL_GAIN * (seconds - usual)
 
     def _note_failure(
-        self, job: _Job, target: Target, lane: Lane, failure: Failure
+        self,
+        job: _Job,
+        target: Target,
+        lane: Lane,
+        failure: Failure,
+        load: UpstreamLoad | None = None,
     ) -> None:
         job.progress.failure = failure
         if failure in (Failure.BUSY, Failure.BROKEN):
-            lane.window.note_refusal()
+            lane.window.note_refusal(load)
         if failure is not Failure.NOT_OWNER:
             unreached = failure is Failure.UNREACHABLE
             lane.note_failure(read_clock(), 2.0 if unreached else 1.0)
--- a/tests/core/requests/test_windows.py
+++ b/tests/core/requests/test_windows.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sedgetide.core.requests.windows import estimate_return
 from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.core.requests.windows import Window
 
@@ -32,6 +33,24 @@
         window.note_end(0.2, 1.0)
         self.assertGreater(window.estimate_wait(0, 0.2, 1.0), 1.0)
 
+    def test_refusal_with_room_is_a_fault_and_no_lack(self):
+        # An upstream refuses half of what it gets, though nobody waits
+        # there. With a smaller share of it the hosts would refuse the other
+        # half, and its callers be served not at all.
+        window = Window(2)
+        for _ in range(10):
+            window.note_refusal(UpstreamLoad(1, 0, 2))
+        self.assertEqual(2, window.limit)
+        window.note_refusal(UpstreamLoad(2, 8, 2))
+        self.assertEqual(1, window.limit)
+
+    def test_refused_caller_comes_again_when_there_is_room(self):
+        free = estimate_return(UpstreamLoad(1, 0, 2), 0.2)
+        full = estimate_return(UpstreamLoad(2, 8, 2), 0.2)
+        self.assertLess(free, 0.1)
+        self.assertGreater(full, 0.8)
+        self.assertEqual(0.25, estimate_return(None, 0.2))
+
     def test_shrinks_below_one_request(self):
         # Ninety hosts ask one upstream of ten places for its hot key. With
         # one request each at least, eighty are reset, and an alert among
