--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -1,5 +1,7 @@
 """The processes of a soak, and the proxies between them."""
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import itertools
 import os
@@ -8,6 +10,7 @@
 import subprocess
 import sys
 import time
+from typing import Any
 
 import gevent
 import msgspec
@@ -27,6 +30,9 @@
 PLAIN = "archive"
 GRACE = 4.0
 _ENDED = 10.0
+# Places after the name of the program, proc(5).
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
 
 
 # Below the range from which the kernel takes the ports of connections; a
@@ -85,6 +91,13 @@
         """Whether the process is there."""
         return self._process is not None and self._process.poll() is None
 
+    def read_processor_time(self) -> float:
+        """Return the seconds of processor time that it has used."""
+        stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     def wait(self, seconds: float = _ENDED) -> None:
         """Wait for its end."""
         end = time.monotonic() + seconds
@@ -102,7 +115,11 @@
     """A host with the ways to it and from it to the store."""
 
     def __init__(
-        self, number: int, folder: pathlib.Path, store_port: int
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_port: int,
+        options: Mapping[str, Any],
     ) -> None:
         self.name = f"host-{number}"
         ports = [find_port() for _ in range(4)]
@@ -117,6 +134,7 @@
             link=f"127.0.0.1:{ports[3]}",
             stores=(self.store.address,),
             grace=GRACE,
+            **options,
         )
         self.ready_port = ports[1]
         path = folder / f"{self.name}.json"
@@ -218,9 +236,16 @@
         Where settings and output go.
     late : float
         Share of grants that upstreams carry out late.
+    options : sequence of mapping
+        Settings of each host besides its names and addresses.
     """
 
-    def __init__(self, folder: pathlib.Path, late: float) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        late: float,
+        options: Sequence[Mapping[str, Any]] = ({}, {}, {}),
+    ) -> None:
         self._stack = contextlib.ExitStack()
         self.store_port = find_port()
         self.store = Program(
@@ -233,7 +258,8 @@
             ],
         )
         self.hosts = [
-            SoakHost(number, folder, self.store_port) for number in range(3)
+            SoakHost(number, folder, self.store_port, each)
+            for number, each in enumerate(options)
         ]
         services = [KEYED] * 4 + [PLAIN] * 2
         self.upstreams = [
