--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo faults soak slopes lint clean
+.PHONY: test demo faults soak slopes losses logcost lint clean
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -25,6 +25,12 @@
 slopes: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.slopes --output build/slopes.json
 
+losses: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.losses --output build/losses.json
+
+logcost: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.logcost --output build/logcost.json
+
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -e '.[test]'
