A host that the store turns away gets large items from the leader after all

A host that the store turns away could read none there, and as long as it lacked one the feed told it nothing else: no move, no loss. Also, a host was told several times to read the same item. Change: a host is told once; one that is still behind a second later gets it from the leader, one host each 0.2 s. Test: two hosts that the store turns away; neither got it before.

--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -26,6 +26,9 @@
 ENDED = 1e9
 # One copy for each of many hosts would keep the leader's link busy.
 _LARGE_BYTES = 32 * 1024
+# Who has not read one from the store by then is turned away there.
+_READING = 1.0
+_LARGE_EVERY = 0.2
 
 
 class _Subscriber(msgspec.Struct):
@@ -63,6 +66,8 @@
         self._send = send
         self._subscribers: dict[LinkAddress, _Subscriber] = {}
         self._book = PatchBook()
+        self._told: dict[LinkAddress, float] = {}
+        self._large_at = float("-inf")
 
     def note_report(
         self, link: LinkAddress, revision: Revision, now: float
@@ -76,6 +81,7 @@
         for link, subscriber in list(self._subscribers.items()):
             if now - subscriber.heard_at > _SUBSCRIBER_LIFE:
                 del self._subscribers[link]
+                self._told.pop(link, None)
             elif subscriber.revision < self._knowledge.as_of:
                 self._feed(link, subscriber, now)
 
@@ -86,8 +92,7 @@
         if items is None:
             # It is too far behind; without the feed it lists the store.
             return
-        if _are_large(items):
-            self._send_to_store(link)
+        if _are_large(items) and not self._may_send_large(link, now):
             return
         age = now - self._knowledge.heard_at
         if age > _OLDEST:
@@ -106,6 +111,24 @@
         )
         self._send(link, message)
         subscriber.revision = as_of
+        self._told.pop(link, None)
+
+    def _may_send_large(self, link: LinkAddress, now: float) -> bool:
+        """Tell whether a host gets a large item from here after all.
+
+        It is sent to the store first. A host that is still behind some
+        time later can not read there: the store turns it away, and without
+        the large item it would get no other news either. Those get it one
+        after the other.
+        """
+        told_at = self._told.setdefault(link, now)
+        if told_at == now:
+            self._send_to_store(link)
+            return False
+        if now - told_at < _READING or now - self._large_at < _LARGE_EVERY:
+            return False
+        self._large_at = now
+        return True
 
     def _pack(
         self, items: list[Item], known: Revision
@@ -145,6 +168,7 @@
         for link in self._subscribers:
             self._send_to_store(link)
         self._subscribers.clear()
+        self._told.clear()
 
 
 class FeedSink:
--- a/tests/daemons/test_feed.py
+++ b/tests/daemons/test_feed.py
@@ -203,6 +203,26 @@
         self.assertFalse(self.sink.is_fresh(100.1))
         self.assertEqual(0, self.host.as_of)
 
+    def test_host_that_the_store_turns_away_gets_the_large_item(self):
+        # The store serves all but two hosts. Sent there for the large
+        # policy, these two can't read it, and as long as it is what they
+        # lack they would hear of no move and no loss either: their callers
+        # are sent to owners that are none any more.
+        other = "10.0.0.3:1"
+        self.tell_leader(5, "u-1", b"x" * 140_000)
+        for moment in (100.0, 100.4, 100.8, 101.2, 101.3):
+            self.leader.note_heard(5, moment)
+            self.report(moment)
+            self.source.note_report(other, 0, moment)
+        large = [each for each in self.sent if each.items]
+        self.assertEqual(1, len(large))
+        self.leader.note_heard(5, 101.6)
+        self.source.note_report(other, 0, 101.6)
+        large = [each for each in self.sent if each.items]
+        self.assertEqual(2, len(large))
+        self.deliver(101.6)
+        self.assertEqual(["u-1"], self.list_names())
+
     def test_host_that_read_the_large_item_is_fed_again(self):
         self.tell_leader(5, "u-1", b"x" * 1_000_000)
         self.report(100.0)
