The pause of a window below one request ends within 10 s

Cause: found by reading. The pause is up to 19 times the time that requests take at the upstream: 76 s after one that took 4 s, however soon it recovers; its keys' callers are refused meanwhile unless the leader moves them. Change: 10 s at most. Test: failed before.

--- a/sedgetide/core/requests/windows.py
+++ b/sedgetide/core/requests/windows.py
@@ -15,6 +15,7 @@
 _SMALLEST = 0.05
 _FRACTION_GROWTH = 1.5
 _REST_AT_BEST = 0.25
+_LONGEST_PAUSE = 10.0
 _RETURN_UNKNOWN = 0.25
 _RETURN_LEAST = 0.05
 _RETURN_MOST = 1.0
@@ -111,7 +112,10 @@
         """
         self.in_flight -= 1
         if self._limit < 1.0:
-            self._next_at = now + seconds * (1.0 / self._limit - 1.0)
+            pause = seconds * (1.0 / self._limit - 1.0)
+            # A slow upstream may have recovered long before; nobody learns
+            # of it but by the next request.
+            self._next_at = now + min(_LONGEST_PAUSE, pause)
 
     def note_load(self, load: UpstreamLoad, now: float) -> None:
         """Take in what the upstream said."""
--- a/tests/core/requests/test_windows.py
+++ b/tests/core/requests/test_windows.py
@@ -33,6 +33,17 @@
         window.note_end(0.2, 1.0)
         self.assertGreater(window.estimate_wait(0, 0.2, 1.0), 1.0)
 
+    def test_recovered_upstream_is_asked_again_soon(self):
+        # It was full and took 4 s for each request. Its callers would be
+        # refused here for over a minute after it has recovered.
+        window = Window(2)
+        for _ in range(50):
+            window.note_load(UpstreamLoad(2, 6, 2), 1.0)
+        window.in_flight += 1
+        window.note_end(4.0, 1.0)
+        self.assertFalse(window.is_free(10.0))
+        self.assertTrue(window.is_free(11.1))
+
     def test_refusal_with_room_is_a_fault_and_no_lack(self):
         # An upstream refuses half of what it gets, though nobody waits
         # there. With a smaller share of it the hosts would refuse the other
