--- /dev/null
+++ b/sedgetide/daemons/_job.py
@@ -0,0 +1,56 @@
+"""A request on its way, from its arrival to its final answer."""
+
+import msgspec
+
+from sedgetide.backends.dialects import CallerFields
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.routes import Timetable
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import Request
+
+REFUSED_RETRY = 0.25
+
+
+class Job(msgspec.Struct):
+    """One request on its way.
+
+    Parameters
+    ----------
+    request, fields : Request, CallerFields
+        What the caller sent.
+    route, service, keyed : RouteRule, ServiceName, bool
+        Where it goes, and whether only the owner of its key may run it.
+    times : Timetable
+        Its times by the own clock.
+    progress : Progress
+        What has become of it so far.
+    answer : Answer or None
+        Last answer that may be passed on.
+    retry_after : float
+        Seconds after which the caller does well to come again.
+    note : str
+        Why it got no answer, for the log.
+    unreached : int
+        Connections that did not open.
+    fence : int
+        Fence under which it was sent last.
+    held, rested : float
+        Seconds that it waited here, and that its connection had been idle.
+    """
+
+    request: Request
+    fields: CallerFields
+    route: RouteRule
+    service: ServiceName
+    keyed: bool
+    times: Timetable
+    progress: Progress
+    answer: Answer | None = None
+    retry_after: float = REFUSED_RETRY
+    note: str = ""
+    unreached: int = 0
+    fence: int = 0
+    held: float = 0.0
+    rested: float = 0.0
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -3,7 +3,6 @@
 import random
 
 import gevent
-import msgspec
 
 from sedgetide.backends.dialects import CallerFields
 from sedgetide.backends.dialects import RequestDialect
@@ -31,21 +30,18 @@
 from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
-from sedgetide.core.requests.routes import Timetable
 from sedgetide.core.requests.windows import estimate_return
 from sedgetide.core.requests.windows import UpstreamLoad
-from sedgetide.daemons._hostmetrics import HELD_SECONDS
-from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
-from sedgetide.daemons._hostmetrics import REQUESTS
 from sedgetide.daemons._hostmetrics import RETRIES
-from sedgetide.daemons._hostmetrics import SENDS
+from sedgetide.daemons._job import Job
+from sedgetide.daemons._job import REFUSED_RETRY
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._reporter import LoadMeter
+from sedgetide.daemons._requestlog import count_end
+from sedgetide.daemons._requestlog import RequestLog
 from sedgetide.runtime.clock import read_clock
-from sedgetide.runtime.events import Event
-from sedgetide.runtime.events import tell
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import drop_hop_headers
 from sedgetide.wire.messages import find_header
@@ -53,7 +49,6 @@
 
 _CONNECT_TIMEOUT = 0.4
 _NO_CONFIGURATION_RETRY = 0.5
-_REFUSED_RETRY = 0.25
 _LONGEST_RETRY = 1.0
 _OWNERLESS_RETRY = 0.5
 _NOT_OWNER_PAUSE = 0.03
@@ -78,25 +73,6 @@
 _OWN_FAULTS = frozenset({Failure.FAILED, Failure.SILENT, Failure.FOREIGN})
 
 
-class _Job(msgspec.Struct):
-    """One request on its way."""
-
-    request: Request
-    fields: CallerFields
-    route: RouteRule
-    service: ServiceName
-    keyed: bool
-    times: Timetable
-    progress: Progress
-    answer: Answer | None = None
-    retry_after: float = _REFUSED_RETRY
-    note: str = ""
-    unreached: int = 0
-    fence: int = 0
-    held: float = 0.0
-    rested: float = 0.0
-
-
 class Requests:
     """Serves the requests of one host.
 
@@ -137,6 +113,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._random = source
         self._usual: dict[ServiceName, float] = {}
+        self._log = RequestLog(knowledge)
 
     def read_limits(self) -> CallerLimits:
         """Return the bounds of callers in force."""
@@ -165,7 +142,7 @@
             return _say(400, str(error))
         route = self._match(request)
         if route is None:
-            self._tell_denied(fields, request)
+            self._log.tell_denied(fields, request)
             return _say(404, "no route")
         job = self._make_job(request, fields, route, began)
         try:
@@ -174,47 +151,26 @@
             budget.note_request()
             answer = self._run(job)
         except gevent.GreenletExit:
-            self._log(job, 0, began)
+            self._log.tell_end(job, 0, began)
             raise
-        self._log(job, answer.status, began)
-        self._count(job, began)
+        self._log.tell_end(job, answer.status, began)
+        count_end(job, began)
         return answer
 
-    def _count(self, job: _Job, began: float) -> None:
-        progress = job.progress
-        REQUESTS.labels(
-            job.service, progress.outcome.value, progress.failure.value
-        ).inc()
-        REQUEST_SECONDS.labels(job.service).observe(read_clock() - began)
-        if progress.sends:
-            HELD_SECONDS.labels(job.service).observe(job.held)
-            SENDS.labels(job.service).inc(progress.sends)
-
-    def _tell_denied(self, fields: CallerFields, request: Request) -> None:
-        tell(
-            Event.DENIED,
-            id=fields.request,
-            status=404,
-            host_header=find_header(request.headers, "host"),
-            path=request.path[:80],
-            version=self._knowledge.policy.version,
-            age_ms=int((read_clock() - self._knowledge.heard_at) * 1000),
-        )
-
     def _make_job(
         self,
         request: Request,
         fields: CallerFields,
         route: RouteRule,
         began: float,
-    ) -> _Job:
+    ) -> Job:
         service = choose_service(route, fields.request)
         rule = self._knowledge.policy.services.get(service)
         keyed = rule is not None and rule.keyed
         if keyed and fields.key is not None:
             self._meter.note_request(route.name, service, fields.key)
         times = set_times(route, fields.deadline, began)
-        return _Job(request, fields, route, service, keyed, times, Progress())
+        return Job(request, fields, route, service, keyed, times, Progress())
 
     def _find_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -228,32 +184,9 @@
     def _bound_burst(self) -> float:
         return bound_burst(self._retries.slack, self._knowledge.hosts)
 
-    def _log(self, job: _Job, status: int, began: float) -> None:
-        known = self._knowledge.tables.get(job.service)
-        now = read_clock()
-        tell(
-            Event.REQUEST,
-            id=job.fields.request,
-            route=job.route.name,
-            service=job.service,
-            key=job.fields.key,
-            status=status,
-            outcome=job.progress.outcome.value,
-            failure=job.progress.failure.value,
-            note=job.note,
-            upstreams=",".join(job.progress.tried),
-            ms=int((now - began) * 1000),
-            held_ms=int(job.held * 1000),
-            rested_ms=int(job.rested * 1000),
-            version=self._knowledge.policy.version,
-            revision=0 if known is None else known.revision,
-            fence=job.fence,
-            age_ms=int((now - self._knowledge.heard_at) * 1000),
-        )
-
     # Attempts
 
-    def _run(self, job: _Job) -> Answer:
+    def _run(self, job: Job) -> Answer:
         while True:
             found = self._find_lane(job)
             if found is None:
@@ -268,7 +201,7 @@
             if not self._may_go_on(job):
                 return self._conclude(job)
 
-    def _may_go_on(self, job: _Job) -> bool:
+    def _may_go_on(self, job: Job) -> bool:
         now = read_clock()
         if job.progress.failure is Failure.UNREACHABLE:
             return self._may_look_elsewhere(job, now)
@@ -287,7 +220,7 @@
             gevent.sleep(_BUSY_PAUSE)
         return True
 
-    def _may_look_elsewhere(self, job: _Job, now: float) -> bool:
+    def _may_look_elsewhere(self, job: Job, now: float) -> bool:
         """Tell whether to go on after a connection that did not open.
 
         Nothing arrived anywhere, so this is no retry; but the owner of a
@@ -300,7 +233,7 @@
             self._knowledge.changes.wait(job.times.bound_hold() - now)
         return True
 
-    def _conclude(self, job: _Job) -> Answer:
+    def _conclude(self, job: Job) -> Answer:
         """Return the final answer of a request that none was got for."""
         if job.progress.outcome is Outcome.NOT_RUN:
             return _refuse(job.retry_after)
@@ -311,7 +244,7 @@
 
     # Targets
 
-    def _find_lane(self, job: _Job) -> tuple[Target, Lane] | None:
+    def _find_lane(self, job: Job) -> tuple[Target, Lane] | None:
         """Return a target with a place in its window; None to give up."""
         limit = job.times.bound_hold()
         if job.progress.sends:
@@ -339,7 +272,7 @@
                 return None
             self._knowledge.changes.wait(limit - now)
 
-    def _still_holds(self, job: _Job, target: Target) -> bool:
+    def _still_holds(self, job: Job, target: Target) -> bool:
         """Tell whether a target is still right after waiting for it."""
         directory = self._knowledge.directory
         if directory.find_active(target.upstream.name) is None:
@@ -349,7 +282,7 @@
         table = self._knowledge.find_table(job.service)
         return find_owner(table, job.fields.key, directory) == target
 
-    def _find_target(self, job: _Job, now: float) -> Target | Wait:
+    def _find_target(self, job: Job, now: float) -> Target | Wait:
         directory = self._knowledge.directory
         if job.keyed:
             table = self._knowledge.find_table(job.service)
@@ -376,7 +309,7 @@
 
     # One attempt
 
-    def _attempt(self, job: _Job, target: Target, lane: Lane) -> None:
+    def _attempt(self, job: Job, target: Target, lane: Lane) -> None:
         progress = job.progress
         name = target.upstream.name
         now = read_clock()
@@ -422,7 +355,7 @@
         lane.pool.give_back(connection)
         self._take_answer(job, target, lane, answer, before, began)
 
-    def _make_send(self, job: _Job, target: Target, now: float) -> Request:
+    def _make_send(self, job: Job, target: Target, now: float) -> Request:
         headers = drop_hop_headers(job.request.headers)
         return Request(
             job.request.method,
@@ -436,7 +369,7 @@
             job.request.body,
         )
 
-    def _make_test(self, job: _Job):
+    def _make_test(self, job: Job):
         def belongs(headers: list[tuple[str, str]]) -> bool:
             found = self._dialect.find_request(headers)
             return found is None or found == job.fields.request
@@ -445,7 +378,7 @@
 
     def _take_answer(
         self,
-        job: _Job,
+        job: Job,
         target: Target,
         lane: Lane,
         answer: Answer,
@@ -491,7 +424,7 @@
 
     def _note_failure(
         self,
-        job: _Job,
+        job: Job,
         target: Target,
         lane: Lane,
         failure: Failure,
@@ -507,7 +440,7 @@
             self._meter.note_failure(target.upstream.name)
 
 
-def _choose_rest(job: _Job, lane: Lane, now: float) -> float:
+def _choose_rest(job: Job, lane: Lane, now: float) -> float:
     """Return how long a connection may have rested for a request.
 
     One that may run again is sent again; the others have one chance.
@@ -518,7 +451,7 @@
 
 
 def _bound_retry(seconds: float) -> float:
-    return min(_LONGEST_RETRY, max(_REFUSED_RETRY, round(seconds, 2)))
+    return min(_LONGEST_RETRY, max(REFUSED_RETRY, round(seconds, 2)))
 
 
 def _refuse(retry_after: float) -> Answer:
