Soak: a program that runs is not started again

Two overlapping faults of one host both ended with a start; the first process was lost sight of. Test: started twice it is one process.

--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -73,7 +73,13 @@
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
-        """Start it; its output is appended to its file."""
+        """Start it, unless it runs; its output is appended to its file.
+
+        Two faults of one process that overlap both end with a start; a
+        second process would stay behind when the soak ends.
+        """
+        if self.running:
+            return
         with self.output.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, *self.arguments],
@@ -86,6 +92,11 @@
         if self._process is not None and self._process.poll() is None:
             os.kill(self._process.pid, number)
 
+    @property
+    def identifier(self) -> int:
+        """Process id of its last start."""
+        return self._process.pid
+
     @property
     def running(self) -> bool:
         """Whether the process is there."""
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -6,6 +6,7 @@
 import testtools
 
 from sedgetide.testing.soak import play
+from sedgetide.testing.soakfleet import Program
 
 # Every seed that broke a promise, with its cause; all are played by
 # ``make soak``, the first also here.
@@ -16,6 +17,22 @@
 }
 
 
+class TestProgram(testtools.TestCase):
+    """Processes of a soak."""
+
+    def test_started_twice_it_is_one_process(self):
+        # A kill and a planned stop of one host overlap, and both end with a
+        # start. The first process was lost sight of and outlived the soak.
+        with tempfile.TemporaryDirectory() as folder:
+            arguments = ["-c", "import time; time.sleep(60)"]
+            program = Program("sleeper", pathlib.Path(folder), arguments)
+            self.addCleanup(program.close)
+            program.start()
+            first = program.identifier
+            program.start()
+            self.assertEqual(first, program.identifier)
+
+
 class TestSoak(testtools.TestCase):
     """What callers and upstreams see while faults overlap."""
 
