--- a/sedgetide/backends/dialects.py
+++ b/sedgetide/backends/dialects.py
@@ -9,6 +9,9 @@
 import msgspec
 
 from sedgetide.core.configuration.policy import Policy
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import InputError
+from sedgetide.core.errors import Step
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import RequestId
@@ -53,6 +56,24 @@
     upstream: UpstreamName
 
 
+class UnreadableEntry(InputError):
+    """An entry of the registry that names no upstream to use.
+
+    Parameters
+    ----------
+    upstream : UpstreamName
+        Under whose name it stands.
+    key : str
+        Its key.
+    problem : str
+        What is wrong with it.
+    """
+
+    def __init__(self, upstream: UpstreamName, key: str, problem: str) -> None:
+        super().__init__(ErrorCode.BAD_TEXT, Step.READ, key, problem)
+        self.upstream = upstream
+
+
 class RequestDialect(abc.ABC):
     """Headers of requests and answers."""
 
@@ -143,6 +164,8 @@
 
         Raises
         ------
+        UnreadableEntry
+            When it is an entry of the registry that can not be read.
         InputError
-            When it can not be read.
+            When it is anything else that can not be read.
         """
--- a/sedgetide/coding/ranges.py
+++ b/sedgetide/coding/ranges.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_UPSTREAM
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import LAST_KEY
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
@@ -55,7 +55,7 @@
         When it is no table.
     """
     short = msgspec.msgpack.decode(value, type=_ShortTable)
-    names = [UpstreamName(name) for name in short.names]
+    names = [IncarnationName(name) for name in short.names]
     ends = [row[0] - 1 for row in short.rows[1:]] + [LAST_KEY]
     tenures = [
         Tenure(
--- a/sedgetide/core/errors.py
+++ b/sedgetide/core/errors.py
@@ -12,6 +12,7 @@
     STORE_CONFLICT = "store-conflict"
     STORE_UNCERTAIN = "store-uncertain"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
+    UPSTREAM_FULL = "upstream-full"
     UPSTREAM_SILENT = "upstream-silent"
     BAD_ANSWER = "bad-answer"
     TOO_LATE = "too-late"
--- a/sedgetide/core/identifiers.py
+++ b/sedgetide/core/identifiers.py
@@ -4,6 +4,9 @@
 
 ServiceName = NewType("ServiceName", str)
 UpstreamName = NewType("UpstreamName", str)
+# One start of an upstream's process; see core/membership/incarnations.py.
+IncarnationName = NewType("IncarnationName", str)
+BirthMark = NewType("BirthMark", int)
 DataCentre = NewType("DataCentre", str)
 HostName = NewType("HostName", str)
 LinkAddress = NewType("LinkAddress", str)
@@ -24,4 +27,4 @@
 Version = NewType("Version", int)
 
 NO_FENCE = Fence(0)
-NO_UPSTREAM = UpstreamName("")
+NO_UPSTREAM = IncarnationName("")
--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -1,17 +1,27 @@
 """Upstreams that register and leave by themselves."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from typing import Any
 
 import msgspec
 
+from sedgetide.core.identifiers import BirthMark
 from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.incarnations import name_incarnation
+from sedgetide.core.membership.incarnations import UNKNOWN_BIRTH
 
 # A registry that comes back has all live entries again within this time.
 RETURN_GRACE = 2.3
 # A lost upstream's entry lapses within this time.
 _FOREIGN_LIFE = 3.0
+# Upstreams that were ever seen, kept to know late entries of old starts: an
+# entry outlives its upstream by seconds, and 4,000 starts are more than any
+# deployment sees in that time, at 200 bytes each.
+_MOST_SEEN = 4000
 
 
 class RegisteredUpstream(msgspec.Struct, frozen=True):
@@ -19,8 +29,8 @@
 
     Parameters
     ----------
-    name : UpstreamName
-        Unique for each start.
+    registered_name : UpstreamName
+        Name in the registry; another start may come under the same.
     service : ServiceName
         Service it belongs to.
     address : str
@@ -33,15 +43,23 @@
         Whether it has announced its end.
     warmup : float
         Seconds for which it is still slow.
+    born : BirthMark
+        Which start of the upstream this is.
     """
 
-    name: UpstreamName
+    registered_name: UpstreamName
     service: ServiceName
     address: str
     data_centre: DataCentre
     slots: int = 1
     leaving: bool = False
     warmup: float = 0.0
+    born: BirthMark = UNKNOWN_BIRTH
+
+    @property
+    def name(self) -> IncarnationName:
+        """Name of this start, unlike that of any other."""
+        return name_incarnation(self.registered_name, self.born)
 
 
 class Directory:
@@ -53,6 +71,9 @@
     fleet after each outage, so such an entry stays for a grace period
     after the registry is back.
 
+    An upstream that starts again under its name is another incarnation,
+    and an entry of an older one that arrives late changes nothing.
+
     Parameters
     ----------
     grace : float
@@ -61,9 +82,13 @@
 
     def __init__(self, grace: float = RETURN_GRACE) -> None:
         self._grace = grace
-        self._entries: dict[UpstreamName, RegisteredUpstream] = {}
-        self._missing: set[UpstreamName] = set()
-        self._foreign: dict[UpstreamName, float] = {}
+        self._entries: dict[IncarnationName, RegisteredUpstream] = {}
+        self._current: dict[UpstreamName, IncarnationName] = {}
+        self._born: dict[UpstreamName, BirthMark] = {}
+        self._first_seen: dict[IncarnationName, float] = {}
+        self._missing: set[IncarnationName] = set()
+        self._unreadable: set[IncarnationName] = set()
+        self._foreign: dict[IncarnationName, float] = {}
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
@@ -85,19 +110,52 @@
         """Return for how long missing entries are not believed yet."""
         return max(0.0, self._disturbed_until - now)
 
-    def put(self, upstream: RegisteredUpstream, now: float) -> None:
-        """Take in an entry."""
-        self._missing.discard(upstream.name)
-        if self._entries.get(upstream.name) == upstream:
+    def put(self, entry: RegisteredUpstream, now: float) -> None:
+        """Take in an entry, unless a later start of its upstream is known."""
+        known = self._born.get(entry.registered_name, UNKNOWN_BIRTH)
+        if entry.born == UNKNOWN_BIRTH != known:
+            self.discredit(entry.registered_name, now)
+            return
+        if entry.born < known:
+            return
+        name = entry.name
+        former = self._current.get(entry.registered_name)
+        if former is not None and former != name:
+            self._drop(former, now)
+        self._note_seen(entry, now)
+        self._missing.discard(name)
+        if self._entries.get(name) == entry and name not in self._unreadable:
             return
-        self._entries[upstream.name] = upstream
+        self._unreadable.discard(name)
+        self._entries[name] = entry
+        self._current[entry.registered_name] = name
         self.changed_at = now
 
-    def remove(self, name: UpstreamName, now: float) -> None:
+    def _note_seen(self, entry: RegisteredUpstream, now: float) -> None:
+        self._born[entry.registered_name] = entry.born
+        self._first_seen.setdefault(entry.name, now)
+        _forget_oldest(self._born, self._current)
+        _forget_oldest(self._first_seen, self._entries)
+
+    def discredit(self, upstream: UpstreamName, now: float) -> None:
+        """Take in that an upstream's entry says nothing that can be used.
+
+        Whoever wrote it, it names no upstream to send work to. What was
+        known may still run and hold keys, so it counts as leaving, not as
+        gone: its keys move once it has given them back.
+        """
+        name = self._current.get(upstream)
+        if name is None or name in self._unreadable:
+            return
+        self._unreadable.add(name)
+        self.changed_at = now
+
+    def remove(self, upstream: UpstreamName, now: float) -> None:
         """Take in that an entry has disappeared."""
-        entry = self._entries.get(name)
-        if entry is None:
+        name = self._current.get(upstream)
+        if name is None:
             return
+        entry = self._entries[name]
         if now < self._disturbed_until and not entry.leaving:
             self._missing.add(name)
             return
@@ -107,10 +165,10 @@
         self, upstreams: Iterable[RegisteredUpstream], now: float
     ) -> None:
         """Take in the whole registry, after its history was lost."""
-        present = {each.name: each for each in upstreams}
-        for name in list(self._entries):
-            if name not in present:
-                self.remove(name, now)
+        present = {each.registered_name: each for each in upstreams}
+        for upstream in list(self._current):
+            if upstream not in present:
+                self.remove(upstream, now)
         for each in present.values():
             self.put(each, now)
 
@@ -122,7 +180,7 @@
             self._drop(name, now)
         return True
 
-    def note_foreign(self, name: UpstreamName, now: float) -> None:
+    def note_foreign(self, name: IncarnationName, now: float) -> None:
         """Take in that another upstream answered at an entry's address.
 
         A lost upstream stands in the registry until its entry lapses, and
@@ -132,36 +190,58 @@
         """
         self._foreign[name] = now + _FOREIGN_LIFE
 
-    def is_foreign(self, name: UpstreamName, now: float) -> bool:
+    def is_foreign(self, name: IncarnationName, now: float) -> bool:
         """Tell whether another upstream answered at its address lately."""
         return now < self._foreign.get(name, float("-inf"))
 
-    def _drop(self, name: UpstreamName, now: float) -> None:
+    def _drop(self, name: IncarnationName, now: float) -> None:
         self._foreign.pop(name, None)
         self._missing.discard(name)
-        self._entries.pop(name, None)
+        self._unreadable.discard(name)
+        entry = self._entries.pop(name, None)
+        if (
+            entry is not None
+            and self._current.get(entry.registered_name) == name
+        ):
+            del self._current[entry.registered_name]
         self.changed_at = now
 
-    def find(self, name: UpstreamName) -> RegisteredUpstream | None:
+    def find(self, name: IncarnationName) -> RegisteredUpstream | None:
         """Return an entry, or None when it is gone."""
         return self._entries.get(name)
 
-    def find_active(self, name: UpstreamName) -> RegisteredUpstream | None:
+    def find_current(
+        self, upstream: UpstreamName
+    ) -> RegisteredUpstream | None:
+        """Return the entry of an upstream's last start, or None."""
+        name = self._current.get(upstream)
+        return None if name is None else self._entries[name]
+
+    def _is_active(self, entry: RegisteredUpstream) -> bool:
+        return not entry.leaving and entry.name not in self._unreadable
+
+    def find_active(self, name: IncarnationName) -> RegisteredUpstream | None:
         """Return an entry that may get new work, or None."""
         entry = self._entries.get(name)
-        return None if entry is None or entry.leaving else entry
+        return entry if entry is not None and self._is_active(entry) else None
 
-    def has_successor(self, name: UpstreamName, address: str) -> bool:
+    def has_successor(self, name: IncarnationName, address: str) -> bool:
         """Tell whether another upstream has taken over an address.
 
         An address is given away only after the process that had it has
-        ended, so an entry that is gone while another shows its address is
-        gone for good.
+        ended, so an entry that is gone while a younger one shows its
+        address is gone for good. An older one proves nothing: entries of
+        ended upstreams come back for seconds when a writer that was cut off
+        delivers them late, while the upstream that has the address now may
+        be cut off from the registry and serve.
         """
         if name in self._entries:
             return False
+        seen = self._first_seen.get(name, float("-inf"))
         return any(
-            entry.address == address for entry in self._entries.values()
+            entry.address == address
+            and self._first_seen.get(entry.name, seen) > seen
+            for entry in self._entries.values()
         )
 
     def list_active(self, service: ServiceName) -> list[RegisteredUpstream]:
@@ -169,9 +249,18 @@
         return [
             entry
             for entry in self._entries.values()
-            if entry.service == service and not entry.leaving
+            if entry.service == service and self._is_active(entry)
         ]
 
     def list_all(self) -> list[RegisteredUpstream]:
         """Return all entries."""
         return list(self._entries.values())
+
+
+def _forget_oldest(seen: dict[Any, Any], kept: Collection[Any]) -> None:
+    """Bound what is remembered of upstreams that are gone."""
+    if len(seen) <= _MOST_SEEN:
+        return
+    gone = [name for name in seen if name not in kept]
+    for name in gone[: len(gone) // 2]:
+        del seen[name]
--- a/sedgetide/core/ownership/_loads.py
+++ b/sedgetide/core/ownership/_loads.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Tenure
 
@@ -17,7 +17,7 @@
 
     Parameters
     ----------
-    name : UpstreamName
+    name : IncarnationName
         Which.
     slots : int
         Requests it works on at a time.
@@ -25,7 +25,7 @@
         Factor by which its requests take longer than usual.
     """
 
-    name: UpstreamName
+    name: IncarnationName
     slots: int
     slowness: float = 1.0
 
@@ -36,20 +36,20 @@
     def __init__(
         self,
         tenures: Sequence[Tenure],
-        takers: Mapping[UpstreamName, Taker],
+        takers: Mapping[IncarnationName, Taker],
         rates: Mapping[Key, float],
     ) -> None:
         self.takers = takers
-        self.keys: dict[UpstreamName, list[tuple[Tenure, list[Key]]]] = {
+        self.keys: dict[IncarnationName, list[tuple[Tenure, list[Key]]]] = {
             name: [] for name in takers
         }
         self.work = dict.fromkeys(takers, 0.0)
         self.counts = dict.fromkeys(takers, 0)
-        self.cuts: dict[UpstreamName, list[KeyRange]] = (
+        self.cuts: dict[IncarnationName, list[KeyRange]] = (
             collections.defaultdict(list)
         )
         # Upstreams that have more than enough to do with one key alone.
-        self.crowded: set[UpstreamName] = set()
+        self.crowded: set[IncarnationName] = set()
         self.rates = rates
         ordered = sorted(rates)
         start = 0
@@ -67,7 +67,7 @@
             if not tenure.moving:
                 self.keys[holder].append((tenure, keys))
 
-    def find_busy(self, name: UpstreamName, more: float = 0.0) -> float:
+    def find_busy(self, name: IncarnationName, more: float = 0.0) -> float:
         taker = self.takers[name]
         return (self.work[name] + more) * taker.slowness / taker.slots
 
@@ -76,7 +76,7 @@
         busy = sum(self.find_busy(name) for name in self.takers)
         return busy / len(self.takers)
 
-    def find_idlest(self) -> UpstreamName:
+    def find_idlest(self) -> IncarnationName:
         return min(
             self.takers.keys() - self.crowded or self.takers,
             key=lambda name: (
@@ -87,7 +87,10 @@
         )
 
     def shift(
-        self, work: float, source: UpstreamName | None, goal: UpstreamName
+        self,
+        work: float,
+        source: IncarnationName | None,
+        goal: IncarnationName,
     ) -> None:
         if source in self.work:
             self.work[source] -= work
--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 import math
 
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership._loads import Loads
 from sedgetide.core.ownership._loads import Taker
 from sedgetide.core.ownership.isolation import plan_isolation
@@ -45,7 +45,7 @@
 
 def plan_evictions(
     table: RangeTable,
-    takers: Mapping[UpstreamName, Taker],
+    takers: Mapping[IncarnationName, Taker],
     rates: Mapping[Key, float],
 ) -> list[Move]:
     """Return moves of the ranges whose owner may not own any longer.
@@ -79,7 +79,7 @@
 
 def plan_balance(
     table: RangeTable,
-    takers: Mapping[UpstreamName, Taker],
+    takers: Mapping[IncarnationName, Taker],
     rates: Mapping[Key, float],
     most: int = _LEAST_BOUND,
 ) -> list[Move]:
@@ -110,7 +110,7 @@
 
 
 def _is_worth_a_move(
-    loads: Loads, source: UpstreamName, goal: UpstreamName
+    loads: Loads, source: IncarnationName, goal: IncarnationName
 ) -> bool:
     if loads.counts[goal] == 0:
         return True
@@ -120,7 +120,7 @@
 
 
 def _plan_one(
-    loads: Loads, source: UpstreamName, goal: UpstreamName
+    loads: Loads, source: IncarnationName, goal: IncarnationName
 ) -> Move | None:
     gap = loads.find_busy(source) - loads.find_busy(goal)
     found = _cut_range(loads, source, _find_wanted(loads, source, goal, gap))
@@ -133,7 +133,7 @@
 
 
 def _find_wanted(
-    loads: Loads, source: UpstreamName, goal: UpstreamName, gap: float
+    loads: Loads, source: IncarnationName, goal: IncarnationName, gap: float
 ) -> float:
     """Return the work that makes both upstreams equally busy."""
     cost = sum(
@@ -144,7 +144,7 @@
 
 
 def _cut_range(
-    loads: Loads, source: UpstreamName, wanted: float
+    loads: Loads, source: IncarnationName, wanted: float
 ) -> tuple[KeyRange, float] | None:
     best: tuple[KeyRange, float] | None = None
     for keys, work in _list_windows(loads, source, wanted):
@@ -156,7 +156,7 @@
 
 
 def _list_windows(
-    loads: Loads, source: UpstreamName, wanted: float
+    loads: Loads, source: IncarnationName, wanted: float
 ) -> Iterator[tuple[KeyRange, float]]:
     """Yield runs of busy keys that hold no more work than is wanted."""
     rates = loads.rates
@@ -185,7 +185,7 @@
 
 def plan_tidying(
     table: RangeTable,
-    takers: Mapping[UpstreamName, Taker],
+    takers: Mapping[IncarnationName, Taker],
     rates: Mapping[Key, float],
     most: int,
 ) -> list[Move]:
--- a/sedgetide/core/ownership/holds.py
+++ b/sedgetide/core/ownership/holds.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.ownership.ranges import KeyRange
 
 
@@ -36,11 +36,11 @@
 
     def __init__(self, inherited_until: float) -> None:
         self._inherited_until = inherited_until
-        self._holds: dict[UpstreamName, list[Hold]] = {}
-        self._released: dict[UpstreamName, list[KeyRange]] = {}
+        self._holds: dict[IncarnationName, list[Hold]] = {}
+        self._released: dict[IncarnationName, list[KeyRange]] = {}
 
     def note_grant(
-        self, upstream: UpstreamName, keys: KeyRange, until: float
+        self, upstream: IncarnationName, keys: KeyRange, until: float
     ) -> Hold:
         """Take in, before it is sent, that keys are granted.
 
@@ -64,7 +64,7 @@
         ]
         return hold
 
-    def note_release(self, upstream: UpstreamName, keys: KeyRange) -> None:
+    def note_release(self, upstream: IncarnationName, keys: KeyRange) -> None:
         """Take in that an upstream answered the release of keys."""
         self._holds[upstream] = [
             hold
@@ -75,7 +75,7 @@
 
     def find_end(
         self,
-        upstream: UpstreamName,
+        upstream: IncarnationName,
         keys: KeyRange,
         inherited_until: float = float("inf"),
     ) -> float:
--- a/sedgetide/core/ownership/isolation.py
+++ b/sedgetide/core/ownership/isolation.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership._loads import Loads
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
@@ -27,7 +27,7 @@
 
 class _HotKey(msgspec.Struct, frozen=True):
     key: Key
-    owner: UpstreamName
+    owner: IncarnationName
     tenure: Tenure
     work: float
 
@@ -71,7 +71,7 @@
                 if _find_busy(loads, name, work) >= least:
                     found.append(_HotKey(key, name, tenure, work))
     found.sort(key=lambda hot: (-hot.work, hot.key))
-    owners: set[UpstreamName] = set()
+    owners: set[IncarnationName] = set()
     bound = len(loads.takers) // _MOST_SHARE
     hottest = []
     for hot in found:
@@ -81,12 +81,14 @@
     return hottest
 
 
-def _find_busy(loads: Loads, name: UpstreamName, work: float) -> float:
+def _find_busy(loads: Loads, name: IncarnationName, work: float) -> float:
     taker = loads.takers[name]
     return work * taker.slowness / taker.slots
 
 
-def _find_faster(loads: Loads, owner: UpstreamName) -> UpstreamName | None:
+def _find_faster(
+    loads: Loads, owner: IncarnationName
+) -> IncarnationName | None:
     """Return an upstream that gets much more done than the owner."""
     own = _find_busy(loads, owner, 1.0)
     others = loads.takers.keys() - loads.crowded
--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.identifiers import UpstreamName
 
 _FORGET = 3.0
 _SLOWNESS_FORGET = 8.0
@@ -29,7 +29,7 @@
 
     Parameters
     ----------
-    upstream : UpstreamName
+    upstream : IncarnationName
         Which.
     answers : int
         Answers that had not waited there for a slot.
@@ -39,7 +39,7 @@
         Requests without a usable answer.
     """
 
-    upstream: UpstreamName
+    upstream: IncarnationName
     answers: int = 0
     slowness: float = 0.0
     failures: int = 0
@@ -58,7 +58,7 @@
 
     def __init__(self) -> None:
         self._work: dict[ServiceName, dict[Key, float]] = {}
-        self._slowness: dict[UpstreamName, _Slowness] = {}
+        self._slowness: dict[IncarnationName, _Slowness] = {}
         self._aged_at = float("-inf")
         self.began_at: float | None = None
 
@@ -111,13 +111,13 @@
         keys = self._work.get(service, {})
         return {key: seconds / span for key, seconds in keys.items()}
 
-    def forget(self, known: Collection[UpstreamName]) -> None:
+    def forget(self, known: Collection[IncarnationName]) -> None:
         """Forget upstreams that are gone."""
         for name in list(self._slowness):
             if name not in known:
                 del self._slowness[name]
 
-    def find_slowness(self, upstream: UpstreamName, now: float) -> float:
+    def find_slowness(self, upstream: IncarnationName, now: float) -> float:
         """Return by what factor an upstream takes longer than usual."""
         known = self._slowness.get(upstream)
         if known is None:
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -13,10 +13,10 @@
 from sedgetide.core.errors import RuleError
 from sedgetide.core.errors import Step
 from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_FENCE
 from sedgetide.core.identifiers import NO_UPSTREAM
-from sedgetide.core.identifiers import UpstreamName
 
 FIRST_KEY = Key(0)
 LAST_KEY = Key(65535)
@@ -48,19 +48,19 @@
     ----------
     low, high : Key
         The range.
-    owner : UpstreamName
+    owner : IncarnationName
         Owner; while the range moves, the one that has to stop first.
     fence : Fence
         Fence of the owner's grant; while the range moves, of the next.
-    successor : UpstreamName
+    successor : IncarnationName
         Who gets the range next; empty when it does not move.
     """
 
     low: Key
     high: Key
-    owner: UpstreamName
+    owner: IncarnationName
     fence: Fence
-    successor: UpstreamName = NO_UPSTREAM
+    successor: IncarnationName = NO_UPSTREAM
 
     @property
     def keys(self) -> KeyRange:
@@ -77,7 +77,7 @@
     """A range that is to get another owner."""
 
     keys: KeyRange
-    successor: UpstreamName
+    successor: IncarnationName
 
 
 class RangeTable(msgspec.Struct, frozen=True):
@@ -96,7 +96,7 @@
         index = bisect.bisect_right(self.tenures, key, key=_read_low) - 1
         return self.tenures[index] if index >= 0 else None
 
-    def list_owned(self, owner: UpstreamName) -> list[Tenure]:
+    def list_owned(self, owner: IncarnationName) -> list[Tenure]:
         """Return the ranges that an upstream owns and that stay."""
         return [
             each
@@ -109,7 +109,7 @@
         return [each for each in self.tenures if each.moving]
 
     def assign_first(
-        self, owners: Sequence[tuple[UpstreamName, int]]
+        self, owners: Sequence[tuple[IncarnationName, int]]
     ) -> "RangeTable":
         """Divide all keys among the first owners.
 
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.ownership.holds import Hold
 from sedgetide.core.ownership.holds import HoldLedger
 from sedgetide.core.ownership.leadership import Durations
@@ -53,7 +53,7 @@
         return self._leadership.may_order(now)
 
     def prepare_grant(
-        self, upstream: UpstreamName, keys: KeyRange, now: float
+        self, upstream: IncarnationName, keys: KeyRange, now: float
     ) -> Grant | None:
         """Return the terms of a grant that is sent right after.
 
@@ -81,13 +81,13 @@
         until = now + self._durations.bound_hold(grant.life)
         grant.hold.until = min(grant.hold.until, until)
 
-    def note_release(self, upstream: UpstreamName, keys: KeyRange) -> None:
+    def note_release(self, upstream: IncarnationName, keys: KeyRange) -> None:
         """Take in that an upstream answered the release of keys."""
         self._holds.note_release(upstream, keys)
 
     def has_ended(
         self,
-        upstream: UpstreamName,
+        upstream: IncarnationName,
         keys: KeyRange,
         known_since: float,
         now: float,
--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -6,10 +6,10 @@
 import msgspec
 
 from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_FENCE
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.ranges import RangeTable
@@ -64,7 +64,7 @@
         What may be told of all attempts together.
     failure : Failure
         Of the last attempt.
-    tried : list of UpstreamName
+    tried : list of IncarnationName
         Upstreams it was sent to, in order.
     sends : int
         Number of sends.
@@ -72,7 +72,7 @@
 
     outcome: Outcome = Outcome.NOT_RUN
     failure: Failure = Failure.NONE
-    tried: list[UpstreamName] = []
+    tried: list[IncarnationName] = []
     sends: int = 0
 
 
@@ -94,7 +94,7 @@
 def list_candidates(
     directory: Directory,
     service: ServiceName,
-    tried: Collection[UpstreamName],
+    tried: Collection[IncarnationName],
     now: float,
 ) -> list[RegisteredUpstream]:
     """Return upstreams without keys, those not yet tried before others."""
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
@@ -139,6 +140,9 @@
                 self._take_record(key, value, revision, now)
             else:
                 self._take_other(key, value, now)
+        except UnreadableEntry as error:
+            self.directory.discredit(error.upstream, now)
+            tell(Event.ENTRY_REFUSED, key=key, problem=error.detail[:200])
         except (InputError, msgspec.MsgspecError) as error:
             tell(Event.RECORD_REFUSED, key=key, problem=error)
 
@@ -210,7 +214,8 @@
         if known is None or known.leaving != entry.leaving:
             tell(
                 Event.UPSTREAM,
-                upstream=entry.name,
+                upstream=entry.registered_name,
+                born=entry.born,
                 service=entry.service,
                 address=entry.address,
                 leaving=entry.leaving,
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -270,9 +270,17 @@
         now: float,
     ) -> RangeTable:
         """Return the next table, or the same one when it is right."""
-        active = self._knowledge.directory.list_active(service)
+        directory = self._knowledge.directory
+        # An entry that comes back late shows an upstream that has ended, at
+        # the address of another: ranges given to it stay dark until the
+        # entry lapses, 2.6 s at a heartbeat of 0.87 s.
+        active = [
+            each
+            for each in directory.list_active(service)
+            if not directory.is_foreign(each.name, now)
+        ]
         if not table.tenures:
-            settled = now - self._knowledge.directory.changed_at >= _SETTLED
+            settled = now - directory.changed_at >= _SETTLED
             if not active or not settled:
                 return table
             active.sort(key=lambda each: each.name)
--- a/sedgetide/daemons/_orderdesk.py
+++ b/sedgetide/daemons/_orderdesk.py
@@ -6,9 +6,11 @@
 import gevent
 
 from sedgetide.backends.dialects import OrderDialect
+from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
@@ -26,6 +28,8 @@
 
 _RETRY_PAUSE = 0.2
 _GRANT_TRIES = 3
+# Grants of two tables with 24 ranges an upstream, at 300 upstreams.
+_MOST_SESSIONS = 16_000
 
 
 class OrderLanes:
@@ -42,36 +46,38 @@
     def __init__(self, dialect: OrderDialect, grant_timeout: float) -> None:
         self._dialect = dialect
         self._grant_timeout = grant_timeout
-        self._lanes: dict[UpstreamName, OrderLane] = {}
-        self._addresses: dict[UpstreamName, str] = {}
+        self._lanes: dict[IncarnationName, OrderLane] = {}
+        self._entries: dict[IncarnationName, RegisteredUpstream] = {}
 
     def note_addresses(self, directory: Directory) -> None:
         """Remember where upstreams are, also once they have left."""
         for entry in directory.list_all():
-            self._addresses[entry.name] = entry.address
+            self._entries[entry.name] = entry
 
-    def find_address(self, upstream: UpstreamName) -> str:
+    def find_address(self, upstream: IncarnationName) -> str:
         """Return where an upstream is or was; empty when unknown."""
-        return self._addresses.get(upstream, "")
+        entry = self._entries.get(upstream)
+        return "" if entry is None else entry.address
 
-    def find(self, upstream: UpstreamName) -> OrderLane | None:
+    def find(self, upstream: IncarnationName) -> OrderLane | None:
         """Return the way to an upstream, if its address is known."""
         lane = self._lanes.get(upstream)
-        if lane is None and upstream in self._addresses:
+        entry = self._entries.get(upstream)
+        if lane is None and entry is not None:
             lane = OrderLane(
-                upstream,
-                self._addresses[upstream],
+                entry.registered_name,
+                entry.address,
                 self._dialect,
                 self._grant_timeout,
             )
             self._lanes[upstream] = lane
         return lane
 
-    def forget(self, known: Collection[UpstreamName]) -> None:
+    def forget(self, known: Collection[IncarnationName]) -> None:
         """Forget upstreams that are not among the known ones."""
-        for name in list(self._addresses):
+        for name in list(self._entries):
             if name not in known:
-                del self._addresses[name]
+                del self._entries[name]
         for name in list(self._lanes):
             if name not in known:
                 self._lanes.pop(name).close()
@@ -107,10 +113,11 @@
         self._lanes = lanes
         self._durations = durations
         self._on_moved = on_moved
-        self._renewals: dict[UpstreamName, gevent.Greenlet] = {}
+        self._renewals: dict[IncarnationName, gevent.Greenlet] = {}
         self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
         self._stopped: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
+        self._sessions: dict[tuple[IncarnationName, Fence], int] = {}
         self._renew_now = Changes()
 
     @property
@@ -137,6 +144,18 @@
         """Forget ended moves that the record shows as ended."""
         ended = self.list_ended(service)
         self._stopped[service] = ended.intersection(table.tenures)
+        if len(self._sessions) > _MOST_SESSIONS:
+            self._forget_sessions()
+
+    def _forget_sessions(self) -> None:
+        """Forget grants of ranges that have moved on."""
+        current = set()
+        for known in self._knowledge.tables.values():
+            for tenure in known.table.tenures:
+                current.add((tenure.owner, tenure.fence))
+                current.add((tenure.successor, tenure.fence))
+        for grant in self._sessions.keys() - current:
+            del self._sessions[grant]
 
     def take_fenced(self, service: ServiceName) -> set[Tenure]:
         """Return ranges whose fence was passed by, and forget them."""
@@ -239,14 +258,23 @@
         return self.term.has_ended(tenure.owner, tenure.keys, since, now)
 
     def _grant(
-        self, upstream: UpstreamName, tenure: Tenure, handover: str
+        self, upstream: IncarnationName, tenure: Tenure, handover: str
     ) -> Taken:
         lane = self._lanes.find(upstream)
         if lane is None:
             return Taken.UNSENT
         grants: list[Grant] = []
+        granted = (upstream, tenure.fence)
+        restarted = False
 
         def prepare() -> float | None:
+            nonlocal restarted
+            # A restarted upstream has seen no fence and would take the keys
+            # under one at which its former start had them.
+            known = self._sessions.setdefault(granted, lane.session)
+            restarted = known != lane.session
+            if restarted:
+                return None
             grant = self.term.prepare_grant(
                 upstream, tenure.keys, read_clock()
             )
@@ -256,15 +284,16 @@
             return grant.life
 
         try:
-            return lane.grant(
-                tenure.keys, tenure.fence, handover, prepare
-            ).taken
+            result = lane.grant(tenure.keys, tenure.fence, handover, prepare)
+            if result.taken is Taken.FOREIGN:
+                self._knowledge.directory.note_foreign(upstream, read_clock())
+            return Taken.RESTARTED if restarted else result.taken
         finally:
             # Answered or taken back: it arrives no later than now.
             for grant in grants:
                 self.term.note_arrival(grant, read_clock())
 
-    def _renew(self, service: ServiceName, owner: UpstreamName) -> None:
+    def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
         """Renew all that one upstream owns, again and again."""
         while True:
             table = self._knowledge.find_table(service)
@@ -275,7 +304,8 @@
                 owned, lambda tenure: self._renew_one(service, tenure)
             )
             for tenure, taken in results.items():
-                if taken is Taken.FENCED and self._is_current(service, tenure):
+                refused = taken in (Taken.FENCED, Taken.RESTARTED)
+                if refused and self._is_current(service, tenure):
                     self._fenced.setdefault(service, set()).add(tenure)
             self._renew_now.wait(self._durations.renew)
 
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -7,6 +7,7 @@
 
 from sedgetide.backends.dialects import Order
 from sedgetide.backends.dialects import OrderDialect
+from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import UpstreamName
@@ -14,6 +15,7 @@
 from sedgetide.daemons._hostmetrics import ORDERS
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
+from sedgetide.wire.client import Connection
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
@@ -36,6 +38,9 @@
         It has seen a higher fence.
     FOREIGN
         Another upstream has the address; the one that was meant has ended.
+    RESTARTED
+        Nothing has left this host: the upstream may have started again
+        since it took the keys, and must not get them at the same fence.
     UNSENT
         Nothing has left this host.
     UNKNOWN
@@ -45,6 +50,7 @@
     DONE = "done"
     FENCED = "fenced"
     FOREIGN = "foreign"
+    RESTARTED = "restarted"
     UNSENT = "unsent"
     UNKNOWN = "unknown"
 
@@ -72,6 +78,13 @@
 
     A full upstream resets new connections, so the connections are kept.
 
+    A restarted upstream answers under the same name and address, and knows
+    of no fence. Its entry in the registry comes up to a second later;
+    until then only the connections tell. ``session`` counts how often it
+    may have restarted: it refused a connection, or ended all that were
+    kept. A restart between an answer that announces the end of the only
+    connection and the next order is not seen.
+
     Parameters
     ----------
     upstream : UpstreamName
@@ -103,6 +116,8 @@
         # left; after it, the upstream may hold the keys for a whole life
         # more, and they stay dark for as long once it is known to be lost.
         self._pool = ConnectionPool(address, _ANSWER_BYTES, settling)
+        self._in_use = 0
+        self.session = 0
 
     def grant(
         self,
@@ -160,9 +175,48 @@
         self, make: Callable[[], Order | None], timeout: float | None = None
     ) -> OrderResult:
         try:
-            connection = self._pool.take(_CONNECT_TIMEOUT)
+            connection = self._take()
         except UpstreamError as error:
             return OrderResult(Taken.UNSENT, detail=error.detail)
+        self._in_use += 1
+        try:
+            return self._give_on(connection, make, timeout)
+        finally:
+            self._in_use -= 1
+
+    def _take(self) -> Connection:
+        """Return a connection, and note what it tells of a restart."""
+        kept = self._pool.has_idle
+        try:
+            connection = self._pool.take(_CONNECT_TIMEOUT)
+        except UpstreamError as error:
+            # One that was accepted and reset came to a full upstream.
+            if kept or error.code is not ErrorCode.UPSTREAM_FULL:
+                self._note_end()
+            raise
+        if kept and not connection.answered:
+            self._note_end()
+        return connection
+
+    def _note_end(self, own: int = 0) -> None:
+        """Take in that the upstream ended a connection, or took none.
+
+        While another is open it is the same process as before.
+
+        Parameters
+        ----------
+        own : int
+            Connections in use that have ended.
+        """
+        if self._in_use == own and not self._pool.has_idle:
+            self.session += 1
+
+    def _give_on(
+        self,
+        connection: Connection,
+        make: Callable[[], Order | None],
+        timeout: float | None,
+    ) -> OrderResult:
         order = make()
         if order is None:
             self._pool.give_back(connection)
@@ -178,6 +232,9 @@
                 request, timeout or self._grant_timeout
             )
         except UpstreamError as error:
+            if error.code is not ErrorCode.UPSTREAM_SILENT:
+                self._pool.prune()
+                self._note_end(own=1)
             return OrderResult(Taken.UNKNOWN, detail=error.detail)
         self._pool.give_back(connection)
         return self._judge(answer)
--- a/sedgetide/daemons/_reporter.py
+++ b/sedgetide/daemons/_reporter.py
@@ -6,12 +6,12 @@
 import gevent
 
 from sedgetide.coding.messages import LoadReport
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.load import KeyWork
 from sedgetide.core.ownership.load import UpstreamWork
 from sedgetide.core.requests.windows import UpstreamLoad
@@ -40,7 +40,7 @@
 
     def __init__(self) -> None:
         self._keys: dict[tuple[ServiceName, Key], float] = {}
-        self._upstreams: dict[UpstreamName, _Seen] = {}
+        self._upstreams: dict[IncarnationName, _Seen] = {}
         self._usual: dict[RouteName, float] = {}
 
     def note_request(
@@ -54,7 +54,7 @@
     def note_answer(
         self,
         route: RouteName,
-        upstream: UpstreamName,
+        upstream: IncarnationName,
         seconds: float,
         load: UpstreamLoad | None,
     ) -> None:
@@ -68,7 +68,7 @@
         bounded = min(seconds, 4 * usual)
         self._usual[route] = usual + _GAIN * (bounded - usual)
 
-    def note_failure(self, upstream: UpstreamName) -> None:
+    def note_failure(self, upstream: IncarnationName) -> None:
         """Count a request without a usable answer."""
         self._upstreams.setdefault(upstream, _Seen()).failures += 1
 
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -364,7 +364,7 @@
                 headers,
                 job.fields,
                 job.times.final - now,
-                target.upstream.name,
+                target.upstream.registered_name,
             ),
             job.request.body,
         )
--- a/sedgetide/platform/_catalogue.py
+++ b/sedgetide/platform/_catalogue.py
@@ -1,12 +1,17 @@
 """The registry and the operator's configuration."""
 
 from collections.abc import Sequence
+import re
+from typing import Annotated
 from typing import Any
+from typing import Literal
 
 import msgspec
 
 from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
+from sedgetide.coding.addresses import split_address
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.configuration.policy import RouteRule
@@ -15,12 +20,14 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import Step
+from sedgetide.core.identifiers import BirthMark
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.incarnations import UNKNOWN_BIRTH
 from sedgetide.platform import _names
 
 _LEAVING = "draining"
@@ -28,21 +35,47 @@
 _DEFAULT_TIMEOUT_MS = 30_000
 
 
+# Upstreams' names travel in a header, so one that is no plain word could end
+# the header and forge another. Keys of the store have at most 200 bytes.
+_NAME = re.compile(r"[!-~]{1,200}")
+# Far above any real upstream; a window of more would be no bound.
+_MOST_SLOTS = 65_536
+_LONGEST_WARMUP_MS = 86_400_000
+_UNREADABLE = (
+    msgspec.MsgspecError,
+    # Nested too deeply.
+    RecursionError,
+    ValueError,
+)
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Info(msgspec.Struct, rename="kebab", frozen=True):
-    service: str
-    zone: str = ""
-    slots: int = 1
+    service: _Text
+    version: str
+    zone: _Text
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
 
 
 class _Status(msgspec.Struct, rename="kebab", frozen=True):
-    state: str = "ready"
-    warmup_left_ms: float = 0
+    state: Literal["ready", "draining"]
+    sequence: _Count
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_WARMUP_MS)]
 
 
 class _Entry(msgspec.Struct, rename="kebab", frozen=True):
+    """What an upstream says of itself; all fields that it always writes.
+
+    Other writers' entries lack some or put something else there. ``born``
+    is left out where each start has a name of its own.
+    """
+
     address: str
     info: _Info
-    status: _Status = _Status()
+    status: _Status
+    born: Annotated[int, msgspec.Meta(ge=1)] | None = None
 
 
 class _Table(msgspec.Struct, frozen=True):
@@ -74,16 +107,20 @@
     limits: _Limits = _Limits()
 
 
-def _read_entry(name: str, value: bytes) -> RegisteredUpstream:
+def _read_entry(name: UpstreamName, value: bytes) -> RegisteredUpstream:
+    if _NAME.fullmatch(name) is None:
+        raise ValueError("name: accepted are visible characters only")
     entry = msgspec.json.decode(value, type=_Entry)
+    split_address(entry.address)
     return RegisteredUpstream(
-        UpstreamName(name),
+        name,
         ServiceName(entry.info.service),
         entry.address,
         DataCentre(entry.info.zone),
-        max(1, entry.info.slots),
+        entry.info.slots,
         entry.status.state == _LEAVING,
         entry.status.warmup_left_ms / 1000.0,
+        UNKNOWN_BIRTH if entry.born is None else BirthMark(entry.born),
     )
 
 
@@ -147,16 +184,25 @@
     def read(
         self, key: str, value: bytes | None
     ) -> RegisteredUpstream | Withdrawn | Policy | None:
-        try:
-            if key.startswith(_names.REGISTRY_PREFIX):
-                name = key.removeprefix(_names.REGISTRY_PREFIX)
-                if value is None:
-                    return Withdrawn(UpstreamName(name))
-                return _read_entry(name, value)
-            if key == _names.CONFIGURATION_KEY and value is not None:
+        if key.startswith(_names.REGISTRY_PREFIX):
+            name = UpstreamName(key.removeprefix(_names.REGISTRY_PREFIX))
+            return _read_registered(key, name, value)
+        if key == _names.CONFIGURATION_KEY and value is not None:
+            try:
                 return _read_policy(value)
-        except (msgspec.MsgspecError, KeyError, ValueError) as error:
-            raise InputError(
-                ErrorCode.BAD_TEXT, Step.READ, key, str(error)
-            ) from error
+            except (*_UNREADABLE, KeyError, TypeError) as error:
+                raise InputError(
+                    ErrorCode.BAD_TEXT, Step.READ, key, str(error)
+                ) from error
         return None
+
+
+def _read_registered(
+    key: str, name: UpstreamName, value: bytes | None
+) -> RegisteredUpstream | Withdrawn:
+    if value is None:
+        return Withdrawn(name)
+    try:
+        return _read_entry(name, value)
+    except _UNREADABLE as error:
+        raise UnreadableEntry(name, key, str(error)) from error
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -86,6 +86,13 @@
         "A record can not be read; what was known before stays in force.",
         ("key", "problem"),
     )
+    ENTRY_REFUSED = Definition(
+        "entry-refused",
+        logging.ERROR,
+        "A registry entry can not be read. Its upstream gets no new work "
+        "and its keys move, until a readable entry comes.",
+        ("key", "problem"),
+    )
     POLICY = Definition(
         "policy",
         logging.INFO,
@@ -95,8 +102,9 @@
     UPSTREAM = Definition(
         "upstream",
         logging.INFO,
-        "An upstream has registered, or announced its end.",
-        ("upstream", "service", "address", "leaving"),
+        "An upstream has registered, or announced its end. The same name "
+        "with another birth is a restart: it holds no keys.",
+        ("upstream", "born", "service", "address", "leaving"),
     )
     UPSTREAM_WITHDRAWN = Definition(
         "upstream-withdrawn",
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -20,10 +20,10 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import RuleError
 from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
-from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
@@ -71,7 +71,7 @@
         # How often a step brings news; a watch may be silent for long.
         self.follows = 0.7
         self.store_away_until = 0.0
-        self.unreachable: dict[UpstreamName, float] = {}
+        self.unreachable: dict[IncarnationName, float] = {}
         self.restart()
 
     def restart(self) -> None:
@@ -83,7 +83,7 @@
         self.revision: Revision = NO_REVISION
         self.sightings = MoveSightings()
         self.verified_at = -_NEVER
-        self.renewed_at: dict[UpstreamName, float] = {}
+        self.renewed_at: dict[IncarnationName, float] = {}
 
     def adopt(self, table: RangeTable, revision: Revision, now: float) -> None:
         """Take in a version of the table."""
@@ -122,7 +122,7 @@
             WorldHost(f"h-{index}", self.durations) for index in range(hosts)
         ]
         self.holders = {
-            UpstreamName(f"u-{index}"): RangeHolder(f"u-{index}")
+            IncarnationName(f"u-{index}"): RangeHolder(f"u-{index}")
             for index in range(upstreams)
         }
         self.problems: list[str] = []
@@ -350,7 +350,7 @@
             self._write(host, done)
 
     def _grant(
-        self, host: WorldHost, name: UpstreamName, tenure: Tenure
+        self, host: WorldHost, name: IncarnationName, tenure: Tenure
     ) -> None:
         term = host.term
         grant = term.prepare_grant(name, tenure.keys, self.now)
@@ -367,7 +367,7 @@
     def _arrive(
         self,
         term: Term,
-        name: UpstreamName,
+        name: IncarnationName,
         tenure: Tenure,
         grant: Grant,
     ) -> None:
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -6,9 +6,11 @@
 
 import argparse
 import contextlib
+import itertools
 import random
 import sys
 import time
+from typing import Any
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -185,26 +187,35 @@
             "address": options.address,
             "info": {
                 "service": options.service,
+                "version": "v1",
                 "zone": options.data_centre,
                 "slots": options.slots,
             },
-            "status": {"state": "ready"},
+            "born": options.born,
         }
-        body = msgspec.json.encode(
-            {
-                "key": _names.REGISTRY_PREFIX + self.name,
-                "value": entry,
-                "life": 3 * _HEARTBEAT,
+        for sequence in itertools.count():
+            entry["status"] = {
+                "state": "ready",
+                "sequence": sequence,
+                "warmup-left-ms": 0,
             }
-        )
-        request = Request("POST", "/put", [("Host", options.store)], body)
-        while True:
+            request = self._make_heartbeat(entry)
             with contextlib.suppress(Exception):
                 connection = self._registry.take(1.0)
                 connection.exchange(request, 1.0)
                 self._registry.give_back(connection)
             gevent.sleep(_HEARTBEAT)
 
+    def _make_heartbeat(self, entry: dict[str, Any]) -> Request:
+        body = msgspec.json.encode(
+            {
+                "key": _names.REGISTRY_PREFIX + self._options.name,
+                "value": entry,
+                "life": 3 * _HEARTBEAT,
+            }
+        )
+        return Request("POST", "/put", [("Host", self._options.store)], body)
+
 
 def main() -> int:
     """Run until SIGTERM."""
@@ -220,6 +231,7 @@
     parser.add_argument("--late", type=float, default=0.0)
     parser.add_argument("--clock-rate", type=float, default=1.0)
     parser.add_argument("--keyed", action="store_true")
+    parser.add_argument("--born", type=int, default=1)
     options = parser.parse_args()
     upstream = RangeUpstream(options)
     gevent.spawn(upstream.heartbeat_loop)
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -65,6 +65,13 @@
         ``IP:port`` of the server.
     body_limit : int
         Largest body accepted in an answer.
+
+    Attributes
+    ----------
+    rested : float
+        Seconds that it had been idle when it was taken last.
+    answered : bool
+        Whether the server has answered on it.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -74,6 +81,7 @@
         self._used_at = 0.0
         self._idle_life = _IDLE_LIFE
         self.rested = 0.0
+        self.answered = False
 
     def open(self, timeout: float) -> None:
         """Connect.
@@ -115,7 +123,7 @@
             wait_read(self._socket.fileno(), timeout=seconds)
             self.close()
             raise UpstreamError(
-                ErrorCode.UPSTREAM_UNREACHABLE,
+                ErrorCode.UPSTREAM_FULL,
                 Step.CONNECT,
                 self.address,
                 "closed before anything was sent",
@@ -233,6 +241,7 @@
         ended: bool,
     ) -> None:
         self._used_at = time.monotonic()
+        self.answered = True
         _note_idle_life(self, answer.headers)
         done = parser.their_state is h11.DONE
         if rest or ended or not done:
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -4,6 +4,7 @@
 
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.incarnations import UNKNOWN_BIRTH
 
 
 def make_upstream(name, leaving=False):
@@ -66,3 +67,98 @@
 
     def test_present_owner_has_no_successor(self):
         self.assertFalse(self.directory.has_successor("u-1", "10.0.0.1:80"))
+
+    def test_older_entry_at_the_address_proves_no_end(self):
+        # u-1 ended, and u-2 got its address. A writer that was cut off then
+        # delivers u-1's old entry, while u-2's lapses because u-2 is cut off
+        # from the registry, and serves. Taken for its successor, u-1 would
+        # prove u-2's end, and u-2's keys would get a second owner.
+        self.directory.remove("u-1", 101.0)
+        self.directory.put(make_upstream("u-5"), 102.0)
+        self.directory.remove("u-2", 102.0)
+        self.directory.put(make_upstream("u-1"), 103.0)
+        self.directory.remove("u-5", 104.0)
+        self.assertFalse(self.directory.has_successor("u-5", "10.0.0.1:80"))
+
+
+def make_start(born, address="10.0.0.1:80", leaving=False):
+    return RegisteredUpstream(
+        "u-1", "maps", address, "dc", 2, leaving, born=born
+    )
+
+
+class TestRestarts(testtools.TestCase):
+    """Starts of one upstream under one name."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory(grace=2.0)
+        self.directory.put(make_start(5000), 100.0)
+        self.first = self.directory.find_current("u-1").name
+
+    def test_restart_is_another_incarnation(self):
+        # The owner crashes and is back under its name. Whoever took it for
+        # the same would renew grants that it never had, and ask it for keys
+        # that it does not hold.
+        self.directory.put(make_start(9000), 101.0)
+        second = self.directory.find_current("u-1").name
+        self.assertNotEqual(self.first, second)
+        self.assertIsNone(self.directory.find(self.first))
+        self.assertEqual("u-1", self.directory.find(second).registered_name)
+
+    def test_late_entry_of_an_older_start_changes_nothing(self):
+        self.directory.put(make_start(9000), 101.0)
+        self.directory.put(make_start(5000, "10.0.0.9:80", True), 102.0)
+        current = self.directory.find_current("u-1")
+        self.assertEqual((9000, False), (current.born, current.leaving))
+
+    def test_late_entry_after_the_end_changes_nothing(self):
+        self.directory.put(make_start(9000), 101.0)
+        self.directory.remove("u-1", 102.0)
+        self.directory.put(make_start(5000), 103.0)
+        self.assertEqual([], self.directory.list_all())
+
+    def test_restart_at_its_address_proves_the_end_of_the_start_before(self):
+        self.directory.put(make_start(9000), 101.0)
+        self.assertTrue(
+            self.directory.has_successor(self.first, "10.0.0.1:80")
+        )
+
+    def test_restart_elsewhere_proves_nothing(self):
+        # The start before may serve on behind a cut.
+        self.directory.put(make_start(9000, "10.0.0.9:80"), 101.0)
+        self.assertFalse(
+            self.directory.has_successor(self.first, "10.0.0.1:80")
+        )
+
+    def test_entry_without_a_birth_is_of_another_writer(self):
+        self.directory.put(make_start(UNKNOWN_BIRTH), 101.0)
+        self.assertEqual([], self.directory.list_active("maps"))
+
+
+class TestUnreadableEntries(testtools.TestCase):
+    """An entry that says nothing names no upstream to use."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory(grace=2.0)
+        self.directory.put(make_upstream("u-1"), 100.0)
+
+    def test_upstream_gets_nothing_new_but_is_not_gone(self):
+        # Another writer overwrites the entry of an upstream that serves.
+        # Taken for gone, its keys would get a second owner at once.
+        self.directory.discredit("u-1", 101.0)
+        self.assertEqual([], self.directory.list_active("maps"))
+        self.assertIsNone(self.directory.find_active("u-1"))
+        self.assertIsNotNone(self.directory.find("u-1"))
+        self.assertFalse(self.directory.has_successor("u-1", "10.0.0.1:80"))
+
+    def test_next_good_entry_brings_it_back(self):
+        self.directory.discredit("u-1", 101.0)
+        self.directory.put(make_upstream("u-1"), 102.0)
+        self.assertIsNotNone(self.directory.find_active("u-1"))
+        self.assertEqual(102.0, self.directory.changed_at)
+
+    def test_unknown_name_changes_nothing(self):
+        self.directory.discredit("u-7", 101.0)
+        self.assertEqual(100.0, self.directory.changed_at)
--- a/tests/daemons/test_orders.py
+++ b/tests/daemons/test_orders.py
@@ -61,3 +61,96 @@
         task.join()
         self.assertIs(Taken.UNKNOWN, result.taken)
         self.assertEqual([1], self.prepared)
+
+
+class Upstream:
+    """Takes grants, says how many, and can start again."""
+
+    def __init__(self):
+        self.port = 0
+        self.peers = []
+        self.grants = []
+        self.start()
+
+    def start(self):
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(8)
+        self.listener = listener
+        self.port = listener.getsockname()[1]
+        self.task = gevent.spawn(self._accept)
+
+    def stop(self):
+        self.task.kill()
+        for closed in [self.listener, *self.peers]:
+            closed.close()
+        self.peers.clear()
+
+    def _accept(self):
+        while True:
+            peer, _ = self.listener.accept()
+            self.peers.append(peer)
+            gevent.spawn(self._serve, peer)
+
+    def _serve(self, peer):
+        try:
+            while peer.recv(65536):
+                self.grants.append(1)
+                peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        except OSError:
+            return
+
+
+class TestSessions(testtools.TestCase):
+    """What connections tell of a restart before the registry does."""
+
+    def setUp(self):
+        super().setUp()
+        self.upstream = Upstream()
+        self.addCleanup(self.upstream.stop)
+        address = f"127.0.0.1:{self.upstream.port}"
+        self.lane = OrderLane("u-1", address, PlatformOrders(), 0.5)
+        self.addCleanup(self.lane.close)
+
+    def grant(self):
+        return self.lane.grant(KEYS, 1, "", lambda: 3.5).taken
+
+    def test_kept_connection_goes_to_the_same_process(self):
+        for _ in range(3):
+            self.assertIs(Taken.DONE, self.grant())
+        self.assertEqual(0, self.lane.session)
+
+    def test_restart_between_two_orders(self):
+        # The upstream crashes and is back within one interval of renewals,
+        # under its name and at its address; its entry comes a second later.
+        self.grant()
+        self.upstream.stop()
+        self.upstream.start()
+        self.grant()
+        self.assertEqual(1, self.lane.session)
+
+    def test_refused_connection(self):
+        # A leader that never had a connection meets it while it is down.
+        self.upstream.stop()
+        self.assertIs(Taken.UNSENT, self.grant())
+        self.assertEqual(1, self.lane.session)
+
+    def test_order_in_hand_at_the_crash(self):
+        self.grant()
+
+        def crash():
+            self.upstream.stop()
+            return 3.5
+
+        result = self.lane.grant(KEYS, 1, "", crash)
+        self.assertIs(Taken.UNKNOWN, result.taken)
+        self.assertEqual(1, self.lane.session)
+
+    def test_unanswered_order_says_nothing_of_a_restart(self):
+        # Some upstreams leave orders unanswered for seconds. To move their
+        # keys to a new fence each time would cost more than it guards.
+        self.upstream._serve = lambda peer: gevent.sleep(9)
+        self.assertIs(Taken.UNKNOWN, self.grant())
+        self.assertIs(Taken.UNKNOWN, self.grant())
+        self.assertEqual(0, self.lane.session)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -8,6 +8,7 @@
 import testtools
 
 from sedgetide.backends.dialects import CallerFields
+from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.core.errors import InputError
 from sedgetide.core.ownership.ranges import KeyRange
@@ -191,6 +192,88 @@
         self.assertTrue(entry.leaving)
         self.assertEqual(0.5, entry.warmup)
 
+    def make_entry(self, path=(), value=None):
+        entry = {
+            "address": "10.128.0.9:8080",
+            "info": {"service": "h", "version": "v1", "zone": "z", "slots": 2},
+            "status": {"state": "ready", "sequence": 4, "warmup-left-ms": 0},
+            "born": 1_780_000_000_123,
+        }
+        if path:
+            table = entry
+            for name in path[:-1]:
+                table = table[name]
+            table[path[-1]] = value
+            if value is None:
+                del table[path[-1]]
+        return msgspec.json.encode(entry)
+
+    def test_starts_have_names_of_their_own(self):
+        first = self.catalogue.read("servers/i-1", self.make_entry())
+        later = self.make_entry(("born",), 1_780_000_009_000)
+        second = self.catalogue.read("servers/i-1", later)
+        self.assertNotEqual(first.name, second.name)
+        self.assertEqual("i-1", second.registered_name)
+        self.assertLess(first.born, second.born)
+
+    def test_entries_of_other_writers_name_no_upstream(self):
+        # Fields missing or of another type, words that mean nothing here,
+        # numbers no upstream has.
+        for path, value in (
+            (("address",), None),
+            (("address",), 7),
+            (("address",), "upstream.example:80"),
+            (("address",), "10.0.0.1:99999"),
+            (("info",), []),
+            (("info", "service"), None),
+            (("info", "service"), ""),
+            (("info", "version"), None),
+            (("info", "zone"), None),
+            (("info", "slots"), "2"),
+            (("info", "slots"), 0),
+            (("info", "slots"), -3),
+            (("info", "slots"), 10**30),
+            (("info", "slots"), 2.5),
+            (("status",), None),
+            (("status", "state"), "resting"),
+            (("status", "state"), None),
+            (("status", "sequence"), None),
+            (("status", "warmup-left-ms"), None),
+            (("status", "warmup-left-ms"), -1),
+            (("status", "warmup-left-ms"), 1e300),
+            (("born",), "1780000000123"),
+            (("born",), 0),
+            (("born",), 17.5),
+            (("born",), True),
+        ):
+            entry = self.make_entry(path, value)
+            error = self.assertRaises(
+                UnreadableEntry, self.catalogue.read, "servers/i-1", entry
+            )
+            self.assertEqual("i-1", error.upstream, f"{path} {value}")
+
+    def test_names_that_would_break_a_header(self):
+        for name in ("", "i 1", "i\r\nx", "i-\u00e9", "x" * 201):
+            self.assertRaises(
+                UnreadableEntry,
+                self.catalogue.read,
+                f"servers/{name}",
+                self.make_entry(),
+            )
+
+    def test_bytes_that_can_not_be_read(self):
+        for value in (
+            b"",
+            b"\xff\xfe",
+            b"[" * 100_000,
+            b'{"x":' * 50_000,
+            b'{"address":"\\ud800"}',
+            b'{"status":{"warmup-left-ms":NaN}}',
+        ):
+            self.assertRaises(
+                UnreadableEntry, self.catalogue.read, "servers/i-1", value
+            )
+
     def test_entry_gone(self):
         gone = self.catalogue.read("servers/i-7f3a", None)
         self.assertEqual(Withdrawn("i-7f3a"), gone)
