Hosts that are cut off send their callers elsewhere

Cause: in a cut data centre callers were refused for all keys owned elsewhere, and after 3.5 s for all, while the balancer and the other data centres could serve them. Change: PartitionDetector, fed by the host's own requests.

--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -13,6 +13,7 @@
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import find_owner
 from sedgetide.core.requests.attempts import list_candidates
@@ -70,6 +71,9 @@
     }
 )
 
+# The upstream said nothing at all.
+_NO_WORD = frozenset({Failure.UNREACHABLE, Failure.SILENT})
+
 # These tell of the upstream itself; a full one, or one out of reach, is not
 # slow, and would lose its keys for what it was asked too much.
 _OWN_FAULTS = frozenset({Failure.FAILED, Failure.SILENT, Failure.FOREIGN})
@@ -90,6 +94,8 @@
         Counts load for the leader.
     data_centre : str
         Own data centre.
+    partitions : PartitionDetector
+        Learns from each request what can be reached.
     retries : RetryTerms
         What the deployment grants.
     source : random.Random
@@ -103,6 +109,7 @@
         lanes: Lanes,
         meter: LoadMeter,
         data_centre: str,
+        partitions: PartitionDetector,
         retries: RetryTerms,
         source: random.Random,
     ) -> None:
@@ -111,6 +118,7 @@
         self._lanes = lanes
         self._meter = meter
         self._data_centre = data_centre
+        self._partitions = partitions
         self._retries = retries
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._random = source
@@ -158,6 +166,7 @@
             raise
         self._log.tell_end(job, answer.status, began)
         count_end(job, began)
+        self._partitions.note_end(job.progress.outcome is Outcome.ANSWERED)
         return answer
 
     def _make_job(
@@ -364,6 +373,9 @@
             job.note = error.detail[:80]
             return
         lane.pool.give_back(connection)
+        self._partitions.note_reached(
+            target.upstream.data_centre, read_clock()
+        )
         self._take_answer(job, target, lane, answer, before, began)
 
     def _make_send(self, job: Job, target: Target, now: float) -> Request:
@@ -448,6 +460,8 @@
         job.progress.failure = failure
         if failure in (Failure.BUSY, Failure.BROKEN):
             lane.window.note_refusal(load)
+        if failure in _NO_WORD:
+            self._partitions.note_unreached(target.upstream.data_centre)
         if failure is not Failure.NOT_OWNER:
             unreached = failure is Failure.UNREACHABLE
             lane.note_failure(read_clock(), 2.0 if unreached else 1.0)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -25,6 +25,7 @@
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.requests.retries import RetryTerms
@@ -112,12 +113,15 @@
         self._feed = FeedSink(self._knowledge)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
+        self._partitions = PartitionDetector(settings.data_centre)
+        self._absent = False
         self._requests = Requests(
             self._knowledge,
             dialects.requests,
             self._lanes,
             self._meter,
             settings.data_centre,
+            self._partitions,
             RetryTerms(
                 settings.retry_ratio * _OWN_SHARE, settings.retry_slack
             ),
@@ -215,12 +219,23 @@
         for turn in itertools.count():
             gevent.sleep(_HOUSEKEEPING)
             now = read_clock()
+            self._note_partition(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
                 entries = self._knowledge.directory.list_all()
                 self._lanes.prune({entry.name for entry in entries})
 
+    def _note_partition(self, now: float) -> None:
+        """Send callers elsewhere while this host is cut off."""
+        absent = self._partitions.should_leave(self._knowledge.heard_at, now)
+        if absent != self._absent:
+            self._absent = absent
+            silence = now - self._knowledge.heard_at
+            event = Event.CUT_OFF if absent else Event.REJOINED
+            tell(event, silence=f"{silence:.1f}")
+        self._server.sends_away = absent or self._stopping
+
     # Links
 
     def _handle(self, message: AnyMessage, sender: str) -> None:
@@ -254,7 +269,8 @@
     # Admin
 
     def is_ready(self) -> bool:
-        return self._knowledge.complete and not self._stopping
+        unready = self._stopping or self._absent
+        return self._knowledge.complete and not unready
 
     def dump_state(self) -> dict[str, Any]:
         return {
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -86,6 +86,19 @@
         "A record can not be read; what was known before stays in force.",
         ("key", "problem"),
     )
+    CUT_OFF = Definition(
+        "cut-off",
+        logging.WARNING,
+        "This host hears neither the store nor other data centres and serves "
+        "little: it is not ready, and sends its callers elsewhere.",
+        ("silence",),
+    )
+    REJOINED = Definition(
+        "rejoined",
+        logging.INFO,
+        "This host is ready again after it was cut off.",
+        ("silence",),
+    )
     ENTRY_REFUSED = Definition(
         "entry-refused",
         logging.ERROR,
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -67,7 +67,7 @@
         self.serve = serve
         self.is_idempotent = is_idempotent
         self.read_limits = read_limits
-        self.stopping = False
+        self.sends_away = False
         self.connections: set[CallerConnection] = set()
         self.in_hand = 0
         self._accepting: gevent.Greenlet | None = None
@@ -100,7 +100,7 @@
 
     def begin_stop(self) -> None:
         """Ask callers with each answer to go elsewhere."""
-        self.stopping = True
+        self.sends_away = True
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is asked."""
@@ -316,7 +316,7 @@
                 self._moved.clear()
                 self._moved.wait()
             turn = self._turns[0]
-            last = self._server.stopping or not turn.answer.reusable
+            last = self._server.sends_away or not turn.answer.reusable
             try:
                 self._socket.sendall(_format_answer(turn, last))
                 if last or turn.parser.our_state is not h11.DONE:
