--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -16,6 +16,13 @@
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.routes import Timetable
 
+# Share of a request's time; with less, a second run ends after it has left in
+# most cases and takes a slot from one that would not.
+_LEAST_LEFT = 0.25
+# The owner of a key is the only one that may run its requests, so one that
+# refused is asked once more whatever the route allows.
+_LEAST_SENDS = 2
+
 
 class Wait(enum.Enum):
     """Why a request can not be sent just now."""
@@ -147,9 +154,9 @@
     """
     if progress.outcome is Outcome.UNKNOWN and not route.idempotent:
         return False
-    if progress.sends >= max(2, route.attempts):
+    if progress.sends >= max(_LEAST_SENDS, route.attempts):
         return False
     if not keyed and len(set(progress.tried)) >= route.attempts:
         return False
     # What is left must be worth a second run of the upstream's work.
-    return times.final - now > 0.25 * (times.final - times.began)
+    return times.final - now > _LEAST_LEFT * (times.final - times.began)
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -9,13 +9,14 @@
 
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.health import UpstreamHealth
 from sedgetide.core.requests.idling import RestBound
 from sedgetide.core.requests.windows import Window
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.client import ConnectionPool
 
+# A full upstream's reset arrives within 1.5 ms; twice that is waited for.
 _SETTLING = 0.003
-_FIRST_GUESS = 0.2
 
 
 class Lane:
@@ -41,9 +42,7 @@
         self.pool = ConnectionPool(upstream.address, body_limit, _SETTLING)
         self.rests = rests
         self.window = Window(upstream.slots)
-        self.service_time: float | None = None
-        self.failures = 0.0
-        self.failed_at = float("-inf")
+        self.health = UpstreamHealth()
         self._numbers = itertools.count()
         self._waiting: list[tuple[int, int, Event]] = []
         self._timer: gevent.Greenlet | None = None
@@ -80,7 +79,7 @@
     def estimate_wait(self, priority: int) -> float:
         """Return after how long a request might get a place, at best."""
         ahead = sum(1 for each in self._waiting if each[0] <= priority)
-        seconds = self.service_time or _FIRST_GUESS
+        seconds = self.health.estimate_seconds()
         return self.window.estimate_wait(ahead, seconds, read_clock())
 
     def _withdraw(self, entry: tuple[int, int, Event]) -> None:
@@ -98,8 +97,7 @@
 
     def leave(self) -> None:
         """Give the place to whoever is next."""
-        seconds = self.service_time or _FIRST_GUESS
-        self.window.note_end(seconds, read_clock())
+        self.window.note_end(self.health.estimate_seconds(), read_clock())
         self.admit()
 
     def admit(self) -> None:
@@ -128,22 +126,6 @@
         """Close the idle connections."""
         self.pool.close()
 
-    def note_success(self, seconds: float) -> None:
-        """Take in the time of an answer."""
-        if self.service_time is None:
-            self.service_time = seconds
-        self.service_time += 0.2 * (seconds - self.service_time)
-        self.failures *= 0.7
-
-    def note_failure(self, now: float, weight: float = 1.0) -> None:
-        """Take in that a request got no usable answer."""
-        self.failures = min(8.0, self.failures + weight)
-        self.failed_at = now
-
-    def is_suspect(self, now: float) -> bool:
-        """Tell whether it failed lately, so that others are better."""
-        return self.failures >= 2.0 and now - self.failed_at < 2.0
-
 
 class Lanes:
     """All ways of a host, opened when first used.
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -25,6 +25,7 @@
 from sedgetide.core.requests.choice import Candidate
 from sedgetide.core.requests.choice import choose_upstream
 from sedgetide.core.requests.choice import price_crossing
+from sedgetide.core.requests.health import UNREACHED_WEIGHT
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.retries import bound_burst
@@ -319,11 +320,11 @@
         near = upstream.data_centre == self._data_centre
         return Candidate(
             upstream,
-            lane.service_time or usual,
+            lane.health.service_time or usual,
             lane.window.estimate_queue(now) + lane.queue_length,
             near,
             lane.pool.has_idle,
-            lane.is_suspect(now),
+            lane.health.is_suspect(now),
             0.0 if near else crossing,
         )
 
@@ -417,7 +418,7 @@
             self._dialect.judge(answer.status, answer.headers), job.keyed
         )
         if failure is Failure.NONE:
-            lane.note_success(now - began)
+            lane.health.note_success(now - began)
             self._note_usual(job, now - began, len(answer.body))
             self._meter.note_answer(
                 job.route.name, target.upstream.name, now - began, load
@@ -437,7 +438,7 @@
                 answer.status, drop_hop_headers(answer.headers), answer.body
             )
         if failure is Failure.BUSY:
-            seconds = lane.service_time or _FIRST_GUESS
+            seconds = lane.health.estimate_seconds()
             job.retry_after = estimate_return(load, seconds)
         self._note_failure(job, target, lane, failure, load)
 
@@ -464,7 +465,8 @@
             self._partitions.note_unreached(target.upstream.data_centre)
         if failure is not Failure.NOT_OWNER:
             unreached = failure is Failure.UNREACHABLE
-            lane.note_failure(read_clock(), 2.0 if unreached else 1.0)
+            weight = UNREACHED_WEIGHT if unreached else 1.0
+            lane.health.note_failure(read_clock(), weight)
         if failure in _OWN_FAULTS:
             self._meter.note_failure(target.upstream.name)
 
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -6,7 +6,6 @@
 
 import argparse
 import contextlib
-import itertools
 import random
 import sys
 import time
@@ -174,7 +173,8 @@
         )
 
     def _tell(self, kind: str, number: str, key: int, fence: int) -> None:
-        event = Event(time.monotonic(), kind, self.name, number, key, fence)
+        start = f"{self.name}@{self._options.born}"
+        event = Event(time.monotonic(), kind, start, number, key, fence)
         sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
         sys.stdout.buffer.flush()
 
@@ -191,15 +191,13 @@
                 "zone": options.data_centre,
                 "slots": options.slots,
             },
+            # The registry keeps the number of the first heartbeat in which
+            # anything else was new.
+            "status": {"state": "ready", "sequence": 1, "warmup-left-ms": 0},
             "born": options.born,
         }
-        for sequence in itertools.count():
-            entry["status"] = {
-                "state": "ready",
-                "sequence": sequence,
-                "warmup-left-ms": 0,
-            }
-            request = self._make_heartbeat(entry)
+        request = self._make_heartbeat(entry)
+        while True:
             with contextlib.suppress(Exception):
                 connection = self._registry.take(1.0)
                 connection.exchange(request, 1.0)
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -48,6 +48,16 @@
 _KEPT = "build/soak"
 _RESETS = 40
 _FIRST_WITH_FORGETTING = 1000
+_FIRST_WITH_RESTARTS = 2000
+_FOREIGN_ENTRIES = (
+    "no entry at all",
+    {"address": 7, "info": [], "status": None},
+    {
+        "address": "127.0.0.1:1",
+        "info": {"service": "maps", "version": "v1", "zone": "z", "slots": -1},
+        "status": {"state": "resting", "sequence": 0, "warmup-left-ms": 0},
+    },
+)
 _RESET_PAUSE = 0.05
 
 
@@ -207,6 +217,9 @@
             self._draw_configuration,
             self._draw_planned_stop,
         ]
+        if self.seed >= _FIRST_WITH_RESTARTS:
+            makers += [self._draw_restart, self._draw_restart]
+            makers.append(self._draw_foreign_entry)
         faults = [
             self._random.choice(makers)(self._random.uniform(0.5, FAULT_TIME))
             for _ in range(self._random.randrange(3, 8))
@@ -267,6 +280,30 @@
             upstream.start,
         )
 
+    def _draw_restart(self, at: float) -> Fault:
+        """Crash an upstream that is back under its name, often at once."""
+        upstream = self._random.choice(self.fleet.upstreams)
+        seconds = self._random.choice((0.1, 0.3, 1.0, 3.0))
+        return Fault(
+            at,
+            seconds,
+            "restart an upstream under its name",
+            lambda: upstream.program.close(),
+            upstream.start_again,
+        )
+
+    def _draw_foreign_entry(self, at: float) -> Fault:
+        """Let another writer overwrite an entry, or add one."""
+        upstream = self._random.choice(self.fleet.upstreams)
+        added = self._random.random() < 0.5
+        value = self._random.choice(_FOREIGN_ENTRIES)
+
+        def begin() -> None:
+            name = "i-foreign" if added else upstream.name
+            self.fleet.put_entry(name, value)
+
+        return Fault(at, 0.0, "foreign entry", begin)
+
     def _draw_store_fault(self, at: float) -> Fault:
         kind = self._random.choice(
             ("down", "lost", "late", "forget", "revoke")
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -167,7 +167,7 @@
 
 
 class SoakUpstream:
-    """A place for an upstream; each start of it has a name of its own."""
+    """A place for an upstream; starts have names of their own, or one."""
 
     def __init__(
         self,
@@ -185,6 +185,7 @@
         self._late = late
         self._clock_rate = clock_rate
         self._starts = 0
+        self.name = ""
         self._port = find_port()
         self.proxy = Proxy(self._port)
         self.programs: list[Program] = []
@@ -196,12 +197,17 @@
 
     def start(self) -> None:
         """Start it as a new upstream at the same address."""
+        self.name = f"i-{self._number}-{self._starts + 1}"
+        self.start_again()
+
+    def start_again(self) -> None:
+        """Start it under the name that it had; it knows nothing of before."""
         self._starts += 1
-        name = f"i-{self._number}-{self._starts}"
         arguments = [
             "-m",
             "sedgetide.testing.rangeupstream",
-            f"--name={name}",
+            f"--name={self.name}",
+            f"--born={self._starts}",
             f"--service={self._service}",
             f"--data-centre=dc-{self._number % 2}",
             f"--port={self._port}",
@@ -212,7 +218,8 @@
         ]
         if self._service == KEYED:
             arguments.append("--keyed")
-        program = Program(name, self._folder, arguments)
+        label = f"{self.name}-{self._starts}"
+        program = Program(label, self._folder, arguments)
         program.start()
         self.programs.append(program)
 
@@ -305,6 +312,12 @@
                 raise TimeoutError("a host did not become ready")
             gevent.sleep(0.1)
 
+    def put_entry(self, name: str, value: object) -> None:
+        """Write an entry of the registry as another writer might."""
+        key = _names.REGISTRY_PREFIX + name
+        document = {"key": key, "value": value, "life": 2.0}
+        call(self.store_port, "POST", "/put", document)
+
     def configure(self, version: int, extra: tuple[str, ...]) -> None:
         """Write a version of the routes, with more of them."""
         columns = [
--- /dev/null
+++ b/tests/core/requests/test_health.py
@@ -0,0 +1,44 @@
+"""Tests of what a host's own requests say of an upstream."""
+
+import testtools
+
+from sedgetide.core.requests.health import FIRST_GUESS
+from sedgetide.core.requests.health import UNREACHED_WEIGHT
+from sedgetide.core.requests.health import UpstreamHealth
+
+
+class TestUpstreamHealth(testtools.TestCase):
+    """One failure may be the request's own; two are the upstream's."""
+
+    def setUp(self):
+        super().setUp()
+        self.health = UpstreamHealth()
+
+    def test_one_failure_is_no_suspicion(self):
+        self.health.note_failure(10.0)
+        self.assertFalse(self.health.is_suspect(10.1))
+
+    def test_two_failures_are(self):
+        self.health.note_failure(10.0)
+        self.health.note_failure(10.1)
+        self.assertTrue(self.health.is_suspect(10.2))
+
+    def test_connection_that_did_not_open_counts_as_two(self):
+        self.health.note_failure(10.0, UNREACHED_WEIGHT)
+        self.assertTrue(self.health.is_suspect(10.1))
+
+    def test_it_is_tried_again_after_two_seconds(self):
+        self.health.note_failure(10.0, UNREACHED_WEIGHT)
+        self.assertFalse(self.health.is_suspect(12.1))
+
+    def test_answers_take_it_back(self):
+        self.health.note_failure(10.0, UNREACHED_WEIGHT)
+        self.health.note_success(0.1)
+        self.assertFalse(self.health.is_suspect(10.1))
+
+    def test_time(self):
+        self.assertEqual(FIRST_GUESS, self.health.estimate_seconds())
+        self.health.note_success(0.5)
+        self.assertEqual(0.5, self.health.estimate_seconds())
+        self.health.note_success(1.0)
+        self.assertAlmostEqual(0.6, self.health.estimate_seconds())
--- /dev/null
+++ b/tests/platform/test_foreign_entries.py
@@ -0,0 +1,119 @@
+"""Entries of other writers, drawn at random: none ends the follower."""
+
+import string
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+import testtools
+
+from sedgetide.backends.dialects import UnreadableEntry
+from sedgetide.backends.leasestore import Item
+from sedgetide.coding.addresses import split_address
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.platform._catalogue import PlatformCatalogue
+
+KEY = "servers/i-1"
+GOOD = {
+    "address": "10.0.0.7:80",
+    "info": {"service": "maps", "version": "v1", "zone": "z", "slots": 2},
+    "status": {"state": "ready", "sequence": 4, "warmup-left-ms": 0},
+    "born": 1_780_000_000_000,
+}
+FIELDS = [
+    (),
+    ("address",),
+    ("info",),
+    ("info", "service"),
+    ("info", "zone"),
+    ("info", "slots"),
+    ("status",),
+    ("status", "state"),
+    ("status", "sequence"),
+    ("status", "warmup-left-ms"),
+    ("born",),
+    ("more",),
+]
+VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(-(10**25), 10**25),
+        strategies.floats(allow_nan=False, allow_infinity=False),
+        strategies.text(max_size=12),
+        strategies.just("10.0.0.7:80"),
+        strategies.just("ready"),
+    ),
+    lambda inner: strategies.one_of(
+        strategies.lists(inner, max_size=3),
+        strategies.dictionaries(
+            strategies.text(string.ascii_lowercase, max_size=6),
+            inner,
+            max_size=3,
+        ),
+    ),
+    max_leaves=6,
+)
+
+
+def replace_field(path, value):
+    """Return a good entry in which one field is something else."""
+    entry = {
+        name: dict(each) if isinstance(each, dict) else each
+        for name, each in GOOD.items()
+    }
+    if not path:
+        return value
+    table = entry
+    for name in path[:-1]:
+        table = table[name]
+    table[path[-1]] = value
+    return entry
+
+
+class TestForeignEntries(testtools.TestCase):
+    """What is not of an upstream is refused, whatever it holds."""
+
+    def read(self, value):
+        """Return what the catalogue makes of bytes; None when refused."""
+        try:
+            return PlatformCatalogue().read(KEY, value)
+        except UnreadableEntry as error:
+            self.assertEqual("i-1", error.upstream)
+            return None
+
+    def check(self, value):
+        entry = self.read(value)
+        if entry is not None:
+            self.assertIsInstance(entry, RegisteredUpstream)
+            self.assertGreaterEqual(entry.slots, 1)
+            self.assertGreaterEqual(entry.born, 0)
+            self.assertTrue(entry.service)
+            split_address(entry.address)
+        knowledge = Knowledge(PlatformCatalogue())
+        knowledge.take_items([Item(KEY, 1, msgspec.json.encode(GOOD))], 1.0)
+        knowledge.take_items([Item(KEY, 2, value)], 2.0)
+        if entry is None:
+            self.assertEqual([], knowledge.directory.list_active("maps"))
+            self.assertEqual(1, len(knowledge.directory.list_all()))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(strategies.sampled_from(FIELDS), VALUES)
+    def test_one_field_is_something_else(self, path, value):
+        self.check(msgspec.json.encode(replace_field(path, value)))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(strategies.binary(max_size=60))
+    def test_bytes(self, value):
+        self.check(value)
+
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    @given(strategies.data())
+    def test_good_entry_cut_or_flipped(self, data):
+        value = bytearray(msgspec.json.encode(GOOD))
+        place = data.draw(strategies.integers(0, len(value) - 1))
+        value[place] = data.draw(strategies.integers(0, 255))
+        end = data.draw(strategies.integers(0, len(value)))
+        self.check(bytes(value[:end]))
