--- a/sedgetide/platform/_store.py
+++ b/sedgetide/platform/_store.py
@@ -44,10 +44,22 @@
     def make_item(self) -> Item:
         value = None
         if not self.tombstone and self.value is not None:
-            value = base64.b64decode(self.value)
+            value = _decode_value(self.value)
         return Item(self.key, Revision(self.revision), value)
 
 
+def _decode_value(text: str) -> bytes:
+    """Return an item's bytes; none of them when the text can't be read.
+
+    One such item in a listing would otherwise hide all the others, and the
+    host would never become ready. Empty, it is refused by whoever reads it.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b""
+
+
 class _Page(msgspec.Struct, rename="kebab", frozen=True):
     as_of: int
     items: list[_Row] = []
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -17,6 +17,7 @@
 from sedgetide.platform._catalogue import PlatformCatalogue
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.platform._requests import PlatformRequests
+from sedgetide.platform._store import _Page
 
 NAMES = importlib.import_module("sedgetide.platform._names")
 ROOT = pathlib.Path(__file__).parents[2]
@@ -172,6 +173,21 @@
         self.assertEqual("", orders.read_handover([]))
 
 
+class TestRows(testtools.TestCase):
+    """Items as the store lists them."""
+
+    def test_value_that_is_no_base64_hides_no_other(self):
+        # Another writer's item can not be decoded. The listing it stands in
+        # failed as a whole, and a host that starts was never ready.
+        page = msgspec.json.decode(
+            b'{"as-of":5,"items":[{"key":"servers/a","revision":4,'
+            b'"value":"A"},{"key":"servers/b","revision":5,"value":"eA=="}]}',
+            type=_Page,
+        )
+        values = [row.make_item().value for row in page.items]
+        self.assertEqual([b"", b"x"], values)
+
+
 class TestCatalogue(testtools.TestCase):
     """Registry entries and configurations."""
 
