Fleet of the tests: ports as in the soak, and a dump that is looked at

Cause: the cell "none at drain" once met a state dump without upstreams (KeyError). The fleet took ports that the kernel had chosen, from the range of outgoing connections; the soak had a safer choice of its own. A dump was not checked for its status or for whose it was. Ruled out: a dump that changes while it is written (nothing in it waits). Change: one find_port for both; fetch_state names what answered instead. The cell itself was not seen again; what it met would be named now.

--- a/sedgetide/testing/fleet.py
+++ b/sedgetide/testing/fleet.py
@@ -17,7 +17,6 @@
 from typing import Any
 
 from gevent import sleep
-from gevent import socket
 import msgspec
 
 from sedgetide.backends._connection import HttpAnswer
@@ -27,10 +26,13 @@
 from sedgetide.command.configuration import read_text
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import Revision
+from sedgetide.testing.ports import find_port
 
 _LIMIT = 64 * 1024 * 1024
 _POLL = 0.02
 _STOP_TIME = 30.0
+_OK = 200
+_SHOWN = 300
 
 # For tests that are not about losses. With the usual durations a machine that
 # stalls for half a second would show one, and requests in hand be unsure.
@@ -39,16 +41,9 @@
 }
 
 
-def reserve_port() -> int:
-    """Return a TCP port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def reserve_address() -> str:
     """Return a free ``IP:port``."""
-    return f"127.0.0.1:{reserve_port()}"
+    return f"127.0.0.1:{find_port()}"
 
 
 def call(
@@ -165,9 +160,27 @@
         return self.settings["admin"]
 
     def fetch_state(self) -> dict[str, Any]:
-        """Return the state dump."""
+        """Return the state dump.
+
+        Raises
+        ------
+        AssertionError
+            When what answers is not this daemon, or could not make a dump.
+            Without a look at it, a caller finds out by a missing field, and
+            what was there instead is lost.
+        """
         answer = call(self.admin, "GET", "/state", timeout=2.0)
-        return msgspec.json.decode(answer.body)
+        place = f"{self.module} at {self.admin}"
+        body = answer.body[:_SHOWN]
+        assert answer.status == _OK, f"{place}: {answer.status} {body!r}"
+        state = msgspec.json.decode(answer.body)
+        own = state["host"] == self.settings["host"]
+        assert own and self.is_own_kind(state), f"{place}: {body!r}"
+        return state
+
+    def is_own_kind(self, state: dict[str, Any]) -> bool:
+        """Tell whether a dump is of this daemon's program."""
+        return ("upstreams" in state) == self.module.endswith("keeper")
 
     def is_ready(self) -> bool:
         """Ask for readiness."""
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
-import itertools
 import os
 import pathlib
 import signal
@@ -18,7 +17,7 @@
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.errors import UpstreamError
 from sedgetide.platform import _names
-from sedgetide.runtime.sockets import open_listener
+from sedgetide.testing.ports import find_port
 from sedgetide.testing.proxies import Proxy
 from sedgetide.testing.rangeupstream import Event
 from sedgetide.wire.client import Connection
@@ -35,22 +34,6 @@
 _SYSTEM_TICKS = 12
 
 
-# Below the range from which the kernel takes the ports of connections; a
-# slice for each process, since several soaks may run side by side.
-_PORTS = itertools.count(20_000 + os.getpid() * 64 % 12_000)
-
-
-def find_port() -> int:
-    """Return a port that is free and that nobody else will choose."""
-    for port in _PORTS:
-        try:
-            open_listener("127.0.0.1", port).close()
-        except OSError:
-            continue
-        return port
-    raise AssertionError("unreachable")
-
-
 class Program:
     """One process, started again under the same settings when asked.
 
