Test of how far shares of a route are off over 200 requests

Cause: nothing said how far chance takes the hash of ids from the weights. Result: over 1,000 windows of 200 requests none of two even parts is 0.2 off, under one in a hundred 0.1; of a tenth none is 0.1 off. Conclusion: the hash stays; a choice of low discrepancy for each host would need state that restarts lose.

--- a/tests/core/requests/test_routes.py
+++ b/tests/core/requests/test_routes.py
@@ -1,6 +1,7 @@
 """Tests of the choice of a route, a service and a request's times."""
 
 import collections
+import random
 
 import testtools
 
@@ -81,3 +82,35 @@
         route = make_route("r", "a", "/")
         self.assertEqual(100.25, set_times(route, 3.0, 100.0).bound_hold())
         self.assertEqual(100.1, set_times(route, 0.2, 100.0).bound_hold())
+
+
+class TestSharesOfWindows(testtools.TestCase):
+    """How far off its weight a part is, by chance, over 200 requests.
+
+    The id of a request decides, so that hosts need not know of each other;
+    the price is chance. A part that is over 0.2 off would break a promise,
+    one that is over 0.1 off is a fault, of which a few may happen.
+    """
+
+    WINDOW = 200
+    WINDOWS = 1000
+
+    def list_deviations(self, weight):
+        shares = (Share("a", weight), Share("b", 100.0 - weight))
+        route = make_route("r", "a.example", "/", shares)
+        source = random.Random(11)
+        deviations = []
+        for _ in range(self.WINDOWS):
+            ids = (f"{source.getrandbits(64):016x}" for _ in range(200))
+            chosen = sum(choose_service(route, each) == "a" for each in ids)
+            deviations.append(abs(chosen / self.WINDOW - weight / 100.0))
+        return deviations
+
+    def test_even_parts(self):
+        deviations = self.list_deviations(50.0)
+        self.assertLess(max(deviations), 0.2)
+        far = sum(deviation > 0.1 for deviation in deviations)
+        self.assertLess(far / self.WINDOWS, 0.01)
+
+    def test_small_part(self):
+        self.assertLess(max(self.list_deviations(10.0)), 0.1)
