--- a/sedgetide/core/membership/partitions.py
+++ b/sedgetide/core/membership/partitions.py
@@ -9,17 +9,21 @@
 
 from sedgetide.core.identifiers import DataCentre
 
-# News comes each 0.5 s in calm times, and later while the store is slow.
+# Seconds. News comes each 0.5 s in calm times, and later while the store is
+# slow.
 _SILENCE = 1.5
 # Two attempts may fail by the loss of one upstream.
 _LEAST_FAILURES = 3
+# Seconds; a host sends several requests a second to other data centres.
 _FAR_SILENCE = 1.0
+# Half of the weight lies on the last 14 requests, a quarter of a second of a
+# host with 60 a second.
 _GAIN = 0.05
 # The others serve at least as large a part once the owners that are cut off
 # have been replaced; until then, the part that is owned there.
 _SERVED_ENOUGH = 0.7
-# When all data centres are cut off from each other, nobody serves the callers
-# that are sent away. So it is tried, and given up for a while.
+# Seconds. When all data centres are cut off from each other, nobody serves
+# the callers that are sent away. So it is tried, and given up for a while.
 _LONGEST_ABSENCE = 10.0
 _LEAST_PRESENCE = 30.0
 
