Figures of a deployment may be fractions, zero or left out

Cause: a deployment that scales its bounds by its size rendered retry_slack as 30.71, and every host ended at its settings, which said whole numbers. The same held for limits, attempts and priorities of the operators' policy, where a fraction would have refused the policy.

Ruled out: rounding in the template (it can't), sections of the template for what is absent (a JSON null says the same and needs no comma rules).

Change: bounds are numbers; null is the default; zero retries and zero grace are allowed; a longest hold under 1 s is refused by name, since no grant could be renewed in it.

--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -9,8 +9,10 @@
 from sedgetide.coding.addresses import check_address
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.core.constraints import Allowance
 from sedgetide.core.constraints import Amount
 from sedgetide.core.constraints import Count
+from sedgetide.core.constraints import HoldMilliseconds
 from sedgetide.core.constraints import Name
 from sedgetide.core.constraints import Seconds
 from sedgetide.core.errors import ErrorCode
@@ -131,6 +133,9 @@
 ):
     """Settings of a host whose upstreams register themselves.
 
+    A deployment that sets no bound of its own has null there, which leaves
+    the default in force.
+
     Parameters
     ----------
     host, data_centre : str
@@ -147,13 +152,14 @@
         ``IP:port`` of the store.
     grace : float
         Seconds between SIGTERM and the kill.
-    max_hold_ms : int
-        Longest life of a grant that upstreams accept.
+    max_hold_ms : float
+        Longest life of a grant that upstreams accept, in milliseconds.
     retry_ratio : float
         Share of the requests for a service that all hosts together may
         send once more; each keeps to four fifths of it on its own.
-    retry_slack : int
-        Retries that all hosts together may make besides, at a time.
+    retry_slack : float
+        Retries that all hosts together may make besides, at a time. A
+        deployment that scales its bounds by its size has fractions here.
     processor_share : float
         Share of its processors' time that the host may take.
     processors : float
@@ -173,10 +179,10 @@
     admin: str
     link: str
     stores: tuple[str, ...]
-    grace: Seconds = 16.0
-    max_hold_ms: Count = 10_000
-    retry_ratio: Amount = 0.2
-    retry_slack: Count = 50
+    grace: Allowance = 16.0
+    max_hold_ms: HoldMilliseconds = 10_000.0
+    retry_ratio: Allowance = 0.2
+    retry_slack: Allowance = 50.0
     processor_share: Amount = 1.0
     processors: Amount = 1.0
     limits: Limits = Limits()
@@ -233,6 +239,12 @@
         document = msgspec.json.decode(pathlib.Path(path).read_bytes())
     except (OSError, msgspec.MsgspecError) as error:
         raise _refuse(path, str(error)) from error
+    if kind is HostSettings and isinstance(document, dict):
+        document = {
+            name: value
+            for name, value in document.items()
+            if value is not None
+        }
     problems = list(find_problems(document, kind))
     if not problems:
         settings = msgspec.convert(document, kind)
--- a/sedgetide/platform/_catalogue.py
+++ b/sedgetide/platform/_catalogue.py
@@ -94,8 +94,9 @@
 
 
 class _Limits(msgspec.Struct, rename="kebab", frozen=True):
-    max_header_bytes: int = 32 * 1024
-    max_body_bytes: int = 16 * 1024 * 1024
+    # Any figure may come with a fraction.
+    max_header_bytes: float = 32 * 1024
+    max_body_bytes: float = 16 * 1024 * 1024
     header_timeout_ms: float = 10_000
     idle_timeout_ms: float = 60_000
 
@@ -143,8 +144,8 @@
         row.get("kind") == _IDEMPOTENT,
         timeout,
         timeout if objective is None else objective / 1000.0,
-        row.get("max-attempts", 1),
-        row.get("priority", 0),
+        int(row.get("max-attempts", 1)),
+        int(row.get("priority", 0)),
         _read_shares(row),
     )
 
@@ -152,7 +153,7 @@
 def _read_service(row: dict[str, Any]) -> ServiceRule:
     return ServiceRule(
         ServiceName(row["name"]),
-        row.get("max-connections", 100),
+        int(row.get("max-connections", 100)),
         bool(row.get("sharded")),
         row.get("warm-s", 0.0),
     )
@@ -167,8 +168,8 @@
         tuple(_read_route(row) for row in document.routes.list_rows()),
         {rule.name: rule for rule in services},
         CallerLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
+            int(limits.max_header_bytes),
+            int(limits.max_body_bytes),
             limits.header_timeout_ms / 1000.0,
             limits.idle_timeout_ms / 1000.0,
         ),
--- /dev/null
+++ b/tests/coding/test_settings.py
@@ -0,0 +1,113 @@
+"""Tests of a host's settings as a deployment renders them."""
+
+import json
+import pathlib
+import re
+import tempfile
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import settings as effort
+from hypothesis import strategies
+import testtools
+
+from sedgetide.coding.settings import HostSettings
+from sedgetide.coding.settings import load_settings
+from sedgetide.core.errors import InputError
+
+ROOT = pathlib.Path(__file__).parents[2]
+TEMPLATE = (ROOT / "deploy" / "settings.json.template").read_text()
+PLACES = {
+    "node": "host-1",
+    "zone": "north",
+    "listen.front": "10.1.0.1:80",
+    "listen.ready": "10.1.0.1:81",
+    "ip": "10.1.0.1",
+    "internal-ports.0": 7720,
+    "platform.address": "10.1.0.2:90",
+}
+FIGURES = {
+    "bounds.grace-s": 0,
+    "bounds.max-hold-ms": 1000,
+    "bounds.retry-budget-ratio": 0,
+    "bounds.retry-budget-slack": 0,
+    "limits.cpu-share": 0.001,
+    "limits.cores": 0.001,
+}
+USUAL = {
+    "bounds.grace-s": 6,
+    "bounds.max-hold-ms": 10_000,
+    "bounds.retry-budget-ratio": 0.2,
+    "bounds.retry-budget-slack": 62,
+    "limits.cpu-share": 0.43,
+    "limits.cores": 1,
+}
+
+
+def render(figures):
+    """Fill the template in as the platform does; None: no value."""
+    values = {**PLACES, **figures}
+
+    def put(match):
+        name, _, form = match[1].partition("|")
+        value = values[name]
+        return json.dumps(value) if form else str(value)
+
+    return re.sub(r"\{\{([^}]+)\}\}", put, TEMPLATE)
+
+
+def load(figures):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(render(figures))
+        file.flush()
+        return load_settings(file.name, HostSettings)
+
+
+def draw_figure(least):
+    """Return whole, fractional, huge and absent figures from a least one."""
+    return strategies.one_of(
+        strategies.none(),
+        strategies.integers(int(least) + 1, 2**70),
+        strategies.floats(least, 1e300, allow_nan=False),
+    )
+
+
+class TestHostSettings(testtools.TestCase):
+    """A host starts with every figure that a deployment may set.
+
+    A host that ends at its settings is a host that never serves, and since
+    all have the same bounds, none does.
+    """
+
+    @effort(max_examples=80, deadline=None, derandomize=True)
+    @given(
+        strategies.fixed_dictionaries(
+            {name: draw_figure(least) for name, least in FIGURES.items()}
+        )
+    )
+    @example({**USUAL, "bounds.retry-budget-slack": 30.714285714285715})
+    @example(dict.fromkeys(FIGURES))
+    @example(FIGURES)
+    def test_any_figure_of_a_deployment_starts_a_host(self, figures):
+        found = load(figures)
+        durations = found.fit_durations()
+        self.assertGreater(durations.renew, 0.3)
+        self.assertGreaterEqual(found.processor_time, 0)
+
+    def test_figures_reach_their_settings(self):
+        found = load({**USUAL, "bounds.retry-budget-slack": 30.71})
+        self.assertEqual(30.71, found.retry_slack)
+        self.assertEqual(6.0, found.grace)
+        self.assertAlmostEqual(0.43, found.processor_time)
+
+    def test_figure_that_nothing_can_run_with_is_named(self):
+        wrong = (
+            ("bounds.retry-budget-slack", True, "$.retry_slack: true"),
+            ("bounds.retry-budget-ratio", -0.1, "$.retry_ratio: -0.1"),
+            ("bounds.max-hold-ms", 5, "$.max_hold_ms: 5"),
+            ("limits.cores", "two", '$.processors: "two"'),
+        )
+        for name, value, shown in wrong:
+            error = self.assertRaises(InputError, load, {**USUAL, name: value})
+            self.assertIn(shown, str(error))
+            self.assertIn("accepted is", str(error))
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -294,6 +294,35 @@
         gone = self.catalogue.read("servers/i-7f3a", None)
         self.assertEqual(Withdrawn("i-7f3a"), gone)
 
+    def test_configuration_with_fractions(self):
+        # Bounds that follow a deployment's size need not be whole; a policy
+        # that was refused for it would leave every host without routes.
+        policy = self.catalogue.read(
+            "op/config",
+            msgspec.json.encode(
+                {
+                    "version": "r1",
+                    "routes": {
+                        "columns": ["name", "host", "path-prefix"]
+                        + ["timeout-ms", "max-attempts", "priority"]
+                        + ["service"],
+                        "rows": [["r", "h", "/", 1500.5, 2.0, 1.0, "a"]],
+                    },
+                    "services": {
+                        "columns": ["name", "max-connections"],
+                        "rows": [["a", 51.4]],
+                    },
+                    "limits": {"max-body-bytes": 1048576.5},
+                }
+            ),
+        )
+        (route,) = policy.routes
+        self.assertEqual((2, 1), (route.attempts, route.priority))
+        self.assertIsInstance(route.priority, int)
+        self.assertEqual(1.5005, route.timeout)
+        self.assertEqual(51, policy.services["a"].connections)
+        self.assertEqual(1048576, policy.limits.body_bytes)
+
     def test_configuration(self):
         policy = self.catalogue.read(
             "op/config",
