A restart shows while other orders are under way

Cause: a connection's end counted as a restart only while no other was open. With two orders under way the second could open a connection to the new start before the first met the end of its own; its grant then left at the old fence, to a process that knows of no fence. The same where an answer had announced the end of the only connection.

Ruled out: one order at a time (a release waits up to 3 s for the work on its keys); a new session for each announced end (upstreams close connections now and then, and each would cost a fence and a dark moment).

Change: whoever opens a connection looks first whether one in use has ended; ends of a session that is over count no more; after an announced end the next connection is opened at once.

The window of a leader that was never connected stays open, docs/design/platform.md says why.

--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import enum
+import weakref
 
 import msgspec
 
@@ -24,6 +25,8 @@
 _CONNECT_TIMEOUT = 0.5
 _RELEASE_TIMEOUT = 3.0
 _SETTLING = 0.003
+# Seconds; a process takes longer to start.
+_REPLACE_WITHIN = 0.1
 _OK = 200
 
 
@@ -82,8 +85,8 @@
     of no fence. Its entry in the registry comes up to a second later;
     until then only the connections tell. ``session`` counts how often it
     may have restarted: it refused a connection, or ended all that were
-    kept. A restart between an answer that announces the end of the only
-    connection and the next order is not seen.
+    open. A process that ends closes its connections before its successor
+    takes one, so what a new connection leads to is known once it is open.
 
     Parameters
     ----------
@@ -116,7 +119,10 @@
         # left; after it, the upstream may hold the keys for a whole life
         # more, and they stay dark for as long once it is known to be lost.
         self._pool = ConnectionPool(address, _ANSWER_BYTES, settling)
-        self._in_use = 0
+        self._in_use: set[Connection] = set()
+        self._opened: weakref.WeakKeyDictionary[Connection, int] = (
+            weakref.WeakKeyDictionary()
+        )
         self.session = 0
 
     def grant(
@@ -178,11 +184,11 @@
             connection = self._take()
         except UpstreamError as error:
             return OrderResult(Taken.UNSENT, detail=error.detail)
-        self._in_use += 1
+        self._in_use.add(connection)
         try:
             return self._give_on(connection, make, timeout)
         finally:
-            self._in_use -= 1
+            self._in_use.discard(connection)
 
     def _take(self) -> Connection:
         """Return a connection, and note what it tells of a restart."""
@@ -194,23 +200,52 @@
             if kept or error.code is not ErrorCode.UPSTREAM_FULL:
                 self._note_end()
             raise
-        if kept and not connection.answered:
-            self._note_end()
+        if connection not in self._opened:
+            if kept:
+                self._note_end()
+            # Another order may be on a connection that has ended meanwhile,
+            # and not know it yet.
+            for other in self._in_use:
+                if other.ended:
+                    self._note_end(other)
+            self._opened[connection] = self.session
         return connection
 
-    def _note_end(self, own: int = 0) -> None:
+    def _note_end(self, ended: Connection | None = None) -> None:
         """Take in that the upstream ended a connection, or took none.
 
         While another is open it is the same process as before.
 
         Parameters
         ----------
-        own : int
-            Connections in use that have ended.
+        ended : Connection or None
+            Which; None when it was not in use.
         """
-        if self._in_use == own and not self._pool.has_idle:
+        if ended is not None and self._opened.get(ended) != self.session:
+            # An end of a session that is known to be over.
+            return
+        self._pool.prune()
+        alive = any(not each.ended for each in self._in_use - {ended})
+        if not alive and not self._pool.has_idle:
             self.session += 1
 
+    def _replace(self, ended: Connection) -> None:
+        """Open a connection in place of one whose end was announced.
+
+        What listens when the next order is due may be another start. Right
+        after the answer it is the process that gave it: none starts again
+        in so short a time.
+        """
+        if self._pool.has_idle:
+            return
+        try:
+            connection = self._pool.take(_REPLACE_WITHIN)
+        except UpstreamError:
+            self._note_end(ended)
+            return
+        self._opened[connection] = self.session
+        self._pool.give_back(connection)
+
     def _give_on(
         self,
         connection: Connection,
@@ -233,10 +268,11 @@
             )
         except UpstreamError as error:
             if error.code is not ErrorCode.UPSTREAM_SILENT:
-                self._pool.prune()
-                self._note_end(own=1)
+                self._note_end(connection)
             return OrderResult(Taken.UNKNOWN, detail=error.detail)
         self._pool.give_back(connection)
+        if not connection.open_now:
+            self._replace(connection)
         return self._judge(answer)
 
     def _judge(self, answer: Answer) -> OrderResult:
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -70,8 +70,6 @@
     ----------
     rested : float
         Seconds that it had been idle when it was taken last.
-    answered : bool
-        Whether the server has answered on it.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -81,7 +79,6 @@
         self._used_at = 0.0
         self._idle_life = _IDLE_LIFE
         self.rested = 0.0
-        self.answered = False
 
     def open(self, timeout: float) -> None:
         """Connect.
@@ -145,6 +142,15 @@
         poll.register(self._socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the server has closed it, also while a request is on it."""
+        if self._socket is None:
+            return True
+        poll = select.poll()
+        poll.register(self._socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def note_rest(self) -> None:
         """Remember for how long it has been idle, before it is used."""
         self.rested = time.monotonic() - self._used_at
@@ -241,7 +247,6 @@
         ended: bool,
     ) -> None:
         self._used_at = time.monotonic()
-        self.answered = True
         _note_idle_life(self, answer.headers)
         done = parser.their_state is h11.DONE
         if rest or ended or not done:
--- a/tests/daemons/test_orders.py
+++ b/tests/daemons/test_orders.py
@@ -13,6 +13,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 KEYS = KeyRange(0, 9)
+OBEYED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+CLOSING = OBEYED.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 
 
 class TestOrderLane(testtools.TestCase):
@@ -70,6 +72,8 @@
         self.port = 0
         self.peers = []
         self.grants = []
+        self.answer = OBEYED
+        self.ends = False
         self.start()
 
     def start(self):
@@ -97,7 +101,9 @@
         try:
             while peer.recv(65536):
                 self.grants.append(1)
-                peer.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                peer.sendall(self.answer)
+                if self.ends:
+                    self.stop()
         except OSError:
             return
 
@@ -147,6 +153,64 @@
         self.assertIs(Taken.UNKNOWN, result.taken)
         self.assertEqual(1, self.lane.session)
 
+    def test_restart_while_another_order_is_under_way(self):
+        # Two workers renew. The upstream restarts while the first has its
+        # connection and has not sent yet; the second opens one to the new
+        # start, which knows of no fence and would take the keys at the old
+        # one. Its order must see the restart before it leaves.
+        self.grant()
+        sessions = []
+
+        def hold_back():
+            gevent.sleep(0.1)
+            return 3.5
+
+        def look():
+            sessions.append(self.lane.session)
+            return 3.5
+
+        first = gevent.spawn(self.lane.grant, KEYS, 1, "", hold_back)
+        gevent.sleep(0.02)
+        self.upstream.stop()
+        self.upstream.start()
+        self.lane.grant(KEYS, 1, "", look)
+        first.join()
+        self.assertEqual([1], sessions)
+        self.assertEqual(1, self.lane.session)
+
+    def test_order_beside_a_sound_one_is_no_restart(self):
+        self.grant()
+
+        def hold_back():
+            gevent.sleep(0.1)
+            return 3.5
+
+        first = gevent.spawn(self.lane.grant, KEYS, 1, "", hold_back)
+        gevent.sleep(0.02)
+        self.assertIs(Taken.DONE, self.grant())
+        self.assertIs(Taken.DONE, first.get().taken)
+        self.assertEqual(0, self.lane.session)
+
+    def test_announced_end_of_the_only_connection(self):
+        # An upstream closes a connection now and then. To move its keys to
+        # a new fence each time would keep them dark for nothing.
+        self.upstream.answer = CLOSING
+        for _ in range(3):
+            self.assertIs(Taken.DONE, self.grant())
+        self.assertEqual(0, self.lane.session)
+
+    def test_restart_after_the_announced_end_of_the_only_connection(self):
+        # The upstream answers with the wish to close, and ends. Nothing is
+        # open that its next start could close.
+        self.upstream.answer = CLOSING
+        self.upstream.ends = True
+        self.assertIs(Taken.DONE, self.grant())
+        self.upstream.answer = OBEYED
+        self.upstream.ends = False
+        self.upstream.start()
+        self.assertIs(Taken.DONE, self.grant())
+        self.assertEqual(1, self.lane.session)
+
     def test_unanswered_order_says_nothing_of_a_restart(self):
         # Some upstreams leave orders unanswered for seconds. To move their
         # keys to a new fence each time would cost more than it guards.
