Bodies in hand are bounded; an upload that does not fit is refused

Cause: nothing bounded how many bodies a host held. Uploads of up to 64 MB are allowed, a host has 200 MB, and a body stands in memory up to three times: three large uploads at once end the process with all it has in hand.

Ruled out: a smaller largest body (the deployment allows it); a bound by count (bodies differ by four orders of size).

The rest of it is read and dropped before the connection closes, else the reset would overtake the answer.

Before: no bound. After: the test of four uploads where two fit sees two served and two refused at once; the caller who leaves in the middle of an upload holds nothing. Streaming is not built.

--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -164,6 +164,8 @@
         Share of its processors' time that the host may take.
     processors : float
         How many times as fast as one core they are.
+    memory_mb : float
+        Memory of the process in megabytes; bounds the bodies in hand.
     limits : Limits
         Bounds; a planned stop takes ``grace`` less a reserve, not ``drain``.
     durations : Durations
@@ -185,6 +187,7 @@
     retry_slack: Allowance = 50.0
     processor_share: Amount = 1.0
     processors: Amount = 1.0
+    memory_mb: Amount = 1024.0
     limits: Limits = Limits()
     durations: Durations = Durations()
     log_level: str = "INFO"
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -30,6 +30,9 @@
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
+BODY_BYTES_IN_HAND = Gauge(
+    "sedgetide_body_bytes_in_hand", "Bytes of callers' bodies that are held."
+)
 CALLER_CONNECTIONS = Gauge(
     "sedgetide_caller_connections", "Open connections of callers."
 )
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -28,6 +28,8 @@
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.requests.bodies import BodyAllowance
+from sedgetide.core.requests.bodies import bound_bodies
 from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.daemons._admin import Inspectable
 from sedgetide.daemons._admin import make_application
@@ -35,6 +37,7 @@
 from sedgetide.daemons._countedstore import CountedStore
 from sedgetide.daemons._feed import FeedSink
 from sedgetide.daemons._follower import Follower
+from sedgetide.daemons._hostmetrics import BODY_BYTES_IN_HAND
 from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
 from sedgetide.daemons._hostmetrics import LEADING
 from sedgetide.daemons._hostmetrics import POLICY_VERSION
@@ -131,6 +134,7 @@
             self._requests.serve,
             self._requests.is_idempotent,
             self._requests.read_limits,
+            BodyAllowance(bound_bodies(settings.memory_mb)),
         )
         self._transport = Transport(
             settings.link, _LINK_BYTES, self._handle, self._drop
@@ -141,6 +145,7 @@
     def _bind_gauges(self) -> None:
         knowledge = self._knowledge
         REQUESTS_IN_HAND.set_function(lambda: self._server.in_hand)
+        BODY_BYTES_IN_HAND.set_function(lambda: self._server.bodies.held)
         CALLER_CONNECTIONS.set_function(lambda: len(self._server.connections))
         STORE_SILENCE_SECONDS.set_function(
             lambda: read_clock() - knowledge.heard_at
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -12,6 +12,7 @@
 import h11
 
 from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.requests.bodies import BodyAllowance
 from sedgetide.wire.client import set_probes
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import decode_headers
@@ -21,6 +22,9 @@
 _BLOCK = 64 * 1024
 _MOST_PIPELINED = 32
 _LINGER = 1.0
+# Seconds; an upload in hand has left by then.
+_CROWDED_RETRY = 1.0
+_UNBOUNDED = 1 << 62
 
 _log = logging.getLogger(__name__)
 
@@ -30,9 +34,16 @@
 class _Rejected(Exception):
     """A request that can not be read, with the status that says so."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, retry_after: float | None = None) -> None:
         super().__init__(status)
         self.status = status
+        self.retry_after = retry_after
+
+    def make_answer(self) -> Answer:
+        headers = []
+        if self.retry_after is not None:
+            headers.append(("Retry-After", f"{self.retry_after:g}"))
+        return Answer(self.status, headers, reusable=False)
 
 
 class _Turn:
@@ -56,6 +67,8 @@
         Whether a request may be worked on beside others of its connection.
     read_limits : callable
         Bounds now in force.
+    bodies : BodyAllowance or None
+        Bytes of bodies that may be in hand; None: any number.
     """
 
     def __init__(
@@ -63,7 +76,9 @@
         serve: Serve,
         is_idempotent: Callable[[Request], bool],
         read_limits: Callable[[], CallerLimits],
+        bodies: BodyAllowance | None = None,
     ) -> None:
+        self.bodies = bodies or BodyAllowance(_UNBOUNDED)
         self.serve = serve
         self.is_idempotent = is_idempotent
         self.read_limits = read_limits
@@ -133,6 +148,8 @@
         self._reader: gevent.Greenlet | None = None
         self._partial = False
         self._buffer = b""
+        # Bytes of bodies that this connection holds.
+        self._held = 0
 
     def run(self) -> None:
         """Serve until either side closes."""
@@ -149,6 +166,7 @@
     def _leave(self) -> None:
         """Cancel what is worked on: nobody waits for it any longer."""
         self._server.connections.discard(self)
+        self._let_go(self._held)
         for turn in self._turns:
             if turn.task is not None and not turn.task.ready():
                 turn.task.kill(block=False)
@@ -163,13 +181,22 @@
         if not self._turns and not self._partial and self._reader:
             self._reader.kill(block=False)
 
+    def _hold(self, size: int) -> None:
+        if not self._server.bodies.take(size):
+            raise _Rejected(503, _CROWDED_RETRY)
+        self._held += size
+
+    def _let_go(self, size: int) -> None:
+        self._server.bodies.give_back(size)
+        self._held -= size
+
     # Reading
 
     def _read(self) -> None:
         while not self._reading_done:
             request, parser = self._read_request()
             if request is None:
-                return
+                break
             turn = _Turn(parser, request)
             self._wait_for_room(request)
             if self._reading_done:
@@ -228,7 +255,7 @@
         try:
             request = self._parse(parser, limits)
         except _Rejected as error:
-            self._reject(parser, error.status)
+            self._reject(parser, error.make_answer())
             return None, parser
         self._partial = False
         self._buffer = parser.trailing_data[0]
@@ -250,6 +277,7 @@
                 body += event.data
                 if len(body) > limits.body_bytes:
                     raise _Rejected(413)
+                self._hold(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return _make_request(head, bytes(body))
             else:
@@ -288,10 +316,10 @@
                 )
             )
 
-    def _reject(self, parser: h11.Connection, status: int) -> None:
-        """Answer a request that can not be read, and end the connection."""
+    def _reject(self, parser: h11.Connection, answer: Answer) -> None:
+        """Answer a request that is not read, and end the connection."""
         turn = _Turn(parser, Request("GET", "/", [], b""))
-        turn.answer = Answer(status, [], reusable=False)
+        turn.answer = answer
         self._turns.append(turn)
         self._moved.set()
         while self._turns:
@@ -326,6 +354,7 @@
                 self._reader.kill(block=False)
                 return
             self._turns.popleft()
+            self._let_go(len(turn.request.body))
             self._moved.set()
 
     def _end(self) -> None:
--- a/tests/coding/test_settings.py
+++ b/tests/coding/test_settings.py
@@ -33,6 +33,7 @@
     "bounds.retry-budget-slack": 0,
     "limits.cpu-share": 0.001,
     "limits.cores": 0.001,
+    "limits.memory-mb": 1,
 }
 USUAL = {
     "bounds.grace-s": 6,
@@ -41,6 +42,7 @@
     "bounds.retry-budget-slack": 62,
     "limits.cpu-share": 0.43,
     "limits.cores": 1,
+    "limits.memory-mb": 200,
 }
 
 
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -9,6 +9,7 @@
 import testtools
 
 from sedgetide.core.configuration.policy import CallerLimits
+from sedgetide.core.requests.bodies import BodyAllowance
 from sedgetide.runtime.sockets import open_listener
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.server import Server
@@ -62,6 +63,40 @@
         self.addCleanup(client.close)
         return client
 
+    def test_uploads_that_do_not_fit_are_refused_at_once(self):
+        # Four callers upload at the same time to a host that can hold two
+        # bodies. Without the bound a few dozen end the process for lack of
+        # memory, and with it everything that it has in hand.
+        self.server.bodies = BodyAllowance(2000)
+        gate = self.hold("/slow")
+        upload = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n"
+        upload += b"\r\n" + b"x" * 900
+        clients = [self.connect() for _ in range(4)]
+        for client in clients:
+            client.sendall(upload)
+            gevent.sleep(0.02)
+        for client in clients[2:]:
+            answer = self.read(client, b"\r\n\r\n")
+            self.assertIn(b"HTTP/1.1 503", answer)
+            self.assertIn(b"Retry-After: 1\r\n", answer)
+        self.assertEqual(["/slow", "/slow"], self.service.began)
+        gate.set()
+        for client in clients[:2]:
+            self.assertIn(b"X-Body: 900", self.read(client, b"/slow"))
+        gevent.sleep(0.02)
+        self.assertEqual(0, self.server.bodies.held)
+
+    def test_caller_who_leaves_in_an_upload_holds_nothing(self):
+        client = self.connect()
+        client.sendall(
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\nxx"
+        )
+        gevent.sleep(0.02)
+        self.assertEqual(2, self.server.bodies.held)
+        client.close()
+        gevent.sleep(0.05)
+        self.assertEqual(0, self.server.bodies.held)
+
     def hold(self, target):
         gate = self.service.gates[target] = Event()
         return gate
