A range that stays with its owner at a new fence is logged

Cause: after a restart under the same name, or a fence that was passed by, a range went to its own owner again and showed in the logs only as an unsent order and a move to itself; on call nobody could tell why its keys were dark for a moment.

--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -330,6 +330,14 @@
             # Its fence was passed by; the same owner goes on at a new one.
             if tenure in table.tenures and tenure.owner in takers:
                 moves.append(Move(tenure.keys, tenure.owner))
+                tell(
+                    Event.FENCE_RENEWED,
+                    service=service,
+                    upstream=tenure.owner,
+                    low=tenure.low,
+                    high=tenure.high,
+                    fence=tenure.fence,
+                )
         began = self._book.began_at
         ready = began is not None and now - began >= _FIRST_BALANCE
         if not moves and balance and ready:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -194,6 +194,13 @@
         "obeyed are left out.",
         ("order", "upstream", "low", "high", "fence", "taken", "detail"),
     )
+    FENCE_RENEWED = Definition(
+        "fence-renewed",
+        logging.WARNING,
+        "A range stays with its owner at a new fence: the upstream refused "
+        "the old one, or may have started again under its name.",
+        ("service", "upstream", "low", "high", "fence"),
+    )
     OWNER_STOPPED = Definition(
         "owner-stopped",
         logging.INFO,
