Keys move for load that is beyond chance

Cause: the load book remembered 3 s, nine to eighteen requests of an upstream. Of 200 equal upstreams the busiest then looks half as busy again as it is, and slowness was the mean of four answers: balance chased chance and moved a hot key wherever the last few answers had been quick.

Hypothesis: what sets ranges apart counts only beyond what the most extreme of so many shows by chance; what all together ask for is known well, so a range otherwise counts by its width.

A report costs its own keys and not all that are known.

--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -26,10 +26,14 @@
 # fifth by chance alone; less than this is no reason to move anything.
 _TOLERATED_DIFFERENCE = 0.25
 _BUSY = 0.55
+# Beyond it requests wait longer than they run.
+_FULL = 0.85
 _LEAST_SHARE = 0.25
 _RANGES_EACH = 24
 _RANGES_CROWDED = 7
 _NARROW = 512
+# Slots: 40 joined ranges are the work of one upstream.
+_NEGLIGIBLE = 0.05
 
 
 def bound_moves(takers: int, empty: int = 0) -> int:
@@ -150,12 +154,20 @@
 def _find_wanted(
     loads: Loads, source: IncarnationName, goal: IncarnationName, gap: float
 ) -> float:
-    """Return the work that makes both upstreams equally busy."""
-    cost = sum(
-        loads.takers[name].slowness / loads.takers[name].slots
+    """Return the work that makes both upstreams equally busy.
+
+    No more than the goal has room for: halves of what is far too much for
+    one upstream are too much for two, and what is on its way can not be cut
+    again before it has arrived. A run of keys that is the work of 40
+    upstreams was spread in five rounds of 0.8 s by halves; so it takes two.
+    """
+    costs = {
+        name: loads.takers[name].slowness / loads.takers[name].slots
         for name in (source, goal)
-    )
-    return gap / cost
+    }
+    equal = gap / sum(costs.values())
+    room = (_FULL - loads.find_busy(goal)) / costs[goal]
+    return min(equal, room) if room > 0 else equal
 
 
 def _cut_range(
@@ -218,7 +230,7 @@
         settled = not left.moving and not tenure.moving and not last_moved
         foreign = tenure.owner != left.owner and left.owner in takers
         narrow = len(tenure.keys) <= _NARROW
-        idle = not _has_busy_key(tenure, busy)
+        idle = _sum_work(tenure, busy, rates) <= _NEGLIGIBLE
         last_moved = settled and foreign and narrow and idle
         if last_moved:
             moves.append(Move(tenure.keys, left.owner))
@@ -227,6 +239,9 @@
     return moves
 
 
-def _has_busy_key(tenure: Tenure, busy: Sequence[Key]) -> bool:
-    index = bisect.bisect_left(busy, tenure.low)
-    return index < len(busy) and busy[index] <= tenure.high
+def _sum_work(
+    tenure: Tenure, busy: Sequence[Key], rates: Mapping[Key, float]
+) -> float:
+    first = bisect.bisect_left(busy, tenure.low)
+    last = bisect.bisect_right(busy, tenure.high)
+    return sum(rates[key] for key in busy[first:last])
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -15,6 +15,7 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
@@ -32,6 +33,7 @@
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.smoothing import smooth_rates
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._feed import FeedSource
@@ -324,7 +326,13 @@
             )
             for each in active
         }
-        rates = self._book.list_rates(service, now)
+        lost = any(each.owner not in takers for each in table.tenures)
+        rates: dict[Key, float] = {}
+        if balance or lost:
+            # Ten thousand keys are known after a few seconds, and this runs
+            # ten times a second.
+            views = self._book.list_views(service, now)
+            rates = smooth_rates(views, table.tenures)
         moves = plan_evictions(table, takers, rates)
         for tenure in self._desk.take_fenced(service):
             # Its fence was passed by; the same owner goes on at a new one.
