Places at upstreams are lent where hosts are many before few slots

Cause: a host's window learns from its own answers. 195 hosts before upstreams of two slots each ask one once in half a minute, so the queue forms at the upstream: first come, first served for all callers, and a reset for the eleventh, after which an alert may have run.

Hypothesis: one queue for each upstream, kept by one host, gives order, early refusals and no resets for three short messages a request.

Where no lender answers in 0.12 s the windows serve as before. Neither ownership nor not-run rests on a lender.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -10,11 +10,14 @@
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import OperationId
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.lenders import LenderList
+from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.ownership.assignment import Member
 from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.core.ownership.load import KeyWork
@@ -22,6 +25,7 @@
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.outcomes import Reason
+from sedgetide.core.requests.places import Verdict
 
 Headers = list[tuple[str, str]]
 
@@ -203,11 +207,14 @@
         What was seen of upstreams since then.
     revision : Revision
         Up to which the host knows what the store holds.
+    standing : Standing
+        What the host says of itself.
     """
 
     keys: list[KeyWork]
     upstreams: list[UpstreamWork]
     revision: Revision = Revision(0)
+    standing: Standing = Standing()
 
 
 class Patch(msgspec.Struct, frozen=True, array_like=True):
@@ -269,6 +276,72 @@
     tenures: list[Tenure]
 
 
+class Lenders(Message, tag="lenders"):
+    """The leader names the hosts that lend places at upstreams."""
+
+    named: LenderList
+
+
+class AskPlace(Message, tag="ask-place"):
+    """A host asks for a place at an upstream.
+
+    Parameters
+    ----------
+    number : int
+        The sender's own; pairs the question with its answers.
+    upstream : IncarnationName
+        Where.
+    slots : int
+        Requests that the upstream works on at a time.
+    priority : int
+        Lower is more urgent.
+    left : float
+        Seconds within which the request's answer is needed.
+    """
+
+    number: int
+    upstream: IncarnationName
+    slots: int
+    priority: int
+    left: float
+
+
+class PlaceVerdict(Message, tag="place"):
+    """A lender's word on a question; a queued one gets a second.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    verdict : Verdict
+        What the host may do.
+    retry_after : float
+        Seconds after which a refused caller does well to come again.
+    """
+
+    number: int
+    verdict: Verdict
+    retry_after: float = 0.0
+
+
+class EndPlace(Message, tag="end-place"):
+    """A host gives a place back, or waits for it no longer.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    seconds : float or None
+        How long the upstream took; None without an answer.
+    waiting : int
+        Requests that waited at the upstream itself, as it said.
+    """
+
+    number: int
+    seconds: float | None = None
+    waiting: int = 0
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -281,6 +354,10 @@
     | LoadReport
     | Moved
     | StoreFeed
+    | Lenders
+    | AskPlace
+    | PlaceVerdict
+    | EndPlace
 )
 
 
--- /dev/null
+++ b/sedgetide/core/requests/places.py
@@ -0,0 +1,242 @@
+"""Places at an upstream, lent to hosts that do not know of each other.
+
+With many more hosts than an upstream has slots, each host sends it a request
+once in many seconds, and no window of its own tells it whether others do so
+at the same moment. One host, the lender, therefore keeps the queue of an
+upstream for all: they ask it for a place and send their requests themselves.
+
+Ownership and what may be told of a request do not rest on it. A lender that
+is lost, or two that lend the same places for a moment, cost order and time:
+the upstream itself refuses keys that it does not hold, and has room for a
+few requests more than its slots.
+"""
+
+import enum
+
+import msgspec
+
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.requests.health import FIRST_GUESS
+from sedgetide.core.requests.queues import UpstreamQueue
+
+# A holder that is lost never gives its place back. After so many times what
+# requests take there, and this many seconds at least, its request has ended
+# in all but a few cases; one too many waits at the upstream then.
+_LOAN_TIMES = 6.0
+_LEAST_LOAN = 2.0
+# Requests that wait for one upstream. Most are refused long before, by the
+# time they would have to wait; this bounds memory if callers wait for hours.
+_MOST_WAITING = 1000
+# Seconds without a request after which an upstream's queue is forgotten.
+_FORGOTTEN_AFTER = 30.0
+_UNBOUNDED = float("inf")
+
+
+class Verdict(enum.Enum):
+    """What a lender says to one who asks for a place."""
+
+    GRANTED = "granted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """One request that needs a place.
+
+    Parameters
+    ----------
+    holder : LinkAddress
+        Host that asks.
+    number : int
+        Its own number of the request.
+    """
+
+    holder: LinkAddress
+    number: int
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """What becomes of a ticket.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        Which.
+    verdict : Verdict
+        What its holder may do.
+    retry_after : float
+        Seconds after which a refused caller does well to come again.
+    """
+
+    ticket: Ticket
+    verdict: Verdict
+    retry_after: float = 0.0
+
+
+class _Places:
+    """Places of one upstream, and who waits for them."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._queue: UpstreamQueue[Ticket] = UpstreamQueue(
+            slots, _MOST_WAITING, FIRST_GUESS
+        )
+        self._waiting: dict[Ticket, Ticket] = {}
+        self._lent: dict[Ticket, float] = {}
+        self.used_at = float("-inf")
+
+    def ask(
+        self, ticket: Ticket, priority: int, left: float, now: float
+    ) -> list[Decision]:
+        self.used_at = now
+        decisions = self.end(ticket, None, 0, now)
+        free = self._queue.estimate_wait(priority) == 0.0
+        # Where a place is free, trying costs nobody else anything.
+        deadline = _UNBOUNDED if free else now + left
+        refusal = self._queue.offer(ticket, priority, deadline, now)
+        if refusal is not None:
+            decisions.append(
+                Decision(ticket, Verdict.REFUSED, refusal.retry_after)
+            )
+            return decisions
+        self._waiting[ticket] = ticket
+        decisions += self._admit(now)
+        if ticket in self._waiting:
+            decisions.append(Decision(ticket, Verdict.QUEUED))
+        return decisions
+
+    def end(
+        self, ticket: Ticket, seconds: float | None, waiting: int, now: float
+    ) -> list[Decision]:
+        queued = self._waiting.pop(ticket, None)
+        if queued is not None:
+            self._queue.remove(queued)
+            return []
+        if self._lent.pop(ticket, None) is None:
+            return []
+        self._queue.finish(seconds)
+        # Whoever waits at the upstream was sent there without a place, and
+        # takes the slot that has just become free.
+        self._queue.slots = max(1, self._slots - waiting)
+        return self._admit(now)
+
+    def expire(self, now: float) -> list[Decision]:
+        overdue = [each for each, end in self._lent.items() if end <= now]
+        for ticket in overdue:
+            del self._lent[ticket]
+            self._queue.finish(None)
+        return self._admit(now) if overdue else []
+
+    def _admit(self, now: float) -> list[Decision]:
+        decisions = []
+        loan = max(_LEAST_LOAN, _LOAN_TIMES * self._queue.service_time)
+        while True:
+            ticket, expired = self._queue.take(now)
+            for each in expired:
+                del self._waiting[each]
+                wait = self._queue.service_time
+                decisions.append(Decision(each, Verdict.REFUSED, wait))
+            if ticket is None:
+                return decisions
+            del self._waiting[ticket]
+            self._lent[ticket] = now + loan
+            decisions.append(Decision(ticket, Verdict.GRANTED))
+
+    @property
+    def idle(self) -> bool:
+        return not self._lent and not self._waiting
+
+
+class Lender:
+    """Queues of all upstreams whose places one host lends.
+
+    The most urgent request of all hosts goes first, then the one whose
+    answer is needed soonest. One that would have to wait too long is
+    refused at once, with the time after which asking again makes sense.
+    """
+
+    def __init__(self) -> None:
+        self._places: dict[IncarnationName, _Places] = {}
+        self._upstreams: dict[Ticket, IncarnationName] = {}
+
+    def ask(
+        self,
+        ticket: Ticket,
+        upstream: IncarnationName,
+        slots: int,
+        priority: int,
+        left: float,
+        now: float,
+    ) -> list[Decision]:
+        """Take in a request for a place.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            Who asks.
+        upstream : IncarnationName
+            Where.
+        slots : int
+            Requests that the upstream works on at a time.
+        priority : int
+            Lower is more urgent.
+        left : float
+            Seconds within which the answer is needed.
+        now : float
+            Own clock.
+
+        Returns
+        -------
+        list of Decision
+            For this ticket, and for others that it affects.
+        """
+        decisions = self.end(ticket, None, 0, now)
+        places = self._places.get(upstream)
+        if places is None:
+            places = self._places[upstream] = _Places(slots)
+        self._upstreams[ticket] = upstream
+        decisions += places.ask(ticket, priority, left, now)
+        return self._settle(decisions)
+
+    def end(
+        self, ticket: Ticket, seconds: float | None, waiting: int, now: float
+    ) -> list[Decision]:
+        """Take in that a place is given back or no longer waited for.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            Whose; one that is not known changes nothing.
+        seconds : float or None
+            How long the upstream took; None when it gave no answer.
+        waiting : int
+            Requests that wait at the upstream itself, as it said.
+        now : float
+            Own clock.
+        """
+        upstream = self._upstreams.pop(ticket, None)
+        if upstream is None:
+            return []
+        places = self._places[upstream]
+        return self._settle(places.end(ticket, seconds, waiting, now))
+
+    def expire(self, now: float) -> list[Decision]:
+        """Take back places whose holders were lost; forget idle queues."""
+        decisions = []
+        for name, places in list(self._places.items()):
+            decisions += places.expire(now)
+            if places.idle and now - places.used_at > _FORGOTTEN_AFTER:
+                del self._places[name]
+        self._upstreams = {
+            ticket: name
+            for ticket, name in self._upstreams.items()
+            if name in self._places
+        }
+        return self._settle(decisions)
+
+    def _settle(self, decisions: list[Decision]) -> list[Decision]:
+        for each in decisions:
+            if each.verdict is Verdict.REFUSED:
+                self._upstreams.pop(each.ticket, None)
+        return decisions
--- a/sedgetide/core/requests/routes.py
+++ b/sedgetide/core/requests/routes.py
@@ -96,8 +96,18 @@
         patience = min(self.objective - self.began, self.final - self.began)
         return self.began + patience * _PATIENCE
 
+    def find_patience(self, now: float) -> float:
+        """Return the seconds within which an answer is still in time.
+
+        A little is kept back, since what a request takes varies: one that
+        would just be in time is late half of the time.
+        """
+        useful = min(self.objective, self.final) - self.began
+        return max(0.0, self.began + useful * _USEFUL - now)
+
 
 _PATIENCE = 0.5
+_USEFUL = 0.9
 
 
 def set_times(
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -27,6 +27,11 @@
     "Second sends by what the budget said.",
     ["service", "verdict"],
 )
+PLACES = Counter(
+    "sedgetide_places",
+    "Places asked for at upstreams, by what the lender said.",
+    ["verdict"],
+)
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
--- a/sedgetide/daemons/_job.py
+++ b/sedgetide/daemons/_job.py
@@ -8,6 +8,7 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.returns import SOON
 from sedgetide.core.requests.routes import Timetable
+from sedgetide.daemons._places import Place
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
 
@@ -33,6 +34,8 @@
         Why it got no answer, for the log.
     unreached : int
         Connections that did not open.
+    place : Place or None
+        Place at an upstream that it got last.
     fence : int
         Fence under which it was sent last.
     held, rested : float
@@ -50,6 +53,7 @@
     retry_after: float = SOON
     note: str = ""
     unreached: int = 0
+    place: Place | None = None
     fence: int = 0
     held: float = 0.0
     rested: float = 0.0
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -18,6 +18,7 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
@@ -67,6 +68,7 @@
         self.changes = Changes()
         self.heard_at = float("-inf")
         self.hosts: int | None = None
+        self.lenders = LenderList()
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
         self._forgotten = NO_REVISION
@@ -80,6 +82,21 @@
         """
         self.hosts = max(self.hosts or 0, hosts)
 
+    def take_lenders(self, named: LenderList) -> None:
+        """Take in who lends places, as the leader says.
+
+        A leader that is lost leaves its list in force: hosts do not ask
+        lenders that they do not hear.
+        """
+        if named == self.lenders:
+            return
+        self.lenders = named
+        tell(
+            Event.LENDERS,
+            lenders=",".join(each.link for each in named.hosts),
+            version=named.version,
+        )
+
     def note_heard(self, as_of: Revision, heard_at: float) -> None:
         """Take in that all is known up to a revision, and since when."""
         self.as_of = max(self.as_of, as_of)
--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -76,6 +76,10 @@
             if not admitted:
                 self._withdraw(entry)
 
+    def occupy(self) -> None:
+        """Take a place whatever the window says: a lender has granted it."""
+        self.window.in_flight += 1
+
     def estimate_wait(self, priority: int) -> float:
         """Return after how long a request might get a place, at best."""
         ahead = sum(1 for each in self._waiting if each[0] <= priority)
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -9,6 +9,7 @@
 from sedgetide.backends.dialects import OrderDialect
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.backends.leasestore import Write
+from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
@@ -21,6 +22,8 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.lenders import Roster
+from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.ownership.balance import bound_moves
 from sedgetide.core.ownership.balance import count_empty
 from sedgetide.core.ownership.balance import plan_balance
@@ -105,6 +108,7 @@
         self._lanes = OrderLanes(dialect, durations.order_timeout)
         self._desk = self._open_desk()
         self._book = LoadBook()
+        self._roster = Roster(knowledge.lenders, float("-inf"))
         self._balanced_at = float("-inf")
         self._adopted = False
         self._resigned = False
@@ -137,9 +141,18 @@
         """
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.revision, now)
+            self._name_lenders(sender, report.standing, now)
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
 
+    def _name_lenders(
+        self, sender: LinkAddress, standing: Standing, now: float
+    ) -> None:
+        self._roster.note(sender, standing, now)
+        lenders = self._roster.lenders
+        if standing.lenders != lenders.version:
+            self._send(sender, Lenders(lenders))
+
     @property
     def leading(self) -> bool:
         """Whether this host holds the leader's record."""
@@ -213,6 +226,7 @@
         self._desk.close()
         self._revision = revision
         self._desk = self._open_desk()
+        self._roster = Roster(self._knowledge.lenders, read_clock())
         self._adopted = False
 
     def _has_adopted(self) -> bool:
@@ -246,9 +260,18 @@
         if balance:
             self._balanced_at = now
             self._forget_gone()
+            self._choose_lenders(now)
         for service in self._knowledge.policy.list_keyed():
             self._lead_service(service, balance, now)
 
+    def _choose_lenders(self, now: float) -> None:
+        keyed = [
+            each
+            for service in self._knowledge.policy.list_keyed()
+            for each in self._knowledge.directory.list_active(service)
+        ]
+        self._knowledge.take_lenders(self._roster.choose(keyed, now))
+
     def _forget_gone(self) -> None:
         """Forget upstreams that neither are registered nor own anything."""
         known = {each.name for each in self._knowledge.directory.list_all()}
--- /dev/null
+++ b/sedgetide/daemons/_places.py
@@ -0,0 +1,228 @@
+"""Places at upstreams: asked for by each host, lent by some."""
+
+from collections.abc import Callable
+import itertools
+import random
+
+from gevent.event import Event as Signal
+import msgspec
+
+from sedgetide.coding.messages import AskPlace
+from sedgetide.coding.messages import EndPlace
+from sedgetide.coding.messages import Message
+from sedgetide.coding.messages import PlaceVerdict
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.places import Decision
+from sedgetide.core.requests.places import Lender
+from sedgetide.core.requests.places import Ticket
+from sedgetide.core.requests.places import Verdict
+from sedgetide.daemons._hostmetrics import PLACES
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.runtime.clock import read_clock
+
+# Seconds for the first word of a lender. It comes within a round trip, 2 ms
+# between data centres; a busy host needs some 20 ms more.
+_WORD = 0.12
+# Seconds for which a lender without a word is not asked: a lost one is
+# replaced within two, and one probe a second delays few requests.
+_SILENT_FOR = 1.0
+_NUMBERS = 2**30
+
+Send = Callable[[LinkAddress, Message], None]
+
+
+class PlaceRefused(msgspec.Struct, frozen=True):
+    """No place in time.
+
+    Parameters
+    ----------
+    retry_after : float
+        Seconds after which asking again makes sense.
+    """
+
+    retry_after: float
+
+
+class Place:
+    """A place at an upstream that one request may use.
+
+    Parameters
+    ----------
+    give_back : callable
+        Called with the upstream's seconds, None without an answer, and the
+        number of requests that waited there.
+    """
+
+    def __init__(self, give_back: Callable[[float | None, int], None]) -> None:
+        self._give_back = give_back
+        self._seconds: float | None = None
+        self._waiting = 0
+
+    def note_answer(self, seconds: float | None, waiting: int) -> None:
+        """Take in what the lender is to learn from the answer."""
+        self._seconds = seconds
+        self._waiting = waiting
+
+    def leave(self) -> None:
+        """Give the place back."""
+        self._give_back(self._seconds, self._waiting)
+
+
+class _Pending:
+    """A request that waits for its lender's words."""
+
+    def __init__(self) -> None:
+        self.heard = Signal()
+        self.settled = Signal()
+        self.verdict: Verdict | None = None
+        self.retry_after = 0.0
+
+    def take(self, verdict: Verdict, retry_after: float) -> None:
+        self.verdict = verdict
+        self.retry_after = retry_after
+        self.heard.set()
+        if verdict is not Verdict.QUEUED:
+            self.settled.set()
+
+
+class Places:
+    """One host's dealings with places: it asks, and lends if it is named.
+
+    Parameters
+    ----------
+    link : LinkAddress
+        Own link address.
+    knowledge : Knowledge
+        Names the lenders.
+    send : callable
+        Sends a message to a host.
+    source : random.Random
+        Where numbers begin: those of an earlier start of this host may
+        still be known to lenders.
+    """
+
+    def __init__(
+        self,
+        link: LinkAddress,
+        knowledge: Knowledge,
+        send: Send,
+        source: random.Random,
+    ) -> None:
+        self._link = link
+        self._knowledge = knowledge
+        self._send = send
+        self._numbers = itertools.count(source.randrange(_NUMBERS))
+        self._pending: dict[int, _Pending] = {}
+        self._silent_until: dict[LinkAddress, float] = {}
+        self._lender = Lender()
+
+    def enter(
+        self, upstream: RegisteredUpstream, priority: int, left: float
+    ) -> Place | PlaceRefused | None:
+        """Wait for a place at an upstream.
+
+        Parameters
+        ----------
+        upstream : RegisteredUpstream
+            Where.
+        priority : int
+            Lower is more urgent.
+        left : float
+            Seconds within which the answer is needed.
+
+        Returns
+        -------
+        Place, PlaceRefused or None
+            None when nobody lends there just now: a lender that is lost
+            must not make its upstreams unreachable.
+        """
+        link = self._knowledge.lenders.find(upstream)
+        if link is None or self._is_silent(link):
+            return None
+        number = next(self._numbers)
+        pending = self._pending[number] = _Pending()
+        question = AskPlace(
+            number, upstream.name, upstream.slots, priority, round(left, 3)
+        )
+        granted = False
+        try:
+            self._tell(link, question)
+            found = self._wait(link, pending, left)
+            granted = found is Verdict.GRANTED
+        finally:
+            del self._pending[number]
+            # Also when the caller has left, or the word comes too late: a
+            # place that nobody uses stays lost until its loan ends.
+            if not granted and pending.verdict is not Verdict.REFUSED:
+                self._tell(link, EndPlace(number))
+        PLACES.labels("silent" if found is None else found.value).inc()
+        if granted:
+            return Place(
+                lambda seconds, waiting: self._tell(
+                    link, EndPlace(number, seconds, waiting)
+                )
+            )
+        return None if found is None else PlaceRefused(pending.retry_after)
+
+    def _is_silent(self, link: LinkAddress) -> bool:
+        return read_clock() < self._silent_until.get(link, float("-inf"))
+
+    def _wait(
+        self, link: LinkAddress, pending: _Pending, left: float
+    ) -> Verdict | None:
+        """Return what became of a request; None when nobody said."""
+        pending.heard.wait(_WORD)
+        if pending.verdict is None:
+            self._silent_until[link] = read_clock() + _SILENT_FOR
+            return None
+        pending.settled.wait(left)
+        if pending.verdict is Verdict.QUEUED:
+            return Verdict.REFUSED
+        return pending.verdict
+
+    def _tell(self, link: LinkAddress, message: AskPlace | EndPlace) -> None:
+        if link == self._link:
+            self.take(message, link)
+        else:
+            self._send(link, message)
+
+    def take(
+        self, message: AskPlace | EndPlace | PlaceVerdict, sender: LinkAddress
+    ) -> None:
+        """Take in a message about a place."""
+        now = read_clock()
+        if isinstance(message, PlaceVerdict):
+            pending = self._pending.get(message.number)
+            if pending is not None:
+                pending.take(message.verdict, message.retry_after)
+            return
+        ticket = Ticket(sender, message.number)
+        if isinstance(message, AskPlace):
+            decisions = self._lender.ask(
+                ticket,
+                message.upstream,
+                message.slots,
+                message.priority,
+                message.left,
+                now,
+            )
+        else:
+            decisions = self._lender.end(
+                ticket, message.seconds, message.waiting, now
+            )
+        self._announce(decisions)
+
+    def keep(self, now: float) -> None:
+        """Take back what lost hosts hold."""
+        self._announce(self._lender.expire(now))
+
+    def _announce(self, decisions: list[Decision]) -> None:
+        for each in decisions:
+            verdict = PlaceVerdict(
+                each.ticket.number, each.verdict, round(each.retry_after, 3)
+            )
+            if each.ticket.holder == self._link:
+                self.take(verdict, self._link)
+            else:
+                self._send(each.ticket.holder, verdict)
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -3,6 +3,7 @@
 import random
 
 import gevent
+import msgspec
 
 from sedgetide.backends.dialects import CallerFields
 from sedgetide.backends.dialects import RequestDialect
@@ -45,6 +46,9 @@
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
 from sedgetide.daemons._lanes import Lanes
+from sedgetide.daemons._places import Place
+from sedgetide.daemons._places import PlaceRefused
+from sedgetide.daemons._places import Places
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.daemons._requestlog import count_end
 from sedgetide.daemons._requestlog import RequestLog
@@ -80,6 +84,19 @@
 _OWN_FAULTS = frozenset({Failure.FAILED, Failure.SILENT, Failure.FOREIGN})
 
 
+class _Passage(msgspec.Struct):
+    """Leave to send one request to an upstream."""
+
+    target: Target
+    lane: Lane
+    place: Place | None
+
+    def leave(self) -> None:
+        self.lane.leave()
+        if self.place is not None:
+            self.place.leave()
+
+
 class Requests:
     """Serves the requests of one host.
 
@@ -91,6 +108,8 @@
         Headers.
     lanes : Lanes
         Ways to upstreams.
+    places : Places
+        Places at upstreams, where hosts lend them.
     meter : LoadMeter
         Counts load for the leader.
     data_centre : str
@@ -108,6 +127,7 @@
         knowledge: Knowledge,
         dialect: RequestDialect,
         lanes: Lanes,
+        places: Places,
         meter: LoadMeter,
         data_centre: str,
         partitions: PartitionDetector,
@@ -117,6 +137,7 @@
         self._knowledge = knowledge
         self._dialect = dialect
         self._lanes = lanes
+        self._places = places
         self._meter = meter
         self._data_centre = data_centre
         self._partitions = partitions
@@ -201,14 +222,13 @@
 
     def _run(self, job: Job) -> Answer:
         while True:
-            found = self._find_lane(job)
-            if found is None:
+            passage = self._find_passage(job)
+            if passage is None:
                 return self._conclude(job)
-            target, lane = found
             try:
-                self._attempt(job, target, lane)
+                self._attempt(job, passage.target, passage.lane)
             finally:
-                lane.leave()
+                passage.leave()
             if job.progress.failure is Failure.NONE:
                 return job.answer
             if not self._may_go_on(job):
@@ -257,8 +277,8 @@
 
     # Targets
 
-    def _find_lane(self, job: Job) -> tuple[Target, Lane] | None:
-        """Return a target with a place in its window; None to give up."""
+    def _find_passage(self, job: Job) -> _Passage | None:
+        """Return a target with a place there; None to give up."""
         limit = job.times.bound_hold()
         if job.progress.sends:
             limit = max(limit, read_clock() + 0.1)
@@ -267,16 +287,12 @@
             target = self._find_target(job, now)
             if isinstance(target, Target):
                 lane = self._lanes.find(target.upstream)
-                wait = min(limit, job.times.final) - now
-                if not lane.enter(job.route.priority, wait):
-                    job.note = "window"
-                    job.retry_after = wait_for_queue(
-                        lane.estimate_wait(job.route.priority)
-                    )
+                if not self._enter(job, target, lane, limit):
                     return None
+                passage = _Passage(target, lane, job.place)
                 if self._still_holds(job, target):
-                    return target, lane
-                lane.leave()
+                    return passage
+                passage.leave()
                 continue
             job.note = target.value
             if now >= limit:
@@ -284,6 +300,44 @@
                 return None
             self._knowledge.changes.wait(limit - now)
 
+    def _enter(
+        self, job: Job, target: Target, lane: Lane, limit: float
+    ) -> bool:
+        """Wait for a place at an upstream; return whether one was got.
+
+        Only one upstream may run a request with a key, so the queue there
+        is the only one that counts; among equal ones each host's own
+        windows find one with room.
+        """
+        priority = job.route.priority
+        job.place = None
+        if job.keyed:
+            found = self._ask_place(job, target)
+            if isinstance(found, PlaceRefused):
+                job.note = "no place"
+                job.retry_after = wait_for_queue(found.retry_after)
+                return False
+            if found is not None:
+                job.place = found
+                lane.occupy()
+                return True
+        wait = min(limit, job.times.final) - read_clock()
+        if lane.enter(priority, wait):
+            return True
+        job.note = "window"
+        job.retry_after = wait_for_queue(lane.estimate_wait(priority))
+        return False
+
+    def _ask_place(
+        self, job: Job, target: Target
+    ) -> Place | PlaceRefused | None:
+        now = read_clock()
+        left = job.times.find_patience(now)
+        if job.progress.sends:
+            # It may have run, and only an answer can tell: worth the wait.
+            left = job.times.final - now
+        return self._places.enter(target.upstream, job.route.priority, left)
+
     def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
         if wait is not Wait.MOVING:
@@ -428,6 +482,10 @@
         failure = refine_failure(
             self._dialect.judge(answer.status, answer.headers), job.keyed
         )
+        if job.place is not None:
+            waiting = 0 if load is None else load.waiting
+            whole = failure is Failure.NONE
+            job.place.note_answer(now - began if whole else None, waiting)
         if failure is Failure.NONE:
             lane.health.note_success(now - began)
             self._note_usual(job, now - began, len(answer.body))
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -18,13 +18,19 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.coding.addresses import split_address
 from sedgetide.coding.messages import AnyMessage
+from sedgetide.coding.messages import AskPlace
+from sedgetide.coding.messages import EndPlace
+from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
+from sedgetide.coding.messages import PlaceVerdict
 from sedgetide.coding.messages import StoreFeed
 from sedgetide.coding.settings import HostSettings
+from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
@@ -47,6 +53,7 @@
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._leader import Leader
+from sedgetide.daemons._places import Places
 from sedgetide.daemons._process import make_incarnation
 from sedgetide.daemons._process import read_settings
 from sedgetide.daemons._reporter import LoadMeter
@@ -118,10 +125,20 @@
         self._meter = LoadMeter()
         self._partitions = PartitionDetector(settings.data_centre)
         self._absent = False
+        self._transport = Transport(
+            settings.link, _LINK_BYTES, self._handle, self._drop
+        )
+        self._places = Places(
+            LinkAddress(settings.link),
+            self._knowledge,
+            self._transport.send,
+            random.Random(self.incarnation),
+        )
         self._requests = Requests(
             self._knowledge,
             dialects.requests,
             self._lanes,
+            self._places,
             self._meter,
             settings.data_centre,
             self._partitions,
@@ -136,9 +153,6 @@
             self._requests.read_limits,
             BodyAllowance(bound_bodies(settings.memory_mb)),
         )
-        self._transport = Transport(
-            settings.link, _LINK_BYTES, self._handle, self._drop
-        )
         self._leader = self._make_leader()
         self._bind_gauges()
 
@@ -225,6 +239,7 @@
             gevent.sleep(_HOUSEKEEPING)
             now = read_clock()
             self._note_partition(now)
+            self._places.keep(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
@@ -251,6 +266,10 @@
             self._feed.take(message, read_clock())
         elif isinstance(message, Moved):
             self._knowledge.take_moved(message.service, message.tenures)
+        elif isinstance(message, Lenders):
+            self._knowledge.take_lenders(message.named)
+        elif isinstance(message, AskPlace | EndPlace | PlaceVerdict):
+            self._places.take(message, LinkAddress(sender))
 
     def _drop(self, message: Message) -> None:
         """Leave a report unsent; the next one tells enough."""
@@ -266,11 +285,20 @@
         return None if leader is None else leader.record.link
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
+        report.standing = self._describe_standing()
         if link == self._settings.link:
             self._leader.note_report(report, None, read_clock())
         else:
             self._transport.send(link, report)
 
+    def _describe_standing(self) -> Standing:
+        own = self._settings.processor_time
+        return Standing(
+            DataCentre(self._settings.data_centre),
+            0.0 if self._stopping else own,
+            self._knowledge.lenders.version,
+        )
+
     # Admin
 
     def is_ready(self) -> bool:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -138,6 +138,13 @@
         "This host leads; the term is the revision of its record.",
         ("term",),
     )
+    LENDERS = Definition(
+        "lenders",
+        logging.INFO,
+        "Other hosts lend places at upstreams; none: each host goes by its "
+        "own windows.",
+        ("lenders", "version"),
+    )
     NOT_ELECTED = Definition(
         "not-elected",
         logging.WARNING,
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -49,6 +49,9 @@
 _RESETS = 40
 _FIRST_WITH_FORGETTING = 1000
 _FIRST_WITH_RESTARTS = 2000
+_FIRST_CROWDED = 3000
+# So many hosts before upstreams of one slot that some lend its places.
+_CROWD = 6
 _FOREIGN_ENTRIES = (
     "no entry at all",
     {"address": 7, "info": [], "status": None},
@@ -196,7 +199,12 @@
         self.seed = seed
         self._random = random.Random(seed)
         late = self._random.choice((0.0, 0.0, 0.1))
-        self.fleet = Fleet(folder, late)
+        crowded = seed >= _FIRST_CROWDED
+        self.fleet = (
+            Fleet(folder, late, ({},) * _CROWD, slots=1)
+            if crowded
+            else Fleet(folder, late)
+        )
         self.problems: list[str] = []
         self.struck: list[str] = []
         self._extra: list[str] = []
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -160,7 +160,9 @@
         store_port: int,
         late: float,
         clock_rate: float,
+        slots: int,
     ) -> None:
+        self._slots = slots
         self._folder = folder
         self._store_port = store_port
         self._number = number
@@ -198,6 +200,7 @@
             f"--store=127.0.0.1:{self._store_port}",
             f"--late={self._late}",
             f"--clock-rate={self._clock_rate}",
+            f"--slots={self._slots}",
         ]
         if self._service == KEYED:
             arguments.append("--keyed")
@@ -239,6 +242,8 @@
         Share of grants that upstreams carry out late.
     options : sequence of mapping
         Settings of each host besides its names and addresses.
+    slots : int
+        Requests that an upstream works on at a time.
     """
 
     def __init__(
@@ -246,6 +251,7 @@
         folder: pathlib.Path,
         late: float,
         options: Sequence[Mapping[str, Any]] = ({}, {}, {}),
+        slots: int = 2,
     ) -> None:
         self._stack = contextlib.ExitStack()
         self.store_port = find_port()
@@ -271,6 +277,7 @@
                 self.store_port,
                 late,
                 0.98 if number % 2 else 1.0,
+                slots,
             )
             for number, service in enumerate(services)
         ]
--- /dev/null
+++ b/tests/core/membership/test_lenders.py
@@ -0,0 +1,141 @@
+"""Tests of who lends places at upstreams."""
+
+import testtools
+
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.lenders import LenderList
+from sedgetide.core.membership.lenders import LendingHost
+from sedgetide.core.membership.lenders import Roster
+from sedgetide.core.membership.lenders import Standing
+
+NORTH, SOUTH = DataCentre("north"), DataCentre("south")
+
+
+def make_upstreams(count, data_centre=NORTH, slots=2):
+    return [
+        RegisteredUpstream(
+            UpstreamName(f"{data_centre}-{index}"),
+            ServiceName("map"),
+            f"10.0.0.{index}:80",
+            data_centre,
+            slots,
+        )
+        for index in range(count)
+    ]
+
+
+def make_link(index, data_centre=NORTH):
+    return LinkAddress(f"{data_centre}-host-{index}:7000")
+
+
+class TestRoster(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.roster = Roster(LenderList(), 0.0)
+
+    def report(self, count, now, data_centre=NORTH, weak=()):
+        for index in range(count):
+            power = 0.4 if index in weak else 2.0
+            self.roster.note(
+                make_link(index, data_centre),
+                Standing(data_centre, power),
+                now,
+            )
+
+    def choose(self, upstreams, now):
+        return [each.link for each in self.roster.choose(upstreams, now).hosts]
+
+    def test_few_hosts_go_by_their_own_windows(self):
+        # Four for each slot, with the leader, which does not report.
+        self.report(7, 2.0)
+        self.assertEqual([], self.choose(make_upstreams(20), 2.0))
+        self.report(8, 2.0)
+        self.assertEqual([], self.choose(make_upstreams(20, slots=6), 2.0))
+        self.assertEqual(2, len(self.choose(make_upstreams(20), 2.0)))
+
+    def test_host_that_stops_and_comes_back_changes_no_queue(self):
+        self.report(8, 2.0)
+        before = self.choose(make_upstreams(20), 2.0)
+        self.report(7, 3.4)
+        self.assertEqual(before, self.choose(make_upstreams(20), 3.4))
+        self.report(3, 6.0)
+        self.assertEqual([], self.choose(make_upstreams(20), 6.0))
+
+    def test_strong_hosts_near_the_upstreams_lend(self):
+        self.report(10, 2.0, weak=range(8))
+        self.report(10, 2.0, SOUTH)
+        chosen = self.choose(make_upstreams(20), 2.0)
+        self.assertEqual([make_link(8), make_link(9)], chosen)
+
+    def test_who_lends_already_goes_on(self):
+        self.report(10, 2.0, weak=range(5))
+        before = self.choose(make_upstreams(10), 2.0)
+        self.report(10, 2.4)
+        self.assertEqual(before, self.choose(make_upstreams(10), 2.4))
+
+    def test_lost_lender_is_replaced(self):
+        """A killed lender is missed for three reports.
+
+        Its callers go by their own windows until the
+        leader has missed three reports of it and names another host.
+        """
+        self.report(10, 2.0)
+        (lost,) = self.choose(make_upstreams(10), 2.0)
+        for now in (2.4, 2.8, 3.2, 3.6):
+            for index in range(10):
+                if make_link(index) != lost:
+                    self.roster.note(
+                        make_link(index), Standing(NORTH, 2.0), now
+                    )
+        (chosen,) = self.choose(make_upstreams(10), 3.6)
+        self.assertNotEqual(lost, chosen)
+
+    def test_host_about_to_stop_lends_no_more(self):
+        self.report(10, 2.0)
+        (stopping,) = self.choose(make_upstreams(10), 2.0)
+        self.roster.note(stopping, Standing(NORTH, 0.0), 2.1)
+        self.assertNotIn(stopping, self.choose(make_upstreams(10), 2.1))
+
+    def test_new_leader_keeps_the_lenders_until_all_have_reported(self):
+        """A new leader changes no queue.
+
+        A leader is lost; the next one hears the hosts one after the
+        other. Naming lenders by the first reports would move every queue.
+        """
+        named = LenderList((LendingHost(make_link(7), NORTH),))
+        self.roster = Roster(named, 10.0)
+        self.report(3, 10.4)
+        self.assertEqual([make_link(7)], self.choose(make_upstreams(10), 10.4))
+        self.report(10, 11.4)
+        self.assertEqual([make_link(7)], self.choose(make_upstreams(10), 11.4))
+
+
+class TestLenderList(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        hosts = [
+            LendingHost(make_link(index, place), place)
+            for place in (NORTH, SOUTH)
+            for index in range(2)
+        ]
+        self.list = LenderList(tuple(hosts))
+
+    def test_upstream_is_lent_in_its_own_data_centre(self):
+        for upstream in make_upstreams(20, SOUTH):
+            self.assertIn("south", self.list.find(upstream))
+
+    def test_any_lends_where_none_is_near(self):
+        (upstream,) = make_upstreams(1, DataCentre("west"))
+        self.assertIsNotNone(self.list.find(upstream))
+        self.assertIsNone(LenderList().find(upstream))
+
+    def test_version_tells_lists_apart(self):
+        again = LenderList(tuple(list(self.list.hosts)))
+        fewer = LenderList(self.list.hosts[1:])
+        self.assertEqual(again.version, self.list.version)
+        self.assertNotEqual(fewer.version, self.list.version)
+        self.assertEqual(0, LenderList().version)
