Soak: one operator, who repeats an unanswered change before the next

Trace: the answer to the write of version 3 was lost, its repeat ran beside the write of version 4 and reached the store after it; the store then held version 3, and hosts fed from it could not know of 4 (event=policy of all hosts, the store's revision 42). The harness did that, not the product: no operator goes on to the next version before one is acknowledged.

Change: writes of the configuration follow each other.

--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -20,6 +20,7 @@
 import time
 
 import gevent
+from gevent.lock import BoundedSemaphore
 import msgspec
 
 from sedgetide.core.errors import UpstreamError
@@ -208,6 +209,7 @@
         self.problems: list[str] = []
         self.struck: list[str] = []
         self._extra: list[str] = []
+        self._operator = BoundedSemaphore()
         self._callers = [
             Caller(number, self.fleet, seed) for number in range(CALLERS)
         ]
@@ -369,9 +371,13 @@
 
     def _draw_configuration(self, at: float) -> Fault:
         def begin() -> None:
-            self._extra.append(f"extra{len(self._extra)}")
-            version = 1 + len(self._extra)
-            self.fleet.configure(version, tuple(self._extra))
+            # One operator: a version whose answer was lost is written again
+            # before the next one. Written after it, it would replace it, and
+            # hosts that start could not know of the newer one.
+            with self._operator:
+                self._extra.append(f"extra{len(self._extra)}")
+                version = 1 + len(self._extra)
+                self.fleet.configure(version, tuple(self._extra))
 
         return Fault(at, 0.0, "configuration", begin)
 
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -14,6 +14,8 @@
     30: "a grant left unanswered ended the round of renewals, so that the "
     "ranges behind it ran out: 171 of 539 requests refused in calm time",
     35: "the same, after two planned stops and a revoked lease",
+    3001: "the harness wrote an older configuration over a newer one: two "
+    "repeats of unanswered writes overlapped",
 }
 
 
