Requests of a host in three modules; behaviour as before

Cause: _requests.py had grown to 559 lines that found targets, waited, sent, judged answers and answered callers.

--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -47,6 +47,25 @@
     SILENT = "silent"
 
 
+# These left the upstream's own word that nothing ran, or no byte had left.
+NOT_RUN_FAILURES = frozenset(
+    {
+        Failure.BUSY,
+        Failure.NOT_OWNER,
+        Failure.FOREIGN,
+        Failure.DECLINED,
+        Failure.UNREACHABLE,
+    }
+)
+
+# The upstream said nothing at all.
+NO_WORD = frozenset({Failure.UNREACHABLE, Failure.SILENT})
+
+# These tell of the upstream itself; a full one, or one out of reach, is not
+# slow, and would lose its keys for what it was asked too much.
+OWN_FAULTS = frozenset({Failure.FAILED, Failure.SILENT, Failure.FOREIGN})
+
+
 class Target(msgspec.Struct, frozen=True):
     """An upstream that a request may be sent to now.
 
--- /dev/null
+++ b/sedgetide/daemons/_passages.py
@@ -0,0 +1,189 @@
+"""Where a request goes, and leave to send it there."""
+
+import random
+
+import msgspec
+
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.attempts import find_owner
+from sedgetide.core.requests.attempts import list_candidates
+from sedgetide.core.requests.attempts import Target
+from sedgetide.core.requests.attempts import Wait
+from sedgetide.core.requests.choice import Candidate
+from sedgetide.core.requests.choice import choose_upstream
+from sedgetide.core.requests.choice import price_crossing
+from sedgetide.core.requests.returns import UNPREPARED
+from sedgetide.core.requests.returns import wait_for_move
+from sedgetide.core.requests.returns import wait_for_queue
+from sedgetide.core.requests.usual import UsualFigures
+from sedgetide.daemons._job import Job
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._lanes import Lane
+from sedgetide.daemons._lanes import Lanes
+from sedgetide.daemons._places import Place
+from sedgetide.daemons._places import PlaceRefused
+from sedgetide.daemons._places import Places
+from sedgetide.runtime.clock import read_clock
+
+# Seconds for which a retry may wait, whatever its request has waited before.
+_RETRY_HOLD = 0.1
+
+
+class Passage(msgspec.Struct):
+    """Leave to send one request to an upstream."""
+
+    target: Target
+    lane: Lane
+    place: Place | None
+
+    def leave(self) -> None:
+        self.lane.leave()
+        if self.place is not None:
+            self.place.leave()
+
+
+class Passages:
+    """Finds a target with a place for each request.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What is known of the deployment.
+    lanes : Lanes
+        Ways to upstreams.
+    places : Places
+        Places at upstreams, where hosts lend them.
+    usual : UsualFigures
+        What requests usually take.
+    data_centre : str
+        Own data centre.
+    source : random.Random
+        Blurs choices, on each host in its own way.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        lanes: Lanes,
+        places: Places,
+        usual: UsualFigures,
+        data_centre: str,
+        source: random.Random,
+    ) -> None:
+        self._knowledge = knowledge
+        self._lanes = lanes
+        self._places = places
+        self._usual = usual
+        self._data_centre = data_centre
+        self._random = source
+
+    def find(self, job: Job) -> Passage | None:
+        """Return a target with a place there; None to give up."""
+        limit = job.times.bound_hold()
+        if job.progress.sends:
+            limit = max(limit, read_clock() + _RETRY_HOLD)
+        while True:
+            now = read_clock()
+            target = self._find_target(job, now)
+            if isinstance(target, Target):
+                lane = self._lanes.find(target.upstream)
+                if not self._enter(job, target, lane, limit):
+                    return None
+                passage = Passage(target, lane, job.place)
+                if self._still_holds(job, target):
+                    return passage
+                passage.leave()
+                continue
+            job.note = target.value
+            if now >= limit:
+                job.retry_after = self._foresee_owner(job, target, now)
+                return None
+            self._knowledge.changes.wait(limit - now)
+
+    def _enter(
+        self, job: Job, target: Target, lane: Lane, limit: float
+    ) -> bool:
+        """Wait for a place at an upstream; return whether one was got.
+
+        Only one upstream may run a request with a key, so the queue there
+        is the only one that counts; among equal ones each host's own
+        windows find one with room.
+        """
+        priority = job.route.priority
+        job.place = None
+        if job.keyed:
+            found = self._ask_place(job, target)
+            if isinstance(found, PlaceRefused):
+                job.note = "no place"
+                job.retry_after = wait_for_queue(found.retry_after)
+                return False
+            if found is not None:
+                job.place = found
+                lane.occupy()
+                return True
+        wait = min(limit, job.times.final) - read_clock()
+        if lane.enter(priority, wait):
+            return True
+        job.note = "window"
+        job.retry_after = wait_for_queue(lane.estimate_wait(priority))
+        return False
+
+    def _ask_place(
+        self, job: Job, target: Target
+    ) -> Place | PlaceRefused | None:
+        now = read_clock()
+        left = job.times.find_patience(now)
+        if job.progress.sends:
+            # It may have run, and only an answer can tell: worth the wait.
+            left = job.times.final - now
+        return self._places.enter(target.upstream, job.route.priority, left)
+
+    def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
+        """Return when a request that can't be sent anywhere may be."""
+        if wait is not Wait.MOVING:
+            return UNPREPARED
+        moving = self._knowledge.find_moving(job.service, job.fields.key, now)
+        return wait_for_move(moving)
+
+    def _still_holds(self, job: Job, target: Target) -> bool:
+        """Tell whether a target is still right after waiting for it."""
+        directory = self._knowledge.directory
+        if directory.find_active(target.upstream.name) is None:
+            return False
+        if not job.keyed:
+            return True
+        table = self._knowledge.find_table(job.service)
+        return find_owner(table, job.fields.key, directory) == target
+
+    def _find_target(self, job: Job, now: float) -> Target | Wait:
+        directory = self._knowledge.directory
+        if job.keyed:
+            table = self._knowledge.find_table(job.service)
+            return find_owner(table, job.fields.key, directory)
+        candidates = list_candidates(
+            directory, job.service, job.progress.tried, now
+        )
+        if not candidates:
+            return Wait.NO_UPSTREAM
+        size = len(job.request.body) + self._usual.find_bytes(job.route.name)
+        crossing = price_crossing(size, job.times.objective - job.times.began)
+        seen = [
+            self._describe(upstream, crossing, now) for upstream in candidates
+        ]
+        return Target(choose_upstream(seen, self._random))
+
+    def _describe(
+        self, upstream: RegisteredUpstream, crossing: float, now: float
+    ) -> Candidate:
+        lane = self._lanes.find(upstream)
+        usual = self._usual.find_seconds(upstream.service)
+        near = upstream.data_centre == self._data_centre
+        return Candidate(
+            upstream,
+            lane.health.service_time or usual,
+            lane.window.estimate_queue(now) + lane.queue_length,
+            near,
+            lane.pool.has_idle,
+            lane.health.is_suspect(now),
+            0.0 if near else crossing,
+        )
--- /dev/null
+++ b/sedgetide/daemons/_sends.py
@@ -0,0 +1,220 @@
+"""One send of a request to an upstream, and what its answer tells."""
+
+from collections.abc import Callable
+
+from sedgetide.backends.dialects import RequestDialect
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.membership.partitions import PartitionDetector
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.attempts import NO_WORD
+from sedgetide.core.requests.attempts import NOT_RUN_FAILURES
+from sedgetide.core.requests.attempts import OWN_FAULTS
+from sedgetide.core.requests.attempts import refine_failure
+from sedgetide.core.requests.attempts import Target
+from sedgetide.core.requests.health import UNREACHED_WEIGHT
+from sedgetide.core.requests.outcomes import combine_outcomes
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.returns import wait_for_owner
+from sedgetide.core.requests.returns import wait_for_upstream
+from sedgetide.core.requests.usual import UsualFigures
+from sedgetide.core.requests.windows import UpstreamLoad
+from sedgetide.daemons._job import Job
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._lanes import Lane
+from sedgetide.daemons._reporter import LoadMeter
+from sedgetide.runtime.clock import read_clock
+from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import drop_hop_headers
+from sedgetide.wire.messages import Request
+
+# Seconds; a handshake between data centres takes two milliseconds, a lost
+# packet of it is sent again after 0.2 s.
+_CONNECT_TIMEOUT = 0.4
+_LONGEST_DETAIL = 80
+
+
+class Sender:
+    """Sends requests and learns from what comes back.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What is known of the deployment.
+    dialect : RequestDialect
+        Headers.
+    meter : LoadMeter
+        Counts load for the leader.
+    partitions : PartitionDetector
+        Learns from each request what can be reached.
+    usual : UsualFigures
+        Learns what requests take.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: RequestDialect,
+        meter: LoadMeter,
+        partitions: PartitionDetector,
+        usual: UsualFigures,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._meter = meter
+        self._partitions = partitions
+        self._usual = usual
+
+    def attempt(self, job: Job, target: Target, lane: Lane) -> None:
+        """Send a request once; its progress tells what became of it."""
+        progress = job.progress
+        name = target.upstream.name
+        now = read_clock()
+        if now >= job.times.final:
+            job.note = "too late"
+            progress.failure = Failure.UNREACHABLE
+            return
+        try:
+            connection = lane.pool.take(
+                min(_CONNECT_TIMEOUT, job.times.final - now),
+                _choose_rest(job, lane, now),
+            )
+        except UpstreamError as error:
+            if error.code is ErrorCode.UPSTREAM_UNREACHABLE:
+                lane.health.note_unreached(now)
+                if job.keyed:
+                    absence = lane.health.find_absence(read_clock())
+                    job.retry_after = wait_for_owner(absence)
+            self._note_failure(job, target, lane, Failure.UNREACHABLE)
+            return
+        progress.sends += 1
+        progress.tried.append(name)
+        began = read_clock()
+        if progress.sends == 1:
+            job.held = began - job.times.began
+        job.fence = target.fence
+        job.rested = connection.rested
+        # Until an answer tells otherwise, it may have run.
+        before, progress.outcome = progress.outcome, Outcome.UNKNOWN
+        try:
+            answer = connection.exchange(
+                self._make_send(job, target, began),
+                max(0.001, job.times.final - began),
+                self._make_test(job),
+            )
+        except UpstreamError as error:
+            silent = error.code is ErrorCode.UPSTREAM_SILENT
+            if not silent:
+                lane.rests.note_reset(connection.rested, read_clock())
+            self._note_failure(
+                job,
+                target,
+                lane,
+                Failure.SILENT if silent else Failure.BROKEN,
+            )
+            job.note = error.detail[:_LONGEST_DETAIL]
+            return
+        lane.pool.give_back(connection)
+        self._partitions.note_reached(
+            target.upstream.data_centre, read_clock()
+        )
+        self._take_answer(job, target, lane, answer, before, began)
+
+    def _make_send(self, job: Job, target: Target, now: float) -> Request:
+        headers = drop_hop_headers(job.request.headers)
+        return Request(
+            job.request.method,
+            job.request.target,
+            self._dialect.write_request(
+                headers,
+                job.fields,
+                job.times.final - now,
+                target.upstream.registered_name,
+            ),
+            job.request.body,
+        )
+
+    def _make_test(self, job: Job) -> Callable[[list[tuple[str, str]]], bool]:
+        def belongs(headers: list[tuple[str, str]]) -> bool:
+            found = self._dialect.find_request(headers)
+            return found is None or found == job.fields.request
+
+        return belongs
+
+    def _take_answer(
+        self,
+        job: Job,
+        target: Target,
+        lane: Lane,
+        answer: Answer,
+        before: Outcome,
+        began: float,
+    ) -> None:
+        now = read_clock()
+        load = self._dialect.read_load(answer.headers)
+        if load is not None:
+            lane.window.note_load(load, now)
+            lane.admit()
+        failure = refine_failure(
+            self._dialect.judge(answer.status, answer.headers), job.keyed
+        )
+        if job.place is not None:
+            waiting = 0 if load is None else load.waiting
+            whole = failure is Failure.NONE
+            job.place.note_answer(now - began if whole else None, waiting)
+        if failure is Failure.NONE:
+            lane.health.note_success(now - began)
+            self._usual.note_answer(
+                job.route.name, job.service, now - began, len(answer.body)
+            )
+            self._meter.note_answer(
+                job.route.name, target.upstream.name, now - began, load
+            )
+            job.progress.outcome = Outcome.ANSWERED
+            job.progress.failure = Failure.NONE
+            job.answer = Answer(
+                answer.status, drop_hop_headers(answer.headers), answer.body
+            )
+            return
+        if failure is Failure.FOREIGN:
+            self._knowledge.directory.note_foreign(target.upstream.name, now)
+        if failure in NOT_RUN_FAILURES:
+            job.progress.outcome = combine_outcomes(before, Outcome.NOT_RUN)
+        elif failure is Failure.FAILED:
+            job.answer = Answer(
+                answer.status, drop_hop_headers(answer.headers), answer.body
+            )
+        if failure is Failure.BUSY:
+            seconds = lane.health.estimate_seconds()
+            job.retry_after = wait_for_upstream(load, seconds)
+        self._note_failure(job, target, lane, failure, load)
+
+    def _note_failure(
+        self,
+        job: Job,
+        target: Target,
+        lane: Lane,
+        failure: Failure,
+        load: UpstreamLoad | None = None,
+    ) -> None:
+        job.progress.failure = failure
+        if failure in (Failure.BUSY, Failure.BROKEN):
+            lane.window.note_refusal(load)
+        if failure in NO_WORD:
+            self._partitions.note_unreached(target.upstream.data_centre)
+        if failure is not Failure.NOT_OWNER:
+            unreached = failure is Failure.UNREACHABLE
+            weight = UNREACHED_WEIGHT if unreached else 1.0
+            lane.health.note_failure(read_clock(), weight)
+        if failure in OWN_FAULTS:
+            self._meter.note_failure(target.upstream.name)
+
+
+def _choose_rest(job: Job, lane: Lane, now: float) -> float:
+    """Return how long a connection may have rested for a request.
+
+    One that may run again is sent again; the others have one chance.
+    """
+    if job.route.idempotent:
+        return float("inf")
+    return lane.rests.find_longest(now)
