Who waits for a host's window is decided apart from gevent

Cause: _lanes.py held the order of those who wait, the refusal of hopeless waits and the openings of windows below one request together with greenlets and timers; none of it could be replayed in passed-in time.

Change: core/requests/turns.py decides, with now as an argument; the lane keeps connections, wakes greenlets and sets the timer. Behaviour as before: tests of lanes pass unchanged, tests of the decisions are new.

--- a/sedgetide/daemons/_lanes.py
+++ b/sedgetide/daemons/_lanes.py
@@ -1,9 +1,5 @@
 """Ways to upstreams: connections, a window, and those who wait for it."""
 
-import contextlib
-import heapq
-import itertools
-
 import gevent
 from gevent.event import Event
 
@@ -11,6 +7,7 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.health import UpstreamHealth
 from sedgetide.core.requests.idling import RestBound
+from sedgetide.core.requests.turns import WindowQueue
 from sedgetide.core.requests.windows import Window
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.client import ConnectionPool
@@ -43,29 +40,23 @@
         self.rests = rests
         self.window = Window(upstream.slots)
         self.health = UpstreamHealth()
-        self._numbers = itertools.count()
-        self._waiting: list[tuple[int, int, Event]] = []
+        self._queue: WindowQueue[Event] = WindowQueue(self.window, self.health)
         self._timer: gevent.Greenlet | None = None
 
     @property
     def queue_length(self) -> int:
         """Number of requests that wait for the window."""
-        return len(self._waiting)
+        return len(self._queue)
 
     def enter(self, priority: int, wait: float) -> bool:
-        """Wait for a place in the window; return whether one was got.
-
-        Where none can come in time the answer is no at once: a caller that
-        waits to hear it loses time that it needs elsewhere.
-        """
-        if not self._waiting and self.window.is_free(read_clock()):
-            self.window.in_flight += 1
+        """Wait for a place in the window; return whether one was got."""
+        now = read_clock()
+        if self._queue.enter_now(now):
             return True
-        if wait <= 0 or self.estimate_wait(priority) > wait:
+        if self._queue.is_hopeless(priority, wait, now):
             return False
         turn = Event()
-        entry = (priority, next(self._numbers), turn)
-        heapq.heappush(self._waiting, entry)
+        self._queue.push(turn, priority)
         self.admit()
         admitted = False
         try:
@@ -74,7 +65,7 @@
             return admitted
         finally:
             if not admitted:
-                self._withdraw(entry)
+                self._withdraw(turn)
 
     def occupy(self) -> None:
         """Take a place whatever the window says: a lender has granted it."""
@@ -82,41 +73,30 @@
 
     def estimate_wait(self, priority: int) -> float:
         """Return after how long a request might get a place, at best."""
-        ahead = sum(1 for each in self._waiting if each[0] <= priority)
-        seconds = self.health.estimate_seconds()
-        return self.window.estimate_wait(ahead, seconds, read_clock())
+        return self._queue.estimate_wait(priority, read_clock())
 
-    def _withdraw(self, entry: tuple[int, int, Event]) -> None:
+    def _withdraw(self, turn: Event) -> None:
         """Give up a wait, or the place that it has just got.
 
         A caller may leave in the very turn in which its request is let in;
         without this its place would be lost for good.
         """
-        if entry[2].is_set():
+        if not self._queue.remove(turn):
             self.leave()
-            return
-        with contextlib.suppress(ValueError):
-            self._waiting.remove(entry)
-            heapq.heapify(self._waiting)
 
     def leave(self) -> None:
         """Give the place to whoever is next."""
-        self.window.note_end(self.health.estimate_seconds(), read_clock())
+        self._queue.note_end(read_clock())
         self.admit()
 
     def admit(self) -> None:
         """Let in as many as the window holds, the most urgent first."""
-        while self._waiting:
-            now = read_clock()
-            opening = self.window.find_opening(now)
-            if opening is None:
-                return
-            if opening > now:
-                self._admit_at(opening, now)
-                return
-            _, _, turn = heapq.heappop(self._waiting)
-            self.window.in_flight += 1
+        now = read_clock()
+        for turn in self._queue.take(now):
             turn.set()
+        opening = self._queue.find_opening(now)
+        if opening is not None and opening > now:
+            self._admit_at(opening, now)
 
     def _admit_at(self, opening: float, now: float) -> None:
         if self._timer is None or self._timer.ready():
--- /dev/null
+++ b/tests/core/requests/test_turns.py
@@ -0,0 +1,54 @@
+"""Tests of who may be sent next by a host's own window."""
+
+import testtools
+
+from sedgetide.core.requests.health import UpstreamHealth
+from sedgetide.core.requests.turns import WindowQueue
+from sedgetide.core.requests.windows import UpstreamLoad
+from sedgetide.core.requests.windows import Window
+
+
+class TestWindowQueue(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.queue = WindowQueue(Window(2), UpstreamHealth())
+
+    def fill(self):
+        while self.queue.enter_now(1.0):
+            pass
+
+    def test_most_urgent_goes_first_and_then_who_came_first(self):
+        self.fill()
+        self.queue.push("usual", 2)
+        self.queue.push("later", 2)
+        self.queue.push("urgent", 1)
+        self.assertEqual([], self.queue.take(1.0))
+        self.queue.note_end(1.1)
+        self.assertEqual(["urgent"], self.queue.take(1.1))
+        self.queue.note_end(1.2)
+        self.queue.note_end(1.2)
+        self.assertEqual(["usual", "later"], self.queue.take(1.2))
+
+    def test_nobody_passes_those_who_wait(self):
+        self.fill()
+        self.queue.push("usual", 2)
+        self.queue.note_end(1.1)
+        self.assertFalse(self.queue.enter_now(1.1))
+
+    def test_who_left_is_gone_and_who_was_let_in_is_not(self):
+        self.fill()
+        self.queue.push("usual", 2)
+        self.assertTrue(self.queue.remove("usual"))
+        self.assertFalse(self.queue.remove("usual"))
+        self.assertEqual(0, len(self.queue))
+
+    def test_window_of_less_than_one_request_opens_later(self):
+        # Ninety hosts ask a crowded upstream: each waits between two.
+        for _ in range(20):
+            self.queue.window.note_load(UpstreamLoad(2, 8, 2), 1.0)
+        self.assertTrue(self.queue.enter_now(1.0))
+        self.queue.note_end(1.2)
+        self.queue.push("usual", 2)
+        self.assertEqual([], self.queue.take(1.2))
+        self.assertGreater(self.queue.find_opening(1.2), 1.5)
+        self.assertTrue(self.queue.is_hopeless(2, 0.2, 1.2))
