A declined request waits for a place no longer than a new one

Cause: whatever had been sent before waited in the lender's queue until its deadline, since only an answer tells what became of a request that may have run. One that its upstream declined has not run; its caller could be told so at once, and heard it near the deadline instead.

Found by reading. Change: the long wait is for requests that may have run. Before: test_declined_request_waits_no_longer_than_a_new_one failed, 1 of 3 in tests/daemons/test_passages.py. After: 3 passed.

--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -12,6 +12,7 @@
 from sedgetide.core.requests.choice import Candidate
 from sedgetide.core.requests.choice import choose_upstream
 from sedgetide.core.requests.choice import price_crossing
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import rank_request
 from sedgetide.core.requests.returns import UNPREPARED
 from sedgetide.core.requests.returns import wait_for_move
@@ -135,7 +136,7 @@
     ) -> Place | PlaceRefused | None:
         now = read_clock()
         left = job.times.find_patience(now)
-        if job.progress.sends:
+        if job.progress.outcome is Outcome.UNKNOWN:
             # It may have run, and only an answer can tell: worth the wait.
             left = job.times.final - now
         rank = rank_request(job.route.priority, job.overdue)
