--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -29,6 +29,8 @@
 PLAIN = "archive"
 GRACE = 4.0
 _ENDED = 10.0
+# Seconds; faults of the store last four at most.
+_WRITTEN = 20.0
 # Places after the name of the program, proc(5).
 _USER_TICKS = 11
 _SYSTEM_TICKS = 12
@@ -288,7 +290,11 @@
         """Start all and wait until every host is ready."""
         self.store.start()
         end = time.monotonic() + seconds
-        while call(self.store_port, "GET", _names.RANGE_PATH) is None:
+        while not self._has_store():
+            if not self.store.running:
+                raise TimeoutError(
+                    f"the store has ended: another has port {self.store_port}"
+                )
             if time.monotonic() > end:
                 raise TimeoutError("the store did not start")
             gevent.sleep(0.05)
@@ -302,6 +308,11 @@
                 raise TimeoutError("a host did not become ready")
             gevent.sleep(0.1)
 
+    def _has_store(self) -> bool:
+        """Tell whether a store answers, and not something else."""
+        answer = call(self.store_port, "GET", _names.RANGE_PATH)
+        return answer is not None and answer.status == 200
+
     def put_entry(self, name: str, value: object) -> None:
         """Write an entry of the registry as another writer might."""
         key = _names.REGISTRY_PREFIX + name
@@ -338,13 +349,21 @@
         self.put(_names.CONFIGURATION_KEY, document)
 
     def put(self, key: str, value: object) -> None:
-        """Write a key as the operator does, until it is taken."""
+        """Write a key as the operator does, until it is taken.
+
+        Raises
+        ------
+        TimeoutError
+            When it is not, long after every fault has ended.
+        """
         document = {"key": key, "value": value}
-        while True:
+        end = time.monotonic() + _WRITTEN
+        while time.monotonic() < end:
             answer = call(self.store_port, "POST", "/put", document)
             if answer is not None and answer.status == 200:
                 return
             gevent.sleep(0.1)
+        raise TimeoutError(f"{key}: the store did not take it")
 
     def read_events(self) -> list[Event]:
         """Return what all upstreams ran, by time."""
