One copy of how keys are grouped by range

Smoothing and the planned loads each walked keys and ranges side by side; group_keys in ranges.py does it for both.

--- a/sedgetide/core/ownership/_loads.py
+++ b/sedgetide/core/ownership/_loads.py
@@ -8,6 +8,7 @@
 
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
+from sedgetide.core.ownership.ranges import group_keys
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Tenure
 
@@ -51,14 +52,8 @@
         # Upstreams that have more than enough to do with one key alone.
         self.crowded: set[IncarnationName] = set()
         self.rates = rates
-        ordered = sorted(rates)
-        start = 0
-        for tenure in tenures:
-            end = start
-            while end < len(ordered) and ordered[end] <= tenure.high:
-                end += 1
-            keys = ordered[start:end]
-            start = end
+        groups = group_keys(rates, tenures)
+        for tenure, keys in zip(tenures, groups, strict=True):
             holder = tenure.successor or tenure.owner
             if holder not in takers:
                 continue
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -205,6 +205,28 @@
     return settled and left.owner == right.owner
 
 
+def group_keys(
+    keys: Iterable[Key], tenures: Iterable[Tenure]
+) -> list[list[Key]]:
+    """Return the keys of each range, in order.
+
+    Parameters
+    ----------
+    keys : iterable of Key
+        In any order.
+    tenures : iterable of Tenure
+        In order, and with no gap between them.
+    """
+    ordered = sorted(keys)
+    groups = []
+    start = 0
+    for tenure in tenures:
+        end = bisect.bisect_right(ordered, tenure.high, lo=start)
+        groups.append(ordered[start:end])
+        start = end
+    return groups
+
+
 def _read_low(tenure: Tenure) -> Key:
     return tenure.low
 
--- a/sedgetide/core/ownership/smoothing.py
+++ b/sedgetide/core/ownership/smoothing.py
@@ -7,7 +7,6 @@
 asked for more or less than chance explains; then what was seen counts.
 """
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 import math
 
@@ -15,6 +14,7 @@
 
 from sedgetide.core.identifiers import Key
 from sedgetide.core.ownership.load import LoadView
+from sedgetide.core.ownership.ranges import group_keys
 from sedgetide.core.ownership.ranges import Tenure
 
 # Standard deviations beyond what the most extreme of so many ranges shows by
@@ -37,7 +37,10 @@
     def __init__(self, view: LoadView, tenures: Sequence[Tenure]) -> None:
         self.view = view
         self._certain = _CERTAINTY + math.sqrt(2 * math.log(len(tenures) + 1))
-        self.shares = _divide(view.rates, tenures)
+        self.shares = [
+            _Share(keys, sum(view.rates[key] for key in keys))
+            for keys in group_keys(view.rates, tenures)
+        ]
         widths = [len(each.keys) for each in tenures]
         self.density = self._find_density(range(len(tenures)), widths)
         usual = [
@@ -67,22 +70,6 @@
         return abs(self.shares[index].work - expected) > bound
 
 
-def _divide(
-    rates: Mapping[Key, float], tenures: Sequence[Tenure]
-) -> list[_Share]:
-    ordered = sorted(rates)
-    shares = []
-    start = 0
-    for tenure in tenures:
-        end = start
-        while end < len(ordered) and ordered[end] <= tenure.high:
-            end += 1
-        keys = ordered[start:end]
-        shares.append(_Share(keys, sum(rates[key] for key in keys)))
-        start = end
-    return shares
-
-
 def smooth_rates(
     views: Sequence[LoadView], tenures: Sequence[Tenure]
 ) -> dict[Key, float]:
