A pause after an announced end is no proof of the same start

Cause: where an answer announced the end of the only connection, the next was opened at once and taken to lead to the same start, whatever time had passed: a host that was frozen between the two would have renewed the old fence at a restarted upstream. Found by reading.

Change: the clock (that runs on in a suspension) is read once the new connection is open; over 0.1 s after the order was sent it counts as one to another start, and the range goes on at a new fence.

Before: the new test failed (session 0 for 1). After: 12 passed.

--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -14,6 +14,7 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.daemons._hostmetrics import ORDERS
+from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
 from sedgetide.wire.client import Connection
@@ -229,12 +230,20 @@
         if not alive and not self._pool.has_idle:
             self.session += 1
 
-    def _replace(self, ended: Connection) -> None:
+    def _replace(self, ended: Connection, sent_at: float) -> None:
         """Open a connection in place of one whose end was announced.
 
-        What listens when the next order is due may be another start. Right
-        after the answer it is the process that gave it: none starts again
-        in so short a time.
+        What listens when the next order is due may be another start. Within
+        a tenth of a second of the order it is the process that answered it:
+        none starts again in so short a time. The clock is read once the
+        connection is open, since this host may have been paused before.
+
+        Parameters
+        ----------
+        ended : Connection
+            The one that ends.
+        sent_at : float
+            Own clock right before the order was sent on it.
         """
         if self._pool.has_idle:
             return
@@ -243,6 +252,8 @@
         except UpstreamError:
             self._note_end(ended)
             return
+        if read_clock() - sent_at > _REPLACE_WITHIN:
+            self._note_end(ended)
         self._opened[connection] = self.session
         self._pool.give_back(connection)
 
@@ -262,6 +273,7 @@
             [("Host", self.address), *order.headers],
             order.body,
         )
+        sent_at = read_clock()
         try:
             answer = connection.exchange(
                 request, timeout or self._grant_timeout
@@ -272,7 +284,7 @@
             return OrderResult(Taken.UNKNOWN, detail=error.detail)
         self._pool.give_back(connection)
         if not connection.open_now:
-            self._replace(connection)
+            self._replace(connection, sent_at)
         return self._judge(answer)
 
     def _judge(self, answer: Answer) -> OrderResult:
--- a/tests/daemons/test_orders.py
+++ b/tests/daemons/test_orders.py
@@ -74,6 +74,7 @@
         self.grants = []
         self.answer = OBEYED
         self.ends = False
+        self.pause = 0.0
         self.start()
 
     def start(self):
@@ -101,6 +102,7 @@
         try:
             while peer.recv(65536):
                 self.grants.append(1)
+                gevent.sleep(self.pause)
                 peer.sendall(self.answer)
                 if self.ends:
                     self.stop()
@@ -199,6 +201,15 @@
             self.assertIs(Taken.DONE, self.grant())
         self.assertEqual(0, self.lane.session)
 
+    def test_pause_before_the_next_connection_proves_nothing(self):
+        # The answer announces the end of the only connection; this host is
+        # frozen before it reads that, or between it and the next open. What
+        # listens afterwards may be another start.
+        self.upstream.answer = CLOSING
+        self.upstream.pause = 0.2
+        self.assertIs(Taken.DONE, self.grant())
+        self.assertEqual(1, self.lane.session)
+
     def test_restart_after_the_announced_end_of_the_only_connection(self):
         # The upstream answers with the wish to close, and ends. Nothing is
         # open that its next start could close.
