A passage carries its place; a job no longer does

The place at an upstream stood in the job and in the passage, and a target with its lane were handed on beside the passage that holds both. The sender takes the passage.

--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -108,18 +108,14 @@
         self, ticket: Ticket, priority: int, left: float, now: float
     ) -> list[Decision]:
         self.used_at = now
-        decisions = []
         free = self._queue.estimate_wait(priority) == 0.0
         # Where a place is free, trying costs nobody else anything.
         deadline = _UNBOUNDED if free else now + left
         refusal = self._queue.offer(ticket, priority, deadline, now)
         if refusal is not None:
-            decisions.append(
-                Decision(ticket, Verdict.REFUSED, refusal.retry_after)
-            )
-            return decisions
+            return [Decision(ticket, Verdict.REFUSED, refusal.retry_after)]
         self._waiting[ticket] = ticket
-        decisions += self._admit(now)
+        decisions = self._admit(now)
         if ticket in self._waiting:
             decisions.append(Decision(ticket, Verdict.QUEUED))
         return decisions
--- a/sedgetide/daemons/_job.py
+++ b/sedgetide/daemons/_job.py
@@ -8,7 +8,6 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.returns import SOON
 from sedgetide.core.requests.routes import Timetable
-from sedgetide.daemons._places import Place
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
 
@@ -36,8 +35,6 @@
         Connections that did not open.
     overdue : bool
         Whether its caller was refused before and is late already.
-    place : Place or None
-        Place at an upstream that it got last.
     fence : int
         Fence under which it was sent last.
     held, rested : float
@@ -56,7 +53,6 @@
     note: str = ""
     unreached: int = 0
     overdue: bool = False
-    place: Place | None = None
     fence: int = 0
     held: float = 0.0
     rested: float = 0.0
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -89,11 +89,8 @@
             now = read_clock()
             target = self._find_target(job, now)
             if isinstance(target, Target):
-                lane = self._lanes.find(target.upstream)
-                if not self._enter(job, target, lane, limit):
-                    return None
-                passage = Passage(target, lane, job.place)
-                if self._still_holds(job, target):
+                passage = self._enter(job, target, limit)
+                if passage is None or self._still_holds(job, target):
                     return passage
                 passage.leave()
                 continue
@@ -103,33 +100,30 @@
                 return None
             self._knowledge.changes.wait(limit - now)
 
-    def _enter(
-        self, job: Job, target: Target, lane: Lane, limit: float
-    ) -> bool:
-        """Wait for a place at an upstream; return whether one was got.
+    def _enter(self, job: Job, target: Target, limit: float) -> Passage | None:
+        """Wait for a place at an upstream; None when none came in time.
 
         Only one upstream may run a request with a key, so the queue there
         is the only one that counts; among equal ones each host's own
         windows find one with room.
         """
-        priority = job.route.priority
-        job.place = None
+        lane = self._lanes.find(target.upstream)
         if job.keyed:
-            found = self._ask_place(job, target)
-            if isinstance(found, PlaceRefused):
+            place = self._ask_place(job, target)
+            if isinstance(place, PlaceRefused):
                 job.note = "no place"
-                job.retry_after = wait_for_place(found.retry_after)
-                return False
-            if found is not None:
-                job.place = found
+                job.retry_after = wait_for_place(place.retry_after)
+                return None
+            if place is not None:
                 lane.occupy()
-                return True
+                return Passage(target, lane, place)
+        priority = job.route.priority
         wait = min(limit, job.times.final) - read_clock()
         if lane.enter(priority, wait):
-            return True
+            return Passage(target, lane, None)
         job.note = "window"
         job.retry_after = wait_for_queue(lane.estimate_wait(priority))
-        return False
+        return None
 
     def _ask_place(
         self, job: Job, target: Target
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -187,7 +187,7 @@
             if passage is None:
                 return self._conclude(job)
             try:
-                self._sender.attempt(job, passage.target, passage.lane)
+                self._sender.attempt(job, passage)
             finally:
                 passage.leave()
             if job.progress.failure is Failure.NONE:
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -22,6 +22,7 @@
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
+from sedgetide.daemons._passages import Passage
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.messages import Answer
@@ -65,10 +66,10 @@
         self._partitions = partitions
         self._usual = usual
 
-    def attempt(self, job: Job, target: Target, lane: Lane) -> None:
+    def attempt(self, job: Job, passage: Passage) -> None:
         """Send a request once; its progress tells what became of it."""
         progress = job.progress
-        name = target.upstream.name
+        target, lane = passage.target, passage.lane
         now = read_clock()
         if now >= job.times.final:
             job.note = "too late"
@@ -85,10 +86,10 @@
                 if job.keyed:
                     absence = lane.health.find_absence(read_clock())
                     job.retry_after = wait_for_owner(absence)
-            self._note_failure(job, target, lane, Failure.UNREACHABLE)
+            self._note_failure(job, passage, Failure.UNREACHABLE)
             return
         progress.sends += 1
-        progress.tried.append(name)
+        progress.tried.append(target.upstream.name)
         began = read_clock()
         if progress.sends == 1:
             job.held = began - job.times.began
@@ -106,19 +107,15 @@
             silent = error.code is ErrorCode.UPSTREAM_SILENT
             if not silent:
                 lane.rests.note_reset(connection.rested, read_clock())
-            self._note_failure(
-                job,
-                target,
-                lane,
-                Failure.SILENT if silent else Failure.BROKEN,
-            )
+            failure = Failure.SILENT if silent else Failure.BROKEN
+            self._note_failure(job, passage, failure)
             job.note = error.detail[:_LONGEST_DETAIL]
             return
         lane.pool.give_back(connection)
         self._partitions.note_reached(
             target.upstream.data_centre, read_clock()
         )
-        self._take_answer(job, target, lane, answer, before, began)
+        self._take_answer(job, passage, answer, before, began)
 
     def _make_send(self, job: Job, target: Target, now: float) -> Request:
         headers = drop_hop_headers(job.request.headers)
@@ -144,13 +141,13 @@
     def _take_answer(
         self,
         job: Job,
-        target: Target,
-        lane: Lane,
+        passage: Passage,
         answer: Answer,
         before: Outcome,
         began: float,
     ) -> None:
         now = read_clock()
+        target, lane = passage.target, passage.lane
         load = self._dialect.read_load(answer.headers)
         if load is not None:
             lane.window.note_load(load, now)
@@ -158,10 +155,10 @@
         failure = refine_failure(
             self._dialect.judge(answer.status, answer.headers), job.keyed
         )
-        if job.place is not None:
+        if passage.place is not None:
             waiting = 0 if load is None else load.waiting
             whole = failure is Failure.NONE
-            job.place.note_answer(now - began if whole else None, waiting)
+            passage.place.note_answer(now - began if whole else None, waiting)
         if failure is Failure.NONE:
             lane.health.note_success(now - began)
             self._usual.note_answer(
@@ -187,16 +184,16 @@
         if failure is Failure.BUSY:
             seconds = lane.health.estimate_seconds()
             job.retry_after = wait_for_upstream(load, seconds)
-        self._note_failure(job, target, lane, failure, load)
+        self._note_failure(job, passage, failure, load)
 
     def _note_failure(
         self,
         job: Job,
-        target: Target,
-        lane: Lane,
+        passage: Passage,
         failure: Failure,
         load: UpstreamLoad | None = None,
     ) -> None:
+        target, lane = passage.target, passage.lane
         job.progress.failure = failure
         if failure in (Failure.BUSY, Failure.BROKEN):
             lane.window.note_refusal(load)
