Logs tell a crash of an upstream from other broken connections

Cause of the change: in the incident every link of the chain shows as a broken connection, alike for a crash, a full upstream's reset, a garbled answer and a reset on the way; a second failure then replaced the first in the line, and neither caller nor path was in it.

Ruled out as a sign: the reset itself and its timing (a full upstream resets too). What follows differs: after a crash nobody listens at the address, and the registry drops the entry within three heartbeats; after all else the upstream answers on.

Change: a request that broke without a byte of an answer has its upstream probed by one connection (at most ten a second for one upstream); the line upstream-ended names request, fingerprint, proof and how many requests of the host were beside it; request lines have the caller and all failures. Nothing is decided by it yet.

--- a/sedgetide/core/identifiers.py
+++ b/sedgetide/core/identifiers.py
@@ -24,6 +24,8 @@
 Key = NewType("Key", int)
 Fence = NewType("Fence", int)
 RouteName = NewType("RouteName", str)
+# What a request asks for and who asks; see core/requests/fingerprints.py.
+Fingerprint = NewType("Fingerprint", str)
 Version = NewType("Version", int)
 
 NO_FENCE = Fence(0)
--- /dev/null
+++ b/sedgetide/daemons/_breaks.py
@@ -0,0 +1,107 @@
+"""Finds out whether an upstream ended under a request that broke."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.breaks import BrokenRun
+from sedgetide.core.requests.breaks import BrokenRuns
+from sedgetide.core.requests.breaks import EndedUpstream
+from sedgetide.core.requests.breaks import LossProof
+from sedgetide.daemons._hostmetrics import UPSTREAM_ENDS
+from sedgetide.daemons._job import Job
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
+from sedgetide.wire.probes import Presence
+from sedgetide.wire.probes import probe
+
+# Seconds; a refusal comes within two milliseconds from another data centre.
+# A host that is dark answers nothing, and the registry tells of it later.
+_PROBE_TIMEOUT = 0.05
+# Seconds; a full upstream resets many requests at once, and each probe is one
+# more connection that it has to turn away.
+_PROBE_EVERY = 0.1
+
+
+class _Probed(msgspec.Struct):
+    at: float
+    presence: Presence
+
+
+class BreakWatch:
+    """Tells a crash from other reasons for a broken connection.
+
+    Parameters
+    ----------
+    directory : Directory
+        Upstreams as the registry shows them.
+    take_ended : callable
+        Called with each upstream that ended, and the time.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        take_ended: Callable[[EndedUpstream, float], None],
+    ) -> None:
+        self._directory = directory
+        self._take_ended = take_ended
+        self._runs = BrokenRuns()
+        self._probed: dict[IncarnationName, _Probed] = {}
+
+    def note_broken(self, job: Job, upstream: RegisteredUpstream) -> None:
+        """Find out what became of an upstream that broke off.
+
+        An upstream that has announced its end is no crash.
+        """
+        now = read_clock()
+        known = self._directory.find(upstream.name)
+        if known is not None and known.leaving:
+            return
+        run = BrokenRun(job.fields.request, job.find_fingerprint(), now)
+        self._runs.note(upstream.name, run)
+        if self._probe(upstream, now) is Presence.ENDED:
+            self._conclude(
+                self._runs.conclude(upstream.name, LossProof.REFUSED)
+            )
+
+    def _probe(self, upstream: RegisteredUpstream, now: float) -> Presence:
+        last = self._probed.get(upstream.name)
+        if last is not None and now - last.at < _PROBE_EVERY:
+            return last.presence
+        presence = probe(upstream.address, _PROBE_TIMEOUT)
+        self._probed[upstream.name] = _Probed(now, presence)
+        return presence
+
+    def note_answer(self, upstream: IncarnationName) -> None:
+        """Take in that an upstream answered."""
+        self._runs.note_answer(upstream)
+
+    def keep(self, now: float) -> None:
+        """Look for upstreams that the registry has dropped meanwhile."""
+        for ended in self._runs.take_withdrawn(self._directory, now):
+            self._conclude(ended)
+        self._probed = {
+            name: each
+            for name, each in self._probed.items()
+            if now - each.at < _PROBE_EVERY
+        }
+
+    def _conclude(self, ended: EndedUpstream | None) -> None:
+        if ended is None:
+            return
+        for run in ended.runs:
+            UPSTREAM_ENDS.labels(ended.proof.value).inc()
+            tell(
+                Event.UPSTREAM_ENDED,
+                upstream=ended.upstream,
+                proof=ended.proof.value,
+                id=run.request,
+                fingerprint=run.fingerprint,
+                beside=len(ended.runs) - 1,
+            )
+        self._take_ended(ended, read_clock())
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -32,6 +32,11 @@
     "Places asked for at upstreams, by what the lender said.",
     ["verdict"],
 )
+UPSTREAM_ENDS = Counter(
+    "sedgetide_upstream_ends",
+    "Requests under which their upstream ended, by how that is known.",
+    ["proof"],
+)
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
--- a/sedgetide/daemons/_job.py
+++ b/sedgetide/daemons/_job.py
@@ -4,11 +4,15 @@
 
 from sedgetide.backends.dialects import CallerFields
 from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.fingerprints import make_fingerprint
 from sedgetide.core.requests.returns import SOON
 from sedgetide.core.requests.routes import Timetable
 from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import find_header
 from sedgetide.wire.messages import Request
 
 
@@ -39,6 +43,8 @@
         Fence under which it was sent last.
     held, rested : float
         Seconds that it waited here, and that its connection had been idle.
+    failures : list of Failure
+        Of its attempts so far, in order.
     """
 
     request: Request
@@ -56,3 +62,15 @@
     fence: int = 0
     held: float = 0.0
     rested: float = 0.0
+    failures: list[Failure] = []
+
+    def find_fingerprint(self) -> Fingerprint:
+        """Return what stands for the request and each repeat of it."""
+        request = self.request
+        return make_fingerprint(
+            request.method,
+            find_header(request.headers, "host") or "",
+            request.target,
+            request.caller,
+            request.body,
+        )
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -23,6 +23,7 @@
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.usual import UsualFigures
+from sedgetide.daemons._breaks import BreakWatch
 from sedgetide.daemons._hostmetrics import RETRIES
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
@@ -64,6 +65,8 @@
         Own data centre.
     partitions : PartitionDetector
         Learns from each request what can be reached.
+    breaks : BreakWatch
+        Finds out why connections to upstreams break.
     retries : RetryTerms
         What the deployment grants.
     source : random.Random
@@ -79,6 +82,7 @@
         meter: LoadMeter,
         data_centre: str,
         partitions: PartitionDetector,
+        breaks: BreakWatch,
         retries: RetryTerms,
         source: random.Random,
     ) -> None:
@@ -93,7 +97,9 @@
         self._passages = Passages(
             knowledge, lanes, places, usual, data_centre, source
         )
-        self._sender = Sender(knowledge, dialect, meter, partitions, usual)
+        self._sender = Sender(
+            knowledge, dialect, meter, partitions, usual, breaks
+        )
         self._log = RequestLog(knowledge)
 
     def read_limits(self) -> CallerLimits:
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -19,6 +19,7 @@
 from sedgetide.core.requests.returns import wait_for_upstream
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.core.requests.windows import UpstreamLoad
+from sedgetide.daemons._breaks import BreakWatch
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
@@ -50,6 +51,8 @@
         Learns from each request what can be reached.
     usual : UsualFigures
         Learns what requests take.
+    breaks : BreakWatch
+        Finds out why connections break.
     """
 
     def __init__(
@@ -59,12 +62,14 @@
         meter: LoadMeter,
         partitions: PartitionDetector,
         usual: UsualFigures,
+        breaks: BreakWatch,
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
         self._meter = meter
         self._partitions = partitions
         self._usual = usual
+        self._breaks = breaks
 
     def attempt(self, job: Job, passage: Passage) -> None:
         """Send a request once; its progress tells what became of it."""
@@ -110,7 +115,10 @@
             failure = Failure.SILENT if silent else Failure.BROKEN
             self._note_failure(job, passage, failure)
             job.note = error.detail[:_LONGEST_DETAIL]
+            if not silent and not connection.heard:
+                self._breaks.note_broken(job, target.upstream)
             return
+        self._breaks.note_answer(target.upstream.name)
         lane.pool.give_back(connection)
         self._partitions.note_reached(
             target.upstream.data_centre, read_clock()
@@ -195,6 +203,7 @@
     ) -> None:
         target, lane = passage.target, passage.lane
         job.progress.failure = failure
+        job.failures.append(failure)
         if failure in (Failure.BUSY, Failure.BROKEN):
             lane.window.note_refusal(load)
         if failure in NO_WORD:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -38,6 +38,7 @@
 from sedgetide.core.requests.bodies import bound_bodies
 from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.daemons._admin import make_application
+from sedgetide.daemons._breaks import BreakWatch
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._countedstore import CountedStore
 from sedgetide.daemons._feed import FeedSink
@@ -134,6 +135,9 @@
             self._transport.send,
             random.Random(self.incarnation),
         )
+        self._breaks = BreakWatch(
+            self._knowledge.directory, lambda ended, now: None
+        )
         self._requests = Requests(
             self._knowledge,
             dialects.requests,
@@ -142,6 +146,7 @@
             self._meter,
             settings.data_centre,
             self._partitions,
+            self._breaks,
             RetryTerms(
                 settings.retry_ratio * _OWN_SHARE, settings.retry_slack
             ),
@@ -240,6 +245,7 @@
             now = read_clock()
             self._note_partition(now)
             self._places.keep(now)
+            self._breaks.keep(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -126,6 +126,15 @@
         "the store was disturbed just before.",
         ("upstream",),
     )
+    UPSTREAM_ENDED = Definition(
+        "upstream-ended",
+        logging.WARNING,
+        "An upstream ended while it had this request; one line for each that "
+        "it had from this host. fingerprint: the same for each repeat by the "
+        "same caller. proof=refused: nobody listens at its address any more; "
+        "proof=withdrawn: its entry disappeared within seconds.",
+        ("upstream", "proof", "id", "fingerprint", "beside"),
+    )
     LEADER = Definition(
         "leader",
         logging.INFO,
@@ -221,7 +230,8 @@
         "first. The fields after the times are what decided: version of the "
         "routes, revision and fence of the owner, and for how many "
         "milliseconds nothing was heard from the store. rested_ms: how long "
-        "the connection to the upstream had been idle; 0 on a new one.",
+        "the connection to the upstream had been idle; 0 on a new one. "
+        "failures: of all attempts, in order.",
         (
             "id",
             "route",
@@ -230,7 +240,9 @@
             "status",
             "outcome",
             "failure",
+            "failures",
             "note",
+            "caller",
             "upstreams",
             "ms",
             "held_ms",
--- a/sedgetide/wire/messages.py
+++ b/sedgetide/wire/messages.py
@@ -22,12 +22,26 @@
 
 
 class Request(msgspec.Struct, frozen=True):
-    """A caller's request, read to its end."""
+    """A caller's request, read to its end.
+
+    Parameters
+    ----------
+    method, target : str
+        As in its first line.
+    headers : list of tuple
+        In their order.
+    body : bytes
+        Whole; empty when there is none.
+    caller : str
+        IP address that it came from; empty when it did not come from a
+        connection.
+    """
 
     method: str
     target: str
     headers: Headers
     body: bytes
+    caller: str = ""
 
     @property
     def path(self) -> str:
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -96,13 +96,13 @@
     def _accept(self) -> None:
         while True:
             try:
-                accepted, _ = self._listener.accept()
+                accepted, peer = self._listener.accept()
             except OSError as error:
                 # Out of descriptors, or a connection reset in the queue.
                 _log.warning("accept failed", extra={"error": str(error)})
                 gevent.sleep(0.05)
                 continue
-            connection = CallerConnection(self, accepted)
+            connection = CallerConnection(self, accepted, peer[0])
             self.connections.add(connection)
             gevent.spawn(connection.run)
 
@@ -136,11 +136,16 @@
         Who serves.
     connection : socket
         Accepted socket.
+    caller : str
+        IP address of its other end.
     """
 
-    def __init__(self, server: Server, connection: socket) -> None:
+    def __init__(
+        self, server: Server, connection: socket, caller: str
+    ) -> None:
         self._server = server
         self._socket = connection
+        self._caller = caller
         self._turns: collections.deque[_Turn] = collections.deque()
         self._moved = Event()
         self._reading_done = False
@@ -279,7 +284,7 @@
                     raise _Rejected(413)
                 self._hold(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return _make_request(head, bytes(body))
+                return _make_request(head, bytes(body), self._caller)
             else:
                 return None
 
@@ -383,12 +388,13 @@
     return b"content-length" in names and b"transfer-encoding" in names
 
 
-def _make_request(head: h11.Request, body: bytes) -> Request:
+def _make_request(head: h11.Request, body: bytes, caller: str) -> Request:
     return Request(
         head.method.decode("latin-1"),
         head.target.decode("latin-1"),
         decode_headers(head.headers.raw_items()),
         body,
+        caller,
     )
 
 
--- /dev/null
+++ b/tests/core/requests/test_fingerprints.py
@@ -0,0 +1,32 @@
+"""Tests of what stands for a request and its repeats."""
+
+import testtools
+
+from sedgetide.core.requests.fingerprints import make_fingerprint
+
+FIRST = ("GET", "maps.example", "/map/7?z=3", "100.64.0.9", b"")
+
+
+class TestFingerprints(testtools.TestCase):
+    def test_repeat_has_the_same(self):
+        self.assertEqual(make_fingerprint(*FIRST), make_fingerprint(*FIRST))
+
+    def test_each_part_counts(self):
+        others = [
+            ("POST", *FIRST[1:]),
+            (*FIRST[:1], "other.example", *FIRST[2:]),
+            (*FIRST[:2], "/map/7?z=4", *FIRST[3:]),
+            (*FIRST[:3], "100.64.0.8", b""),
+            (*FIRST[:4], b"x"),
+        ]
+        found = {make_fingerprint(*each) for each in [FIRST, *others]}
+        self.assertEqual(6, len(found))
+
+    def test_parts_do_not_run_together(self):
+        self.assertNotEqual(
+            make_fingerprint("GET", "h", "/ab", "c", b""),
+            make_fingerprint("GET", "h", "/a", "bc", b""),
+        )
+
+    def test_any_text_of_a_header(self):
+        make_fingerprint("GET", "b\xfccher.example", "/\u2603", "::1", b"\x00")
