--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -6,6 +6,7 @@
 
 import argparse
 import contextlib
+import os
 import random
 import sys
 import time
@@ -29,6 +30,8 @@
 from sedgetide.wire.server import Server
 
 _HEARTBEAT = 0.4
+# What a process ends with that a signal of the kernel has ended.
+_CRASHED = 139
 _QUEUE = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
 
@@ -153,6 +156,8 @@
         self._running += 1
         try:
             gevent.sleep(self._random.expovariate(1 / self._options.work))
+            if request.path == self._options.crash_on:
+                os._exit(_CRASHED)
         finally:
             self._running -= 1
             self._holder.running.remove(Key(key))
@@ -230,6 +235,9 @@
     parser.add_argument("--clock-rate", type=float, default=1.0)
     parser.add_argument("--keyed", action="store_true")
     parser.add_argument("--born", type=int, default=1)
+    parser.add_argument(
+        "--crash-on", metavar="PATH", help="path that ends the process"
+    )
     options = parser.parse_args()
     upstream = RangeUpstream(options)
     gevent.spawn(upstream.heartbeat_loop)
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -132,7 +132,7 @@
             grace=GRACE,
             **options,
         )
-        self.ready_port = ports[1]
+        self.port, self.ready_port, self.admin_port = ports[:3]
         path = folder / f"{self.name}.json"
         path.write_bytes(msgspec.json.encode(settings))
         self.program = Program(
@@ -163,8 +163,10 @@
         late: float,
         clock_rate: float,
         slots: int,
+        crash_on: str,
     ) -> None:
         self._slots = slots
+        self._crash_on = crash_on
         self._folder = folder
         self._store_port = store_port
         self._number = number
@@ -175,6 +177,9 @@
         self.name = ""
         self._port = find_port()
         self.proxy = Proxy(self._port)
+        # A proxy listens on when its process has crashed.
+        direct = f"127.0.0.1:{self._port}"
+        self.address = direct if crash_on else self.proxy.address
         self.programs: list[Program] = []
 
     @property
@@ -198,7 +203,7 @@
             f"--service={self._service}",
             f"--data-centre=dc-{self._number % 2}",
             f"--port={self._port}",
-            f"--address={self.proxy.address}",
+            f"--address={self.address}",
             f"--store=127.0.0.1:{self._store_port}",
             f"--late={self._late}",
             f"--clock-rate={self._clock_rate}",
@@ -206,6 +211,8 @@
         ]
         if self._service == KEYED:
             arguments.append("--keyed")
+        if self._crash_on:
+            arguments.append(f"--crash-on={self._crash_on}")
         label = f"{self.name}-{self._starts}"
         program = Program(label, self._folder, arguments)
         program.start()
@@ -246,6 +253,9 @@
         Settings of each host besides its names and addresses.
     slots : int
         Requests that an upstream works on at a time.
+    crash_on : str
+        Path of requests that end the upstream's process; then no proxies
+        stand before upstreams.
     """
 
     def __init__(
@@ -254,6 +264,7 @@
         late: float,
         options: Sequence[Mapping[str, Any]] = ({}, {}, {}),
         slots: int = 2,
+        crash_on: str = "",
     ) -> None:
         self._stack = contextlib.ExitStack()
         self.store_port = find_port()
@@ -280,6 +291,7 @@
                 late,
                 0.98 if number % 2 else 1.0,
                 slots,
+                crash_on,
             )
             for number, service in enumerate(services)
         ]
