--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -26,6 +26,7 @@
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.quarantine import QuarantineReport
 
 Headers = list[tuple[str, str]]
 
@@ -282,6 +283,22 @@
     named: LenderList
 
 
+class Quarantined(Message, tag="quarantine"):
+    """All that a host knows of requests under which upstreams ended.
+
+    Parameters
+    ----------
+    version : int
+        Of the sender's quarantine; the receiver answers with its own report
+        when that is another one.
+    report : QuarantineReport
+        What it holds.
+    """
+
+    version: int
+    report: QuarantineReport
+
+
 class AskPlace(Message, tag="ask-place"):
     """A host asks for a place at an upstream.
 
@@ -355,6 +372,7 @@
     | Moved
     | StoreFeed
     | Lenders
+    | Quarantined
     | AskPlace
     | PlaceVerdict
     | EndPlace
--- a/sedgetide/command/main.py
+++ b/sedgetide/command/main.py
@@ -24,6 +24,7 @@
 from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.core.ownership.keyspace import find_home
 from sedgetide.core.ownership.keyspace import find_shard
+from sedgetide.core.requests.fingerprints import FINGERPRINT_FORM
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -149,6 +150,30 @@
     return EXIT_OK
 
 
+def lift_quarantine(options: argparse.Namespace) -> int:
+    """Let a request through again that hosts refuse."""
+    connection = HttpConnection(options.address, _STATE_LIMIT)
+    path = f"/quarantine/{options.fingerprint}/lift"
+    with contextlib.closing(connection):
+        connection.open(_STORE_TIMEOUT)
+        answer = connection.exchange("POST", path, (), b"", _STORE_TIMEOUT)
+    if answer.status != 200:
+        return _complain(
+            f"{options.fingerprint!r}: accepted is a fingerprint in the "
+            f"quarantine of `sedgetide state {options.address}`"
+        )
+    print("lifted")
+    return EXIT_OK
+
+
+def _parse_fingerprint(value: str) -> str:
+    if not FINGERPRINT_FORM.fullmatch(value):
+        raise argparse.ArgumentTypeError(
+            f"{value!r}: accepted are 32 hexadecimal digits"
+        )
+    return value
+
+
 def _add_store(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--store",
@@ -203,6 +228,12 @@
     state = commands.add_parser("state", help="dump one process")
     state.add_argument("address", type=_parse_address, metavar="IP:PORT")
     state.set_defaults(run=show_state)
+    lift = commands.add_parser(
+        "lift", help="let a request through that ended upstreams"
+    )
+    lift.add_argument("address", type=_parse_address, metavar="IP:PORT")
+    lift.add_argument("fingerprint", type=_parse_fingerprint)
+    lift.set_defaults(run=lift_quarantine)
     owner = commands.add_parser("owner", help="find the owner of a key")
     owner.add_argument("service")
     owner.add_argument("key")
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -35,11 +35,14 @@
         Cores' worth of time that it has; zero when it is about to stop.
     lenders : int
         Version of the list of lenders that it knows.
+    quarantine : int
+        Version of its quarantine.
     """
 
     data_centre: DataCentre = DataCentre("")
     processors: float = 0.0
     lenders: int = 0
+    quarantine: int = 0
 
 
 class LendingHost(msgspec.Struct, frozen=True, array_like=True):
--- a/sedgetide/core/requests/fingerprints.py
+++ b/sedgetide/core/requests/fingerprints.py
@@ -1,11 +1,13 @@
 """What a request and its repeats by the same caller have in common."""
 
 import hashlib
+import re
 
 from sedgetide.core.identifiers import Fingerprint
 
 _BYTES = 16
 _LENGTH_BYTES = 8
+FINGERPRINT_FORM = re.compile(f"[0-9a-f]{{{2 * _BYTES}}}")
 
 
 def make_fingerprint(
--- /dev/null
+++ b/sedgetide/core/requests/quarantine.py
@@ -0,0 +1,409 @@
+"""Requests that end every upstream that runs them, and are run no more.
+
+The load that this answers: a caller repeats a request that crashes whoever
+runs it. Each loss takes an upstream's other requests with it and leaves its
+keys dark for seconds, and the next owner of the key is lost the same way.
+
+A loss is blamed on all that the upstream had and that has not ended well
+since; the more there were, the less it says of each. A request that three
+losses or more speak against is refused for a time. After it, one run is a
+trial: if it ends well the request is cleared, if it ends its upstream the
+next time is twice as long.
+
+Times are those of the own clock. Copies on several hosts become alike by
+:meth:`Quarantine.merge`, whatever was lost on the way: losses and clearances
+are only ever added, and a clearance goes before older losses.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from sedgetide.core.identifiers import Fingerprint
+from sedgetide.core.identifiers import IncarnationName
+
+# With two slots an upstream an innocent request is beside a deadly one once or
+# twice by chance; each loss more costs an upstream.
+_LEAST_LOSSES = 3
+# Sum of what the losses say. Alone in each, a request is held after three
+# losses, beside one other in each after four, beside more after five: two
+# sends more than three, where an operator bears three.
+_LEAST_BLAME = 2.0
+_LEAST_SHARE = 0.4
+# From here on the host does not send a request again by itself: its caller
+# may, which leaves time for a word from other hosts.
+_LOSSES_WITHOUT_RETRY = 2
+# Seconds; hosts see one loss within a second, and no process is back and
+# lost again within two.
+_ONE_LOSS = 2.0
+# Seconds; a caller that comes again comes within minutes.
+_REMEMBERED = 600.0
+# Seconds. Callers who poll come each few seconds: with five minutes a deadly
+# request costs one upstream in five minutes instead of one each 3.6 s, and
+# one held wrongly is served again after a time that people bear.
+_FIRST_STAY = 300.0
+_LONGEST_STAY = 3600.0
+# Seconds after its end for which a stay counts towards the next.
+_STAY_REMEMBERED = 3600.0
+# A loss blames at most what an upstream works on and queues; with these the
+# whole book is under 100 KB, and a message of it too.
+_MOST_LOSSES = 128
+_MOST_SUSPECTS = 32
+_MOST_CLEARED = 512
+# More than these are no requests to blame but a release that crashes on
+# everything; refusing its callers' repeats would outlast its rollback.
+_MOST_STAYS = 64
+
+
+class Loss(msgspec.Struct, array_like=True):
+    """An upstream that ended, and what it had that is not cleared.
+
+    Parameters
+    ----------
+    upstream : IncarnationName
+        Which start of which upstream.
+    at : float
+        When. In a report: seconds before it.
+    suspects : set of Fingerprint
+        Requests that it had.
+    """
+
+    upstream: IncarnationName
+    at: float
+    suspects: set[Fingerprint]
+
+
+class Stay(msgspec.Struct, array_like=True, frozen=True):
+    """A time for which a request is refused.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Which request.
+    at : float
+        When it began. In a report: seconds before it.
+    number : int
+        One for the first, two for the one after a failed trial.
+    """
+
+    fingerprint: Fingerprint
+    at: float
+    number: int
+
+    @property
+    def seconds(self) -> float:
+        """Length of the stay."""
+        return min(_LONGEST_STAY, _FIRST_STAY * 2 ** (self.number - 1))
+
+    @property
+    def until(self) -> float:
+        """When it ends."""
+        return self.at + self.seconds
+
+
+class Clearance(msgspec.Struct, array_like=True, frozen=True):
+    """Word that a request has ended well, or that an operator lets it go.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Which request.
+    at : float
+        When. In a report: seconds before it.
+    """
+
+    fingerprint: Fingerprint
+    at: float
+
+
+class QuarantineReport(msgspec.Struct, array_like=True):
+    """All that one host knows, with ages in place of times."""
+
+    losses: list[Loss] = []
+    stays: list[Stay] = []
+    clearances: list[Clearance] = []
+
+
+class RecordedStay(msgspec.Struct, frozen=True):
+    """A stay as it lies in the store.
+
+    Parameters
+    ----------
+    fingerprint : Fingerprint
+        Which request.
+    number : int
+        One for the first, more for those after failed trials.
+    left : float
+        Seconds that were left of it when it was written.
+    """
+
+    fingerprint: Fingerprint
+    number: int
+    left: float
+
+
+class StayRecord(msgspec.Struct, frozen=True):
+    """All stays that went on when the leader wrote them down."""
+
+    stays: tuple[RecordedStay, ...] = ()
+
+    def names(self, stays: Iterable[Stay]) -> bool:
+        """Tell whether these are the stays that are written down."""
+        written = {(each.fingerprint, each.number) for each in self.stays}
+        return written == {(each.fingerprint, each.number) for each in stays}
+
+
+class Quarantine:
+    """What is known of requests under which upstreams ended."""
+
+    def __init__(self) -> None:
+        self._losses: list[Loss] = []
+        self._stays: dict[Fingerprint, Stay] = {}
+        self._cleared: dict[Fingerprint, float] = {}
+        self._suspects: set[Fingerprint] = set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is known against any request."""
+        return not self._suspects and not self._stays
+
+    def find_stay(self, fingerprint: Fingerprint, now: float) -> float:
+        """Return for how many seconds a request is refused still."""
+        stay = self._stays.get(fingerprint)
+        return 0.0 if stay is None else max(0.0, stay.until - now)
+
+    def may_retry(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a host may send a request again by itself."""
+        if fingerprint not in self._suspects:
+            return True
+        return self._count_losses(fingerprint) < _LOSSES_WITHOUT_RETRY
+
+    def list_stays(self, now: float) -> list[Stay]:
+        """Return the stays that go on, in the order of fingerprints."""
+        stays = [each for each in self._stays.values() if each.until > now]
+        return sorted(stays, key=lambda each: each.fingerprint)
+
+    @property
+    def version(self) -> int:
+        """Number that equal contents have in common; zero for none.
+
+        Without times: each host reads them off its own clock.
+        """
+        losses = [
+            (each.upstream, sorted(each.suspects)) for each in self._losses
+        ]
+        stays = [
+            (each.fingerprint, each.number) for each in self._stays.values()
+        ]
+        content = (sorted(losses), sorted(stays), sorted(self._cleared))
+        if not any(content):
+            return 0
+        return xxhash.xxh32_intdigest(msgspec.msgpack.encode(content)) or 1
+
+    # What is seen
+
+    def note_loss(
+        self,
+        upstream: IncarnationName,
+        suspects: Iterable[Fingerprint],
+        at: float,
+        now: float,
+    ) -> bool:
+        """Take in that an upstream ended; return whether that was news.
+
+        Parameters
+        ----------
+        upstream : IncarnationName
+            Which start of which upstream.
+        suspects : iterable of Fingerprint
+            Requests that it had then.
+        at, now : float
+            When it ended, and the present time.
+        """
+        blamed = {
+            each
+            for each in suspects
+            if self._cleared.get(each, float("-inf")) < at
+        }
+        if not blamed or now - at > _REMEMBERED:
+            return False
+        known = self._find_loss(upstream, at)
+        if known is None:
+            known = Loss(upstream, at, set())
+            self._losses.append(known)
+            if len(self._losses) > _MOST_LOSSES:
+                del self._losses[0]
+                self._forget_settled()
+        room = _MOST_SUSPECTS - len(known.suspects)
+        news = sorted(blamed - known.suspects)[:room]
+        known.suspects.update(news)
+        self._suspects.update(news)
+        for each in news:
+            self._judge(each, now)
+        return bool(news)
+
+    def note_end(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Take in that a run has ended well; return whether that was news.
+
+        A request that ends each upstream that runs it never ends well, so
+        one whole answer clears it of all before.
+        """
+        if fingerprint not in self._suspects and (
+            fingerprint not in self._stays
+        ):
+            return False
+        self._clear(fingerprint, now)
+        return True
+
+    def _clear(self, fingerprint: Fingerprint, at: float) -> None:
+        self._cleared[fingerprint] = at
+        while len(self._cleared) > _MOST_CLEARED:
+            del self._cleared[min(self._cleared, key=self._cleared.get)]
+        stay = self._stays.get(fingerprint)
+        if stay is not None and stay.at <= at:
+            del self._stays[fingerprint]
+        for loss in self._losses:
+            if loss.at <= at:
+                loss.suspects.discard(fingerprint)
+        self._forget_settled()
+
+    def expire(self, now: float) -> bool:
+        """Forget what is too old; return whether anything was forgotten."""
+        before = len(self._losses), len(self._stays), len(self._cleared)
+        self._losses = [
+            each for each in self._losses if now - each.at <= _REMEMBERED
+        ]
+        self._stays = {
+            each.fingerprint: each
+            for each in self._stays.values()
+            if now - each.until <= _STAY_REMEMBERED
+        }
+        self._cleared = {
+            fingerprint: at
+            for fingerprint, at in self._cleared.items()
+            if now - at <= _STAY_REMEMBERED
+        }
+        self._forget_settled()
+        return before != (
+            len(self._losses),
+            len(self._stays),
+            len(self._cleared),
+        )
+
+    def _forget_settled(self) -> None:
+        self._losses = [each for each in self._losses if each.suspects]
+        self._suspects = {
+            suspect for loss in self._losses for suspect in loss.suspects
+        }
+
+    # What follows
+
+    def _judge(self, fingerprint: Fingerprint, now: float) -> None:
+        former = self._stays.get(fingerprint)
+        if former is not None:
+            if self._has_failed_trial(former):
+                stay = Stay(fingerprint, now, former.number + 1)
+                self._stays[fingerprint] = stay
+            return
+        if self._count_losses(fingerprint) < _LEAST_LOSSES:
+            return
+        if self._find_blame(fingerprint) >= _LEAST_BLAME:
+            self._add_stay(Stay(fingerprint, now, 1))
+
+    def _has_failed_trial(self, former: Stay) -> bool:
+        return any(
+            former.fingerprint in loss.suspects and loss.at >= former.until
+            for loss in self._losses
+        )
+
+    def _count_losses(self, fingerprint: Fingerprint) -> int:
+        return sum(1 for each in self._losses if fingerprint in each.suspects)
+
+    def _find_blame(self, fingerprint: Fingerprint) -> float:
+        return sum(
+            max(_LEAST_SHARE, 1 / len(each.suspects))
+            for each in self._losses
+            if fingerprint in each.suspects
+        )
+
+    def _add_stay(self, stay: Stay) -> None:
+        known = stay.fingerprint in self._stays
+        if known or len(self._stays) < _MOST_STAYS:
+            self._stays[stay.fingerprint] = stay
+
+    def _find_loss(self, upstream: IncarnationName, at: float) -> Loss | None:
+        """Return a loss as one host or another saw it, or None.
+
+        Where starts under one name can't be told apart, losses of a name
+        far enough apart are different ones.
+        """
+        for each in self._losses:
+            if each.upstream == upstream and abs(each.at - at) < _ONE_LOSS:
+                return each
+        return None
+
+    # Copies on other hosts
+
+    def report(self, now: float) -> QuarantineReport:
+        """Return all that is known, for another host."""
+        return QuarantineReport(
+            [
+                Loss(each.upstream, now - each.at, set(each.suspects))
+                for each in self._losses
+            ],
+            [
+                Stay(each.fingerprint, now - each.at, each.number)
+                for each in self._stays.values()
+            ],
+            [Clearance(each, now - at) for each, at in self._cleared.items()],
+        )
+
+    def merge(self, report: QuarantineReport, now: float) -> bool:
+        """Take in another host's report; return whether it brought news."""
+        before = self.version
+        for clearance in report.clearances:
+            at = now - clearance.at
+            if clearance.at > _STAY_REMEMBERED:
+                continue
+            if at > self._cleared.get(clearance.fingerprint, float("-inf")):
+                self._clear(clearance.fingerprint, at)
+        for stay in report.stays:
+            self._merge_stay(
+                Stay(stay.fingerprint, now - stay.at, stay.number), now
+            )
+        for loss in report.losses:
+            self.note_loss(loss.upstream, loss.suspects, now - loss.at, now)
+        return self.version != before
+
+    def record(self, now: float) -> StayRecord:
+        """Return what the store should hold."""
+        return StayRecord(
+            tuple(
+                RecordedStay(each.fingerprint, each.number, each.until - now)
+                for each in self.list_stays(now)
+            )
+        )
+
+    def take_record(self, record: StayRecord, now: float) -> None:
+        """Take in what the store holds, after a start or from a leader.
+
+        No clock is common to all hosts, so what was left counts from now;
+        hosts that know better correct it.
+        """
+        for each in record.stays:
+            stay = Stay(each.fingerprint, now, each.number)
+            began = now + each.left - stay.seconds
+            self._merge_stay(Stay(each.fingerprint, began, each.number), now)
+
+    def _merge_stay(self, stay: Stay, now: float) -> None:
+        cleared_at = self._cleared.get(stay.fingerprint, float("-inf"))
+        if stay.at <= cleared_at or now - stay.until > _STAY_REMEMBERED:
+            return
+        known = self._stays.get(stay.fingerprint)
+        if known is None or stay.number > known.number:
+            self._add_stay(stay)
+        elif stay.number == known.number and stay.at < known.at:
+            # Whoever read it from the store at its start counts from then;
+            # others know better, and no restart makes a stay longer.
+            self._stays[stay.fingerprint] = stay
--- a/sedgetide/daemons/_adminpages.py
+++ b/sedgetide/daemons/_adminpages.py
@@ -6,6 +6,7 @@
 from prometheus_client import generate_latest
 from prometheus_client import REGISTRY
 
+from sedgetide.core.identifiers import Fingerprint
 from sedgetide.daemons._inspection import Inspectable
 
 
@@ -23,6 +24,26 @@
         response.data = msgspec.json.encode(self._process.dump_state())
 
 
+class _Lift:
+    """Takes a request out of the quarantine, on all hosts."""
+
+    def __init__(self, process: Inspectable) -> None:
+        self._process = process
+
+    def on_post(
+        self,
+        _: falcon.Request,
+        response: falcon.Response,
+        fingerprint: str,
+    ) -> None:
+        if not self._process.lift_quarantine(Fingerprint(fingerprint)):
+            raise falcon.HTTPNotFound(
+                title=f"{fingerprint!r}: accepted is a fingerprint in the "
+                "quarantine of the state dump"
+            )
+        response.text = "lifted\n"
+
+
 class _Metrics:
     def on_get(self, _: falcon.Request, response: falcon.Response) -> None:
         response.content_type = CONTENT_TYPE_LATEST
@@ -35,4 +56,5 @@
     application.add_route("/healthz", _Health())
     application.add_route("/state", _State(process))
     application.add_route("/metrics", _Metrics())
+    application.add_route("/quarantine/{fingerprint}/lift", _Lift(process))
     return application
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -37,6 +37,14 @@
     "Requests under which their upstream ended, by how that is known.",
     ["proof"],
 )
+QUARANTINED = Gauge(
+    "sedgetide_quarantined", "Requests that are refused at sight."
+)
+QUARANTINE_REFUSALS = Counter(
+    "sedgetide_quarantine_refusals",
+    "Attempts of requests in quarantine, refused unsent.",
+    ["service"],
+)
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -23,7 +23,10 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.sightings import MoveSightings
+from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.core.requests.quarantine import StayRecord
 from sedgetide.core.requests.routes import RouteTable
+from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
 from sedgetide.runtime.signals import Changes
@@ -31,6 +34,7 @@
 OWN_PREFIX = "sedgetide/"
 LEADER_KEY = OWN_PREFIX + "leader"
 RANGES_PREFIX = OWN_PREFIX + "ranges/"
+QUARANTINE_KEY = OWN_PREFIX + "quarantine"
 _MOST_REMOVED = 2000
 
 
@@ -48,6 +52,13 @@
     revision: Revision
 
 
+class KnownStays(msgspec.Struct, frozen=True):
+    """Requests in quarantine by the store, with the record's revision."""
+
+    record: StayRecord = StayRecord()
+    revision: Revision = NO_REVISION
+
+
 class Knowledge:
     """Policy, directory, owners and leader; never goes back in revision.
 
@@ -69,6 +80,8 @@
         self.heard_at = float("-inf")
         self.hosts: int | None = None
         self.lenders = LenderList()
+        self.quarantine = Quarantine()
+        self.recorded_stays = KnownStays()
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
         self._forgotten = NO_REVISION
@@ -154,6 +167,8 @@
         try:
             if key == LEADER_KEY:
                 self._take_leader(value, revision)
+            elif key == QUARANTINE_KEY:
+                self._take_stays(value, revision, now)
             elif key.startswith(RANGES_PREFIX):
                 self._take_record(key, value, revision, now)
             else:
@@ -173,6 +188,15 @@
         name = "" if self.leader is None else self.leader.record.host
         tell(Event.LEADER, leader=name, revision=revision)
 
+    def _take_stays(
+        self, value: bytes | None, revision: Revision, now: float
+    ) -> None:
+        record = StayRecord()
+        if value is not None:
+            record = msgspec.json.decode(value, type=StayRecord)
+        self.recorded_stays = KnownStays(record, revision)
+        self.quarantine.take_record(record, now)
+
     def _take_record(
         self, key: str, value: bytes | None, revision: Revision, now: float
     ) -> None:
@@ -291,4 +315,7 @@
             else msgspec.to_builtins(self.leader),
             "tables": msgspec.to_builtins(self.tables),
             "upstreams": msgspec.to_builtins(self.directory.list_all()),
+            "quarantine": msgspec.to_builtins(
+                self.quarantine.report(read_clock())
+            ),
         }
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -47,6 +47,7 @@
 from sedgetide.daemons._knowledge import RANGES_PREFIX
 from sedgetide.daemons._orderdesk import OrderDesk
 from sedgetide.daemons._orderdesk import OrderLanes
+from sedgetide.daemons._stayrecord import StayWriter
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -103,6 +104,7 @@
         self._store = store
         self._send = send
         self._feed = FeedSource(knowledge, send)
+        self._stays = StayWriter(store, knowledge)
         self._stopped_at = float("-inf")
         self._knowledge = knowledge
         self._campaign = campaign
@@ -266,6 +268,7 @@
             return
         self._desk.term.prune(now)
         self._knowledge.directory.expire(now)
+        self._stays.keep(self._revision, now)
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
             self._balanced_at = now
--- /dev/null
+++ b/sedgetide/daemons/_quarantine.py
@@ -0,0 +1,158 @@
+"""The quarantine of a host, kept like that of all others.
+
+What a host sees goes to the leader at once, and from there to all hosts that
+report to it. With each report a host names the version that it holds, so
+what was lost on the way, or learnt while the two could not talk, is made up
+for within two reports. Hosts relay whether they lead or not: while the store
+is away nobody may, and the chain of losses goes on all the same.
+"""
+
+from collections.abc import Callable
+
+from sedgetide.coding.messages import Message
+from sedgetide.coding.messages import Quarantined
+from sedgetide.core.identifiers import Fingerprint
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.requests.breaks import EndedUpstream
+from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.daemons._hostmetrics import QUARANTINED
+from sedgetide.daemons._job import Job
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
+
+# Seconds; hosts report each 0.4 s.
+_REPORTER_LIFE = 3.0
+# Seconds between two corrections of one host. Copies that differ for good, as
+# where one has no room left, would otherwise go to and fro without a pause.
+_CORRECTED_EVERY = 0.3
+
+
+class SharedQuarantine:
+    """Asks the quarantine, feeds it, and keeps it like the others'.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        The own copy.
+    own : LinkAddress
+        Where this host takes messages.
+    find_leader_link : callable
+        Returns where the leader takes reports; None when unknown.
+    send : callable
+        Sends a message to a host.
+    """
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        own: LinkAddress,
+        find_leader_link: Callable[[], LinkAddress | None],
+        send: Callable[[LinkAddress, Message], None],
+    ) -> None:
+        self._quarantine = quarantine
+        self._own = own
+        self._find_leader_link = find_leader_link
+        self._send = send
+        self._reporters: dict[LinkAddress, float] = {}
+        self._corrected: dict[LinkAddress, float] = {}
+        self._told: set[Fingerprint] = set()
+
+    # For requests
+
+    def find_stay(self, job: Job, now: float) -> float:
+        """Return for how many seconds a request is refused still."""
+        if self._quarantine.idle:
+            return 0.0
+        return self._quarantine.find_stay(job.find_fingerprint(), now)
+
+    def may_retry(self, job: Job) -> bool:
+        """Tell whether a request may be sent again by the host itself."""
+        if self._quarantine.idle:
+            return True
+        return self._quarantine.may_retry(job.find_fingerprint())
+
+    def note_end(self, job: Job, now: float) -> None:
+        """Take in that a request has ended well."""
+        if self._quarantine.idle:
+            return
+        if self._quarantine.note_end(job.find_fingerprint(), now):
+            self._spread(now)
+
+    def take_ended(self, ended: EndedUpstream, now: float) -> None:
+        """Take in that an upstream ended, with what it had."""
+        suspects = [run.fingerprint for run in ended.runs]
+        if self._quarantine.note_loss(ended.upstream, suspects, ended.at, now):
+            self._spread(now)
+
+    def lift(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Let a request through; return whether it was suspected."""
+        lifted = self._quarantine.note_end(fingerprint, now)
+        if lifted:
+            tell(Event.QUARANTINE_LIFTED, fingerprint=fingerprint)
+            self._spread(now)
+        return lifted
+
+    # Copies on other hosts
+
+    def note_report(
+        self, sender: LinkAddress, version: int, now: float
+    ) -> None:
+        """Take in which version a host holds that reports here."""
+        self._reporters[sender] = now
+        if version != self._quarantine.version:
+            self._correct(sender, now)
+
+    def take(
+        self, message: Quarantined, sender: LinkAddress, now: float
+    ) -> None:
+        """Take in what another host holds."""
+        if self._quarantine.merge(message.report, now):
+            self._spread(now, but=sender)
+        if message.version != self._quarantine.version:
+            self._correct(sender, now)
+
+    def keep(self, now: float) -> None:
+        """Forget what is over, and tell of what began or ended."""
+        self._quarantine.expire(now)
+        for links in (self._reporters, self._corrected):
+            for link, at in list(links.items()):
+                if now - at > _REPORTER_LIFE:
+                    del links[link]
+        self._tell_changes(now)
+
+    def _correct(self, link: LinkAddress, now: float) -> None:
+        last = self._corrected.get(link, float("-inf"))
+        if now - last >= _CORRECTED_EVERY:
+            self._corrected[link] = now
+            self._send(link, self._make_message(now))
+
+    def _spread(self, now: float, but: LinkAddress | None = None) -> None:
+        """Tell the leader, and whoever takes this host for the leader."""
+        self._tell_changes(now)
+        links = set(self._reporters)
+        leader = self._find_leader_link()
+        if leader is not None:
+            links.add(leader)
+        message = self._make_message(now)
+        for link in links - {self._own, but}:
+            self._send(link, message)
+
+    def _make_message(self, now: float) -> Quarantined:
+        quarantine = self._quarantine
+        return Quarantined(quarantine.version, quarantine.report(now))
+
+    def _tell_changes(self, now: float) -> None:
+        stays = {
+            each.fingerprint: each for each in self._quarantine.list_stays(now)
+        }
+        for fingerprint in stays.keys() - self._told:
+            tell(
+                Event.QUARANTINED,
+                fingerprint=fingerprint,
+                stay=stays[fingerprint].number,
+                seconds=int(stays[fingerprint].until - now),
+            )
+        for fingerprint in self._told - stays.keys():
+            tell(Event.QUARANTINE_ENDED, fingerprint=fingerprint)
+        self._told = set(stays)
+        QUARANTINED.set(len(stays))
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -24,12 +24,14 @@
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.daemons._breaks import BreakWatch
+from sedgetide.daemons._hostmetrics import QUARANTINE_REFUSALS
 from sedgetide.daemons._hostmetrics import RETRIES
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._passages import Passages
 from sedgetide.daemons._places import Places
+from sedgetide.daemons._quarantine import SharedQuarantine
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.daemons._requestlog import count_end
 from sedgetide.daemons._requestlog import RequestLog
@@ -67,6 +69,8 @@
         Learns from each request what can be reached.
     breaks : BreakWatch
         Finds out why connections to upstreams break.
+    quarantine : SharedQuarantine
+        Requests that end the upstreams that run them.
     retries : RetryTerms
         What the deployment grants.
     source : random.Random
@@ -83,6 +87,7 @@
         data_centre: str,
         partitions: PartitionDetector,
         breaks: BreakWatch,
+        quarantine: SharedQuarantine,
         retries: RetryTerms,
         source: random.Random,
     ) -> None:
@@ -91,6 +96,7 @@
         self._dialect = dialect
         self._meter = meter
         self._partitions = partitions
+        self._quarantine = quarantine
         self._retries = retries
         self._ages = CallerAges()
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -188,18 +194,38 @@
     # Attempts
 
     def _run(self, job: Job) -> Answer:
-        while True:
+        while not self._is_quarantined(job):
             passage = self._passages.find(job)
             if passage is None:
                 return self._conclude(job)
             try:
+                # While its key has no owner, a request waits here for the
+                # next one, and may have become known meanwhile.
+                if self._is_quarantined(job):
+                    break
                 self._sender.attempt(job, passage)
             finally:
                 passage.leave()
             if job.progress.failure is Failure.NONE:
+                self._note_answer(job)
                 return job.answer
             if not self._may_go_on(job):
                 return self._conclude(job)
+        return self._conclude(job)
+
+    def _is_quarantined(self, job: Job) -> bool:
+        """Tell whether a request is refused since upstreams end under it."""
+        left = self._quarantine.find_stay(job, read_clock())
+        if left <= 0.0:
+            return False
+        job.note = "quarantined"
+        job.retry_after = left
+        QUARANTINE_REFUSALS.labels(job.service).inc()
+        return True
+
+    def _note_answer(self, job: Job) -> None:
+        if 200 <= job.answer.status < 300:
+            self._quarantine.note_end(job, read_clock())
 
     def _may_go_on(self, job: Job) -> bool:
         now = read_clock()
@@ -209,6 +235,9 @@
             job.route, job.progress, job.keyed, job.times, now
         ):
             return False
+        if not self._quarantine.may_retry(job):
+            job.note = "suspect"
+            return False
         if not self._find_budget(job.service).spend():
             job.note = "no retry budget"
             RETRIES.labels(job.service, "refused").inc()
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -25,9 +25,11 @@
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
 from sedgetide.coding.messages import PlaceVerdict
+from sedgetide.coding.messages import Quarantined
 from sedgetide.coding.messages import StoreFeed
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.membership.lenders import Standing
@@ -57,6 +59,7 @@
 from sedgetide.daemons._places import Places
 from sedgetide.daemons._process import make_incarnation
 from sedgetide.daemons._process import read_settings
+from sedgetide.daemons._quarantine import SharedQuarantine
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.daemons._reporter import Reporter
 from sedgetide.daemons._requests import Requests
@@ -135,8 +138,14 @@
             self._transport.send,
             random.Random(self.incarnation),
         )
+        self._quarantine = SharedQuarantine(
+            self._knowledge.quarantine,
+            LinkAddress(settings.link),
+            self.find_leader_link,
+            self._transport.send,
+        )
         self._breaks = BreakWatch(
-            self._knowledge.directory, lambda ended, now: None
+            self._knowledge.directory, self._quarantine.take_ended
         )
         self._requests = Requests(
             self._knowledge,
@@ -147,6 +156,7 @@
             settings.data_centre,
             self._partitions,
             self._breaks,
+            self._quarantine,
             RetryTerms(
                 settings.retry_ratio * _OWN_SHARE, settings.retry_slack
             ),
@@ -246,6 +256,7 @@
             self._note_partition(now)
             self._places.keep(now)
             self._breaks.keep(now)
+            self._quarantine.keep(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
@@ -266,17 +277,23 @@
 
     def _handle(self, message: AnyMessage, sender: str) -> None:
         if isinstance(message, LoadReport):
-            link = LinkAddress(sender)
-            self._leader.note_report(message, link, read_clock())
+            self._take_report(message, LinkAddress(sender))
         elif isinstance(message, StoreFeed):
             self._feed.take(message, read_clock())
         elif isinstance(message, Moved):
             self._knowledge.take_moved(message.service, message.tenures)
         elif isinstance(message, Lenders):
             self._knowledge.take_lenders(message.named)
+        elif isinstance(message, Quarantined):
+            self._quarantine.take(message, LinkAddress(sender), read_clock())
         elif isinstance(message, AskPlace | EndPlace | PlaceVerdict):
             self._places.take(message, LinkAddress(sender))
 
+    def _take_report(self, report: LoadReport, link: LinkAddress) -> None:
+        now = read_clock()
+        self._quarantine.note_report(link, report.standing.quarantine, now)
+        self._leader.note_report(report, link, now)
+
     def _drop(self, message: Message) -> None:
         """Leave a report unsent; the next one tells enough."""
 
@@ -303,6 +320,7 @@
             DataCentre(self._settings.data_centre),
             0.0 if self._stopping else own,
             self._knowledge.lenders.version,
+            self._knowledge.quarantine.version,
         )
 
     # Admin
@@ -311,6 +329,9 @@
         unready = self._stopping or self._absent
         return self._knowledge.complete and not unready
 
+    def lift_quarantine(self, fingerprint: Fingerprint) -> bool:
+        return self._quarantine.lift(fingerprint, read_clock())
+
     def dump_state(self) -> dict[str, Any]:
         return {
             "host": self._settings.host,
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -135,6 +135,34 @@
         "proof=withdrawn: its entry disappeared within seconds.",
         ("upstream", "proof", "id", "fingerprint", "beside"),
     )
+    QUARANTINED = Definition(
+        "quarantined",
+        logging.ERROR,
+        "A request is refused at all hosts from now on, since upstreams ended "
+        "under it and its repeats; stay: how many times in a row.",
+        ("fingerprint", "stay", "seconds"),
+    )
+    QUARANTINE_ENDED = Definition(
+        "quarantine-ended",
+        logging.WARNING,
+        "A request is let through again: its time is over, it has ended well "
+        "on some host, or an operator has lifted it.",
+        ("fingerprint",),
+    )
+    QUARANTINE_LIFTED = Definition(
+        "quarantine-lifted",
+        logging.WARNING,
+        "An operator lets a request through at this host, which tells the "
+        "others.",
+        ("fingerprint",),
+    )
+    QUARANTINE_UNWRITTEN = Definition(
+        "quarantine-unwritten",
+        logging.WARNING,
+        "The leader could not write the quarantine to the store; hosts know "
+        "it, and it is tried again.",
+        ("error",),
+    )
     LEADER = Definition(
         "leader",
         logging.INFO,
--- a/tests/command/test_main.py
+++ b/tests/command/test_main.py
@@ -16,6 +16,8 @@
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.identifiers import Revision
+from sedgetide.daemons._admin import make_application
+from sedgetide.daemons._inspection import Inspectable
 from sedgetide.testing.serving import serve
 from sedgetide.testing.store import StoreApplication
 
@@ -33,6 +35,52 @@
         raise StoreError(ErrorCode.STORE_UNCERTAIN, Step.WRITE, "", "lost")
 
 
+class Process(Inspectable):
+    """Refuses one request."""
+
+    held = "0123456789abcdef" * 2
+
+    def is_ready(self):
+        return True
+
+    def dump_state(self):
+        return {}
+
+    def lift_quarantine(self, fingerprint):
+        return fingerprint == self.held
+
+
+class LiftTest(testtools.TestCase):
+    """Letting a request through that hosts refuse."""
+
+    def run_lift(self, fingerprint):
+        out, err = io.StringIO(), io.StringIO()
+        pages = make_application(Process(), "/readyz")
+        with (
+            serve(pages) as address,
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            try:
+                code = main(["lift", address, fingerprint])
+            except SystemExit as error:
+                code = error.code
+        return code, out.getvalue() + err.getvalue()
+
+    def test_lifted(self):
+        self.assertEqual((0, "lifted\n"), self.run_lift(Process.held))
+
+    def test_request_that_is_not_held(self):
+        code, said = self.run_lift("f" * 32)
+        self.assertEqual(2, code)
+        self.assertIn("accepted is a fingerprint", said)
+
+    def test_no_fingerprint(self):
+        code, said = self.run_lift("../state")
+        self.assertEqual(2, code)
+        self.assertIn("32 hexadecimal digits", said)
+
+
 class CommandTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- /dev/null
+++ b/tests/core/requests/test_quarantine.py
@@ -0,0 +1,261 @@
+"""Tests of telling a deadly request from those beside it."""
+
+import itertools
+import random
+
+from hypothesis import given
+from hypothesis import strategies
+import msgspec
+import testtools
+
+from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.core.requests.quarantine import QuarantineReport
+from sedgetide.core.requests.quarantine import StayRecord
+
+DEADLY, BESIDE = "deadly", "beside"
+
+
+def lose(quarantine, at, *suspects, upstream=None):
+    """Let an upstream end under some requests."""
+    name = f"u{at}" if upstream is None else upstream
+    return quarantine.note_loss(name, suspects, at, at)
+
+
+def copy(quarantine, now):
+    """Return what a report becomes on its way to another host."""
+    data = msgspec.msgpack.encode(quarantine.report(now))
+    return msgspec.msgpack.decode(data, type=QuarantineReport)
+
+
+class TestJudgement(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.quarantine = Quarantine()
+
+    def find(self, fingerprint, now):
+        return self.quarantine.find_stay(fingerprint, now)
+
+    def test_nothing_is_known_at_first(self):
+        self.assertTrue(self.quarantine.idle)
+        self.assertEqual(0, self.quarantine.version)
+        self.assertEqual(0.0, self.find(DEADLY, 0.0))
+        self.assertTrue(self.quarantine.may_retry(DEADLY))
+
+    def test_held_after_three_losses(self):
+        """A caller comes again each four seconds; each time one is lost."""
+        for at in (0.0, 4.0):
+            lose(self.quarantine, at, DEADLY)
+            self.assertEqual(0.0, self.find(DEADLY, at))
+        lose(self.quarantine, 8.0, DEADLY)
+        self.assertEqual(300.0, self.find(DEADLY, 8.0))
+        self.assertEqual(200.0, self.find(DEADLY, 108.0))
+
+    def test_host_sends_it_again_itself_after_the_first_loss_only(self):
+        """A read was beside a deadly request and is sent to the next one.
+
+        After a second loss under it the host leaves it to its caller: a
+        deadly one would take two upstreams with each attempt.
+        """
+        lose(self.quarantine, 0.0, DEADLY)
+        self.assertTrue(self.quarantine.may_retry(DEADLY))
+        lose(self.quarantine, 0.1, DEADLY)
+        self.assertFalse(self.quarantine.may_retry(DEADLY))
+
+    def test_one_loss_that_two_hosts_saw(self):
+        for at in (0.0, 0.4, 0.8):
+            lose(self.quarantine, at, DEADLY, upstream="u")
+        self.assertEqual(0.0, self.find(DEADLY, 0.8))
+
+    def test_starts_under_one_name_that_nothing_tells_apart(self):
+        for at in (0.0, 5.0, 10.0):
+            lose(self.quarantine, at, DEADLY, upstream="u")
+        self.assertGreater(self.find(DEADLY, 10.0), 0.0)
+
+    def test_innocent_that_ended_well_in_between_goes_free(self):
+        """Two requests about one hot key are at its owner together.
+
+        The owner ends, the key moves, and both wait for the next owner. The
+        innocent one is answered there once, while the other is not.
+        """
+        lose(self.quarantine, 0.0, DEADLY, BESIDE)
+        lose(self.quarantine, 4.0, DEADLY, BESIDE)
+        self.assertTrue(self.quarantine.note_end(BESIDE, 6.0))
+        lose(self.quarantine, 8.0, DEADLY, BESIDE)
+        lose(self.quarantine, 12.0, DEADLY)
+        self.assertEqual(0.0, self.find(BESIDE, 12.0))
+        self.assertGreater(self.find(DEADLY, 12.0), 0.0)
+
+    def test_company_makes_each_loss_say_less(self):
+        """Several are at each lost upstream, and none ends well in between.
+
+        Three losses could be chance; the fifth is the last that an operator
+        bears, with two sends after the third.
+        """
+        others = [f"{BESIDE}-{number}" for number in range(6)]
+        for at in (0.0, 4.0, 8.0, 12.0):
+            lose(self.quarantine, at, DEADLY, *others)
+            self.assertEqual(0.0, self.find(DEADLY, at))
+        lose(self.quarantine, 16.0, DEADLY, *others)
+        self.assertGreater(self.find(DEADLY, 16.0), 0.0)
+
+    def test_chance_alone_holds_nobody(self):
+        """Upstreams end of themselves, each under two of 200 callers."""
+        source = random.Random(5)
+        callers = [f"caller-{number}" for number in range(200)]
+        for at in range(0, 400, 8):
+            lose(self.quarantine, float(at), *source.sample(callers, 2))
+            for caller in source.sample(callers, 100):
+                self.quarantine.note_end(caller, at + 1.0)
+        self.assertEqual([], self.quarantine.list_stays(400.0))
+
+    def test_release_that_crashes_on_everything_holds_few(self):
+        """All upstreams crash on whatever they run until a rollback.
+
+        Held back were then the requests of all callers, for minutes after
+        the rollback. Beyond a number nobody is: it is not the requests.
+        """
+        for fingerprint in (f"r{number}" for number in range(120)):
+            for at in (0.0, 4.0, 8.0):
+                lose(
+                    self.quarantine,
+                    at,
+                    fingerprint,
+                    upstream=f"{fingerprint}-{at}",
+                )
+        self.assertLessEqual(len(self.quarantine.list_stays(8.0)), 64)
+
+    def test_one_trial_after_a_stay_and_a_longer_one_if_it_fails(self):
+        for at in (0.0, 4.0, 8.0):
+            lose(self.quarantine, at, DEADLY)
+        self.assertEqual(0.0, self.find(DEADLY, 308.0))
+        lose(self.quarantine, 309.0, DEADLY)
+        self.assertEqual(600.0, self.find(DEADLY, 309.0))
+        lose(self.quarantine, 910.0, DEADLY)
+        self.assertEqual(1200.0, self.find(DEADLY, 910.0))
+
+    def test_stays_have_a_longest(self):
+        now = 0.0
+        for _ in range(12):
+            lose(self.quarantine, now, DEADLY)
+            now += self.find(DEADLY, now) + 1.0
+        lose(self.quarantine, now, DEADLY)
+        self.assertEqual(3600.0, self.find(DEADLY, now))
+
+    def test_trial_that_ends_well_clears_it(self):
+        for at in (0.0, 4.0, 8.0):
+            lose(self.quarantine, at, DEADLY)
+        self.quarantine.note_end(DEADLY, 310.0)
+        self.assertTrue(self.quarantine.idle)
+        lose(self.quarantine, 311.0, DEADLY)
+        self.assertEqual(0.0, self.find(DEADLY, 311.0))
+
+    def test_all_is_forgotten_in_the_end(self):
+        for at in (0.0, 4.0, 8.0):
+            lose(self.quarantine, at, DEADLY)
+        lose(self.quarantine, 9.0, BESIDE)
+        self.quarantine.note_end(BESIDE, 10.0)
+        self.quarantine.expire(10_000.0)
+        self.assertEqual(0, self.quarantine.version)
+        self.assertTrue(self.quarantine.idle)
+
+    def test_memory_is_bounded(self):
+        """Thousands of upstreams end under thousands of requests."""
+        for number in range(3000):
+            suspects = [f"r{number}-{each}" for each in range(50)]
+            lose(self.quarantine, number / 100.0, *suspects)
+        for number in range(3000):
+            self.quarantine.note_end(f"r{number}-0", 31.0)
+        data = msgspec.msgpack.encode(self.quarantine.report(31.0))
+        self.assertLess(len(data), 200_000)
+
+
+class TestCopies(testtools.TestCase):
+    """Hosts see different losses and tell each other."""
+
+    def test_losses_of_three_hosts_add_up(self):
+        """The caller comes to another host each time, each sees one loss."""
+        hosts = [Quarantine() for _ in range(3)]
+        for at, host in zip((0.0, 4.0, 8.0), hosts, strict=True):
+            lose(host, at, DEADLY)
+            for other in hosts:
+                other.merge(copy(host, at), at + 0.01)
+        for host in hosts:
+            self.assertGreater(host.find_stay(DEADLY, 8.1), 290.0)
+
+    def test_host_that_starts_learns_from_any_other(self):
+        first, new = Quarantine(), Quarantine()
+        for at in (0.0, 4.0, 8.0):
+            lose(first, at, DEADLY)
+        self.assertTrue(new.merge(copy(first, 100.0), 100.0))
+        self.assertEqual(first.version, new.version)
+        self.assertAlmostEqual(
+            first.find_stay(DEADLY, 100.0), new.find_stay(DEADLY, 100.0)
+        )
+
+    def test_late_word_does_not_undo_a_clearance(self):
+        """A host behind a cut knows three losses, but not the clearance."""
+        cut, other = Quarantine(), Quarantine()
+        for at in (0.0, 4.0, 8.0):
+            lose(cut, at, DEADLY)
+        other.merge(copy(cut, 8.0), 8.0)
+        other.note_end(DEADLY, 20.0)
+        other.merge(copy(cut, 30.0), 30.0)
+        self.assertEqual(0.0, other.find_stay(DEADLY, 30.0))
+        cut.merge(copy(other, 30.0), 30.0)
+        self.assertEqual(0.0, cut.find_stay(DEADLY, 30.0))
+        self.assertEqual(other.version, cut.version)
+
+    def test_record_of_the_store_ends_a_stay_no_later_than_hosts_know(self):
+        """A host reads the record long after it was written.
+
+        It can't know how long ago that was and counts what was left anew.
+        The others know, and their word shortens it; its own does not
+        lengthen theirs.
+        """
+        known, started = Quarantine(), Quarantine()
+        for at in (0.0, 4.0, 8.0):
+            lose(known, at, DEADLY)
+        data = msgspec.json.encode(known.record(8.0))
+        record = msgspec.json.decode(data, type=StayRecord)
+        started.take_record(record, 200.0)
+        self.assertEqual(300.0, started.find_stay(DEADLY, 200.0))
+        known.merge(copy(started, 200.0), 200.0)
+        self.assertEqual(108.0, known.find_stay(DEADLY, 200.0))
+        started.merge(copy(known, 200.0), 200.0)
+        self.assertEqual(108.0, started.find_stay(DEADLY, 200.0))
+        self.assertTrue(record.names(known.list_stays(200.0)))
+        self.assertFalse(record.names(known.list_stays(309.0)))
+
+    def test_caller_of_one_does_not_touch_another(self):
+        quarantine = Quarantine()
+        for at in (0.0, 4.0, 8.0):
+            lose(quarantine, at, DEADLY)
+        self.assertEqual(0.0, quarantine.find_stay(BESIDE, 8.0))
+
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["loss", "end"]),
+                strategies.integers(0, 2),
+                strategies.sampled_from(["a", "b", "c"]),
+                strategies.integers(0, 4),
+            ),
+            max_size=25,
+        )
+    )
+    def test_copies_become_alike_in_any_order(self, steps):
+        hosts = [Quarantine() for _ in range(3)]
+        now = 0.0
+        for kind, host, fingerprint, upstream in steps:
+            now += 3.0
+            if kind == "loss":
+                lose(hosts[host], now, fingerprint, upstream=f"u{upstream}")
+            else:
+                hosts[host].note_end(fingerprint, now)
+        for _ in range(3):
+            for first, second in itertools.permutations(hosts, 2):
+                second.merge(copy(first, now), now)
+        versions = {host.version for host in hosts}
+        self.assertEqual(
+            1, len(versions), [host.report(now) for host in hosts]
+        )
--- a/tests/daemons/test_deadly_requests.py
+++ b/tests/daemons/test_deadly_requests.py
@@ -2,6 +2,7 @@
 
 import itertools
 import pathlib
+import shutil
 import tempfile
 import time
 
@@ -11,6 +12,7 @@
 
 from sedgetide.core.errors import UpstreamError
 from sedgetide.platform import _names
+from sedgetide.testing.soakfleet import call
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import HOST
 from sedgetide.wire.client import Connection
@@ -27,6 +29,11 @@
 _DOWN = 1.0
 _ASK_EVERY = 0.4
 _ASKED_FOR = 14.0
+# Seconds; no other refusal has a longer Retry-After.
+_STAY_SEEN = 60.0
+# Seconds; the leader writes within a tick of its loop.
+_WRITTEN = 1.5
+_KEPT = pathlib.Path("build")
 
 
 class Reply(msgspec.Struct):
@@ -44,19 +51,24 @@
     The first upstream to run it ends, and the host sends it to the second,
     which ends too; both are back a second later, and the caller comes again
     at another host with another id. Each host judged each attempt for itself:
-    25 runs in 14 s, 18 of them later than 3 s after the third loss, each with
-    `status=502 outcome=unknown failures=broken,broken` and two lines
-    `upstream-ended` of one fingerprint, in the log of another host each time.
+    25 runs in 14 s, 18 of them later than 3 s after the third loss. The log
+    line of the first has `status=502 outcome=unknown failures=broken,broken`,
+    after two lines `upstream-ended proof=refused`.
     """
 
     def setUp(self):
         super().setUp()
         folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.addOnException(lambda _: self.keep(folder))
         self.fleet = Fleet(folder, 0.0, crash_on=DEADLY)
         self.addCleanup(self.fleet.close)
         self.fleet.start()
         self.numbers = itertools.count()
 
+    def keep(self, folder):
+        """Keep the output of all processes of a run that failed."""
+        shutil.copytree(folder, _KEPT / self.id(), dirs_exist_ok=True)
+
     def supervise(self):
         """Start upstreams again, some time after they have ended."""
         while True:
@@ -115,7 +127,7 @@
         self.addCleanup(supervisor.kill)
         replies = self.repeat(_ASKED_FOR)
         runs = self.list_runs()
-        self.assertGreaterEqual(len(runs), LOSSES)
+        self.assertGreaterEqual(len(runs), LOSSES, replies)
         late = [at for at in runs if at > runs[LOSSES - 1] + KNOWN_WITHIN]
         self.assertLessEqual(len(late), MOST_SENDS, runs)
         last = replies[-3:]
@@ -128,3 +140,55 @@
             self.ask("/archive/x", host).status for host in self.fleet.hosts
         ]
         self.assertEqual([200] * 3, statuses)
+
+    def make_known(self):
+        """Repeat the request until hosts refuse it; return its last reply."""
+        supervisor = gevent.spawn(self.supervise)
+        self.addCleanup(supervisor.kill)
+        with gevent.Timeout(_ASKED_FOR):
+            while True:
+                for host in self.fleet.hosts:
+                    reply = self.ask(DEADLY, host)
+                    if reply.retry_after > _STAY_SEEN:
+                        return reply
+                    gevent.sleep(_ASK_EVERY)
+
+    def test_it_is_known_after_all_hosts_were_lost_at_once(self):
+        """It is refused, then all hosts are killed and start with nothing.
+
+        Only the store has outlived them. The caller comes again as soon as
+        one listens, and would take three more upstreams.
+        """
+        self.make_known()
+        gevent.sleep(_WRITTEN)
+        runs = self.list_runs()
+        for host in self.fleet.hosts:
+            host.program.close()
+        for host in self.fleet.hosts:
+            host.program.start()
+        with gevent.Timeout(_ASKED_FOR):
+            while not all(host.is_ready() for host in self.fleet.hosts):
+                gevent.sleep(0.1)
+        for host in self.fleet.hosts:
+            reply = self.ask(DEADLY, host)
+            self.assertEqual(503, reply.status)
+            self.assertGreater(reply.retry_after, _STAY_SEEN)
+        self.assertEqual(runs, self.list_runs())
+
+    def test_operator_lifts_it_at_one_host_for_all(self):
+        # The operators have mended the upstreams and will not wait for the
+        # end of the stay.
+        self.make_known()
+        runs = self.list_runs()
+        first, *_, last = self.fleet.hosts
+        gevent.sleep(_WRITTEN)
+        state = msgspec.json.decode(
+            call(first.admin_port, "GET", "/state").body
+        )
+        [(fingerprint, _, _)] = state["knowledge"]["quarantine"][1]
+        path = f"/quarantine/{fingerprint}/lift"
+        self.assertEqual(200, call(first.admin_port, "POST", path).status)
+        self.assertEqual(404, call(first.admin_port, "POST", path).status)
+        gevent.sleep(_WRITTEN)
+        self.ask(DEADLY, last)
+        self.assertGreater(len(self.list_runs()), len(runs))
--- /dev/null
+++ b/tests/daemons/test_stayrecord.py
@@ -0,0 +1,93 @@
+"""Tests of the record that outlives all hosts."""
+
+import testtools
+
+from sedgetide.backends.leasestore import Item
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreError
+from sedgetide.core.identifiers import Revision
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.daemons._knowledge import QUARANTINE_KEY
+from sedgetide.daemons._stayrecord import StayWriter
+from sedgetide.platform._catalogue import PlatformCatalogue
+
+TERM = Revision(7)
+
+
+class Store:
+    """Takes transactions, or fails."""
+
+    def __init__(self):
+        self.calls = []
+        self.away = False
+
+    def transact(self, expected, writes):
+        self.calls.append((expected, writes))
+        if self.away:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, Step.WRITE)
+        return Revision(10 + len(self.calls))
+
+
+class TestStayWriter(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        self.knowledge = Knowledge(PlatformCatalogue())
+        self.writer = StayWriter(self.store, self.knowledge)
+
+    def hold(self):
+        for number, at in enumerate((0.0, 4.0, 8.0)):
+            self.knowledge.quarantine.note_loss(f"u{number}", ["f"], at, at)
+
+    def read_back(self, now):
+        """Let the watch bring what was written last."""
+        write = self.store.calls[-1][1][0]
+        revision = Revision(10 + len(self.store.calls))
+        item = Item(QUARANTINE_KEY, revision, write.value)
+        self.knowledge.take_items([item], now)
+
+    def test_no_call_while_nothing_is_held(self):
+        self.writer.keep(TERM, 0.0)
+        self.assertEqual([], self.store.calls)
+
+    def test_one_call_when_a_stay_begins_and_one_when_it_ends(self):
+        self.hold()
+        self.writer.keep(TERM, 8.0)
+        self.read_back(8.0)
+        self.writer.keep(TERM, 20.0)
+        self.assertEqual(1, len(self.store.calls))
+        self.writer.keep(TERM, 400.0)
+        self.assertEqual(2, len(self.store.calls))
+
+    def test_written_under_the_own_term_only(self):
+        self.hold()
+        self.writer.keep(TERM, 8.0)
+        self.assertEqual(
+            {LEADER_KEY: TERM, QUARANTINE_KEY: 0}, self.store.calls[0][0]
+        )
+
+    def test_store_that_is_away_is_tried_once_a_second(self):
+        self.hold()
+        self.store.away = True
+        for turn in range(30):
+            self.writer.keep(TERM, 8.0 + turn / 10)
+        self.assertEqual(3, len(self.store.calls))
+
+    def test_host_that_starts_reads_it(self):
+        self.hold()
+        self.writer.keep(TERM, 8.0)
+        self.knowledge = Knowledge(PlatformCatalogue())
+        self.read_back(50.0)
+        self.assertGreater(
+            self.knowledge.quarantine.find_stay("f", 51.0), 290.0
+        )
+
+    def test_record_of_another_form_changes_nothing(self):
+        self.hold()
+        item = Item(QUARANTINE_KEY, Revision(11), b'{"stays": 7}')
+        self.knowledge.take_items([item], 9.0)
+        self.assertGreater(
+            self.knowledge.quarantine.find_stay("f", 9.0), 290.0
+        )
