Word of a loss that is held up is no second loss; blame moves on at once

Changes, each with a test that failed first: each start of an upstream is lost once, by the earliest word of it, and a loss that blames nobody any more is remembered; a request is judged again when another beside it is cleared. Besides: a break after the first bytes of an answer is looked into as well (a crash may come there), and the fingerprint is made once a request. Tests by real sockets that a full upstream is not taken for a crash.

--- a/sedgetide/core/requests/breaks.py
+++ b/sedgetide/core/requests/breaks.py
@@ -1,10 +1,10 @@
 """Requests whose connection broke, until it is known what became of it.
 
-A connection that ends without an answer looks alike for a process that
-crashed, a full upstream that resets, a reset on the way and a pause of the
-own host. They differ in what follows: after a crash nobody listens at the
-address, and a little later the registry drops the entry; after all else the
-upstream goes on answering.
+A connection that ends without a whole answer looks alike for a process that
+crashed, a full upstream that resets, a reset on the way, a garbled answer and
+a pause of the own host. They differ in what follows: after a crash nobody
+listens at the address, and a little later the registry drops the entry; after
+all else the upstream goes on answering.
 """
 
 import enum
@@ -33,7 +33,7 @@
 
 
 class BrokenRun(msgspec.Struct, frozen=True):
-    """A request whose connection to an upstream broke without an answer.
+    """A request whose connection to an upstream broke.
 
     Parameters
     ----------
--- a/sedgetide/core/requests/quarantine.py
+++ b/sedgetide/core/requests/quarantine.py
@@ -34,9 +34,6 @@
 # From here on the host does not send a request again by itself: its caller
 # may, which leaves time for a word from other hosts.
 _LOSSES_WITHOUT_RETRY = 2
-# Seconds; hosts see one loss within a second, and no process is back and
-# lost again within two.
-_ONE_LOSS = 2.0
 # Seconds; a caller that comes again comes within minutes.
 _REMEMBERED = 600.0
 # Seconds. Callers who poll come each few seconds: with five minutes a deadly
@@ -158,7 +155,8 @@
     """What is known of requests under which upstreams ended."""
 
     def __init__(self) -> None:
-        self._losses: list[Loss] = []
+        # Also those that blame nobody any more: word of them may come again.
+        self._losses: dict[IncarnationName, Loss] = {}
         self._stays: dict[Fingerprint, Stay] = {}
         self._cleared: dict[Fingerprint, float] = {}
         self._suspects: set[Fingerprint] = set()
@@ -191,7 +189,9 @@
         Without times: each host reads them off its own clock.
         """
         losses = [
-            (each.upstream, sorted(each.suspects)) for each in self._losses
+            (each.upstream, sorted(each.suspects))
+            for each in self._losses.values()
+            if each.suspects
         ]
         stays = [
             (each.fingerprint, each.number) for each in self._stays.values()
@@ -221,20 +221,10 @@
         at, now : float
             When it ended, and the present time.
         """
-        blamed = {
-            each
-            for each in suspects
-            if self._cleared.get(each, float("-inf")) < at
-        }
-        if not blamed or now - at > _REMEMBERED:
+        if now - at > _REMEMBERED:
             return False
         known = self._find_loss(upstream, at)
-        if known is None:
-            known = Loss(upstream, at, set())
-            self._losses.append(known)
-            if len(self._losses) > _MOST_LOSSES:
-                del self._losses[0]
-                self._forget_settled()
+        blamed = self._list_blamed(suspects, known.at)
         room = _MOST_SUSPECTS - len(known.suspects)
         news = sorted(blamed - known.suspects)[:room]
         known.suspects.update(news)
@@ -253,27 +243,34 @@
             fingerprint not in self._stays
         ):
             return False
-        self._clear(fingerprint, now)
+        self._clear(fingerprint, now, now)
         return True
 
-    def _clear(self, fingerprint: Fingerprint, at: float) -> None:
+    def _clear(self, fingerprint: Fingerprint, at: float, now: float) -> None:
         self._cleared[fingerprint] = at
         while len(self._cleared) > _MOST_CLEARED:
             del self._cleared[min(self._cleared, key=self._cleared.get)]
         stay = self._stays.get(fingerprint)
         if stay is not None and stay.at <= at:
             del self._stays[fingerprint]
-        for loss in self._losses:
-            if loss.at <= at:
+        beside: set[Fingerprint] = set()
+        for loss in self._losses.values():
+            if loss.at <= at and fingerprint in loss.suspects:
                 loss.suspects.discard(fingerprint)
-        self._forget_settled()
+                beside |= loss.suspects
+        self._note_suspects()
+        for each in beside:
+            # Its share of the blame is theirs now.
+            self._judge(each, now)
 
     def expire(self, now: float) -> bool:
         """Forget what is too old; return whether anything was forgotten."""
         before = len(self._losses), len(self._stays), len(self._cleared)
-        self._losses = [
-            each for each in self._losses if now - each.at <= _REMEMBERED
-        ]
+        self._losses = {
+            each.upstream: each
+            for each in self._losses.values()
+            if now - each.at <= _REMEMBERED
+        }
         self._stays = {
             each.fingerprint: each
             for each in self._stays.values()
@@ -284,17 +281,18 @@
             for fingerprint, at in self._cleared.items()
             if now - at <= _STAY_REMEMBERED
         }
-        self._forget_settled()
+        self._note_suspects()
         return before != (
             len(self._losses),
             len(self._stays),
             len(self._cleared),
         )
 
-    def _forget_settled(self) -> None:
-        self._losses = [each for each in self._losses if each.suspects]
+    def _note_suspects(self) -> None:
         self._suspects = {
-            suspect for loss in self._losses for suspect in loss.suspects
+            suspect
+            for loss in self._losses.values()
+            for suspect in loss.suspects
         }
 
     # What follows
@@ -314,16 +312,18 @@
     def _has_failed_trial(self, former: Stay) -> bool:
         return any(
             former.fingerprint in loss.suspects and loss.at >= former.until
-            for loss in self._losses
+            for loss in self._losses.values()
         )
 
     def _count_losses(self, fingerprint: Fingerprint) -> int:
-        return sum(1 for each in self._losses if fingerprint in each.suspects)
+        return sum(
+            1 for each in self._losses.values() if fingerprint in each.suspects
+        )
 
     def _find_blame(self, fingerprint: Fingerprint) -> float:
         return sum(
             max(_LEAST_SHARE, 1 / len(each.suspects))
-            for each in self._losses
+            for each in self._losses.values()
             if fingerprint in each.suspects
         )
 
@@ -332,16 +332,34 @@
         if known or len(self._stays) < _MOST_STAYS:
             self._stays[stay.fingerprint] = stay
 
-    def _find_loss(self, upstream: IncarnationName, at: float) -> Loss | None:
-        """Return a loss as one host or another saw it, or None.
+    def _find_loss(self, upstream: IncarnationName, at: float) -> Loss:
+        """Return a loss, which hosts see and hear of at different times.
 
-        Where starts under one name can't be told apart, losses of a name
-        far enough apart are different ones.
+        Each start of an upstream ends once. A word of it that was held up,
+        in a frozen host or by a cut, seems younger than it is; the earliest
+        is right.
         """
-        for each in self._losses:
-            if each.upstream == upstream and abs(each.at - at) < _ONE_LOSS:
-                return each
-        return None
+        known = self._losses.get(upstream)
+        if known is None:
+            known = self._losses[upstream] = Loss(upstream, at, set())
+            if len(self._losses) > _MOST_LOSSES:
+                del self._losses[next(iter(self._losses))]
+                self._note_suspects()
+        if at < known.at:
+            known.at = at
+            known.suspects = self._list_blamed(known.suspects, at)
+            self._note_suspects()
+        return known
+
+    def _list_blamed(
+        self, suspects: Iterable[Fingerprint], at: float
+    ) -> set[Fingerprint]:
+        """Return those that have not been cleared since a time."""
+        return {
+            each
+            for each in suspects
+            if self._cleared.get(each, float("-inf")) < at
+        }
 
     # Copies on other hosts
 
@@ -350,7 +368,7 @@
         return QuarantineReport(
             [
                 Loss(each.upstream, now - each.at, set(each.suspects))
-                for each in self._losses
+                for each in self._losses.values()
             ],
             [
                 Stay(each.fingerprint, now - each.at, each.number)
@@ -367,7 +385,7 @@
             if clearance.at > _STAY_REMEMBERED:
                 continue
             if at > self._cleared.get(clearance.fingerprint, float("-inf")):
-                self._clear(clearance.fingerprint, at)
+                self._clear(clearance.fingerprint, at, now)
         for stay in report.stays:
             self._merge_stay(
                 Stay(stay.fingerprint, now - stay.at, stay.number), now
--- a/sedgetide/daemons/_job.py
+++ b/sedgetide/daemons/_job.py
@@ -45,6 +45,8 @@
         Seconds that it waited here, and that its connection had been idle.
     failures : list of Failure
         Of its attempts so far, in order.
+    fingerprint : Fingerprint or None
+        Once it was asked for; see :meth:`find_fingerprint`.
     """
 
     request: Request
@@ -63,14 +65,17 @@
     held: float = 0.0
     rested: float = 0.0
     failures: list[Failure] = []
+    fingerprint: Fingerprint | None = None
 
     def find_fingerprint(self) -> Fingerprint:
         """Return what stands for the request and each repeat of it."""
-        request = self.request
-        return make_fingerprint(
-            request.method,
-            find_header(request.headers, "host") or "",
-            request.target,
-            request.caller,
-            request.body,
-        )
+        if self.fingerprint is None:
+            request = self.request
+            self.fingerprint = make_fingerprint(
+                request.method,
+                find_header(request.headers, "host") or "",
+                request.target,
+                request.caller,
+                request.body,
+            )
+        return self.fingerprint
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -115,7 +115,7 @@
             failure = Failure.SILENT if silent else Failure.BROKEN
             self._note_failure(job, passage, failure)
             job.note = error.detail[:_LONGEST_DETAIL]
-            if not silent and not connection.heard:
+            if not silent:
                 self._breaks.note_broken(job, target.upstream)
             return
         self._breaks.note_answer(target.upstream.name)
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -70,8 +70,6 @@
     ----------
     rested : float
         Seconds that it had been idle when it was taken last.
-    heard : bool
-        Whether any byte has come since the last request was sent.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -81,7 +79,6 @@
         self._used_at = 0.0
         self._idle_life = _IDLE_LIFE
         self.rested = 0.0
-        self.heard = False
 
     def open(self, timeout: float) -> None:
         """Connect.
@@ -206,7 +203,6 @@
 
     def _exchange(self, request: Request, belongs: Belongs) -> Answer:
         data, parser = _format(request)
-        self.heard = False
         self._socket.sendall(data)
         for _ in range(_FOREIGN_MOST):
             answer = self._read_answer(parser)
@@ -229,9 +225,7 @@
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                data = self._socket.recv(_BLOCK)
-                self.heard = self.heard or bool(data)
-                parser.receive_data(data)
+                parser.receive_data(self._socket.recv(_BLOCK))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- /dev/null
+++ b/tests/daemons/test_breaks.py
@@ -0,0 +1,117 @@
+"""Tests of telling a crash from a full upstream, by real sockets."""
+
+import struct
+
+import gevent
+from gevent import socket
+import testtools
+
+from sedgetide.backends.dialects import CallerFields
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import RequestId
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import Directory
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.breaks import LossProof
+from sedgetide.daemons._breaks import BreakWatch
+from sedgetide.daemons._job import Job
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.sockets import open_listener
+from sedgetide.testing.ports import find_port
+from sedgetide.wire.messages import Request
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def make_job(number=1):
+    return Job(
+        Request("GET", "/x", [("Host", "h")], b"", "100.64.0.9"),
+        CallerFields(RequestId(f"r{number}"), 1.0, None),
+        None,
+        ServiceName("map"),
+        False,
+        None,
+        Progress(),
+    )
+
+
+class TestBreakWatch(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        self.ended = []
+        self.watch = BreakWatch(
+            self.directory, lambda ended, now: self.ended.append(ended)
+        )
+
+    def put(self, address, leaving=False):
+        upstream = RegisteredUpstream(
+            UpstreamName("map-1"),
+            ServiceName("map"),
+            address,
+            DataCentre("north"),
+            leaving=leaving,
+        )
+        self.directory.put(upstream, 0.0)
+        return upstream
+
+    def serve(self, handle):
+        listener = open_listener("127.0.0.1", 0)
+        self.accepted = 0
+
+        def accept():
+            while True:
+                connection, _ = listener.accept()
+                self.accepted += 1
+                handle(connection)
+
+        task = gevent.spawn(accept)
+        self.addCleanup(listener.close)
+        self.addCleanup(task.kill)
+        return self.put(f"127.0.0.1:{listener.getsockname()[1]}")
+
+    def test_process_that_has_ended(self):
+        upstream = self.put(f"127.0.0.1:{find_port()}")
+        self.watch.note_broken(make_job(), upstream)
+        self.assertEqual(LossProof.REFUSED, self.ended[0].proof)
+        self.assertEqual(["r1"], [run.request for run in self.ended[0].runs])
+
+    def test_full_upstream_that_resets_new_connections(self):
+        """It resets a request, and each connection that comes after it.
+
+        It lives and serves others: taken for a crash, each shortage would
+        be blamed on whoever asked in it.
+        """
+
+        def reset(connection):
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            connection.close()
+
+        upstream = self.serve(reset)
+        self.watch.note_broken(make_job(), upstream)
+        gevent.sleep(0.05)
+        self.watch.keep(read_clock())
+        self.assertEqual([], self.ended)
+
+    def test_full_upstream_is_not_asked_for_each_request(self):
+        upstream = self.serve(lambda connection: connection.close())
+        for number in range(50):
+            self.watch.note_broken(make_job(number), upstream)
+        gevent.sleep(0.01)
+        self.assertEqual(1, self.accepted)
+
+    def test_announced_end_is_no_crash(self):
+        upstream = self.put(f"127.0.0.1:{find_port()}", leaving=True)
+        self.watch.note_broken(make_job(), upstream)
+        self.assertEqual([], self.ended)
+
+    def test_entry_that_disappears_tells_it_later(self):
+        upstream = self.serve(lambda connection: None)
+        self.watch.note_broken(make_job(), upstream)
+        self.directory.remove(upstream.registered_name, read_clock())
+        self.watch.keep(read_clock())
+        self.assertEqual(LossProof.WITHDRAWN, self.ended[0].proof)
