Last answers before a crash hide no loss; any whole answer clears

Found by reading. An answer that left right before the crash and was read after the break counted as a sign of life and hid the loss; only an answer to a request sent after the break does now. A request that is always answered 404 could never be cleared; any whole answer under 500 clears it (500 and up does not: an upstream that fails says it without a run). The record in the store is bounded against figures that nobody wrote (an exponent of 5000 raised OverflowError and ended the host's watch). The version of a quarantine is worked out when something has changed, not with each report: with a full book of 128 losses and 195 hosts it would be worked out 490 times a second (arithmetic).

--- a/sedgetide/core/requests/breaks.py
+++ b/sedgetide/core/requests/breaks.py
@@ -87,9 +87,27 @@
         if len(runs) < _MOST_EACH:
             runs.append(run)
 
-    def note_answer(self, upstream: IncarnationName) -> None:
-        """Take in that an upstream has answered: it has not ended."""
-        self._open.pop(upstream, None)
+    def note_answer(self, upstream: IncarnationName, began: float) -> None:
+        """Take in that an upstream has answered a request.
+
+        It had not ended when the request was sent, so what broke before has
+        another reason. An answer to an older request may have left right
+        before the end.
+
+        Parameters
+        ----------
+        upstream : IncarnationName
+            Which start of which upstream.
+        began : float
+            When the request was sent, by the own clock.
+        """
+        if upstream not in self._open:
+            return
+        left = [run for run in self._open[upstream] if run.at >= began]
+        if left:
+            self._open[upstream] = left
+        else:
+            del self._open[upstream]
 
     def conclude(
         self, upstream: IncarnationName, proof: LossProof
--- a/sedgetide/core/requests/quarantine.py
+++ b/sedgetide/core/requests/quarantine.py
@@ -41,6 +41,8 @@
 # one held wrongly is served again after a time that people bear.
 _FIRST_STAY = 300.0
 _LONGEST_STAY = 3600.0
+# Enough for the longest stay.
+_MOST_DOUBLINGS = 4
 # Seconds after its end for which a stay counts towards the next.
 _STAY_REMEMBERED = 3600.0
 # A loss blames at most what an upstream works on and queues. With these a
@@ -91,7 +93,8 @@
     @property
     def seconds(self) -> float:
         """Length of the stay."""
-        return min(_LONGEST_STAY, _FIRST_STAY * 2 ** (self.number - 1))
+        doublings = min(_MOST_DOUBLINGS, max(0, self.number - 1))
+        return min(_LONGEST_STAY, _FIRST_STAY * 2**doublings)
 
     @property
     def until(self) -> float:
@@ -160,6 +163,7 @@
         self._stays: dict[Fingerprint, Stay] = {}
         self._cleared: dict[Fingerprint, float] = {}
         self._suspects: set[Fingerprint] = set()
+        self._version: int | None = None
 
     @property
     def idle(self) -> bool:
@@ -188,6 +192,11 @@
 
         Without times: each host reads them off its own clock.
         """
+        if self._version is None:
+            self._version = self._find_version()
+        return self._version
+
+    def _find_version(self) -> int:
         losses = [
             (each.upstream, sorted(each.suspects))
             for each in self._losses.values()
@@ -231,6 +240,7 @@
         self._suspects.update(news)
         for each in news:
             self._judge(each, now)
+        self._version = None
         return bool(news)
 
     def note_end(self, fingerprint: Fingerprint, now: float) -> bool:
@@ -244,6 +254,7 @@
         ):
             return False
         self._clear(fingerprint, now, now)
+        self._version = None
         return True
 
     def _clear(self, fingerprint: Fingerprint, at: float, now: float) -> None:
@@ -263,8 +274,8 @@
             # Its share of the blame is theirs now.
             self._judge(each, now)
 
-    def expire(self, now: float) -> bool:
-        """Forget what is too old; return whether anything was forgotten."""
+    def expire(self, now: float) -> None:
+        """Forget what is too old."""
         before = len(self._losses), len(self._stays), len(self._cleared)
         self._losses = {
             each.upstream: each
@@ -281,12 +292,10 @@
             for fingerprint, at in self._cleared.items()
             if now - at <= _STAY_REMEMBERED
         }
-        self._note_suspects()
-        return before != (
-            len(self._losses),
-            len(self._stays),
-            len(self._cleared),
-        )
+        after = len(self._losses), len(self._stays), len(self._cleared)
+        if after != before:
+            self._version = None
+            self._note_suspects()
 
     def _note_suspects(self) -> None:
         self._suspects = {
@@ -392,6 +401,7 @@
             )
         for loss in report.losses:
             self.note_loss(loss.upstream, loss.suspects, now - loss.at, now)
+        self._version = None
         return self.version != before
 
     def record(self, now: float) -> StayRecord:
@@ -411,8 +421,10 @@
         """
         for each in record.stays:
             stay = Stay(each.fingerprint, now, each.number)
-            began = now + each.left - stay.seconds
+            left = min(stay.seconds, max(0.0, each.left))
+            began = now + left - stay.seconds
             self._merge_stay(Stay(each.fingerprint, began, each.number), now)
+        self._version = None
 
     def _merge_stay(self, stay: Stay, now: float) -> None:
         cleared_at = self._cleared.get(stay.fingerprint, float("-inf"))
--- a/sedgetide/daemons/_breaks.py
+++ b/sedgetide/daemons/_breaks.py
@@ -77,9 +77,9 @@
         self._probed[upstream.name] = _Probed(now, presence)
         return presence
 
-    def note_answer(self, upstream: IncarnationName) -> None:
-        """Take in that an upstream answered."""
-        self._runs.note_answer(upstream)
+    def note_answer(self, upstream: IncarnationName, began: float) -> None:
+        """Take in that an upstream answered a request sent at a time."""
+        self._runs.note_answer(upstream, began)
 
     def keep(self, now: float) -> None:
         """Look for upstreams that the registry has dropped meanwhile."""
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -207,7 +207,8 @@
             finally:
                 passage.leave()
             if job.progress.failure is Failure.NONE:
-                self._note_answer(job)
+                # Whatever it says, the upstream has lived through the run.
+                self._quarantine.note_end(job, read_clock())
                 return job.answer
             if not self._may_go_on(job):
                 return self._conclude(job)
@@ -223,10 +224,6 @@
         QUARANTINE_REFUSALS.labels(job.service).inc()
         return True
 
-    def _note_answer(self, job: Job) -> None:
-        if 200 <= job.answer.status < 300:
-            self._quarantine.note_end(job, read_clock())
-
     def _may_go_on(self, job: Job) -> bool:
         now = read_clock()
         if job.progress.failure is Failure.UNREACHABLE:
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -118,7 +118,7 @@
             if not silent:
                 self._breaks.note_broken(job, target.upstream)
             return
-        self._breaks.note_answer(target.upstream.name)
+        self._breaks.note_answer(target.upstream.name, began)
         lane.pool.give_back(connection)
         self._partitions.note_reached(
             target.upstream.data_centre, read_clock()
--- a/tests/core/requests/test_quarantine.py
+++ b/tests/core/requests/test_quarantine.py
@@ -10,6 +10,7 @@
 
 from sedgetide.core.requests.quarantine import Quarantine
 from sedgetide.core.requests.quarantine import QuarantineReport
+from sedgetide.core.requests.quarantine import RecordedStay
 from sedgetide.core.requests.quarantine import StayRecord
 
 DEADLY, BESIDE = "deadly", "beside"
@@ -258,6 +259,17 @@
         self.assertTrue(record.names(known.list_stays(200.0)))
         self.assertFalse(record.names(known.list_stays(309.0)))
 
+    def test_record_with_figures_that_nobody_wrote(self):
+        # Another writer, or an older version, may have left anything there.
+        quarantine = Quarantine()
+        for number, left in ((5000, 1e300), (-3, -1e300), (0, 50.0)):
+            stay = RecordedStay(f"f{number}", number, left)
+            quarantine.take_record(StayRecord((stay,)), 10.0)
+            self.assertLessEqual(
+                quarantine.find_stay(f"f{number}", 10.0), 3600.0
+            )
+        quarantine.expire(20.0)
+
     def test_caller_of_one_does_not_touch_another(self):
         quarantine = Quarantine()
         for at in (0.0, 4.0, 8.0):
