From the id of a refused attempt to the losses that decided it

The line of an attempt refused by the quarantine named no fingerprint, so the way from its id to the lines upstream-ended was a guess. The line has it now, and explain shows what was told of it, however old: a stay lasts up to an hour and its losses are older than the twelve seconds that are shown of other events.

--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -24,12 +24,24 @@
     {"store-lost", "store-reached", "history-lost", "policy", "stopping"}
 )
 
+# These decide about a request for as long as an hour.
+_QUARANTINE = frozenset(
+    {
+        "upstream-ended",
+        "quarantined",
+        "quarantine-ended",
+        "quarantine-lifted",
+    }
+)
+
 _CAUSES = {
     ("", "window"): "its owner had no room for it in time",
     ("", "moving"): "its range had no owner while it moved",
     ("", "owner-gone"): "its owner had left and its range not yet moved",
     ("", "no-owner"): "no owner of its key was known to the host",
     ("", "no-upstream"): "its service had no upstream",
+    ("", "quarantined"): "upstreams ended under it and its repeats, so it is "
+    "refused unsent",
     ("not-owner", None): "the upstream that the host took for the owner did "
     "not hold the key",
     ("unreachable", None): "no connection to the upstream opened",
@@ -118,6 +130,13 @@
     return False
 
 
+def _is_about(line: Line, fingerprint: str) -> bool:
+    """Tell whether an event is about a request that ends upstreams."""
+    if not fingerprint or line.find("event") not in _QUARANTINE:
+        return False
+    return line.find("fingerprint") == fingerprint
+
+
 def name_cause(request: Line) -> str:
     """Return in a sentence why a request ended as it did."""
     if request.find("outcome") == "answered":
@@ -176,8 +195,11 @@
         near = [
             line
             for line in lines
-            if began - _BEFORE <= line.at <= request.at + _AFTER
-            and (line is request or _concerns(line, request))
+            if _is_about(line, request.find("fingerprint"))
+            or (
+                began - _BEFORE <= line.at <= request.at + _AFTER
+                and (line is request or _concerns(line, request))
+            )
         ]
         for line in near:
             yield _show(line, began)
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -54,6 +54,7 @@
             failures=",".join(each.value for each in job.failures),
             note=job.note,
             caller=job.request.caller,
+            fingerprint=job.fingerprint or "",
             upstreams=",".join(job.progress.tried),
             ms=int((now - began) * 1000),
             held_ms=int(job.held * 1000),
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -259,7 +259,8 @@
         "routes, revision and fence of the owner, and for how many "
         "milliseconds nothing was heard from the store. rested_ms: how long "
         "the connection to the upstream had been idle; 0 on a new one. "
-        "failures: of all attempts, in order.",
+        "failures: of all attempts, in order. fingerprint: where it was "
+        "looked for in the quarantine, as in upstream-ended.",
         (
             "id",
             "route",
@@ -271,6 +272,7 @@
             "failures",
             "note",
             "caller",
+            "fingerprint",
             "upstreams",
             "ms",
             "held_ms",
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -13,6 +13,10 @@
 from sedgetide.command.main import main
 
 LEADER = """\
+time="2026-12-02 09:00:00,000" level=WARNING event=upstream-ended host=h-1 \
+program=p upstream=u-1 proof=refused id=r-0 fingerprint=f00d beside=0
+time="2026-12-02 09:59:00,000" level=WARNING event=upstream-ended host=h-1 \
+program=p upstream=u-2 proof=refused id=r-0 fingerprint=beef beside=0
 time="2026-12-02 10:00:01,000" level=INFO event=leading host=h-1 program=p \
 term=7
 time="2026-12-02 10:00:04,500" level=INFO event=owner-stopped host=h-1 \
@@ -30,6 +34,10 @@
 id=r-2 route=map key=150 status=502 outcome=unknown failure=broken \
 note="reset by peer" upstreams=u-5 ms=20 version=3 revision=42 fence=9 \
 age_ms=0
+time="2026-12-02 10:00:05,500" level=INFO event=request host=h-2 program=p \
+id=r-3 route=map key=150 status=503 outcome=not-run failure=none \
+note=quarantined fingerprint=f00d upstreams="" ms=0 version=3 revision=42 \
+fence=0 age_ms=0
 time="2026-12-02 10:00:06,0"""
 
 
@@ -61,8 +69,15 @@
         self.assertIn("broke before a whole answer was in", text)
         self.assertIn("reset by peer", text)
 
+    def test_refused_since_upstreams_ended_under_it(self):
+        # The losses that decided it may be many minutes old.
+        text = "\n".join(self.explain("r-3"))
+        self.assertIn("upstreams ended under it and its repeats", text)
+        self.assertIn("upstream=u-1", text)
+        self.assertNotIn("upstream=u-2", text)
+
     def test_truncated_file_is_read_as_far_as_it_goes(self):
-        self.assertEqual(5, len(read_lines(self.paths)))
+        self.assertEqual(8, len(read_lines(self.paths)))
         self.assertIsNone(parse_line("time=garbage\n"))
 
     def run_command(self, *arguments):
