--- a/sedgetide/core/requests/quarantine.py
+++ b/sedgetide/core/requests/quarantine.py
@@ -51,8 +51,9 @@
 _MOST_LOSSES = 128
 _MOST_SUSPECTS = 32
 _MOST_CLEARED = 512
-# More than these are no requests to blame but a release that crashes on
-# everything; refusing its callers' repeats would outlast its rollback.
+# More than these, with those of the last hour, are no requests to blame but a
+# release that crashes on everything; refusing its callers' repeats would
+# outlast its rollback.
 _MOST_STAYS = 64
 
 
