Load of an upstream is read with what may follow its three figures

Cause: upstreams may state more than three figures of their load, the fourth being how long work takes there at this moment. Such a header was read as no load at all, without a word: windows, lent places and the choice among equal upstreams learned nothing from any answer.

Ruled out: taking only the first three figures and dropping the rest, since the fourth says something that later decisions can use.

Change: three figures or more; the fourth is a typed factor; what follows is left over. One figure that can't be read is an error of the adapter, logged (load-refused) and counted, and the answer is passed on as before. The test that took silence for right is replaced by one that wants the error.

--- a/sedgetide/backends/dialects.py
+++ b/sedgetide/backends/dialects.py
@@ -113,7 +113,13 @@
 
     @abc.abstractmethod
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
-        """Return what an upstream says of its load."""
+        """Return what an upstream says of its load; None when nothing.
+
+        Raises
+        ------
+        ValueError
+            When it says something that can not be read.
+        """
 
 
 class OrderDialect(abc.ABC):
--- a/sedgetide/core/requests/windows.py
+++ b/sedgetide/core/requests/windows.py
@@ -19,11 +19,22 @@
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True):
-    """What an upstream said of itself with an answer."""
+    """What an upstream said of itself with an answer.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests that it works on, and that wait for one of its slots.
+    slots : int
+        Requests that it works on at a time.
+    pace : float
+        Factor by which work takes longer there at this moment than usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float = 1.0
 
 
 class Window:
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -45,6 +45,11 @@
     "Attempts of requests in quarantine, refused unsent.",
     ["service"],
 )
+UNREADABLE_LOADS = Counter(
+    "sedgetide_unreadable_loads",
+    "Answers that said something unreadable of their upstream's load.",
+    ["service"],
+)
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -20,12 +20,15 @@
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.daemons._breaks import BreakWatch
+from sedgetide.daemons._hostmetrics import UNREADABLE_LOADS
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lane
 from sedgetide.daemons._passages import Passage
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import drop_hop_headers
 from sedgetide.wire.messages import Request
@@ -156,7 +159,7 @@
     ) -> None:
         now = read_clock()
         target, lane = passage.target, passage.lane
-        load = self._dialect.read_load(answer.headers)
+        load = self._read_load(target, answer)
         if load is not None:
             lane.window.note_load(load, now)
             lane.admit()
@@ -194,6 +197,22 @@
             job.retry_after = wait_for_upstream(load, seconds)
         self._note_failure(job, passage, failure, load)
 
+    def _read_load(
+        self, target: Target, answer: Answer
+    ) -> UpstreamLoad | None:
+        try:
+            return self._dialect.read_load(answer.headers)
+        except ValueError as error:
+            # The answer itself is whole; only windows and places go without
+            # what it would have told them.
+            UNREADABLE_LOADS.labels(target.upstream.service).inc()
+            tell(
+                Event.LOAD_REFUSED,
+                upstream=target.upstream.registered_name,
+                problem=error,
+            )
+            return None
+
     def _note_failure(
         self,
         job: Job,
--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -17,6 +17,8 @@
     {_names.DEADLINE_MS.lower(), _names.EXPECT_INSTANCE.lower()}
 )
 _LOAD_PARTS = 3
+_USUAL_PACE = 100.0
+_MOST_LOAD = 1_000_000
 
 
 def _read_number(headers: Headers, name: str, most: float) -> int | None:
@@ -84,9 +86,32 @@
 
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
         value = find_header(headers, _names.LOAD.lower())
-        parts = [] if value is None else value.split(",")
-        if len(parts) != _LOAD_PARTS:
+        if value is None:
             return None
-        if not all(part.strip().isdigit() for part in parts):
-            return None
-        return UpstreamLoad(*(int(part) for part in parts))
+        parts = [part.strip() for part in value.split(",")]
+        if len(parts) < _LOAD_PARTS:
+            raise ValueError(
+                f"{_names.LOAD}: {value[:80]!r}: accepted are "
+                f"{_LOAD_PARTS} figures or more, separated by commas"
+            )
+        running, waiting, slots = (
+            _read_figure(part, 0) for part in parts[:_LOAD_PARTS]
+        )
+        if len(parts) == _LOAD_PARTS:
+            return UpstreamLoad(running, waiting, slots)
+        # Whatever stands behind the fourth is not known here.
+        pace = _read_figure(parts[_LOAD_PARTS], 1) / _USUAL_PACE
+        return UpstreamLoad(running, waiting, slots, pace)
+
+
+def _read_figure(part: str, least: int) -> int:
+    if not (part.isascii() and part.isdigit() and len(part) <= 7):
+        figure = -1
+    else:
+        figure = int(part)
+    if not least <= figure <= _MOST_LOAD:
+        raise ValueError(
+            f"{_names.LOAD}: {part[:20]!r}: accepted is a whole number "
+            f"from {least} to {_MOST_LOAD}"
+        )
+    return figure
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -106,6 +106,13 @@
         "and its keys move, until a readable entry comes.",
         ("key", "problem"),
     )
+    LOAD_REFUSED = Definition(
+        "load-refused",
+        logging.ERROR,
+        "What an upstream says of its load with an answer can not be read. "
+        "The answer is passed on; its load counts as unknown.",
+        ("upstream", "problem"),
+    )
     POLICY = Definition(
         "policy",
         logging.INFO,
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -4,6 +4,8 @@
 import pathlib
 import subprocess
 
+from hypothesis import given
+from hypothesis import strategies
 import msgspec
 import testtools
 
@@ -132,14 +134,51 @@
         self.assertIs(Failure.NONE, self.judge(404))
 
     def test_load(self):
-        def read(value):
-            return self.dialect.read_load([("Sedgetide-Server-Load", value)])
-
-        self.assertEqual(UpstreamLoad(3, 0, 8), read("3,0,8"))
-        self.assertIsNone(read("3,0"))
-        self.assertIsNone(read("a,b,c"))
+        self.assertEqual(UpstreamLoad(3, 0, 8), self.read_load("3,0,8"))
         self.assertIsNone(self.dialect.read_load([]))
 
+    def read_load(self, value):
+        return self.dialect.read_load([("Sedgetide-Server-Load", value)])
+
+    def test_load_with_a_pace_and_more(self):
+        """Windows and places go on learning when the header grows.
+
+        An upstream adds a fourth figure. Read as no load at all, each host
+        believes that nobody waits there and goes on sending.
+        """
+        self.assertEqual(
+            UpstreamLoad(3, 1, 8, 2.5), self.read_load("3, 1, 8, 250")
+        )
+        self.assertEqual(
+            UpstreamLoad(3, 1, 8, 1.0), self.read_load("3,1,8,100,7,x")
+        )
+
+    def test_unreadable_load_is_an_error(self):
+        for value in (
+            "",
+            "3,0",
+            "a,b,c",
+            "-1,0,8",
+            "3,0,8,0",
+            "3,0,8,",
+            "3,0,8,nan",
+            "3,0,8,1e3",
+            "3,0," + "9" * 5000,
+            "٣,0,8",
+        ):
+            error = self.assertRaises(ValueError, self.read_load, value)
+            self.assertIn("accepted", str(error))
+
+    @given(strategies.text(alphabet="0123456789,. -+e٣x", max_size=40))
+    def test_any_load_is_read_or_refused(self, value):
+        try:
+            load = self.read_load(value)
+        except ValueError as error:
+            self.assertIn("accepted", str(error))
+            return
+        self.assertGreater(load.pace, 0.0)
+        self.assertGreaterEqual(load.waiting, 0)
+
 
 class TestOrders(testtools.TestCase):
     """Grants and releases."""
