Evacuation of a data centre; cold upstreams get what they bear

Cause: operators can ask for a data centre to be emptied, and nothing in the product knew it: requests reached upstreams there until they were taken back. Upstreams that are cold end when all hosts together send them more than they bear, and each host sent as its own window allowed. Both lie in the same records (directory, policy, settings), so they come together.

Ruled out: all keys in one step (a third of a service without owners at once, and all that waited floods the others); hosts that stop sending to owners at once (same); shares of the cold bound by hosts (14 sends a second among 66 hosts are fractions); a bucket at each host (a burst of one from each breaks the bound).

Change: an aggregate of wishes, read by the adapter from the operators' items. Unkeyed services leave at once; owners serve until their keys have moved, for half of the granted time at most, whoever leads; the leader moves a quarter of the ranges each 0.4 s, busiest first, by the room that is left. A host that starts takes a wish for an old one. The lender of an upstream's places counts what all hosts send it while it is cold, and allows half of the bound, since two may believe that they lend; without a lender a cold upstream gets nothing. Lenders are named also where hosts are few, then for cold upstreams only. Cold upstreams own what they bear.

--- a/sedgetide/backends/dialects.py
+++ b/sedgetide/backends/dialects.py
@@ -12,6 +12,7 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import Step
+from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import RequestId
@@ -56,6 +57,13 @@
     upstream: UpstreamName
 
 
+class EvacuationWish(msgspec.Struct, frozen=True):
+    """Operators want a data centre emptied, or want it no longer."""
+
+    data_centre: DataCentre
+    asked: bool
+
+
 class UnreadableEntry(InputError):
     """An entry of the registry that names no upstream to use.
 
@@ -165,7 +173,7 @@
     @abc.abstractmethod
     def read(
         self, key: str, value: bytes | None
-    ) -> RegisteredUpstream | Withdrawn | Policy | None:
+    ) -> RegisteredUpstream | Withdrawn | EvacuationWish | Policy | None:
         """Return what an item says; None when nothing.
 
         Raises
--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -314,6 +314,9 @@
         Lower is more urgent.
     left : float
         Seconds within which the request's answer is needed.
+    cold_bound : int or None
+        Most sends that its lender may allow while it is cold; None when the
+        sender takes it for warm.
     """
 
     number: int
@@ -321,6 +324,7 @@
     slots: int
     priority: int
     left: float
+    cold_bound: int | None = None
 
 
 class PlaceVerdict(Message, tag="place"):
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -160,6 +160,12 @@
     retry_slack : float
         Retries that all hosts together may make besides, at a time. A
         deployment that scales its bounds by its size has fractions here.
+    evacuate_ms : float
+        Milliseconds after which an evacuated data centre's upstreams may
+        get nothing more.
+    cold_overrun, cold_slack : float
+        Cold upstreams may get so many times the rate that their service
+        states, and so many requests a second besides.
     processor_share : float
         Share of its processors' time that the host may take.
     processors : float
@@ -185,6 +191,9 @@
     max_hold_ms: HoldMilliseconds = 10_000.0
     retry_ratio: Allowance = 0.2
     retry_slack: Allowance = 50.0
+    evacuate_ms: Allowance = 5000.0
+    cold_overrun: Allowance = 1.0
+    cold_slack: Allowance = 0.0
     processor_share: Amount = 1.0
     processors: Amount = 1.0
     memory_mb: Amount = 1024.0
--- a/sedgetide/core/configuration/policy.py
+++ b/sedgetide/core/configuration/policy.py
@@ -66,12 +66,19 @@
         Whether each key has one owning upstream.
     warming : float
         Seconds for which keys are slow that came without their state.
+    cold : float
+        Seconds for which an upstream is cold after its start.
+    cold_rate : float or None
+        Requests a second that a cold upstream is made for; None when it
+        bears as many as any other.
     """
 
     name: ServiceName
     connections: int = 100
     keyed: bool = False
     warming: float = 0.0
+    cold: float = 0.0
+    cold_rate: float | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -11,6 +11,7 @@
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.incarnations import name_incarnation
 from sedgetide.core.membership.incarnations import UNKNOWN_BIRTH
 
@@ -78,10 +79,18 @@
     ----------
     grace : float
         Seconds for which entries may be missing after the return.
+    evacuations : Evacuations or None
+        Data centres that get no new work; none of them when None.
     """
 
-    def __init__(self, grace: float = RETURN_GRACE) -> None:
+    def __init__(
+        self,
+        grace: float = RETURN_GRACE,
+        evacuations: Evacuations | None = None,
+    ) -> None:
         self._grace = grace
+        self.evacuations = evacuations or Evacuations(0.0)
+        self._cold_until: dict[IncarnationName, float] = {}
         self._entries: dict[IncarnationName, RegisteredUpstream] = {}
         self._current: dict[UpstreamName, IncarnationName] = {}
         self._born: dict[UpstreamName, BirthMark] = {}
@@ -123,6 +132,10 @@
         if former is not None and former != name:
             self._drop(former, now)
         self._note_seen(entry, now)
+        if entry.warmup > 0:
+            self._cold_until[name] = now + entry.warmup
+        else:
+            self._cold_until.pop(name, None)
         self._missing.discard(name)
         if self._entries.get(name) == entry and name not in self._unreadable:
             return
@@ -196,6 +209,7 @@
 
     def _drop(self, name: IncarnationName, now: float) -> None:
         self._foreign.pop(name, None)
+        self._cold_until.pop(name, None)
         self._missing.discard(name)
         self._unreadable.discard(name)
         entry = self._entries.pop(name, None)
@@ -217,14 +231,52 @@
         name = self._current.get(upstream)
         return None if name is None else self._entries[name]
 
-    def _is_active(self, entry: RegisteredUpstream) -> bool:
+    def is_cold(
+        self, entry: RegisteredUpstream, warming: float, now: float
+    ) -> bool:
+        """Tell whether an upstream bears less than usual.
+
+        Parameters
+        ----------
+        warming : float
+            Seconds for which upstreams of its service are cold once they
+            are. What comes back from an evacuation may be: its entry says
+            so up to two seconds later.
+        """
+        returned_at = self.evacuations.find_returned_at(entry.data_centre)
+        if now < returned_at + warming:
+            return True
+        return now < self._cold_until.get(entry.name, float("-inf"))
+
+    def _is_usable(self, entry: RegisteredUpstream) -> bool:
         return not entry.leaving and entry.name not in self._unreadable
 
+    def _is_active(self, entry: RegisteredUpstream) -> bool:
+        evacuated = self.evacuations.is_asked(entry.data_centre)
+        return self._is_usable(entry) and not evacuated
+
     def find_active(self, name: IncarnationName) -> RegisteredUpstream | None:
         """Return an entry that may get new work, or None."""
         entry = self._entries.get(name)
         return entry if entry is not None and self._is_active(entry) else None
 
+    def find_serving(
+        self, name: IncarnationName, now: float
+    ) -> RegisteredUpstream | None:
+        """Return an entry that may get requests for keys it owns, or None."""
+        entry = self._entries.get(name)
+        if entry is None or not self._is_usable(entry):
+            return None
+        may_serve = self.evacuations.may_serve(entry.data_centre, now)
+        return entry if may_serve else None
+
+    def is_evacuated(self, name: IncarnationName) -> bool:
+        """Tell whether an upstream is to be emptied, and could serve."""
+        entry = self._entries.get(name)
+        if entry is None or not self._is_usable(entry):
+            return False
+        return self.evacuations.is_asked(entry.data_centre)
+
     def has_successor(self, name: IncarnationName, address: str) -> bool:
         """Tell whether another upstream has taken over an address.
 
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -1,5 +1,6 @@
 """Which hosts lend places at upstreams; see core/requests/places.py."""
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 import math
@@ -61,9 +62,19 @@
 
 
 class LenderList(msgspec.Struct, frozen=True, array_like=True):
-    """All hosts that lend places, as the leader names them."""
+    """All hosts that lend places, as the leader names them.
+
+    Parameters
+    ----------
+    hosts : tuple of LendingHost
+        Who lends.
+    cold_only : bool
+        Whether places are lent at cold upstreams only, and hosts go by
+        their own windows elsewhere.
+    """
 
     hosts: tuple[LendingHost, ...] = ()
+    cold_only: bool = False
 
     @property
     def version(self) -> int:
@@ -115,12 +126,24 @@
         self._seen[link] = _Seen(standing, now)
 
     def choose(
-        self, upstreams: Collection[RegisteredUpstream], now: float
+        self,
+        upstreams: Collection[RegisteredUpstream],
+        now: float,
+        cold_bounded: Collection[RegisteredUpstream] = (),
     ) -> LenderList:
         """Return who is to lend places at upstreams, by who reports now.
 
         Those who lend already go on: a new lender has to learn who is
         where, and for the time of a request both lend the same places.
+
+        Parameters
+        ----------
+        upstreams : collection of RegisteredUpstream
+            Those with keys: each request has one choice only.
+        now : float
+            Own clock.
+        cold_bounded : collection of RegisteredUpstream
+            Those that bear only so much while they are cold.
         """
         if now - self._began < _SILENCE:
             return self.lenders
@@ -134,18 +157,20 @@
             for link, seen in self._seen.items()
             if seen.standing.processors > 0
         }
+        crowded = self._are_crowded(upstreams)
+        counts = collections.Counter(
+            each.data_centre for each in (upstreams if crowded else ())
+        )
+        for each in cold_bounded:
+            counts.setdefault(each.data_centre, 1)
         hosts: list[LendingHost] = []
-        if self._are_crowded(upstreams):
-            for data_centre in sorted(
-                {each.data_centre for each in upstreams}
-            ):
-                count = sum(
-                    1 for each in upstreams if each.data_centre == data_centre
-                )
-                wanted = math.ceil(count / _UPSTREAMS_EACH)
-                links = self._rank(data_centre, able)[:wanted]
-                hosts += [LendingHost(link, data_centre) for link in links]
-        self.lenders = LenderList(tuple(sorted(hosts, key=_order)))
+        for data_centre, count in counts.items():
+            wanted = math.ceil(count / _UPSTREAMS_EACH)
+            links = self._rank(data_centre, able)[:wanted]
+            hosts += [LendingHost(link, data_centre) for link in links]
+        hosts.sort(key=_order)
+        cold_only = bool(hosts) and not crowded
+        self.lenders = LenderList(tuple(hosts), cold_only)
         return self.lenders
 
     def _are_crowded(self, upstreams: Collection[RegisteredUpstream]) -> bool:
@@ -158,7 +183,7 @@
             return False
         slots = sum(each.slots for each in upstreams) / len(upstreams)
         bound = _HOSTS_EACH_SLOT * slots
-        if self.lenders.hosts:
+        if self.lenders.hosts and not self.lenders.cold_only:
             bound *= _CROWDED_STILL
         # The leader itself sends no report.
         return len(self._seen) + 1 > bound
--- a/sedgetide/core/ownership/_loads.py
+++ b/sedgetide/core/ownership/_loads.py
@@ -20,14 +20,15 @@
     ----------
     name : IncarnationName
         Which.
-    slots : int
-        Requests it works on at a time.
+    slots : float
+        Requests it works on at a time; less of them while it is cold and
+        bears fewer a second.
     slowness : float
         Factor by which its requests take longer than usual.
     """
 
     name: IncarnationName
-    slots: int
+    slots: float
     slowness: float = 1.0
 
 
--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -66,6 +66,7 @@
     table: RangeTable,
     takers: Mapping[IncarnationName, Taker],
     rates: Mapping[Key, float],
+    evacuated: Collection[IncarnationName] = (),
 ) -> list[Move]:
     """Return moves of the ranges whose owner may not own any longer.
 
@@ -77,13 +78,16 @@
         Upstreams that may own keys.
     rates : mapping
         Slots that each key keeps busy.
+    evacuated : collection of IncarnationName
+        Owners whose ranges leave at a pace of their own.
     """
     if not takers:
         return []
     loads = Loads(table.tenures, takers, rates)
     moves = []
     for tenure in table.tenures:
-        if tenure.moving or tenure.owner in takers:
+        stays = tenure.owner in takers or tenure.owner in evacuated
+        if tenure.moving or stays:
             continue
         goal = loads.find_idlest()
         work = sum(
--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -235,6 +235,11 @@
             memory.view(load.mean_work, seen, now) for memory in load.memories
         ]
 
+    def find_mean_work(self, service: ServiceName) -> float | None:
+        """Return the seconds of work of a request; None when unknown."""
+        load = self._services.get(service)
+        return None if load is None else load.mean_work
+
     def forget(self, known: Collection[IncarnationName]) -> None:
         """Forget upstreams that are gone."""
         for name in list(self._slowness):
--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -103,15 +103,18 @@
 
 
 def find_owner(
-    table: RangeTable | None, key: Key | None, directory: Directory
+    table: RangeTable | None,
+    key: Key | None,
+    directory: Directory,
+    now: float,
 ) -> Target | Wait:
-    """Return the upstream that owns a key, if it may get new work."""
+    """Return the upstream that owns a key, if it may get requests for it."""
     tenure = None if table is None or key is None else table.find(key)
     if tenure is None:
         return Wait.NO_OWNER
     if tenure.moving:
         return Wait.MOVING
-    upstream = directory.find_active(tenure.owner)
+    upstream = directory.find_serving(tenure.owner, now)
     if upstream is None:
         return Wait.OWNER_GONE
     return Target(upstream, tenure.fence)
@@ -122,12 +125,20 @@
     service: ServiceName,
     tried: Collection[IncarnationName],
     now: float,
+    declined: Collection[IncarnationName] = (),
 ) -> list[RegisteredUpstream]:
-    """Return upstreams without keys, those not yet tried before others."""
+    """Return upstreams without keys, those not yet tried before others.
+
+    Parameters
+    ----------
+    declined : collection of IncarnationName
+        Cold upstreams that bear no more at present.
+    """
     active = [
         each
         for each in directory.list_active(service)
         if not directory.is_foreign(each.name, now)
+        and each.name not in declined
     ]
     fresh = [each for each in active if each.name not in tried]
     return fresh or active
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -17,6 +17,7 @@
 
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.requests.cold import RecentSends
 from sedgetide.core.requests.health import FIRST_GUESS
 from sedgetide.core.requests.queues import UpstreamQueue
 
@@ -31,6 +32,8 @@
 # Seconds without a request after which an upstream's queue is forgotten.
 _FORGOTTEN_AFTER = 30.0
 _UNBOUNDED = float("inf")
+# Seconds; a cold upstream that bears nothing at all is warm by then.
+_LONGEST_REST = 3.0
 
 
 def rank_request(priority: int, overdue: bool) -> int:
@@ -97,6 +100,8 @@
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
+        self._recent = RecentSends()
+        self._cold_bound: int | None = None
         self._queue: UpstreamQueue[Ticket] = UpstreamQueue(
             slots, _MOST_WAITING, FIRST_GUESS
         )
@@ -105,9 +110,19 @@
         self.used_at = float("-inf")
 
     def ask(
-        self, ticket: Ticket, priority: int, left: float, now: float
+        self,
+        ticket: Ticket,
+        priority: int,
+        left: float,
+        now: float,
+        cold_bound: int | None,
     ) -> list[Decision]:
         self.used_at = now
+        self._cold_bound = cold_bound
+        rest = self._find_rest(len(self._queue), now)
+        if rest > 0.0 and rest + self._queue.service_time > left:
+            wait = min(_LONGEST_REST, rest)
+            return [Decision(ticket, Verdict.REFUSED, wait)]
         free = self._queue.estimate_wait(priority) == 0.0
         # Where a place is free, trying costs nobody else anything.
         deadline = _UNBOUNDED if free else now + left
@@ -140,12 +155,19 @@
         for ticket in overdue:
             del self._lent[ticket]
             self._queue.finish(None)
-        return self._admit(now) if overdue else []
+        rested = self._cold_bound is not None and bool(self._waiting)
+        return self._admit(now) if overdue or rested else []
+
+    def _find_rest(self, ahead: int, now: float) -> float:
+        """Return for how long a cold upstream may be sent nothing more."""
+        if self._cold_bound is None:
+            return 0.0
+        return self._recent.find_wait(self._cold_bound, ahead, now)
 
     def _admit(self, now: float) -> list[Decision]:
         decisions = []
         loan = max(_LEAST_LOAN, _LOAN_TIMES * self._queue.service_time)
-        while True:
+        while self._find_rest(0, now) <= 0.0:
             ticket, expired = self._queue.take(now)
             for each in expired:
                 del self._waiting[each]
@@ -155,7 +177,9 @@
                 return decisions
             del self._waiting[ticket]
             self._lent[ticket] = now + loan
+            self._recent.note(now)
             decisions.append(Decision(ticket, Verdict.GRANTED))
+        return decisions
 
     @property
     def idle(self) -> bool:
@@ -182,6 +206,7 @@
         priority: int,
         left: float,
         now: float,
+        cold_bound: int | None = None,
     ) -> list[Decision]:
         """Take in a request for a place.
 
@@ -199,6 +224,9 @@
             Seconds within which the answer is needed.
         now : float
             Own clock.
+        cold_bound : int or None
+            Most sends to allow while the upstream is cold; None when it is
+            warm.
 
         Returns
         -------
@@ -210,7 +238,7 @@
         if places is None:
             places = self._places[upstream] = _Places(slots)
         self._upstreams[ticket] = upstream
-        decisions += places.ask(ticket, priority, left, now)
+        decisions += places.ask(ticket, priority, left, now, cold_bound)
         return self._settle(decisions)
 
     def end(
--- /dev/null
+++ b/sedgetide/daemons/_evacuations.py
@@ -0,0 +1,81 @@
+"""What the leader does for data centres that operators want emptied."""
+
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.ownership.evacuation import EvacuationPace
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import tell
+
+
+class EvacuationDesk:
+    """Paces evacuations, and says when a data centre is empty.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        Wishes of the operators, and owners.
+    """
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        self._knowledge = knowledge
+        self._paces: dict[ServiceName, EvacuationPace] = {}
+        self._known_since: dict[DataCentre, float] = {}
+        self._empty: set[DataCentre] = set()
+
+    def list_owners(self, table: RangeTable) -> set[IncarnationName]:
+        """Return the owners that have to give up all they own."""
+        directory = self._knowledge.directory
+        if not directory.evacuations.list_asked():
+            return set()
+        owners = {each.owner for each in table.tenures}
+        return {each for each in owners if directory.is_evacuated(each)}
+
+    def allow(
+        self,
+        service: ServiceName,
+        table: RangeTable,
+        owners: set[IncarnationName],
+        now: float,
+    ) -> int:
+        """Return how many ranges of evacuated owners may begin to move."""
+        left = sum(
+            1
+            for each in table.tenures
+            if each.owner in owners and not each.moving
+        )
+        directory = self._knowledge.directory
+        serving = all(
+            directory.find_serving(each, now) is not None for each in owners
+        )
+        pace = self._paces.setdefault(service, EvacuationPace())
+        return pace.allow(left, serving, now)
+
+    def keep(self, now: float) -> None:
+        """Tell once of each evacuated data centre that it is empty."""
+        asked = self._knowledge.directory.evacuations.list_asked()
+        self._empty.intersection_update(asked)
+        for name in list(self._known_since):
+            if name not in asked:
+                del self._known_since[name]
+        for name in asked:
+            since = self._known_since.setdefault(name, now)
+            if name not in self._empty and not self._owns_keys(name):
+                self._empty.add(name)
+                tell(
+                    Event.EVACUATED,
+                    data_centre=name,
+                    seconds=f"{now - since:.1f}",
+                )
+
+    def _owns_keys(self, data_centre: DataCentre) -> bool:
+        directory = self._knowledge.directory
+        for known in self._knowledge.tables.values():
+            for each in known.table.tenures:
+                for name in (each.owner, each.successor):
+                    entry = directory.find(name)
+                    if entry is not None and entry.data_centre == data_centre:
+                        return True
+        return False
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -70,6 +70,9 @@
     "sedgetide_policy_version", "Version of the routes in force."
 )
 UPSTREAMS = Gauge("sedgetide_upstreams", "Registered upstreams.")
+EVACUATED = Gauge(
+    "sedgetide_evacuated", "Data centres that operators want emptied."
+)
 LEADING = Gauge("sedgetide_leading", "Whether this host gives orders.")
 RANGES = Gauge("sedgetide_ranges", "Ranges of a service's keys.", ["service"])
 RANGES_MOVING = Gauge(
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import EvacuationWish
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.backends.leasestore import Item
@@ -18,11 +19,13 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.sightings import MoveSightings
+from sedgetide.core.requests.cold import bound_cold_sends
 from sedgetide.core.requests.quarantine import Quarantine
 from sedgetide.core.requests.quarantine import StayRecord
 from sedgetide.core.requests.routes import RouteTable
@@ -59,6 +62,21 @@
     revision: Revision = NO_REVISION
 
 
+class ColdTerms(msgspec.Struct, frozen=True):
+    """What a deployment grants beyond a cold upstream's rate.
+
+    Parameters
+    ----------
+    overrun : float
+        Factor of the rate.
+    slack : float
+        Requests besides.
+    """
+
+    overrun: float = 1.0
+    slack: float = 0.0
+
+
 class Knowledge:
     """Policy, directory, owners and leader; never goes back in revision.
 
@@ -66,10 +84,20 @@
     ----------
     catalogue : Catalogue
         Reads what others write.
+    evacuations : Evacuations or None
+        Data centres that get no new work, none yet.
+    cold_terms : ColdTerms or None
+        Bound of what cold upstreams are sent; their rate alone when None.
     """
 
-    def __init__(self, catalogue: Catalogue) -> None:
-        self.directory = Directory()
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        evacuations: Evacuations | None = None,
+        cold_terms: ColdTerms | None = None,
+    ) -> None:
+        self.directory = Directory(evacuations=evacuations)
+        self._cold_terms = cold_terms or ColdTerms()
         self.policy: Policy | None = None
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
@@ -248,9 +276,59 @@
         elif isinstance(entry, Withdrawn):
             tell(Event.UPSTREAM_WITHDRAWN, upstream=entry.upstream)
             self.directory.remove(entry.upstream, now)
+        elif isinstance(entry, EvacuationWish):
+            self._take_wish(entry, now)
         elif isinstance(entry, Policy):
             self._take_policy(entry)
 
+    def _take_wish(self, wish: EvacuationWish, now: float) -> None:
+        evacuations = self.directory.evacuations
+        if wish.asked:
+            if evacuations.ask(wish.data_centre, self.heard_at, now):
+                tell(Event.EVACUATION, data_centre=wish.data_centre)
+            return
+        seconds = evacuations.take_back(wish.data_centre, now)
+        if seconds is not None:
+            tell(
+                Event.TAKEN_BACK,
+                data_centre=wish.data_centre,
+                seconds=f"{seconds:.1f}",
+            )
+
+    def find_cold_rate(
+        self, upstream: RegisteredUpstream, now: float
+    ) -> float | None:
+        """Return what a cold upstream is made for, in requests a second.
+
+        Returns
+        -------
+        float or None
+            None when it is warm, or bears the same when it is cold.
+        """
+        if self.policy is None:
+            return None
+        rule = self.policy.services.get(upstream.service)
+        if rule is None or rule.cold_rate is None:
+            return None
+        cold = self.directory.is_cold(upstream, rule.cold, now)
+        return rule.cold_rate if cold else None
+
+    def find_cold_bound(
+        self, upstream: RegisteredUpstream, now: float
+    ) -> int | None:
+        """Return how many sends to a cold upstream its lender allows.
+
+        Returns
+        -------
+        int or None
+            None when it is warm, or bears the same when it is cold.
+        """
+        rate = self.find_cold_rate(upstream, now)
+        if rate is None:
+            return None
+        terms = self._cold_terms
+        return bound_cold_sends(rate, terms.overrun, terms.slack)
+
     def _note_entry(self, entry: RegisteredUpstream) -> None:
         known = self.directory.find(entry.name)
         if known is None or known.leaving != entry.leaving:
@@ -315,6 +393,7 @@
             else msgspec.to_builtins(self.leader),
             "tables": msgspec.to_builtins(self.tables),
             "upstreams": msgspec.to_builtins(self.directory.list_all()),
+            "evacuated": self.directory.evacuations.describe(read_clock()),
             "quarantine": msgspec.to_builtins(
                 self.quarantine.report(read_clock())
             ),
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -30,6 +30,7 @@
 from sedgetide.core.ownership.balance import plan_evictions
 from sedgetide.core.ownership.balance import plan_tidying
 from sedgetide.core.ownership.balance import Taker
+from sedgetide.core.ownership.evacuation import plan_evacuation
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.load import LoadBook
@@ -38,7 +39,9 @@
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.smoothing import smooth_rates
 from sedgetide.core.ownership.terms import Term
+from sedgetide.core.requests.health import FIRST_GUESS
 from sedgetide.daemons._campaign import Campaign
+from sedgetide.daemons._evacuations import EvacuationDesk
 from sedgetide.daemons._feed import FeedSource
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
@@ -63,6 +66,8 @@
 _RECORD_WITHIN = 2.0
 # Two reports of each host.
 _FIRST_BALANCE = 0.8
+# Slots; one that bears nothing is full with whatever it owns.
+_LEAST_CAPACITY = 0.05
 
 
 class Leader:
@@ -114,6 +119,7 @@
         self._lanes = OrderLanes(dialect, durations.order_timeout)
         self._desk = self._open_desk()
         self._book = LoadBook()
+        self._evacuations = EvacuationDesk(knowledge)
         self._roster = Roster(knowledge.lenders, float("-inf"))
         self._balanced_at = float("-inf")
         self._adopted = False
@@ -269,6 +275,7 @@
         self._desk.term.prune(now)
         self._knowledge.directory.expire(now)
         self._stays.keep(self._revision, now)
+        self._evacuations.keep(now)
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
             self._balanced_at = now
@@ -283,7 +290,13 @@
             for service in self._knowledge.policy.list_keyed()
             for each in self._knowledge.directory.list_active(service)
         ]
-        self._knowledge.take_lenders(self._roster.choose(keyed, now))
+        bounded = [
+            each
+            for rule in self._knowledge.policy.services.values()
+            if rule.cold_rate is not None
+            for each in self._knowledge.directory.list_active(rule.name)
+        ]
+        self._knowledge.take_lenders(self._roster.choose(keyed, now, bounded))
 
     def _forget_gone(self) -> None:
         """Forget upstreams that neither are registered nor own anything."""
@@ -357,19 +370,25 @@
         takers = {
             each.name: Taker(
                 each.name,
-                each.slots,
+                self._find_capacity(each, now),
                 self._book.find_slowness(each.name, now),
             )
             for each in active
         }
-        lost = any(each.owner not in takers for each in table.tenures)
+        evacuated = self._evacuations.list_owners(table)
+        leaving = self._evacuations.allow(service, table, evacuated, now)
+        lost = any(
+            each.owner not in takers and each.owner not in evacuated
+            for each in table.tenures
+        )
         rates: dict[Key, float] = {}
-        if balance or lost:
+        if balance or lost or leaving:
             # Ten thousand keys are known after a few seconds, and this runs
             # ten times a second.
             views = self._book.list_views(service, now)
             rates = smooth_rates(views, table.tenures)
-        moves = plan_evictions(table, takers, rates)
+        moves = plan_evictions(table, takers, rates, evacuated)
+        moves += plan_evacuation(table, takers, rates, evacuated, leaving)
         for tenure in self._desk.take_fenced(service):
             # Its fence was passed by; the same owner goes on at a new one.
             if tenure in table.tenures and tenure.owner in takers:
@@ -392,6 +411,16 @@
                 moves = plan_tidying(table, takers, rates, max(0, room))
         return moves
 
+    def _find_capacity(
+        self, upstream: RegisteredUpstream, now: float
+    ) -> float:
+        """Return the slots' worth of work that an upstream bears now."""
+        rate = self._knowledge.find_cold_rate(upstream, now)
+        if rate is None:
+            return upstream.slots
+        work = self._book.find_mean_work(upstream.service) or FIRST_GUESS
+        return min(upstream.slots, max(_LEAST_CAPACITY, rate * work))
+
     def _write(self, service: ServiceName, table: RangeTable) -> bool:
         known = self._knowledge.tables.get(service)
         revision = NO_REVISION if known is None else known.revision
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -1,9 +1,11 @@
 """Where a request goes, and leave to send it there."""
 
+from collections.abc import Collection
 import random
 
 import msgspec
 
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.attempts import find_owner
 from sedgetide.core.requests.attempts import list_candidates
@@ -30,6 +32,8 @@
 
 # Seconds for which a retry may wait, whatever its request has waited before.
 _RETRY_HOLD = 0.1
+# Seconds; a lost lender of places at a cold upstream is replaced by then.
+_UNLENT = 1.0
 
 
 class Passage(msgspec.Struct):
@@ -85,35 +89,50 @@
         limit = job.times.bound_hold()
         if job.progress.sends:
             limit = max(limit, read_clock() + _RETRY_HOLD)
+        declined: set[IncarnationName] = set()
         while True:
             now = read_clock()
-            target = self._find_target(job, now)
+            target = self._find_target(job, declined, now)
             if isinstance(target, Target):
                 passage = self._enter(job, target, limit)
+                if isinstance(passage, PlaceRefused):
+                    if job.keyed:
+                        return None
+                    # Another that does the same work may bear it.
+                    declined.add(target.upstream.name)
+                    continue
                 if passage is None or self._still_holds(job, target):
                     return passage
                 passage.leave()
                 continue
+            if declined:
+                # All are cold, and have been sent what they bear.
+                return None
             job.note = target.value
             if now >= limit:
                 job.retry_after = self._foresee_owner(job, target, now)
                 return None
             self._knowledge.changes.wait(limit - now)
 
-    def _enter(self, job: Job, target: Target, limit: float) -> Passage | None:
+    def _enter(
+        self, job: Job, target: Target, limit: float
+    ) -> Passage | PlaceRefused | None:
         """Wait for a place at an upstream; None when none came in time.
 
         Only one upstream may run a request with a key, so the queue there
         is the only one that counts; among equal ones each host's own
-        windows find one with room.
+        windows find one with room, unless it is cold.
         """
         lane = self._lanes.find(target.upstream)
-        if job.keyed:
-            place = self._ask_place(job, target)
+        bound = self._knowledge.find_cold_bound(target.upstream, read_clock())
+        if job.keyed or bound is not None:
+            place = self._ask_place(job, target, bound)
+            if place is None and bound is not None:
+                place = PlaceRefused(_UNLENT)
             if isinstance(place, PlaceRefused):
-                job.note = "no place"
+                job.note = "no place" if bound is None else "cold"
                 job.retry_after = wait_for_place(place.retry_after)
-                return None
+                return place
             if place is not None:
                 lane.occupy()
                 return Passage(target, lane, place)
@@ -126,15 +145,20 @@
         return None
 
     def _ask_place(
-        self, job: Job, target: Target
+        self, job: Job, target: Target, bound: int | None
     ) -> Place | PlaceRefused | None:
+        if not job.keyed:
+            # Of equal upstreams a warm one serves it sooner than a wait.
+            return self._places.enter(
+                target.upstream, job.route.priority, 0.0, bound
+            )
         now = read_clock()
         left = job.times.find_patience(now)
         if job.progress.outcome is Outcome.UNKNOWN:
             # It may have run, and only an answer can tell: worth the wait.
             left = job.times.final - now
         rank = rank_request(job.route.priority, job.overdue)
-        return self._places.enter(target.upstream, rank, left)
+        return self._places.enter(target.upstream, rank, left, bound)
 
     def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
@@ -146,20 +170,21 @@
     def _still_holds(self, job: Job, target: Target) -> bool:
         """Tell whether a target is still right after waiting for it."""
         directory = self._knowledge.directory
-        if directory.find_active(target.upstream.name) is None:
-            return False
         if not job.keyed:
-            return True
+            return directory.find_active(target.upstream.name) is not None
         table = self._knowledge.find_table(job.service)
-        return find_owner(table, job.fields.key, directory) == target
+        now = read_clock()
+        return find_owner(table, job.fields.key, directory, now) == target
 
-    def _find_target(self, job: Job, now: float) -> Target | Wait:
+    def _find_target(
+        self, job: Job, declined: Collection[IncarnationName], now: float
+    ) -> Target | Wait:
         directory = self._knowledge.directory
         if job.keyed:
             table = self._knowledge.find_table(job.service)
-            return find_owner(table, job.fields.key, directory)
+            return find_owner(table, job.fields.key, directory, now)
         candidates = list_candidates(
-            directory, job.service, job.progress.tried, now
+            directory, job.service, job.progress.tried, now, declined
         )
         if not candidates:
             return Wait.NO_UPSTREAM
@@ -184,4 +209,5 @@
             lane.pool.has_idle,
             lane.health.is_suspect(now),
             0.0 if near else crossing,
+            self._knowledge.find_cold_rate(upstream, now) is not None,
         )
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -118,7 +118,11 @@
         self._lender = Lender()
 
     def enter(
-        self, upstream: RegisteredUpstream, priority: int, left: float
+        self,
+        upstream: RegisteredUpstream,
+        priority: int,
+        left: float,
+        cold_bound: int | None = None,
     ) -> Place | PlaceRefused | None:
         """Wait for a place at an upstream.
 
@@ -130,6 +134,9 @@
             Lower is more urgent.
         left : float
             Seconds within which the answer is needed.
+        cold_bound : int or None
+            Most sends that the lender may allow while the upstream is cold;
+            None when it is warm.
 
         Returns
         -------
@@ -137,13 +144,21 @@
             None when nobody lends there just now: a lender that is lost
             must not make its upstreams unreachable.
         """
-        link = self._knowledge.lenders.find(upstream)
+        lenders = self._knowledge.lenders
+        link = lenders.find(upstream)
         if link is None or self._is_silent(link):
             return None
+        if cold_bound is None and lenders.cold_only:
+            return None
         number = next(self._numbers)
         pending = self._pending[number] = _Pending()
         question = AskPlace(
-            number, upstream.name, upstream.slots, priority, round(left, 3)
+            number,
+            upstream.name,
+            upstream.slots,
+            priority,
+            round(left, 3),
+            cold_bound,
         )
         granted = False
         try:
@@ -206,6 +221,7 @@
                 message.priority,
                 message.left,
                 now,
+                self._find_bound(message, now),
             )
         else:
             decisions = self._lender.end(
@@ -213,6 +229,20 @@
             )
         self._announce(decisions)
 
+    def _find_bound(self, message: AskPlace, now: float) -> int | None:
+        """Return the bound of sends by whoever takes the upstream for cold.
+
+        One of the two hosts knows its newer entry, and nobody can tell which.
+        """
+        entry = self._knowledge.directory.find(message.upstream)
+        own = None
+        if entry is not None:
+            own = self._knowledge.find_cold_bound(entry, now)
+        bounds = [
+            each for each in (own, message.cold_bound) if each is not None
+        ]
+        return min(bounds, default=None)
+
     def keep(self, now: float) -> None:
         """Take back what lost hosts hold."""
         self._announce(self._lender.expire(now))
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -32,6 +32,7 @@
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
+from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -47,12 +48,14 @@
 from sedgetide.daemons._follower import Follower
 from sedgetide.daemons._hostmetrics import BODY_BYTES_IN_HAND
 from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
+from sedgetide.daemons._hostmetrics import EVACUATED
 from sedgetide.daemons._hostmetrics import LEADING
 from sedgetide.daemons._hostmetrics import POLICY_VERSION
 from sedgetide.daemons._hostmetrics import REQUESTS_IN_HAND
 from sedgetide.daemons._hostmetrics import STORE_SILENCE_SECONDS
 from sedgetide.daemons._hostmetrics import UPSTREAMS
 from sedgetide.daemons._inspection import Inspectable
+from sedgetide.daemons._knowledge import ColdTerms
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._leader import Leader
@@ -123,7 +126,11 @@
         self._dialects = dialects
         self._stopping = False
         self.incarnation = make_incarnation()
-        self._knowledge = Knowledge(dialects.catalogue)
+        self._knowledge = Knowledge(
+            dialects.catalogue,
+            Evacuations(settings.evacuate_ms / 1000.0),
+            ColdTerms(settings.cold_overrun, settings.cold_slack),
+        )
         self._feed = FeedSink(self._knowledge)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
@@ -183,6 +190,9 @@
             lambda: 0 if knowledge.policy is None else knowledge.policy.version
         )
         UPSTREAMS.set_function(lambda: len(knowledge.directory.list_all()))
+        EVACUATED.set_function(
+            lambda: len(knowledge.directory.evacuations.list_asked())
+        )
         LEADING.set_function(lambda: float(self._leader.leading))
 
     def _open_store(self) -> LeaseStore:
--- a/sedgetide/platform/_catalogue.py
+++ b/sedgetide/platform/_catalogue.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sedgetide.backends.dialects import Catalogue
+from sedgetide.backends.dialects import EvacuationWish
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.coding.addresses import split_address
@@ -156,9 +157,30 @@
         int(row.get("max-connections", 100)),
         bool(row.get("sharded")),
         row.get("warm-s", 0.0),
+        _read_figure(row, "warmup-s") or 0.0,
+        _read_figure(row, "warmup-per-s"),
     )
 
 
+def _read_figure(row: dict[str, Any], name: str) -> float | None:
+    """Return a figure that may be left out.
+
+    Raises
+    ------
+    ValueError
+        When it is there and no number from zero on.
+    """
+    value = row.get(name)
+    if value is None:
+        return None
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 <= value < float("inf"):
+        raise ValueError(
+            f"{name}: {value!r}: accepted is a number from zero on"
+        )
+    return float(value)
+
+
 def _read_policy(value: bytes) -> Policy:
     document = msgspec.json.decode(value, type=_Configuration)
     services = [_read_service(row) for row in document.services.list_rows()]
@@ -184,7 +206,11 @@
 
     def read(
         self, key: str, value: bytes | None
-    ) -> RegisteredUpstream | Withdrawn | Policy | None:
+    ) -> RegisteredUpstream | Withdrawn | EvacuationWish | Policy | None:
+        if key.startswith(_names.EVACUATION_PREFIX):
+            # That the item is there says all; nothing stands in it.
+            name = key.removeprefix(_names.EVACUATION_PREFIX)
+            return EvacuationWish(DataCentre(name), value is not None)
         if key.startswith(_names.REGISTRY_PREFIX):
             name = UpstreamName(key.removeprefix(_names.REGISTRY_PREFIX))
             return _read_registered(key, name, value)
--- a/sedgetide/platform/_names.py
+++ b/sedgetide/platform/_names.py
@@ -21,6 +21,7 @@
 LEASE_END_PATH = "/sedgetide/kv-lease-end"
 
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 REGISTRY_PREFIX = "servers/"
 ALL_KEYS = ""
 
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -133,6 +133,27 @@
         "the store was disturbed just before.",
         ("upstream",),
     )
+    EVACUATION = Definition(
+        "evacuation",
+        logging.WARNING,
+        "Operators want a data centre emptied: its upstreams get no new work "
+        "and their keys move.",
+        ("data_centre",),
+    )
+    EVACUATED = Definition(
+        "evacuated",
+        logging.WARNING,
+        "No upstream of an evacuated data centre owns keys any longer. "
+        "seconds: since the leader knew of the wish.",
+        ("data_centre", "seconds"),
+    )
+    TAKEN_BACK = Definition(
+        "taken-back",
+        logging.WARNING,
+        "An evacuated data centre gets work again. Its upstreams count as "
+        "cold at first.",
+        ("data_centre", "seconds"),
+    )
     UPSTREAM_ENDED = Definition(
         "upstream-ended",
         logging.WARNING,
--- /dev/null
+++ b/tests/core/ownership/test_evacuation.py
@@ -0,0 +1,105 @@
+"""Tests of how keys leave an evacuated data centre."""
+
+import collections
+
+import testtools
+
+from sedgetide.core.ownership._loads import Taker
+from sedgetide.core.ownership.balance import plan_evictions
+from sedgetide.core.ownership.evacuation import EvacuationPace
+from sedgetide.core.ownership.evacuation import plan_evacuation
+from sedgetide.core.ownership.ranges import RangeTable
+
+COUNT = 12
+
+
+class TestPace(testtools.TestCase):
+    def play(self, left, serving=True):
+        pace = EvacuationPace()
+        begun = []
+        for tick in range(30):
+            now = 100.0 + tick * 0.1
+            allowed = pace.allow(left, serving, now)
+            if allowed:
+                begun.append((round(now - 100.0, 1), allowed))
+            left -= allowed
+        self.assertEqual(0, left)
+        return begun
+
+    def test_a_quarter_at_a_time(self):
+        self.assertEqual(
+            [(0.0, 25), (0.4, 25), (0.8, 25), (1.2, 25)], self.play(100)
+        )
+
+    def test_few_ranges(self):
+        self.assertEqual([(0.0, 1), (0.4, 1), (0.8, 1)], self.play(3))
+
+    def test_at_once_when_nobody_sends_there_any_more(self):
+        """A leader takes over late in an evacuation.
+
+        Hosts send nothing to the owners any longer, so a pause keeps no
+        queue short and leaves keys dark.
+        """
+        self.assertEqual([(0.0, 100)], self.play(100, serving=False))
+
+    def test_asked_again_begins_anew(self):
+        pace = EvacuationPace()
+        for tick in range(20):
+            pace.allow(100, True, tick * 0.4)
+        pace.allow(0, True, 9.0)
+        self.assertEqual(25, pace.allow(100, True, 10.0))
+
+
+class TestPlan(testtools.TestCase):
+    """Ranges of twelve upstreams, of which the first four have to go."""
+
+    def setUp(self):
+        super().setUp()
+        self.names = [f"u-{index:02}" for index in range(COUNT)]
+        self.leaving = self.names[:4]
+        self.takers = {name: Taker(name, 3) for name in self.names[4:]}
+        self.table = RangeTable().assign_first(
+            [(name, 1) for name in self.names]
+        )
+        self.rates = {}
+        for index, tenure in enumerate(self.table.tenures):
+            self.rates[tenure.low] = 1.0 + (index % 4) * 0.2
+
+    def plan(self, most):
+        return plan_evacuation(
+            self.table, self.takers, self.rates, self.leaving, most
+        )
+
+    def test_busiest_first_and_apart(self):
+        moves = self.plan(2)
+        table = self.table
+        self.assertEqual(
+            [table.tenures[3].keys, table.tenures[2].keys],
+            [each.keys for each in moves],
+        )
+        self.assertEqual(2, len({each.successor for each in moves}))
+
+    def test_spread_by_the_room_that_is_left(self):
+        goals = collections.Counter(each.successor for each in self.plan(9))
+        self.assertEqual(4, len(goals))
+        # The least busy of those that stay.
+        self.assertLessEqual({"u-04", "u-08"}, set(goals))
+
+    def test_evictions_leave_them_alone(self):
+        moves = plan_evictions(
+            self.table, self.takers, self.rates, self.leaving
+        )
+        self.assertEqual([], moves)
+        gone = {
+            name: each for name, each in self.takers.items() if name != "u-04"
+        }
+        moves = plan_evictions(self.table, gone, self.rates, self.leaving)
+        self.assertEqual([self.table.tenures[4].keys], [m.keys for m in moves])
+
+    def test_nobody_left_to_take_them(self):
+        self.assertEqual(
+            [],
+            plan_evacuation(
+                self.table, {}, self.rates, self.names, len(self.names)
+            ),
+        )
--- a/tests/core/requests/test_attempts.py
+++ b/tests/core/requests/test_attempts.py
@@ -21,6 +21,7 @@
 from sedgetide.core.requests.routes import set_times
 
 SAFE = RouteRule("r", "a", "/", True, 1.0, 0.5, 2, 1, (Share("maps", 1.0),))
+NOW = 1.0
 UNSAFE = msgspec.structs.replace(SAFE, idempotent=False)
 
 
@@ -77,25 +78,25 @@
         self.directory.put(entry, 1.0)
 
     def test_owner(self):
-        target = find_owner(self.table, 5, self.directory)
+        target = find_owner(self.table, 5, self.directory, NOW)
         self.assertEqual("u-1", target.upstream.name)
         self.assertEqual(1, target.fence)
 
     def test_no_owner_yet(self):
-        self.assertIs(Wait.NO_OWNER, find_owner(None, 5, self.directory))
+        self.assertIs(Wait.NO_OWNER, find_owner(None, 5, self.directory, NOW))
         self.assertIs(
-            Wait.NO_OWNER, find_owner(self.table, None, self.directory)
+            Wait.NO_OWNER, find_owner(self.table, None, self.directory, NOW)
         )
 
     def test_moving_range_waits(self):
         table = self.table.begin([Move(KeyRange(0, 9), "u-2")])
-        self.assertIs(Wait.MOVING, find_owner(table, 5, self.directory))
+        self.assertIs(Wait.MOVING, find_owner(table, 5, self.directory, NOW))
 
     def test_leaving_owner_gets_nothing(self):
         # The owner has announced its end and its keys have not moved yet.
         # A request sent to it could be cut by its end.
         self.put("u-1", leaving=True)
-        found = find_owner(self.table, 5, self.directory)
+        found = find_owner(self.table, 5, self.directory, NOW)
         self.assertIs(Wait.OWNER_GONE, found)
 
 
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -38,7 +38,7 @@
 class Places:
     """Refuses, and keeps how long it was asked to wait."""
 
-    def enter(self, upstream, priority, left):
+    def enter(self, upstream, priority, left, cold_bound=None):
         self.left = left
         return PlaceRefused(1.0)
 
@@ -57,7 +57,9 @@
             "north",
             random.Random(1),
         )
-        self.passages._find_target = lambda job, now: Target(UPSTREAM, 1)
+        self.passages._find_target = lambda job, declined, now: Target(
+            UPSTREAM, 1
+        )
 
     def find(self, **progress):
         now = read_clock()
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -10,8 +10,10 @@
 
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.addresses import split_address
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.platform._catalogue import PlatformCatalogue
 
@@ -117,3 +119,48 @@
         value[place] = data.draw(strategies.integers(0, 255))
         end = data.draw(strategies.integers(0, len(value)))
         self.check(bytes(value[:end]))
+
+
+class TestWishes(testtools.TestCase):
+    """Operators' items under odd names and with odd bytes."""
+
+    @given(
+        strategies.text(max_size=40),
+        strategies.one_of(strategies.none(), strategies.binary(max_size=20)),
+    )
+    def test_any_wish_is_taken(self, name, value):
+        knowledge = Knowledge(PlatformCatalogue())
+        key = "op/evacuate/" + name
+        knowledge.take_items([Item(key, 5, value)], 1.0)
+        evacuations = knowledge.directory.evacuations
+        self.assertEqual(value is not None, evacuations.is_asked(name))
+        knowledge.take_items([Item(key, 6, None)], 2.0)
+        self.assertEqual([], evacuations.list_asked())
+
+    def test_host_that_starts_knows_before_it_sends(self):
+        """All hosts are lost while a data centre is evacuated.
+
+        What they list first has the upstreams, the owners and the wish. A
+        request sent there before the wish is read would reach it long after
+        it has to be empty.
+        """
+        knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
+        items = [
+            Item("op/evacuate/z", 5, b"{}"),
+            Item(KEY, 4, msgspec.json.encode(GOOD)),
+        ]
+        knowledge.take_listing(Listing(items, 6), 100.0)
+        name = knowledge.directory.list_all()[0].name
+        self.assertIsNone(knowledge.directory.find_serving(name, 100.0))
+
+    def test_wish_that_ends_while_history_is_lost(self):
+        knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
+        knowledge.take_items([Item("op/evacuate/z", 5, b"{}")], 1.0)
+        knowledge.take_listing(Listing([], 9), 4.0)
+        self.assertEqual([], knowledge.directory.evacuations.list_asked())
+
+    def test_older_wish_changes_nothing(self):
+        knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
+        knowledge.take_items([Item("op/evacuate/z", 7, None)], 1.0)
+        knowledge.take_items([Item("op/evacuate/z", 5, b"{}")], 2.0)
+        self.assertEqual([], knowledge.directory.evacuations.list_asked())
