Soak: evacuations, cold returns of a data centre, all hosts lost

Cause: nothing showed with real processes that an evacuated data centre gets nothing and that cold upstreams get what they bear, while hosts, leader and store are lost beside it.

Change: seeds from 5000 on draw evacuations (taken back and asked again within seconds as well), a data centre's upstreams that end and come back together cold, and the loss of all hosts, beside the faults of before. The stand-in upstream is cold after a start during traffic, takes twice as long then and ends when it is sent more than 6 requests in a second; it tells four figures of its load, and its pace changes each 0.4 s. Judged: no run in an evacuated data centre 5 s after the acknowledgement and 3 s after the last fault; no upstream flooded.

--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -21,6 +21,8 @@
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.platform import _names
 from sedgetide.runtime.signals import Changes
+from sedgetide.testing.coldness import Coldness
+from sedgetide.testing.coldness import Pace
 from sedgetide.testing.rangeholder import RangeHolder
 from sedgetide.testing.serving import run_server
 from sedgetide.wire.client import ConnectionPool
@@ -32,6 +34,8 @@
 _HEARTBEAT = 0.4
 # What a process ends with that a signal of the kernel has ended.
 CRASHED = 139
+# Kind of the event of a cold upstream that is sent more than it bears.
+FLOODED = "flooded"
 _QUEUE = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
 
@@ -44,7 +48,7 @@
     at : float
         Machine's monotonic clock.
     kind : str
-        ``begin`` or ``end`` of a run.
+        ``begin`` or ``end`` of a run, or ``flooded``.
     upstream : str
         Id of this start of the process.
     request : str
@@ -82,6 +86,8 @@
         self._ended = Changes()
         self._random = random.Random(options.name)
         self._registry = ConnectionPool(options.store, 65536)
+        self._coldness = Coldness(options.cold, options.most_cold)
+        self._pace = Pace(options.name, options.cold > 0)
 
     def _read_clock(self) -> float:
         """Return a clock that runs slow, as an upstream's may."""
@@ -131,6 +137,9 @@
         number = find_header(request.headers, _names.REQUEST_ID.lower())
         if number is None:
             return Answer(400, [_NOT_RUN])
+        if self._coldness.is_flooded(time.monotonic()):
+            self._tell(FLOODED, number, -1, 0)
+            os._exit(CRASHED)
         if self._waiting >= _QUEUE:
             return Answer(503, [_NOT_RUN])
         self._waiting += 1
@@ -155,7 +164,7 @@
         self._holder.running.append(Key(key))
         self._running += 1
         try:
-            gevent.sleep(self._random.expovariate(1 / self._options.work))
+            gevent.sleep(self._draw_work())
             if request.path == self._options.crash_on:
                 os._exit(CRASHED)
         finally:
@@ -169,14 +178,24 @@
             [
                 (_names.REQUEST_ID, number),
                 (_names.SIGNATURE, f"{len(body):x}"),
-                (
-                    _names.LOAD,
-                    f"{self._running},{self._waiting},{self._options.slots}",
-                ),
+                (_names.LOAD, self._describe_load()),
             ],
             body,
         )
 
+    def _find_pace(self) -> float:
+        now = time.monotonic()
+        return self._pace.find(now, self._coldness.find_left(now) > 0)
+
+    def _draw_work(self) -> float:
+        work = self._random.expovariate(1 / self._options.work)
+        return work * self._find_pace()
+
+    def _describe_load(self) -> str:
+        pace = int(100 * self._find_pace())
+        slots = self._options.slots
+        return f"{self._running},{self._waiting},{slots},{pace}"
+
     def _tell(self, kind: str, number: str, key: int, fence: int) -> None:
         start = f"{self.name}@{self._options.born}"
         event = Event(time.monotonic(), kind, start, number, key, fence)
@@ -201,8 +220,10 @@
             "status": {"state": "ready", "sequence": 1, "warmup-left-ms": 0},
             "born": options.born,
         }
-        request = self._make_heartbeat(entry)
         while True:
+            left = self._coldness.find_left(time.monotonic())
+            entry["status"]["warmup-left-ms"] = int(left * 1000)
+            request = self._make_heartbeat(entry)
             with contextlib.suppress(Exception):
                 connection = self._registry.take(1.0)
                 connection.exchange(request, 1.0)
@@ -238,6 +259,15 @@
     parser.add_argument(
         "--crash-on", metavar="PATH", help="path that ends the process"
     )
+    parser.add_argument(
+        "--cold", type=float, default=0.0, help="seconds cold at the start"
+    )
+    parser.add_argument(
+        "--most-cold",
+        type=float,
+        default=0.0,
+        help="arrivals a second above which it ends while it is cold",
+    )
     options = parser.parse_args()
     upstream = RangeUpstream(options)
     gevent.spawn(upstream.heartbeat_loop)
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -27,7 +27,12 @@
 from sedgetide.testing.soakcallers import Caller
 from sedgetide.testing.soakcallers import DEADLY_PATH
 from sedgetide.testing.soakcallers import DeadlyCaller
+from sedgetide.testing.soakevacuations import draw_data_centre
+from sedgetide.testing.soakevacuations import find_floods
+from sedgetide.testing.soakevacuations import find_late_runs
+from sedgetide.testing.soakevacuations import Operator
 from sedgetide.testing.soakfleet import call
+from sedgetide.testing.soakfleet import ColdStarts
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import GRACE
 from sedgetide.testing.soakpromises import Promises
@@ -45,6 +50,9 @@
 _FIRST_WITH_RESTARTS = 2000
 _FIRST_CROWDED = 3000
 _FIRST_DEADLY = 4000
+_FIRST_EVACUATED = 5000
+# Seconds between the wish and its end; the soak may end before.
+_EVACUATED_FOR = (0.4, 3.0, 9.0, 60.0)
 # So many hosts before upstreams of one slot that some lend its places.
 _CROWD = 6
 _FOREIGN_ENTRIES = (
@@ -91,14 +99,19 @@
         self.seed = seed
         self._random = random.Random(seed)
         late = self._random.choice((0.0, 0.0, 0.1))
-        if seed >= _FIRST_DEADLY:
+        if seed >= _FIRST_EVACUATED:
+            self.fleet = Fleet(folder, late, cold=ColdStarts())
+        elif seed >= _FIRST_DEADLY:
             self.fleet = Fleet(folder, late, crash_on=DEADLY_PATH)
         elif seed >= _FIRST_CROWDED:
             self.fleet = Fleet(folder, late, ({},) * _CROWD, slots=1)
         else:
             self.fleet = Fleet(folder, late)
-        deadly = seed >= _FIRST_DEADLY
-        self._calm = _CALM_TIME_DEADLY if deadly else CALM_TIME
+        self._deadly_played = _FIRST_DEADLY <= seed < _FIRST_EVACUATED
+        patient = seed >= _FIRST_DEADLY
+        self._calm = _CALM_TIME_DEADLY if patient else CALM_TIME
+        self._evacuator = Operator(self.fleet)
+        self._fault_times: list[tuple[float, float]] = []
         self._promises = Promises(self.fleet, self._calm)
         self.struck: list[str] = []
         self._extra: list[str] = []
@@ -121,7 +134,10 @@
             self._draw_configuration,
             self._draw_planned_stop,
         ]
-        if self.seed >= _FIRST_DEADLY:
+        if self.seed >= _FIRST_EVACUATED:
+            makers += [self._draw_evacuation] * 3
+            makers += [self._draw_cold_return, self._draw_loss_of_all]
+        elif self.seed >= _FIRST_DEADLY:
             # Upstreams crash as it is, and are started again for it.
             makers.remove(self._draw_upstream_loss)
         elif self.seed >= _FIRST_WITH_RESTARTS:
@@ -199,6 +215,53 @@
             upstream.start_again,
         )
 
+    def _draw_evacuation(self, at: float) -> Fault:
+        name = draw_data_centre(self._random)
+        seconds = self._random.choice(_EVACUATED_FOR)
+
+        def begin() -> None:
+            with self._operator:
+                self._evacuator.ask(name)
+            if seconds <= CALM_TIME:
+                gevent.spawn_later(seconds, end)
+
+        def end() -> None:
+            with self._operator:
+                self._evacuator.take_back(name)
+
+        return Fault(at, 0.0, f"evacuate {name} for {seconds:g}", begin)
+
+    def _draw_cold_return(self, at: float) -> Fault:
+        """End a data centre's upstreams, which come back together, cold."""
+        name = draw_data_centre(self._random)
+        seconds = self._random.choice((0.3, 2.0, 4.0))
+        lost = [
+            each for each in self.fleet.upstreams if each.data_centre == name
+        ]
+
+        def begin() -> None:
+            for each in lost:
+                each.program.close()
+
+        def end() -> None:
+            for each in lost:
+                if not each.program.running:
+                    each.start()
+
+        return Fault(at, seconds, f"cold return of {name}", begin, end)
+
+    def _draw_loss_of_all(self, at: float) -> Fault:
+        def begin() -> None:
+            for host in self.fleet.hosts:
+                host.program.signal(signal.SIGKILL)
+
+        def end() -> None:
+            for host in self.fleet.hosts:
+                host.program.wait()
+                host.program.start()
+
+        return Fault(at, 0.5, "kill all hosts", begin, end)
+
     def _draw_foreign_entry(self, at: float) -> Fault:
         """Let another writer overwrite an entry, or add one."""
         upstream = self._random.choice(self.fleet.upstreams)
@@ -285,8 +348,9 @@
         try:
             self.fleet.start()
             tasks = [gevent.spawn(caller.run) for caller in self._callers]
-            if self.seed >= _FIRST_DEADLY:
+            if self._deadly_played:
                 tasks.append(gevent.spawn(self._deadly.run))
+            if self.seed >= _FIRST_DEADLY:
                 tasks.append(gevent.spawn(self.fleet.supervise))
             began = time.monotonic()
             strikes = [
@@ -306,9 +370,12 @@
 
     def _strike(self, fault: Fault) -> None:
         self.struck.append(f"{fault.at:.1f} {fault.name} {fault.seconds:g}")
+        began = time.monotonic()
         fault.begin()
         gevent.sleep(fault.seconds)
         fault.end()
+        if not fault.name.startswith("evacuate"):
+            self._fault_times.append((began, time.monotonic()))
 
     # Promises
 
@@ -327,6 +394,10 @@
         promises.check_owners(events)
         promises.check_recovery(asked, ended)
         promises.check_configuration(self._extra)
+        promises.problems += find_floods(events)
+        promises.problems += find_late_runs(
+            self.fleet, self._evacuator.evacuations, events, self._fault_times
+        )
 
 
 def play(seed: int, folder: pathlib.Path) -> Soak:
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -159,6 +159,20 @@
         self.front.close()
 
 
+class ColdStarts(msgspec.Struct, frozen=True):
+    """What the upstreams of a soak bear after a start during traffic."""
+
+    seconds: float = 1.5
+    rate: float = 2.0
+    overrun: float = 1.5
+    slack: float = 3.0
+
+    @property
+    def most(self) -> float:
+        """Requests in one second above which they end."""
+        return self.rate * self.overrun + self.slack
+
+
 class SoakUpstream:
     """A place for an upstream; starts have names of their own, or one."""
 
@@ -172,8 +186,11 @@
         clock_rate: float,
         slots: int,
         crash_on: str,
+        cold: ColdStarts | None,
     ) -> None:
         self._slots = slots
+        self._cold = cold
+        self.data_centre = f"dc-{number % 2}"
         self._crash_on = crash_on
         self._folder = folder
         self._store_port = store_port
@@ -216,7 +233,7 @@
             f"--name={self.name}",
             f"--born={self._starts}",
             f"--service={self._service}",
-            f"--data-centre=dc-{self._number % 2}",
+            f"--data-centre={self.data_centre}",
             f"--port={self._port}",
             f"--address={self.address}",
             f"--store=127.0.0.1:{self._store_port}",
@@ -226,6 +243,10 @@
         ]
         if self._service == KEYED:
             arguments.append("--keyed")
+        if self._cold is not None and self._starts > 1:
+            # The first ones start before there is any traffic.
+            arguments.append(f"--cold={self._cold.seconds}")
+            arguments.append(f"--most-cold={self._cold.most}")
         if self._crash_on:
             arguments.append(f"--crash-on={self._crash_on}")
         label = f"{self.name}-{self._starts}"
@@ -271,6 +292,8 @@
     crash_on : str
         Path of requests that end the upstream's process; then no proxies
         stand before upstreams.
+    cold : ColdStarts or None
+        What upstreams bear after a start; None when there is no bound.
     """
 
     def __init__(
@@ -280,7 +303,12 @@
         options: Sequence[Mapping[str, Any]] = ({}, {}, {}),
         slots: int = 2,
         crash_on: str = "",
+        cold: ColdStarts | None = None,
     ) -> None:
+        self._cold = cold
+        if cold is not None:
+            bounds = {"cold_overrun": cold.overrun, "cold_slack": cold.slack}
+            options = [{**each, **bounds} for each in options]
         self._stack = contextlib.ExitStack()
         self.store_port = find_port()
         self.store = Program(
@@ -307,6 +335,7 @@
                 0.98 if number % 2 else 1.0,
                 slots,
                 crash_on,
+                cold,
             )
             for number, service in enumerate(services)
         ]
@@ -368,13 +397,30 @@
         document = {
             "version": f"r{version}",
             "routes": {"columns": columns, "rows": rows},
-            "services": {
-                "columns": ["name", "sharded"],
-                "rows": [[KEYED, True], [PLAIN, False]],
-            },
+            "services": self._describe_services(),
         }
         self.put(_names.CONFIGURATION_KEY, document)
 
+    def _describe_services(self) -> dict[str, Any]:
+        columns = ["name", "sharded"]
+        rows: list[list[Any]] = [[KEYED, True], [PLAIN, False]]
+        if self._cold is not None:
+            columns += ["warmup-s", "warmup-per-s"]
+            rows = [
+                [*row, self._cold.seconds, self._cold.rate] for row in rows
+            ]
+        return {"columns": columns, "rows": rows}
+
+    def evacuate(self, data_centre: str, asked: bool) -> None:
+        """Ask for a data centre to be emptied, or take it back."""
+        key = _names.EVACUATION_PREFIX + data_centre
+        self.put(key, {} if asked else None)
+
+    def find_data_centre(self, start: str) -> str:
+        """Return where the upstream of an event is."""
+        number = int(start.split("-")[1])
+        return self.upstreams[number].data_centre
+
     def put(self, key: str, value: object) -> None:
         """Write a key as the operator does, until it is taken.
 
