--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -2,10 +2,13 @@
 
 import random
 
+import msgspec
 import testtools
 
 from sedgetide.backends.dialects import CallerFields
+from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.configuration.policy import ServiceRule
 from sedgetide.core.configuration.policy import Share
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Key
@@ -13,6 +16,7 @@
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
@@ -20,9 +24,11 @@
 from sedgetide.core.requests.routes import Timetable
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.daemons._job import Job
+from sedgetide.daemons._knowledge import ColdTerms
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
 from sedgetide.daemons._passages import Passages
+from sedgetide.daemons._places import Place
 from sedgetide.daemons._places import PlaceRefused
 from sedgetide.platform._catalogue import PlatformCatalogue
 from sedgetide.runtime.clock import read_clock
@@ -35,6 +41,30 @@
 OBJECTIVE, TIMEOUT = 0.6, 4.0
 
 
+def make_job(keyed, **progress):
+    now = read_clock()
+    route = RouteRule(
+        RouteName("map"),
+        "h",
+        "/",
+        True,
+        TIMEOUT,
+        OBJECTIVE,
+        2,
+        2,
+        (Share(SERVICE, 1.0),),
+    )
+    return Job(
+        Request("GET", "/", [], b""),
+        CallerFields(RequestId("r"), TIMEOUT, Key(1)),
+        route,
+        SERVICE,
+        keyed,
+        Timetable(now, now + TIMEOUT, now + OBJECTIVE),
+        Progress(**progress),
+    )
+
+
 class Places:
     """Refuses, and keeps how long it was asked to wait."""
 
@@ -62,28 +92,7 @@
         )
 
     def find(self, **progress):
-        now = read_clock()
-        route = RouteRule(
-            RouteName("map"),
-            "h",
-            "/",
-            True,
-            TIMEOUT,
-            OBJECTIVE,
-            2,
-            2,
-            (Share(SERVICE, 1.0),),
-        )
-        job = Job(
-            Request("GET", "/", [], b""),
-            CallerFields(RequestId("r"), TIMEOUT, Key(1)),
-            route,
-            SERVICE,
-            True,
-            Timetable(now, now + TIMEOUT, now + OBJECTIVE),
-            Progress(**progress),
-        )
-        self.assertIsNone(self.passages.find(job))
+        self.assertIsNone(self.passages.find(make_job(True, **progress)))
         return self.places.left
 
     def test_first_send_waits_while_its_answer_can_be_in_time(self):
@@ -102,3 +111,89 @@
         # Only an answer can tell its caller what became of it.
         left = self.find(sends=1, outcome=Outcome.UNKNOWN)
         self.assertGreater(left, OBJECTIVE)
+
+
+class LentPlaces:
+    """Lends places at cold upstreams as told, and keeps who was asked."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.asked = []
+
+    def enter(self, upstream, priority, left, cold_bound=None):
+        self.asked.append((upstream.registered_name, cold_bound, left))
+        return self.answer
+
+
+class TestCold(testtools.TestCase):
+    """An upstream is cold and bears less than hosts would send it."""
+
+    def setUp(self):
+        super().setUp()
+        self.knowledge = Knowledge(
+            PlatformCatalogue(), cold_terms=ColdTerms(1.5, 8.0)
+        )
+        self.rule = ServiceRule(SERVICE, cold=3.0, cold_rate=4.2)
+        self.knowledge.policy = Policy(Version(1), (), {SERVICE: self.rule})
+        self.put("map-1", 2.0)
+
+    def put(self, name, warmup):
+        entry = msgspec.structs.replace(
+            UPSTREAM, registered_name=UpstreamName(name), warmup=warmup
+        )
+        self.knowledge.directory.put(entry, read_clock())
+        return entry
+
+    def find(self, answer, keyed=False):
+        self.places = LentPlaces(answer)
+        passages = Passages(
+            self.knowledge,
+            Lanes(1000),
+            self.places,
+            UsualFigures(),
+            "north",
+            random.Random(1),
+        )
+        self.job = make_job(keyed)
+        if keyed:
+            target = Target(self.knowledge.directory.list_all()[0], 1)
+            passages._find_target = lambda job, declined, now: target
+        return passages.find(self.job)
+
+    def test_lender_is_asked_for_each_send(self):
+        place = Place(lambda seconds, waiting: None)
+        self.assertIs(place, self.find(place).place)
+        self.assertEqual([("map-1", 7, 0.0)], self.places.asked)
+
+    def test_request_without_key_goes_to_a_warm_one_instead(self):
+        # Both are idle, and the cold one bears no more.
+        self.put("map-2", 0.0)
+        for _ in range(20):
+            passage = self.find(PlaceRefused(0.4))
+            self.assertEqual("map-2", passage.target.upstream.registered_name)
+
+    def test_only_cold_ones_left(self):
+        began = read_clock()
+        self.assertIsNone(self.find(PlaceRefused(1.2)))
+        self.assertLess(read_clock() - began, 0.1)
+        self.assertEqual(1.2, self.job.retry_after)
+
+    def test_nobody_lends(self):
+        """The lender is lost, and nobody knows what others send.
+
+        Each host on its own would send a little, and 66 of them a flood. So
+        nothing is sent until there is a lender or the upstream is warm.
+        """
+        self.assertIsNone(self.find(None))
+        self.assertIsNone(self.find(None, keyed=True))
+        self.assertEqual("cold", self.job.note)
+
+    def test_warm_one_needs_no_lender(self):
+        self.put("map-1", 0.0)
+        self.assertIsNotNone(self.find(None))
+        self.assertEqual([], self.places.asked)
+
+    def test_service_without_a_bound(self):
+        rule = msgspec.structs.replace(self.rule, cold_rate=None)
+        self.knowledge.policy = Policy(Version(1), (), {SERVICE: rule})
+        self.assertIsNotNone(self.find(None))
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -21,6 +21,7 @@
     "207 of 291 were served from 7.5 s after the last fault on",
     4012: "the same after a planned stop of the leader: 203 of 280",
 }
+EVACUATED_AND_COLD = 5001
 
 
 class TestProgram(testtools.TestCase):
@@ -42,8 +43,16 @@
 class TestSoak(testtools.TestCase):
     """What callers and upstreams see while faults overlap."""
 
-    def test_regression(self):
-        seed = next(iter(REGRESSIONS))
+    def play(self, seed):
         with tempfile.TemporaryDirectory() as folder:
             soak = play(seed, pathlib.Path(folder))
         self.assertEqual([], soak.problems, soak.struck)
+
+    def test_regression(self):
+        self.play(next(iter(REGRESSIONS)))
+
+    def test_evacuation_and_cold_return(self):
+        # Both at once, then the store loses answers, all hosts are killed
+        # and one is stopped. Without the bound the returned upstreams are
+        # flooded; without the wish callers' requests run there for good.
+        self.play(EVACUATED_AND_COLD)
