--- a/tests/coding/test_settings.py
+++ b/tests/coding/test_settings.py
@@ -14,6 +14,8 @@
 from sedgetide.coding.settings import HostSettings
 from sedgetide.coding.settings import load_settings
 from sedgetide.core.errors import InputError
+from sedgetide.core.membership.evacuations import Evacuations
+from sedgetide.core.requests.cold import bound_cold_sends
 
 ROOT = pathlib.Path(__file__).parents[2]
 TEMPLATE = (ROOT / "deploy" / "settings.json.template").read_text()
@@ -31,6 +33,9 @@
     "bounds.max-hold-ms": 1000,
     "bounds.retry-budget-ratio": 0,
     "bounds.retry-budget-slack": 0,
+    "bounds.evacuate-ms": 0,
+    "bounds.warmup-overrun": 0,
+    "bounds.warmup-slack": 0,
     "limits.cpu-share": 0.001,
     "limits.cores": 0.001,
     "limits.memory-mb": 1,
@@ -40,6 +45,9 @@
     "bounds.max-hold-ms": 10_000,
     "bounds.retry-budget-ratio": 0.2,
     "bounds.retry-budget-slack": 62,
+    "bounds.evacuate-ms": 5000,
+    "bounds.warmup-overrun": 1.5,
+    "bounds.warmup-slack": 8,
     "limits.cpu-share": 0.43,
     "limits.cores": 1,
     "limits.memory-mb": 200,
@@ -95,17 +103,27 @@
         durations = found.fit_durations()
         self.assertGreater(durations.renew, 0.3)
         self.assertGreaterEqual(found.processor_time, 0)
+        bound = bound_cold_sends(4.2, found.cold_overrun, found.cold_slack)
+        self.assertGreaterEqual(bound, 0)
+        evacuations = Evacuations(found.evacuate_ms / 1000.0)
+        evacuations.ask("north", 9.0, 10.0)
+        self.assertTrue(evacuations.is_asked("north"))
 
     def test_figures_reach_their_settings(self):
         found = load({**USUAL, "bounds.retry-budget-slack": 30.71})
         self.assertEqual(30.71, found.retry_slack)
         self.assertEqual(6.0, found.grace)
         self.assertAlmostEqual(0.43, found.processor_time)
+        self.assertEqual(5000.0, found.evacuate_ms)
+        self.assertEqual(1.5, found.cold_overrun)
+        self.assertEqual(8.0, found.cold_slack)
 
     def test_figure_that_nothing_can_run_with_is_named(self):
         wrong = (
             ("bounds.retry-budget-slack", True, "$.retry_slack: true"),
             ("bounds.retry-budget-ratio", -0.1, "$.retry_ratio: -0.1"),
+            ("bounds.evacuate-ms", -1, "$.evacuate_ms: -1"),
+            ("bounds.warmup-slack", "8", '$.cold_slack: "8"'),
             ("bounds.max-hold-ms", 5, "$.max_hold_ms: 5"),
             ("limits.cores", "two", '$.processors: "two"'),
         )
--- a/tests/core/membership/test_lenders.py
+++ b/tests/core/membership/test_lenders.py
@@ -65,6 +65,27 @@
         self.report(3, 6.0)
         self.assertEqual([], self.choose(make_upstreams(20), 6.0))
 
+    def test_few_hosts_before_cold_upstreams(self):
+        # A cold upstream ends under what a few hosts send, each by its own
+        # window. So some count it for all; elsewhere windows hold.
+        self.report(5, 2.0)
+        upstreams = make_upstreams(20, slots=6)
+        found = self.roster.choose(upstreams, 2.0, upstreams)
+        self.assertEqual(1, len(found.hosts))
+        self.assertTrue(found.cold_only)
+        # Lending there is no reason to lend everywhere with half the hosts.
+        self.report(5, 2.4)
+        self.assertTrue(
+            self.roster.choose(upstreams, 2.4, upstreams).cold_only
+        )
+
+    def test_many_hosts_before_cold_upstreams(self):
+        self.report(10, 2.0)
+        keyed, plain = make_upstreams(20), make_upstreams(3, SOUTH)
+        found = self.roster.choose(keyed, 2.0, plain)
+        self.assertFalse(found.cold_only)
+        self.assertEqual(2, len(found.hosts))
+
     def test_strong_hosts_near_the_upstreams_lend(self):
         self.report(10, 2.0, weak=range(8))
         self.report(10, 2.0, SOUTH)
@@ -139,3 +160,5 @@
         self.assertEqual(again.version, self.list.version)
         self.assertNotEqual(fewer.version, self.list.version)
         self.assertEqual(0, LenderList().version)
+        cold_only = LenderList(self.list.hosts, True)
+        self.assertNotEqual(cold_only.version, self.list.version)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -263,6 +263,36 @@
                 del table[path[-1]]
         return msgspec.json.encode(entry)
 
+    def read_services(self, columns, rows):
+        document = {
+            "version": "r7",
+            "routes": {"columns": [], "rows": []},
+            "services": {"columns": columns, "rows": rows},
+            "base-version": "r5",
+        }
+        policy = self.catalogue.read(
+            "op/config", msgspec.json.encode(document)
+        )
+        return policy.services
+
+    def test_cold_figures_of_a_service(self):
+        columns = ["name", "warmup-s", "warmup-per-s", "news"]
+        rows = [["a", 3, 4.2, 1], ["b", None, None, None], ["c", 0, 0]]
+        found = self.read_services(columns, rows)
+        self.assertEqual((3.0, 4.2), (found["a"].cold, found["a"].cold_rate))
+        self.assertIsNone(found["b"].cold_rate)
+        self.assertEqual(0.0, found["c"].cold_rate)
+
+    def test_odd_cold_figures_are_named(self):
+        for value in ("4", -1, True, [], 1e400):
+            error = self.assertRaises(
+                InputError,
+                self.read_services,
+                ["name", "warmup-per-s"],
+                [["a", value]],
+            )
+            self.assertIn("accepted", str(error))
+
     def test_starts_have_names_of_their_own(self):
         first = self.catalogue.read("servers/i-1", self.make_entry())
         later = self.make_entry(("born",), 1_780_000_009_000)
