A service's cold figures have a bound; the test draws what JSON can hold

Read through, a whole number beyond any float would have ended the task that follows the store with an error that nobody catches.

Change: figures up to a billion; the test draws the largest whole numbers.

--- a/sedgetide/platform/_catalogue.py
+++ b/sedgetide/platform/_catalogue.py
@@ -42,6 +42,8 @@
 # Far above any real upstream; a window of more would be no bound.
 _MOST_SLOTS = 65_536
 _LONGEST_WARMUP_MS = 86_400_000
+# Seconds, or requests a second.
+_MOST_FIGURE = 1_000_000_000
 _UNREADABLE = (
     msgspec.MsgspecError,
     # Nested too deeply.
@@ -168,15 +170,16 @@
     Raises
     ------
     ValueError
-        When it is there and no number from zero on.
+        When it is there and no such number.
     """
     value = row.get(name)
     if value is None:
         return None
     number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not number or not 0 <= value < float("inf"):
+    if not number or not 0 <= value <= _MOST_FIGURE:
         raise ValueError(
-            f"{name}: {value!r}: accepted is a number from zero on"
+            f"{name}: {str(value)[:40]}: accepted is a number from 0 to "
+            f"{_MOST_FIGURE}"
         )
     return float(value)
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -284,7 +284,7 @@
         self.assertEqual(0.0, found["c"].cold_rate)
 
     def test_odd_cold_figures_are_named(self):
-        for value in ("4", -1, True, [], 1e400):
+        for value in ("4", -1, True, [], 1e300, 2**63):
             error = self.assertRaises(
                 InputError,
                 self.read_services,
