--- a/tests/daemons/test_quarantine.py
+++ b/tests/daemons/test_quarantine.py
@@ -35,10 +35,10 @@
         envelope = Envelope(self.link, [message])
         self.net.waiting.append((link, encode_envelope(envelope)))
 
-    def lose(self, name, at):
-        run = BrokenRun(RequestId("r"), DEADLY, at)
+    def lose(self, name, at, suspects=(DEADLY,)):
+        runs = tuple(BrokenRun(RequestId("r"), each, at) for each in suspects)
         self.shared.take_ended(
-            EndedUpstream(IncarnationName(name), LossProof.REFUSED, (run,)), at
+            EndedUpstream(IncarnationName(name), LossProof.REFUSED, runs), at
         )
 
     def knows(self, now):
@@ -51,6 +51,7 @@
     def __init__(self, count):
         self.waiting = []
         self.delivered = 0
+        self.delivered_bytes = 0
         self.cut = set()
         self.hosts = [Host(self, number) for number in range(count)]
         for host in self.hosts:
@@ -63,6 +64,7 @@
             if self.cut & {link, envelope.sender}:
                 continue
             self.delivered += 1
+            self.delivered_bytes += len(data)
             host = next(each for each in self.hosts if each.link == link)
             for message in envelope.messages:
                 host.shared.take(message, LinkAddress(envelope.sender), now)
@@ -159,3 +161,53 @@
                 host.shared.keep(now)
             self.net.report(now)
         self.assertEqual(before, self.net.delivered)
+
+
+class TestCutHealed(testtools.TestCase):
+    """A third of the hosts was cut off, and each saw other upstreams end.
+
+    They had no leader, so their copies differ from each other and from the
+    leader's. When the cut heals each copy is news: passed on whole to all
+    hosts with each that comes, what the leader sends waits in its memory,
+    and the process is ended for its size.
+    """
+
+    HOSTS = 60
+    CUT = 20
+    SUSPECTS = 4
+    # Bytes that the leader may send for it within the time in which all are
+    # to know.
+    MOST = 16_000_000
+    SECONDS = 4.0
+
+    def lose_some(self, host, name, at):
+        some = [
+            Fingerprint(f"{name}-{index}-fingerprint-{index}")
+            for index in range(self.SUSPECTS)
+        ]
+        host.lose(name, at, some)
+
+    def test_leader_sends_what_a_link_carries(self):
+        net = Net(self.HOSTS)
+        net.report(0.0)
+        cut = net.hosts[-self.CUT :]
+        net.cut = {host.link for host in cut}
+        for number in range(40):
+            self.lose_some(net.hosts[1 + number % 30], f"near-{number}", 1.0)
+            net.deliver(1.0)
+        for number, host in enumerate(cut):
+            for turn in range(4):
+                self.lose_some(host, f"far-{number}-{turn}", 2.0)
+            net.deliver(2.0)
+        net.cut = set()
+        net.delivered_bytes = 0
+        for turn in range(int(self.SECONDS * 10)):
+            now = round(6.0 + turn * 0.1, 1)
+            for host in net.hosts:
+                host.shared.keep(now)
+            net.deliver(now)
+            if turn % 4 == 0:
+                net.report(now)
+        self.assertLess(net.delivered_bytes, self.MOST)
+        versions = {host.quarantine.version for host in net.hosts}
+        self.assertEqual(1, len(versions))
