--- a/sedgetide/core/ownership/evacuation.py
+++ b/sedgetide/core/ownership/evacuation.py
@@ -18,6 +18,7 @@
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 
+# Parts in which the ranges leave.
 _ROUNDS = 4
 # Seconds; a release is answered within it in most cases. The leader looks ten
 # times a second, so all moves have begun 1.2 s after it knows of the wish.
--- a/sedgetide/core/requests/cold.py
+++ b/sedgetide/core/requests/cold.py
@@ -19,6 +19,7 @@
 # allowed over a little more than one arrive closer together when the first
 # of them were held up on their way.
 _SPAN = 1.25
+# Requests a second; more is no bound.
 _MOST = 1_000_000
 
 
--- a/sedgetide/daemons/_quarantine.py
+++ b/sedgetide/daemons/_quarantine.py
@@ -26,9 +26,9 @@
 _REPORTER_LIFE = 3.0
 # Seconds between two corrections of one host, and between two words to all.
 # Copies that differ for good, as where one has no room left, would otherwise
-# go to and fro without a pause; and where many upstreams end or copies meet
-# after a cut, each merge was a word of 15 KB to each of 60 hosts, which waited
-# in the leader's memory until the process was ended for its size.
+# go to and fro without a pause. Where many upstreams end, or copies meet
+# after a cut, a word to all with each merge is more than a link carries: they
+# wait in the leader's memory until the process is ended for its size.
 _CORRECTED_EVERY = 0.3
 # Bytes a second that one host sends of it: an eighth of a link of 200 Mbit/s.
 _MOST_SENT = 3_000_000
