--- a/sedgetide/core/requests/breaks.py
+++ b/sedgetide/core/requests/breaks.py
@@ -43,11 +43,18 @@
         What it and its repeats have in common.
     at : float
         When, by the own clock.
+    caller : str
+        Address that it came from.
+    host_header, target : str
+        What it asked for.
     """
 
     request: RequestId
     fingerprint: Fingerprint
     at: float
+    caller: str = ""
+    host_header: str = ""
+    target: str = ""
 
 
 class EndedUpstream(msgspec.Struct, frozen=True):
--- a/sedgetide/daemons/_breaks.py
+++ b/sedgetide/daemons/_breaks.py
@@ -16,6 +16,7 @@
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
+from sedgetide.wire.messages import find_header
 from sedgetide.wire.probes import Presence
 from sedgetide.wire.probes import probe
 
@@ -25,6 +26,8 @@
 # Seconds; a full upstream resets many requests at once, and each probe is one
 # more connection that it has to turn away.
 _PROBE_EVERY = 0.1
+# Characters of a target in a line of the log.
+_LONGEST_TARGET = 200
 
 
 class _Probed(msgspec.Struct):
@@ -62,8 +65,7 @@
         known = self._directory.find(upstream.name)
         if known is not None and known.leaving:
             return
-        run = BrokenRun(job.fields.request, job.find_fingerprint(), now)
-        self._runs.note(upstream.name, run)
+        self._runs.note(upstream.name, _describe(job, now))
         if self._probe(upstream, now) is Presence.ENDED:
             self._conclude(
                 self._runs.conclude(upstream.name, LossProof.REFUSED)
@@ -102,6 +104,21 @@
                 proof=ended.proof.value,
                 id=run.request,
                 fingerprint=run.fingerprint,
+                caller=run.caller,
+                host_header=run.host_header,
+                target=run.target,
                 beside=len(ended.runs) - 1,
             )
         self._take_ended(ended, read_clock())
+
+
+def _describe(job: Job, now: float) -> BrokenRun:
+    request = job.request
+    return BrokenRun(
+        job.fields.request,
+        job.find_fingerprint(),
+        now,
+        request.caller,
+        find_header(request.headers, "host") or "",
+        request.target[:_LONGEST_TARGET],
+    )
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -161,7 +161,16 @@
         "it had from this host. fingerprint: the same for each repeat by the "
         "same caller. proof=refused: nobody listens at its address any more; "
         "proof=withdrawn: its entry disappeared within seconds.",
-        ("upstream", "proof", "id", "fingerprint", "beside"),
+        (
+            "upstream",
+            "proof",
+            "id",
+            "fingerprint",
+            "caller",
+            "host_header",
+            "target",
+            "beside",
+        ),
     )
     QUARANTINED = Definition(
         "quarantined",
