Test of a deadly request whose caller has another address each time (fails)

Callers saw: 502 again and again, and the keys beside the request dark for seconds after each. Test: real processes, 58 source addresses in turn at three hosts.

--- a/tests/daemons/test_deadly_requests.py
+++ b/tests/daemons/test_deadly_requests.py
@@ -1,5 +1,6 @@
 """A request that ends each upstream that runs it, against real processes."""
 
+import http.client
 import itertools
 import pathlib
 import shutil
@@ -10,14 +11,10 @@
 import msgspec
 import testtools
 
-from sedgetide.core.errors import UpstreamError
 from sedgetide.platform import _names
 from sedgetide.testing.soakfleet import call
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import HOST
-from sedgetide.wire.client import Connection
-from sedgetide.wire.messages import find_header
-from sedgetide.wire.messages import Request
 
 DEADLY = "/archive/deadly"
 # Seconds; within them a decision of one host is known to all others.
@@ -44,6 +41,31 @@
     retry_after: float
 
 
+def exchange(port, path, number, source):
+    """Send a request from an address; blocks."""
+    headers = {
+        "Host": HOST,
+        _names.REQUEST_ID: number,
+        _names.DEADLINE_MS: "1500",
+    }
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=2.0, source_address=(source, 0)
+    )
+    began = time.monotonic()
+    status, retry = 0, None
+    try:
+        connection.request("GET", path, headers=headers)
+        answer = connection.getresponse()
+        answer.read()
+        status, retry = answer.status, answer.headers["Retry-After"]
+    except (OSError, http.client.HTTPException):
+        pass
+    finally:
+        connection.close()
+    seconds = time.monotonic() - began
+    return Reply(began, seconds, status, float(retry or 0.0))
+
+
 class TestDeadlyRequest(testtools.TestCase):
     """One caller repeats, at one host after the other, a read that crashes.
 
@@ -68,36 +90,20 @@
         """Keep the output of all processes of a run that failed."""
         shutil.copytree(folder, _KEPT / self.id(), dirs_exist_ok=True)
 
-    def ask(self, path, host):
+    def ask(self, path, host, source="127.0.0.1"):
         """Send an attempt to a host and return what its caller saw."""
         number = f"{path.rpartition('/')[2]}-{next(self.numbers)}"
-        headers = [
-            ("Host", HOST),
-            (_names.REQUEST_ID, number),
-            (_names.DEADLINE_MS, "1500"),
-        ]
-        began = time.monotonic()
-        connection = Connection(f"127.0.0.1:{host.port}", 65536)
-        try:
-            connection.open(1.0)
-            answer = connection.exchange(
-                Request("GET", path, headers, b""), 2.0
-            )
-        except UpstreamError:
-            return Reply(began, time.monotonic() - began, 0, 0.0)
-        finally:
-            connection.close()
-        retry = find_header(answer.headers, "retry-after")
-        seconds = time.monotonic() - began
-        return Reply(began, seconds, answer.status, float(retry or 0.0))
-
-    def repeat(self, seconds):
+        threads = gevent.get_hub().threadpool
+        return threads.apply(exchange, (host.port, path, number, source))
+
+    def repeat(self, seconds, sources=("127.0.0.1",)):
         """Ask again and again, each time at another host."""
         replies = []
         hosts = itertools.cycle(self.fleet.hosts)
+        sources = itertools.cycle(sources)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            replies.append(self.ask(DEADLY, next(hosts)))
+            replies.append(self.ask(DEADLY, next(hosts), next(sources)))
             gevent.sleep(_ASK_EVERY)
         return replies
 
@@ -110,9 +116,16 @@
         ]
 
     def test_it_is_known_after_three_losses_at_all_hosts(self):
+        self.check_known(["127.0.0.1"])
+
+    def test_it_is_known_from_whichever_address_it_comes(self):
+        # Guards against a judgement for each address that a caller comes from.
+        self.check_known([f"127.0.0.{number}" for number in range(2, 60)])
+
+    def check_known(self, sources):
         supervisor = gevent.spawn(self.fleet.supervise)
         self.addCleanup(supervisor.kill)
-        replies = self.repeat(_ASKED_FOR)
+        replies = self.repeat(_ASKED_FOR, sources)
         runs = self.list_runs()
         self.assertGreaterEqual(len(runs), LOSSES, replies)
         late = [at for at in runs if at > runs[LOSSES - 1] + KNOWN_WITHIN]
