A deadly request is known whichever address its caller comes from

Cause: the fingerprint held the address of the connection. A caller comes from another one with each attempt, so that no fingerprint reached three losses. Change: method, host, target and body make the fingerprint. A check of the test of fingerprints demanded the fault (another address, another fingerprint); the parts that are left are checked as before. Weighed: the caller's address kept a client from having another's request refused. A request is refused only after it has ended three upstreams, and whoever it ends well for clears it. Conclusion: not the whole fix: copies that run at the same time are next.

--- a/sedgetide/daemons/_job.py
+++ b/sedgetide/daemons/_job.py
@@ -75,7 +75,6 @@
                 request.method,
                 find_header(request.headers, "host") or "",
                 request.target,
-                request.caller,
                 request.body,
             )
         return self.fingerprint
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -158,8 +158,8 @@
         "upstream-ended",
         logging.WARNING,
         "An upstream ended while it had this request; one line for each that "
-        "it had from this host. fingerprint: the same for each repeat by the "
-        "same caller. proof=refused: nobody listens at its address any more; "
+        "it had from this host. fingerprint: the same for each repeat, "
+        "whoever asks. proof=refused: nobody listens at its address any more; "
         "proof=withdrawn: its entry disappeared within seconds.",
         (
             "upstream",
