Test of copies of a deadly request that are sent at once (fails)

Callers saw: the same as with one copy, for longer. Cause: an upstream that ends under several copies counts as one loss. Runs that crashed are what an operator counts; the third comes with the first upstream, and the copies that the second and third get are all sent too late. The fingerprint was held after the third upstream. Test: real processes, three copies at each of three hosts in a moment, again 3.4 s later.

--- a/tests/daemons/test_deadly_requests.py
+++ b/tests/daemons/test_deadly_requests.py
@@ -25,6 +25,11 @@
 MOST_SENDS = 3
 _ASK_EVERY = 0.4
 _ASKED_FOR = 14.0
+# Copies at each host in the same moment, and how often.
+_COPIES = 3
+_ROUNDS = 3
+# Milliseconds; an upstream that has crashed is not back as soon.
+_IMPATIENT = 700
 # Seconds; no other refusal has a longer Retry-After.
 _STAY_SEEN = 60.0
 # Seconds; the leader writes within a tick of its loop.
@@ -41,12 +46,12 @@
     retry_after: float
 
 
-def exchange(port, path, number, source):
+def exchange(port, path, number, source, deadline_ms):
     """Send a request from an address; blocks."""
     headers = {
         "Host": HOST,
         _names.REQUEST_ID: number,
-        _names.DEADLINE_MS: "1500",
+        _names.DEADLINE_MS: str(deadline_ms),
     }
     connection = http.client.HTTPConnection(
         "127.0.0.1", port, timeout=2.0, source_address=(source, 0)
@@ -90,11 +95,13 @@
         """Keep the output of all processes of a run that failed."""
         shutil.copytree(folder, _KEPT / self.id(), dirs_exist_ok=True)
 
-    def ask(self, path, host, source="127.0.0.1"):
+    def ask(self, path, host, source="127.0.0.1", deadline_ms=1500):
         """Send an attempt to a host and return what its caller saw."""
         number = f"{path.rpartition('/')[2]}-{next(self.numbers)}"
         threads = gevent.get_hub().threadpool
-        return threads.apply(exchange, (host.port, path, number, source))
+        return threads.apply(
+            exchange, (host.port, path, number, source, deadline_ms)
+        )
 
     def repeat(self, seconds, sources=("127.0.0.1",)):
         """Ask again and again, each time at another host."""
@@ -141,6 +148,22 @@
         ]
         self.assertEqual([200] * 3, statuses)
 
+    def test_copies_sent_at_once_end_few_upstreams(self):
+        # Guards against runs that crash by the dozen under one loss.
+        supervisor = gevent.spawn(self.fleet.supervise)
+        self.addCleanup(supervisor.kill)
+        for _ in range(_ROUNDS):
+            copies = [
+                gevent.spawn(self.ask, DEADLY, host, deadline_ms=_IMPATIENT)
+                for host in self.fleet.hosts * _COPIES
+            ]
+            gevent.joinall(copies)
+            gevent.sleep(KNOWN_WITHIN + _ASK_EVERY)
+        runs = self.list_runs()
+        late = [at for at in runs if at > runs[LOSSES - 1] + KNOWN_WITHIN]
+        self.assertLessEqual(len(late), MOST_SENDS, runs)
+        self.assertEqual(503, self.ask(DEADLY, self.fleet.hosts[0]).status)
+
     def make_known(self):
         """Repeat the request until hosts refuse it; return its last reply."""
         supervisor = gevent.spawn(self.fleet.supervise)
