A request under which an upstream has ended runs one copy at a time

Callers saw: 502 and dark keys as long as copies of a deadly request came at the same time; up to 16 runs crashed where three upstreams ended. Cause: nothing limits how many copies of a suspect run at once. They wait for a dark key together and reach its next owner in the same moment. Losses were counted, and an upstream that ends under five copies is one loss. Ruled out: counting broken copies towards the judgement; an innocent request about a hot key has as many in flight when its upstream ends of itself. Letting a host without a leader run one copy: eleven hosts would send eleven. Change: from the first loss on, a request asks the leader's host for leave right before it is sent, when it has an owner and a place. The desk lets one copy run; the rest wait as long as an answer could still be in time. An answer frees all, a broken run refuses all for a second. A lost holder's leave ends with its request. Without a leader's word a suspect is refused, Retry-After one second. Places and trials share the class that waits for another host's words. Innocent requests beside a suspect still ask for a fourth or fifth loss: next.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -9,6 +9,7 @@
 from sedgetide.core.errors import Step
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
+from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import OperationId
@@ -27,6 +28,7 @@
 from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.quarantine import QuarantineReport
+from sedgetide.core.requests.trials import TrialEnd
 
 Headers = list[tuple[str, str]]
 
@@ -363,6 +365,57 @@
     waiting: int = 0
 
 
+class AskTrial(Message, tag="ask-trial"):
+    """A host asks for leave to run a request that upstreams ended under.
+
+    Parameters
+    ----------
+    number : int
+        The sender's own; pairs the question with its answers.
+    fingerprint : Fingerprint
+        Which request.
+    left : float
+        Seconds until its caller gets a final answer at the latest.
+    """
+
+    number: int
+    fingerprint: Fingerprint
+    left: float
+
+
+class TrialVerdict(Message, tag="trial"):
+    """An answer to a question; a queued one gets a second.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    verdict : Verdict
+        What the host may do.
+    retry_after : float
+        Seconds after which a refused caller does well to come again.
+    """
+
+    number: int
+    verdict: Verdict
+    retry_after: float = 0.0
+
+
+class EndTrial(Message, tag="end-trial"):
+    """A host tells what became of a run, or waits for it no longer.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    end : TrialEnd
+        What became of it.
+    """
+
+    number: int
+    end: TrialEnd
+
+
 AnyMessage = (
     Ping
     | Pong
@@ -380,6 +433,9 @@
     | AskPlace
     | PlaceVerdict
     | EndPlace
+    | AskTrial
+    | TrialVerdict
+    | EndTrial
 )
 
 
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -58,11 +58,15 @@
 
 
 class Verdict(enum.Enum):
-    """What a lender says to one who asks for a place."""
+    """What is said to a host that asks for leave to send a request.
+
+    ``needless``: none is needed any more; no place is ever needless.
+    """
 
     GRANTED = "granted"
     QUEUED = "queued"
     REFUSED = "refused"
+    NEEDLESS = "needless"
 
 
 class Ticket(msgspec.Struct, frozen=True):
--- a/sedgetide/core/requests/quarantine.py
+++ b/sedgetide/core/requests/quarantine.py
@@ -176,6 +176,13 @@
         stay = self._stays.get(fingerprint)
         return 0.0 if stay is None else max(0.0, stay.until - now)
 
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether upstreams have ended under a request.
+
+        Also after a stay, whose losses may be forgotten before it ends.
+        """
+        return fingerprint in self._suspects or fingerprint in self._stays
+
     def may_retry(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a host may send a request again by itself."""
         if fingerprint not in self._suspects:
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -32,6 +32,12 @@
     "Places asked for at upstreams, by what the lender said.",
     ["verdict"],
 )
+TRIALS = Counter(
+    "sedgetide_trials",
+    "Requests under which upstreams have ended that asked to run, by what "
+    "the leader's host said.",
+    ["verdict"],
+)
 UPSTREAM_ENDS = Counter(
     "sedgetide_upstream_ends",
     "Requests under which their upstream ended, by how that is known.",
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 
-from gevent.event import Event as Signal
 import msgspec
 
 from sedgetide.coding.messages import AskPlace
@@ -19,11 +18,9 @@
 from sedgetide.core.requests.places import Verdict
 from sedgetide.daemons._hostmetrics import PLACES
 from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._questions import Question
 from sedgetide.runtime.clock import read_clock
 
-# Seconds for the first word of a lender. It comes within a round trip, 2 ms
-# between data centres; a busy host needs some 20 ms more.
-_WORD = 0.12
 # Seconds for which a lender without a word is not asked: a lost one is
 # replaced within two, and one probe a second delays few requests.
 _SILENT_FOR = 1.0
@@ -69,23 +66,6 @@
         self._give_back(self._seconds, self._waiting)
 
 
-class _Pending:
-    """A request that waits for its lender's words."""
-
-    def __init__(self) -> None:
-        self.heard = Signal()
-        self.settled = Signal()
-        self.verdict: Verdict | None = None
-        self.retry_after = 0.0
-
-    def take(self, verdict: Verdict, retry_after: float) -> None:
-        self.verdict = verdict
-        self.retry_after = retry_after
-        self.heard.set()
-        if verdict is not Verdict.QUEUED:
-            self.settled.set()
-
-
 class Places:
     """One host's dealings with places: it asks, and lends if it is named.
 
@@ -113,7 +93,7 @@
         self._knowledge = knowledge
         self._send = send
         self._numbers = itertools.count(source.randrange(_NUMBERS))
-        self._pending: dict[int, _Pending] = {}
+        self._pending: dict[int, Question] = {}
         self._silent_until: dict[LinkAddress, float] = {}
         self._lender = Lender()
 
@@ -151,7 +131,7 @@
         if cold_bound is None and lenders.cold_only:
             return None
         number = next(self._numbers)
-        pending = self._pending[number] = _Pending()
+        pending = self._pending[number] = Question(number, link)
         question = AskPlace(
             number,
             upstream.name,
@@ -163,7 +143,11 @@
         granted = False
         try:
             self._tell(link, question)
-            found = self._wait(link, pending, left)
+            found = pending.wait_first()
+            if found is Verdict.QUEUED:
+                found = pending.wait_last(left)
+            if found is None:
+                self._silent_until[link] = read_clock() + _SILENT_FOR
             granted = found is Verdict.GRANTED
         finally:
             del self._pending[number]
@@ -183,19 +167,6 @@
     def _is_silent(self, link: LinkAddress) -> bool:
         return read_clock() < self._silent_until.get(link, float("-inf"))
 
-    def _wait(
-        self, link: LinkAddress, pending: _Pending, left: float
-    ) -> Verdict | None:
-        """Return what became of a request; None when nobody said."""
-        pending.heard.wait(_WORD)
-        if pending.verdict is None:
-            self._silent_until[link] = read_clock() + _SILENT_FOR
-            return None
-        pending.settled.wait(left)
-        if pending.verdict is Verdict.QUEUED:
-            return Verdict.REFUSED
-        return pending.verdict
-
     def _tell(self, link: LinkAddress, message: AskPlace | EndPlace) -> None:
         if link == self._link:
             self.take(message, link)
--- a/sedgetide/daemons/_quarantine.py
+++ b/sedgetide/daemons/_quarantine.py
@@ -75,6 +75,12 @@
             return 0.0
         return self._quarantine.find_stay(job.find_fingerprint(), now)
 
+    def is_suspect(self, job: Job) -> bool:
+        """Tell whether upstreams have ended under a request."""
+        if self._quarantine.idle:
+            return False
+        return self._quarantine.is_suspect(job.find_fingerprint())
+
     def may_retry(self, job: Job) -> bool:
         """Tell whether a request may be sent again by the host itself."""
         if self._quarantine.idle:
@@ -83,10 +89,15 @@
 
     def note_end(self, job: Job, now: float) -> None:
         """Take in that a request has ended well."""
-        if self._quarantine.idle:
-            return
-        if self._quarantine.note_end(job.find_fingerprint(), now):
+        if not self._quarantine.idle:
+            self.clear(job.find_fingerprint(), now)
+
+    def clear(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Drop what speaks against a request; return whether that was news."""
+        news = self._quarantine.note_end(fingerprint, now)
+        if news:
             self._spread(now)
+        return news
 
     def take_ended(self, ended: EndedUpstream, now: float) -> None:
         """Take in that an upstream ended, with what it had."""
@@ -96,10 +107,9 @@
 
     def lift(self, fingerprint: Fingerprint, now: float) -> bool:
         """Let a request through; return whether it was suspected."""
-        lifted = self._quarantine.note_end(fingerprint, now)
+        lifted = self.clear(fingerprint, now)
         if lifted:
             tell(Event.QUARANTINE_LIFTED, fingerprint=fingerprint)
-            self._spread(now)
         return lifted
 
     # Copies on other hosts
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -15,6 +15,7 @@
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.retries import bound_burst
 from sedgetide.core.requests.retries import FIRST_TOKENS
 from sedgetide.core.requests.retries import RetryBudget
@@ -36,6 +37,8 @@
 from sedgetide.daemons._requestlog import count_end
 from sedgetide.daemons._requestlog import RequestLog
 from sedgetide.daemons._sends import Sender
+from sedgetide.daemons._trials import Trial
+from sedgetide.daemons._trials import Trials
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import find_header
@@ -71,6 +74,8 @@
         Finds out why connections to upstreams break.
     quarantine : SharedQuarantine
         Requests that end the upstreams that run them.
+    trials : Trials
+        Leave to run those that are suspected of it.
     retries : RetryTerms
         What the deployment grants.
     source : random.Random
@@ -88,6 +93,7 @@
         partitions: PartitionDetector,
         breaks: BreakWatch,
         quarantine: SharedQuarantine,
+        trials: Trials,
         retries: RetryTerms,
         source: random.Random,
     ) -> None:
@@ -97,6 +103,7 @@
         self._meter = meter
         self._partitions = partitions
         self._quarantine = quarantine
+        self._trials = trials
         self._retries = retries
         self._ages = CallerAges()
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -195,25 +202,42 @@
 
     def _run(self, job: Job) -> Answer:
         while not self._is_quarantined(job):
-            passage = self._passages.find(job)
-            if passage is None:
-                return self._conclude(job)
-            try:
-                # While its key has no owner, a request waits here for the
-                # next one, and may have become known meanwhile.
-                if self._is_quarantined(job):
-                    break
-                self._sender.attempt(job, passage)
-            finally:
-                passage.leave()
+            with self._trials.open(job) as trial:
+                sent = self._try_once(job, trial)
+            if not sent:
+                break
             if job.progress.failure is Failure.NONE:
                 # Whatever it says, the upstream has lived through the run.
                 self._quarantine.note_end(job, read_clock())
                 return job.answer
             if not self._may_go_on(job):
-                return self._conclude(job)
+                break
         return self._conclude(job)
 
+    def _try_once(self, job: Job, trial: Trial) -> bool:
+        """Send a request once; return whether it might be sent."""
+        while True:
+            passage = self._passages.find(job)
+            if passage is None:
+                return False
+            try:
+                # While its key has no owner, a request waits for the next
+                # one, and may have become known meanwhile.
+                if self._is_quarantined(job):
+                    return False
+                verdict = trial.ask()
+                if verdict is Verdict.REFUSED:
+                    return False
+                if verdict is not Verdict.QUEUED:
+                    trial.begin()
+                    self._sender.attempt(job, passage)
+                    trial.note(job.progress.failure)
+                    return True
+            finally:
+                passage.leave()
+            if not trial.wait():
+                return False
+
     def _is_quarantined(self, job: Job) -> bool:
         """Tell whether a request is refused since upstreams end under it."""
         left = self._quarantine.find_stay(job, read_clock())
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -19,7 +19,9 @@
 from sedgetide.coding.addresses import split_address
 from sedgetide.coding.messages import AnyMessage
 from sedgetide.coding.messages import AskPlace
+from sedgetide.coding.messages import AskTrial
 from sedgetide.coding.messages import EndPlace
+from sedgetide.coding.messages import EndTrial
 from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
@@ -27,6 +29,7 @@
 from sedgetide.coding.messages import PlaceVerdict
 from sedgetide.coding.messages import Quarantined
 from sedgetide.coding.messages import StoreFeed
+from sedgetide.coding.messages import TrialVerdict
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Fingerprint
@@ -66,6 +69,7 @@
 from sedgetide.daemons._reporter import LoadMeter
 from sedgetide.daemons._reporter import Reporter
 from sedgetide.daemons._requests import Requests
+from sedgetide.daemons._trials import Trials
 from sedgetide.links import Transport
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -151,6 +155,13 @@
             self.find_leader_link,
             self._transport.send,
         )
+        self._trials = Trials(
+            LinkAddress(settings.link),
+            self._quarantine,
+            self.find_leader_link,
+            self._transport.send,
+            random.Random(self.incarnation),
+        )
         self._breaks = BreakWatch(
             self._knowledge.directory, self._quarantine.take_ended
         )
@@ -164,6 +175,7 @@
             self._partitions,
             self._breaks,
             self._quarantine,
+            self._trials,
             RetryTerms(
                 settings.retry_ratio * _OWN_SHARE, settings.retry_slack
             ),
@@ -267,6 +279,7 @@
             self._places.keep(now)
             self._breaks.keep(now)
             self._quarantine.keep(now)
+            self._trials.keep(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
@@ -298,6 +311,8 @@
             self._quarantine.take(message, LinkAddress(sender), read_clock())
         elif isinstance(message, AskPlace | EndPlace | PlaceVerdict):
             self._places.take(message, LinkAddress(sender))
+        elif isinstance(message, AskTrial | EndTrial | TrialVerdict):
+            self._trials.take(message, LinkAddress(sender))
 
     def _take_report(self, report: LoadReport, link: LinkAddress) -> None:
         now = read_clock()
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -172,6 +172,14 @@
             "beside",
         ),
     )
+    TRIAL = Definition(
+        "trial",
+        logging.INFO,
+        "A request under which upstreams had ended was let run, the only copy "
+        "of it at all hosts. end=well: nothing speaks against it any more; "
+        "end=broken: no copy runs for a second.",
+        ("id", "fingerprint", "end"),
+    )
     QUARANTINED = Definition(
         "quarantined",
         logging.ERROR,
--- /dev/null
+++ b/tests/core/requests/test_trials.py
@@ -0,0 +1,104 @@
+"""Tests of runs of suspects, one at a time over all hosts."""
+
+import testtools
+
+from sedgetide.core.identifiers import Fingerprint
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.requests.places import Ticket
+from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.trials import TrialDesk
+from sedgetide.core.requests.trials import TrialEnd
+
+DEADLY = Fingerprint("deadly")
+HOT = Fingerprint("hot")
+
+
+def make_ticket(host, number=1):
+    return Ticket(LinkAddress(f"10.0.0.{host}:1"), number)
+
+
+class TestTrialDesk(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.desk = TrialDesk()
+
+    def ask(self, ticket, now, fingerprint=DEADLY, left=2.0):
+        return [
+            (each.ticket, each.verdict)
+            for each in self.desk.ask(ticket, fingerprint, left, now)
+        ]
+
+    def end(self, ticket, end, now):
+        return [
+            (each.ticket, each.verdict)
+            for each in self.desk.end(ticket, end, now)
+        ]
+
+    def test_copies_of_all_hosts_run_one_at_a_time(self):
+        # Guards against a crash for each copy that is on its way.
+        first, *others = [make_ticket(host) for host in range(40)]
+        self.assertEqual([(first, Verdict.GRANTED)], self.ask(first, 0.0))
+        for each in others:
+            self.assertEqual([(each, Verdict.QUEUED)], self.ask(each, 0.1))
+        refused = self.end(first, TrialEnd.BROKEN, 0.2)
+        self.assertEqual([(each, Verdict.REFUSED) for each in others], refused)
+
+    def test_no_copy_runs_until_all_hosts_know_of_a_crash(self):
+        first, second = make_ticket(1), make_ticket(2)
+        self.ask(first, 0.0)
+        self.end(first, TrialEnd.BROKEN, 0.2)
+        self.assertEqual([(second, Verdict.REFUSED)], self.ask(second, 0.5))
+        self.assertEqual([(second, Verdict.GRANTED)], self.ask(second, 1.3))
+
+    def test_copies_of_an_innocent_request_go_on_after_one_run(self):
+        # Guards against a hot key whose requests run one after the other.
+        first, *others = [make_ticket(host) for host in range(10)]
+        for each in (first, *others):
+            self.ask(each, 0.0, HOT)
+        free = self.end(first, TrialEnd.WELL, 0.2)
+        self.assertEqual([(each, Verdict.NEEDLESS) for each in others], free)
+        late = make_ticket(99)
+        self.assertEqual([(late, Verdict.GRANTED)], self.ask(late, 0.3, HOT))
+
+    def test_suspects_do_not_wait_for_each_other(self):
+        deadly, hot = make_ticket(1), make_ticket(2)
+        self.ask(deadly, 0.0)
+        self.assertEqual([(hot, Verdict.GRANTED)], self.ask(hot, 0.0, HOT))
+
+    def test_copy_that_was_not_sent_lets_the_next_one_run(self):
+        first, second, third = (make_ticket(host) for host in (1, 2, 3))
+        for each in (first, second, third):
+            self.ask(each, 0.0)
+        self.assertEqual(
+            [(second, Verdict.GRANTED)],
+            self.end(first, TrialEnd.NOT_RUN, 0.1),
+        )
+
+    def test_copy_that_stops_waiting_is_passed_over(self):
+        first, second, third = (make_ticket(host) for host in (1, 2, 3))
+        for each in (first, second, third):
+            self.ask(each, 0.0)
+        self.assertEqual([], self.end(second, TrialEnd.NOT_RUN, 0.1))
+        self.assertEqual(
+            [(third, Verdict.GRANTED)], self.end(first, TrialEnd.NOT_RUN, 0.2)
+        )
+
+    def test_run_of_a_lost_host_ends_with_its_request(self):
+        # Guards against a request that is refused for good after a host died.
+        first, second = make_ticket(1), make_ticket(2)
+        self.ask(first, 0.0, left=2.0)
+        self.assertEqual([], self.desk.expire(2.0))
+        self.desk.expire(2.6)
+        self.assertEqual([(second, Verdict.GRANTED)], self.ask(second, 4.0))
+        self.assertEqual([], self.end(first, TrialEnd.BROKEN, 4.1))
+
+    def test_memory_is_bounded(self):
+        for number in range(10_000):
+            self.ask(make_ticket(1, number), 0.0, Fingerprint(f"f{number}"))
+            self.ask(make_ticket(2, number), 0.0)
+        refused = self.ask(make_ticket(3), 0.1)
+        self.assertEqual([(make_ticket(3), Verdict.REFUSED)], refused)
+        self.desk.expire(3.0)
+        self.desk.expire(5.0)
+        granted = self.ask(make_ticket(3), 5.1, HOT)
+        self.assertEqual([(make_ticket(3), Verdict.GRANTED)], granted)
