Soak: copies of a deadly request from several callers, innocents held

Cause: the soak had one deadly caller with one copy at a time, so neither fault of the incident could show in it.

--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -51,6 +51,9 @@
 _FIRST_CROWDED = 3000
 _FIRST_DEADLY = 4000
 _FIRST_EVACUATED = 5000
+# From here on copies of one deadly request come from several callers at once.
+_FIRST_COPIES = 6000
+_COPIES = 5
 # Seconds between the wish and its end; the soak may end before.
 _EVACUATED_FOR = (0.4, 3.0, 9.0, 60.0)
 # So many hosts before upstreams of one slot that some lend its places.
@@ -99,7 +102,9 @@
         self.seed = seed
         self._random = random.Random(seed)
         late = self._random.choice((0.0, 0.0, 0.1))
-        if seed >= _FIRST_EVACUATED:
+        if seed >= _FIRST_COPIES:
+            self.fleet = Fleet(folder, late, crash_on=DEADLY_PATH, slots=4)
+        elif seed >= _FIRST_EVACUATED:
             self.fleet = Fleet(folder, late, cold=ColdStarts())
         elif seed >= _FIRST_DEADLY:
             self.fleet = Fleet(folder, late, crash_on=DEADLY_PATH)
@@ -107,7 +112,11 @@
             self.fleet = Fleet(folder, late, ({},) * _CROWD, slots=1)
         else:
             self.fleet = Fleet(folder, late)
-        self._deadly_played = _FIRST_DEADLY <= seed < _FIRST_EVACUATED
+        self._copied = seed >= _FIRST_COPIES
+        self._evacuated = _FIRST_EVACUATED <= seed < _FIRST_COPIES
+        self._deadly_played = (
+            self._copied or _FIRST_DEADLY <= seed < _FIRST_EVACUATED
+        )
         patient = seed >= _FIRST_DEADLY
         self._calm = _CALM_TIME_DEADLY if patient else CALM_TIME
         self._evacuator = Operator(self.fleet)
@@ -119,7 +128,10 @@
         self._callers = [
             Caller(number, self.fleet, seed) for number in range(CALLERS)
         ]
-        self._deadly = DeadlyCaller(CALLERS, self.fleet, seed)
+        self._deadly = [
+            DeadlyCaller(CALLERS + number, self.fleet, seed)
+            for number in range(_COPIES if self._copied else 1)
+        ]
 
     # Faults
 
@@ -134,7 +146,10 @@
             self._draw_configuration,
             self._draw_planned_stop,
         ]
-        if self.seed >= _FIRST_EVACUATED:
+        if self._copied:
+            makers.remove(self._draw_upstream_loss)
+            makers += [self._draw_host_signal, self._draw_loss_of_all]
+        elif self._evacuated:
             makers += [self._draw_evacuation] * 3
             makers += [self._draw_cold_return, self._draw_loss_of_all]
         elif self.seed >= _FIRST_DEADLY:
@@ -349,7 +364,7 @@
             self.fleet.start()
             tasks = [gevent.spawn(caller.run) for caller in self._callers]
             if self._deadly_played:
-                tasks.append(gevent.spawn(self._deadly.run))
+                tasks += [gevent.spawn(each.run) for each in self._deadly]
             if self.seed >= _FIRST_DEADLY:
                 tasks.append(gevent.spawn(self.fleet.supervise))
             began = time.monotonic()
@@ -388,8 +403,10 @@
         asked = [ask for caller in self._callers for ask in caller.asked]
         events = self.fleet.read_events()
         promises = self._promises
-        promises.check_runs([*asked, *self._deadly.asked], events)
+        deadly = [ask for caller in self._deadly for ask in caller.asked]
+        promises.check_runs([*asked, *deadly], events)
         promises.check_deadly(events)
+        promises.check_held(asked)
         promises.check_answers(asked)
         promises.check_owners(events)
         promises.check_recovery(asked, ended)
--- a/sedgetide/testing/soakcallers.py
+++ b/sedgetide/testing/soakcallers.py
@@ -40,6 +40,8 @@
         Status of its answer; 0 when the connection gave none.
     whole : bool
         Whether a 2xx was the upstream's own whole answer.
+    retry_after : float
+        Seconds after which it was told to come again.
     """
 
     number: str
@@ -48,6 +50,7 @@
     host: int
     status: int = 0
     whole: bool = True
+    retry_after: float = 0.0
 
 
 class Caller:
@@ -80,6 +83,9 @@
         if answer is None:
             return
         ask.status = answer.status
+        ask.retry_after = float(
+            find_header(answer.headers, "retry-after") or 0
+        )
         if 200 <= answer.status < 300:
             ask.whole = _is_whole(ask, answer)
 
--- a/sedgetide/testing/soakpromises.py
+++ b/sedgetide/testing/soakpromises.py
@@ -23,6 +23,10 @@
 _BORNE = 3
 
 
+# Seconds; only a request that is held is told to come again later.
+_LONGEST_RETURN = 10.0
+
+
 class Promises:
     """Checks the promises, and keeps what was broken.
 
@@ -68,6 +72,15 @@
         if len(late) > _BORNE:
             self.problems.append(f"a deadly request went on: {late}")
 
+    def check_held(self, asked: list[Ask]) -> None:
+        """Look for innocent requests that are refused for what others did."""
+        held = [ask for ask in asked if ask.retry_after > _LONGEST_RETURN]
+        if held:
+            self.problems.append(
+                f"{len(held)} innocent requests were held, the first is "
+                f"{held[0].number}"
+            )
+
     def check_answers(self, asked: list[Ask]) -> None:
         """Look for answers that are another's, cut, or deny a route."""
         for ask in asked:
