--- a/sedgetide/daemons/_trials.py
+++ b/sedgetide/daemons/_trials.py
@@ -66,10 +66,14 @@
         if not self._trials.is_suspect(self._job):
             return Verdict.NEEDLESS
         self._question = self._trials.ask(self._job)
-        if self._question is None:
-            self._note(Verdict.REFUSED)
-        else:
-            self._note(self._question.wait_first() or Verdict.REFUSED)
+        found = None
+        if self._question is not None:
+            found = self._question.wait_first()
+            if found is None:
+                self._trials.note_silent(self._question.link)
+        if found is None:
+            self._job.retry_after = _UNANSWERED
+        self._note(found or Verdict.REFUSED)
         return self._verdict
 
     def wait(self) -> bool:
@@ -101,8 +105,9 @@
 
     def leave(self) -> None:
         """Let the next copy run."""
-        if self._question is not None:
-            self._trials.close(self._job, self._question, self._end)
+        question, self._question = self._question, None
+        if question is not None:
+            self._trials.close(self._job, question, self._end)
 
 
 class Trials:
@@ -158,7 +163,6 @@
         link = self._find_leader_link()
         now = read_clock()
         if link is None or now < self._silent_until.get(link, now):
-            job.retry_after = _UNANSWERED
             return None
         number = next(self._numbers)
         question = self._pending[number] = Question(number, link)
@@ -170,14 +174,15 @@
         )
         return question
 
+    def note_silent(self, link: LinkAddress) -> None:
+        """Take in that a host said nothing in time."""
+        self._silent_until = {link: read_clock() + _SILENT_FOR}
+
     def close(self, job: Job, question: Question, end: TrialEnd) -> None:
         """Tell what became of a run, also of one that was never granted."""
         del self._pending[question.number]
         verdict = question.verdict
         TRIALS.labels("silent" if verdict is None else verdict.value).inc()
-        if verdict is None:
-            silent_until = read_clock() + _SILENT_FOR
-            self._silent_until = {question.link: silent_until}
         if verdict is Verdict.GRANTED and end is not TrialEnd.NOT_RUN:
             tell(
                 Event.TRIAL,
--- /dev/null
+++ b/tests/daemons/test_trials.py
@@ -0,0 +1,163 @@
+"""Tests of how hosts ask for leave to run suspects."""
+
+import random
+import time
+import types
+
+import gevent
+import testtools
+
+from sedgetide.core.identifiers import Fingerprint
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import RequestId
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.core.requests.routes import Timetable
+from sedgetide.daemons._quarantine import SharedQuarantine
+from sedgetide.daemons._trials import Trials
+from sedgetide.runtime.clock import read_clock
+
+DEADLY = Fingerprint("deadly")
+
+
+def make_job(seconds=1.0):
+    """Return a request whose caller waits for so long."""
+    now = read_clock()
+    return types.SimpleNamespace(
+        fields=types.SimpleNamespace(request=RequestId("r")),
+        times=Timetable(now, now + seconds, now + seconds),
+        service=ServiceName("maps"),
+        find_fingerprint=lambda: DEADLY,
+        note="",
+        retry_after=0.25,
+        alone=False,
+    )
+
+
+class Host:
+    def __init__(self, net, number):
+        self.link = LinkAddress(f"10.0.0.{number}:1")
+        self.quarantine = Quarantine()
+        self.shared = SharedQuarantine(
+            self.quarantine, self.link, lambda: None, net.send
+        )
+        self.trials = Trials(
+            self.link,
+            self.shared,
+            lambda: net.leader,
+            lambda link, message: net.deliver(self.link, link, message),
+            random.Random(number),
+        )
+
+
+class Net:
+    """Hosts that all know of the same losses, and their messages."""
+
+    def __init__(self, count, losses):
+        self.lost = set()
+        self.hosts = [Host(self, number) for number in range(count)]
+        self.leader = self.hosts[0].link
+        for host in self.hosts:
+            for number in range(losses):
+                host.quarantine.note_loss(
+                    IncarnationName(f"u{number}"),
+                    [DEADLY, Fingerprint("beside")],
+                    read_clock(),
+                    read_clock(),
+                )
+
+    def send(self, link, message):
+        """Leave words of the quarantine out."""
+
+    def deliver(self, sender, link, message):
+        if self.lost & {sender, link}:
+            return
+        host = next(each for each in self.hosts if each.link == link)
+        gevent.spawn(host.trials.take, message, sender)
+
+
+class TestTrials(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.net = Net(3, 1)
+
+    def open(self, number, job=None):
+        """Return a host's trial, which the test has to leave."""
+        trials = self.net.hosts[number].trials
+        return self.enterContext(trials.open(job or make_job()))
+
+    def test_request_that_nothing_speaks_against_asks_nobody(self):
+        self.net = Net(3, 0)
+        self.net.lost = {self.net.leader}
+        self.assertIs(Verdict.NEEDLESS, self.open(1).ask())
+
+    def test_one_copy_runs_and_its_answer_frees_the_others(self):
+        first, second, third = (self.open(number) for number in range(3))
+        self.assertIs(Verdict.GRANTED, first.ask())
+        self.assertIs(Verdict.QUEUED, second.ask())
+        self.assertIs(Verdict.QUEUED, third.ask())
+        first.begin()
+        first.note(Failure.NONE)
+        first.leave()
+        self.assertTrue(second.wait())
+        self.assertIs(Verdict.NEEDLESS, second.ask())
+        self.assertTrue(third.wait())
+        # The leader's host tells all others.
+        self.assertFalse(self.net.hosts[0].quarantine.is_suspect(DEADLY))
+
+    def test_broken_run_refuses_the_others_with_a_time(self):
+        first, job = self.open(1), make_job()
+        second = self.open(2, job)
+        first.ask()
+        second.ask()
+        first.begin()
+        first.note(Failure.BROKEN)
+        first.leave()
+        self.assertFalse(second.wait())
+        self.assertEqual(("on trial", 1.0), (job.note, job.retry_after))
+
+    def test_lost_leader_refuses_at_once(self):
+        # Guards against copies at all hosts while nobody can be asked.
+        self.net.lost = {self.net.leader}
+        job = make_job()
+        self.assertIs(Verdict.REFUSED, self.open(1, job).ask())
+        self.assertEqual(("on trial", 1.0), (job.note, job.retry_after))
+        began = time.monotonic()
+        self.assertIs(Verdict.REFUSED, self.open(1).ask())
+        self.assertLess(time.monotonic() - began, 0.05)
+
+    def test_caller_that_leaves_lets_the_next_copy_run(self):
+        # Guards against a request that nobody may run after its caller left.
+        trials = self.net.hosts[1].trials
+
+        def run():
+            with trials.open(make_job()) as trial:
+                trial.ask()
+                gevent.sleep(10.0)
+
+        caller = gevent.spawn(run)
+        gevent.sleep(0.05)
+        second = self.open(2)
+        self.assertIs(Verdict.QUEUED, second.ask())
+        caller.kill()
+        self.assertTrue(second.wait())
+        self.assertIs(Verdict.GRANTED, second.ask())
+
+    def test_patience_ends_while_an_answer_is_still_in_time(self):
+        first, second = self.open(1), self.open(2, make_job(0.2))
+        first.ask()
+        second.ask()
+        began = time.monotonic()
+        self.assertFalse(second.wait())
+        self.assertLess(time.monotonic() - began, 0.2)
+
+    def test_grave_suspect_is_told_to_run_alone(self):
+        self.net = Net(3, 2)
+        job = make_job()
+        trial = self.open(1, job)
+        self.assertIs(Verdict.GRANTED, trial.ask())
+        trial.begin()
+        self.assertTrue(job.alone)
