Losses under a request outlive all hosts, as stays do

Callers would see: after the loss of all hosts, copies of a deadly request run at once again, at an upstream with four slots four of them. Cause: the record in the store held stays only. Losses that had not made a stay were forgotten, and with them that the request runs one copy at a time. Evidence: by a test; a host that starts from the record took a request with two losses for one that nothing speaks against. Change: the leader writes losses that blame somebody, with their ages, when one is added, each second at most; what is only cleared is written after ten seconds, so that innocent requests beside a loss cost no call each. Ages count from the reading, and hosts that know better correct them, as with stays. Hosts that are cut from the leader, but not from the store, learn losses this way as well. The record's classes are named after the quarantine. Result: three tests of the record and one of its writer hold; the first failed before. A check that compared the record with stays compares it with the record.

--- a/sedgetide/core/requests/quarantine.py
+++ b/sedgetide/core/requests/quarantine.py
@@ -150,15 +150,50 @@
     left: float
 
 
-class StayRecord(msgspec.Struct, frozen=True):
-    """All stays that went on when the leader wrote them down."""
+class RecordedLoss(msgspec.Struct, frozen=True):
+    """An upstream that ended, as it lies in the store.
+
+    Parameters
+    ----------
+    upstream : IncarnationName
+        Which start of which upstream.
+    age : float
+        Seconds since its end when it was written.
+    suspects, alone : frozenset of Fingerprint
+        As in :class:`Loss`.
+    """
+
+    upstream: IncarnationName
+    age: float
+    suspects: frozenset[Fingerprint]
+    alone: frozenset[Fingerprint] = frozenset()
+
+
+class QuarantineRecord(msgspec.Struct, frozen=True):
+    """What the leader wrote down: stays, and losses that blame somebody."""
 
     stays: tuple[RecordedStay, ...] = ()
+    losses: tuple[RecordedLoss, ...] = ()
+
+    def covers(self, other: "QuarantineRecord") -> bool:
+        """Tell whether nothing of another record is missing here."""
+        stays, losses = _list_content(self)
+        other_stays, other_losses = _list_content(other)
+        return other_stays <= stays and other_losses <= losses
+
+    def names(self, other: "QuarantineRecord") -> bool:
+        """Tell whether both say the same, whenever they were written."""
+        return _list_content(self) == _list_content(other)
 
-    def names(self, stays: Iterable[Stay]) -> bool:
-        """Tell whether these are the stays that are written down."""
-        written = {(each.fingerprint, each.number) for each in self.stays}
-        return written == {(each.fingerprint, each.number) for each in stays}
+
+def _list_content(record: QuarantineRecord) -> tuple[set, set]:
+    stays = {(each.fingerprint, each.number) for each in record.stays}
+    losses = {
+        (each.upstream, fingerprint, fingerprint in each.alone)
+        for each in record.losses
+        for fingerprint in each.suspects
+    }
+    return stays, losses
 
 
 class Quarantine:
@@ -446,16 +481,25 @@
         self._version = None
         return self.version != before
 
-    def record(self, now: float) -> StayRecord:
+    def record(self, now: float) -> QuarantineRecord:
         """Return what the store should hold."""
-        return StayRecord(
-            tuple(
-                RecordedStay(each.fingerprint, each.number, each.until - now)
-                for each in self.list_stays(now)
+        stays = tuple(
+            RecordedStay(each.fingerprint, each.number, each.until - now)
+            for each in self.list_stays(now)
+        )
+        losses = tuple(
+            RecordedLoss(
+                each.upstream,
+                now - each.at,
+                frozenset(each.suspects),
+                frozenset(each.alone),
             )
+            for each in self._losses.values()
+            if each.suspects
         )
+        return QuarantineRecord(stays, losses)
 
-    def take_record(self, record: StayRecord, now: float) -> None:
+    def take_record(self, record: QuarantineRecord, now: float) -> None:
         """Take in what the store holds, after a start or from a leader.
 
         No clock is common to all hosts, so what was left counts from now;
@@ -466,6 +510,11 @@
             left = min(stay.seconds, max(0.0, each.left))
             began = now + left - stay.seconds
             self._merge_stay(Stay(each.fingerprint, began, each.number), now)
+        for each in record.losses:
+            age = max(0.0, each.age)
+            self.note_loss(
+                each.upstream, each.suspects, now - age, now, each.alone
+            )
         self._version = None
 
     def _merge_stay(self, stay: Stay, now: float) -> None:
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -27,7 +27,7 @@
 from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.requests.cold import bound_cold_sends
 from sedgetide.core.requests.quarantine import Quarantine
-from sedgetide.core.requests.quarantine import StayRecord
+from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.routes import RouteTable
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -55,10 +55,10 @@
     revision: Revision
 
 
-class KnownStays(msgspec.Struct, frozen=True):
+class KnownQuarantine(msgspec.Struct, frozen=True):
     """Requests in quarantine by the store, with the record's revision."""
 
-    record: StayRecord = StayRecord()
+    record: QuarantineRecord = QuarantineRecord()
     revision: Revision = NO_REVISION
 
 
@@ -109,7 +109,7 @@
         self.hosts: int | None = None
         self.lenders = LenderList()
         self.quarantine = Quarantine()
-        self.recorded_stays = KnownStays()
+        self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
         self._forgotten = NO_REVISION
@@ -196,7 +196,7 @@
             if key == LEADER_KEY:
                 self._take_leader(value, revision)
             elif key == QUARANTINE_KEY:
-                self._take_stays(value, revision, now)
+                self._take_quarantine(value, revision, now)
             elif key.startswith(RANGES_PREFIX):
                 self._take_record(key, value, revision, now)
             else:
@@ -216,13 +216,13 @@
         name = "" if self.leader is None else self.leader.record.host
         tell(Event.LEADER, leader=name, revision=revision)
 
-    def _take_stays(
+    def _take_quarantine(
         self, value: bytes | None, revision: Revision, now: float
     ) -> None:
-        record = StayRecord()
+        record = QuarantineRecord()
         if value is not None:
-            record = msgspec.json.decode(value, type=StayRecord)
-        self.recorded_stays = KnownStays(record, revision)
+            record = msgspec.json.decode(value, type=QuarantineRecord)
+        self.recorded_quarantine = KnownQuarantine(record, revision)
         self.quarantine.take_record(record, now)
 
     def _take_record(
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -50,7 +50,7 @@
 from sedgetide.daemons._knowledge import RANGES_PREFIX
 from sedgetide.daemons._orderdesk import OrderDesk
 from sedgetide.daemons._orderdesk import OrderLanes
-from sedgetide.daemons._stayrecord import StayWriter
+from sedgetide.daemons._quarantinerecord import QuarantineWriter
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -109,7 +109,7 @@
         self._store = store
         self._send = send
         self._feed = FeedSource(knowledge, send)
-        self._stays = StayWriter(store, knowledge)
+        self._stays = QuarantineWriter(store, knowledge)
         self._stopped_at = float("-inf")
         self._knowledge = knowledge
         self._campaign = campaign
--- a/sedgetide/daemons/_stayrecord.py
+++ b/sedgetide/daemons/_quarantinerecord.py
@@ -15,14 +15,17 @@
 # Seconds between two tries; the store that refused one is away, or another
 # leader's write is on its way here.
 _TRY_EVERY = 1.0
+# Seconds between two writes that only drop something. What is left there too
+# long costs one run of an innocent request after the loss of all hosts.
+_REMOVED_EVERY = 10.0
 
 
-class StayWriter:
-    """The leader's task of keeping the record of stays true.
+class QuarantineWriter:
+    """The leader's task of keeping the record of the quarantine true.
 
     All hosts may be lost at once, and the callers of deadly requests come
-    again: without the record it took three more upstreams to know them. One
-    call each time that a stay begins or ends.
+    again: without the record it took three more upstreams to know them, and
+    the copies under the first of these ran at once.
 
     Parameters
     ----------
@@ -38,7 +41,7 @@
         self._tried_at = float("-inf")
 
     def keep(self, term: Revision, now: float) -> None:
-        """Write the stays if they are others than those in the store.
+        """Write stays and losses if they are others than in the store.
 
         Parameters
         ----------
@@ -48,13 +51,16 @@
             Own clock.
         """
         quarantine = self._knowledge.quarantine
-        recorded = self._knowledge.recorded_stays
-        if recorded.record.names(quarantine.list_stays(now)):
+        recorded = self._knowledge.recorded_quarantine
+        record = quarantine.record(now)
+        if recorded.record.names(record):
             return
-        if now - self._tried_at < _TRY_EVERY:
+        covered = recorded.record.covers(record)
+        pause = _REMOVED_EVERY if covered else _TRY_EVERY
+        if now - self._tried_at < pause:
             return
         self._tried_at = now
-        value = msgspec.json.encode(quarantine.record(now))
+        value = msgspec.json.encode(record)
         expected = {LEADER_KEY: term, QUARANTINE_KEY: recorded.revision}
         try:
             self._store.transact(expected, [Write(QUARANTINE_KEY, value)])
--- a/tests/core/requests/test_quarantine.py
+++ b/tests/core/requests/test_quarantine.py
@@ -9,9 +9,10 @@
 import testtools
 
 from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.quarantine import QuarantineReport
+from sedgetide.core.requests.quarantine import RecordedLoss
 from sedgetide.core.requests.quarantine import RecordedStay
-from sedgetide.core.requests.quarantine import StayRecord
 
 DEADLY, BESIDE = "deadly", "beside"
 
@@ -272,25 +273,53 @@
         for at in (0.0, 4.0, 8.0):
             lose(known, at, DEADLY)
         data = msgspec.json.encode(known.record(8.0))
-        record = msgspec.json.decode(data, type=StayRecord)
+        record = msgspec.json.decode(data, type=QuarantineRecord)
         started.take_record(record, 200.0)
         self.assertEqual(300.0, started.find_stay(DEADLY, 200.0))
         known.merge(copy(started, 200.0), 200.0)
         self.assertEqual(108.0, known.find_stay(DEADLY, 200.0))
         started.merge(copy(known, 200.0), 200.0)
         self.assertEqual(108.0, started.find_stay(DEADLY, 200.0))
-        self.assertTrue(record.names(known.list_stays(200.0)))
-        self.assertFalse(record.names(known.list_stays(309.0)))
+        self.assertTrue(record.names(known.record(200.0)))
+        self.assertFalse(record.names(known.record(309.0)))
+
+    def test_losses_are_known_after_all_hosts_were_lost(self):
+        # Guards against copies that run at once after a restart of all.
+        known, started = Quarantine(), Quarantine()
+        for at in (0.0, 4.0):
+            lose(known, at, DEADLY)
+        data = msgspec.json.encode(known.record(4.0))
+        record = msgspec.json.decode(data, type=QuarantineRecord)
+        started.take_record(record, 100.0)
+        self.assertTrue(started.is_grave(DEADLY))
+        lose(started, 101.0, DEADLY, BESIDE, alone=[DEADLY])
+        self.assertGreater(started.find_stay(DEADLY, 101.0), 0.0)
+
+    def test_old_record_of_a_loss_undoes_no_clearance(self):
+        known, started = Quarantine(), Quarantine()
+        lose(known, 0.0, BESIDE)
+        record = known.record(0.1)
+        known.note_end(BESIDE, 5.0)
+        started.take_record(record, 8.0)
+        known.merge(copy(started, 8.0), 8.0)
+        self.assertTrue(known.idle)
+        started.merge(copy(known, 8.1), 8.1)
+        self.assertTrue(started.idle)
+        self.assertEqual(known.version, started.version)
 
     def test_record_with_figures_that_nobody_wrote(self):
         # Another writer, or an older version, may have left anything there.
         quarantine = Quarantine()
         for number, left in ((5000, 1e300), (-3, -1e300), (0, 50.0)):
             stay = RecordedStay(f"f{number}", number, left)
-            quarantine.take_record(StayRecord((stay,)), 10.0)
+            quarantine.take_record(QuarantineRecord((stay,)), 10.0)
             self.assertLessEqual(
                 quarantine.find_stay(f"f{number}", 10.0), 3600.0
             )
+        for age in (-1e300, 0.0, 1e300):
+            loss = RecordedLoss(f"u{age}", age, frozenset("f"))
+            quarantine.take_record(QuarantineRecord((), (loss,)), 10.0)
+        self.assertEqual(0.0, quarantine.find_stay("f", 10.0))
         quarantine.expire(20.0)
 
     def test_caller_of_one_does_not_touch_another(self):
--- a/tests/daemons/test_stayrecord.py
+++ b/tests/daemons/test_quarantinerecord.py
@@ -10,7 +10,7 @@
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.daemons._knowledge import QUARANTINE_KEY
-from sedgetide.daemons._stayrecord import StayWriter
+from sedgetide.daemons._quarantinerecord import QuarantineWriter
 from sedgetide.platform._catalogue import PlatformCatalogue
 
 TERM = Revision(7)
@@ -30,12 +30,12 @@
         return Revision(10 + len(self.calls))
 
 
-class TestStayWriter(testtools.TestCase):
+class TestQuarantineWriter(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.store = Store()
         self.knowledge = Knowledge(PlatformCatalogue())
-        self.writer = StayWriter(self.store, self.knowledge)
+        self.writer = QuarantineWriter(self.store, self.knowledge)
 
     def hold(self):
         for number, at in enumerate((0.0, 4.0, 8.0)):
@@ -61,6 +61,21 @@
         self.writer.keep(TERM, 400.0)
         self.assertEqual(2, len(self.store.calls))
 
+    def test_single_loss_is_written_and_its_clearance_later(self):
+        # Guards against a call for each innocent request beside a loss.
+        quarantine = self.knowledge.quarantine
+        quarantine.note_loss("u", ["f", "g"], 1.0, 1.0)
+        self.writer.keep(TERM, 1.0)
+        self.read_back(1.0)
+        quarantine.note_end("f", 5.0)
+        self.writer.keep(TERM, 5.0)
+        self.assertEqual(1, len(self.store.calls))
+        quarantine.note_end("g", 6.0)
+        self.writer.keep(TERM, 12.0)
+        self.assertEqual(2, len(self.store.calls))
+        self.read_back(12.0)
+        self.assertEqual((), self.knowledge.recorded_quarantine.record.losses)
+
     def test_written_under_the_own_term_only(self):
         self.hold()
         self.writer.keep(TERM, 8.0)
