A copy behind one that stops waiting runs, and each asker hears a word

Found by reading: a copy that asked before its request had two losses waited behind one that asked later and left; nobody let it run then, and the next to ask got no word at all and took the leader for lost. Change: leaving lets the next copy run; whoever asks is told in any case. A known request may be asked for however many are known. Result: a test that failed before holds.

--- a/sedgetide/core/requests/trials.py
+++ b/sedgetide/core/requests/trials.py
@@ -151,17 +151,25 @@
             Where no other such request may run beside it: of a grave
             suspect, the service that it goes to.
 
+        Returns
+        -------
+        list of TrialDecision
+            For this ticket, and for others that it affects.
         """
-        if len(self._suspects) >= _MOST_SUSPECTS:
-            return [TrialDecision(ticket, Verdict.REFUSED, _SETTLING)]
-        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            if len(self._suspects) >= _MOST_SUSPECTS:
+                return [TrialDecision(ticket, Verdict.REFUSED, _SETTLING)]
+            suspect = self._suspects[fingerprint] = _Suspect()
         settling = suspect.holder is None and now < suspect.until
         if settling or len(suspect.waiting) >= _MOST_WAITING:
             return [TrialDecision(ticket, Verdict.REFUSED, _SETTLING)]
         self._asked[ticket] = fingerprint
         suspect.waiting.append(_Waiting(ticket, left, alone))
         decisions = self._admit([suspect], now)
-        return decisions or [TrialDecision(ticket, Verdict.QUEUED)]
+        if all(each.ticket != ticket for each in decisions):
+            decisions.append(TrialDecision(ticket, Verdict.QUEUED))
+        return decisions
 
     def end(
         self, ticket: Ticket, end: TrialEnd, now: float
@@ -183,7 +191,7 @@
         suspect = self._suspects[fingerprint]
         if ticket != suspect.holder:
             suspect.withdraw(ticket)
-            return []
+            return self._admit([suspect], now)
         freed = suspect.alone
         decisions = suspect.finish(end, now)
         for each in decisions:
--- a/tests/core/requests/test_trials.py
+++ b/tests/core/requests/test_trials.py
@@ -78,6 +78,18 @@
             [(hot, Verdict.GRANTED)], self.end(deadly, TrialEnd.BROKEN, 0.3)
         )
 
+    def test_copy_behind_one_that_waited_for_another_suspect(self):
+        # Guards against an asker that hears nothing and gives the leader up.
+        deadly, grave, late, last = (make_ticket(host) for host in range(4))
+        self.ask(deadly, 0.0, alone=MAPS)
+        self.ask(grave, 0.1, HOT, alone=MAPS)
+        queued = self.ask(late, 0.2, HOT)
+        self.assertEqual([(late, Verdict.QUEUED)], queued)
+        freed = self.end(grave, TrialEnd.NOT_RUN, 0.3)
+        self.assertEqual([(late, Verdict.GRANTED)], freed)
+        queued = self.ask(last, 0.4, HOT)
+        self.assertEqual([(last, Verdict.QUEUED)], queued)
+
     def test_lost_host_does_not_keep_other_suspects_waiting(self):
         deadly, hot = make_ticket(1), make_ticket(2)
         self.ask(deadly, 0.0, left=1.0, alone=MAPS)
