--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -22,6 +22,7 @@
     4012: "the same after a planned stop of the leader: 203 of 280",
 }
 EVACUATED_AND_COLD = 5001
+COPIES_AND_ALL_HOSTS_LOST = 6011
 
 
 class TestProgram(testtools.TestCase):
@@ -56,3 +57,7 @@
         # and one is stopped. Without the bound the returned upstreams are
         # flooded; without the wish callers' requests run there for good.
         self.play(EVACUATED_AND_COLD)
+
+    def test_copies_of_a_deadly_request_and_the_loss_of_all_hosts(self):
+        # Guards against runs by the dozen after each loss of what hosts know.
+        self.play(COPIES_AND_ALL_HOSTS_LOST)
