An order that waited for its connection leaves only by the table in force

Cause: a renewal asked the table before it waited up to half a second for a connection (time of check, time of use). What runs right before the send asked for term and session only. The range moved on meanwhile; nothing had ever been sent to the old owner, so its successor was granted at once, and then the renewal left. The move's own grants and releases stood open the same way, and are mended too. Ruled out: a wrong ledger of holds, for the trace shows proof=ended with no send before; a late term, for one leader led all along.

Grants and releases now ask the table and the term right before the send.

--- a/sedgetide/daemons/_orderdesk.py
+++ b/sedgetide/daemons/_orderdesk.py
@@ -194,7 +194,7 @@
             now = read_clock()
             if not self.term.may_order(now):
                 return
-            taken = self._grant(tenure.successor, tenure, handover)
+            taken = self._grant(service, tenure.successor, tenure, handover)
             if taken is Taken.DONE:
                 break
             gevent.sleep(_RETRY_PAUSE)
@@ -224,7 +224,7 @@
             # A release that is not answered must not outlast the hold: the
             # keys would stay dark for the rest of its 0.7 s for nothing.
             with gevent.Timeout(max(_LEAST_WAIT, end - now), False):
-                result = self._release(tenure)
+                result = self._release(service, tenure)
                 if result is not None:
                     proof = result.taken.value
                     self._tell_stopped(
@@ -233,12 +233,20 @@
                     return result.handover
                 gevent.sleep(_RETRY_PAUSE)
 
-    def _release(self, tenure: Tenure) -> OrderResult | None:
+    def _release(
+        self, service: ServiceName, tenure: Tenure
+    ) -> OrderResult | None:
         """Take a range back; None when nothing proves that it stopped."""
         lane = self._lanes.find(tenure.owner)
         if lane is None:
             return None
-        result = lane.release(tenure.keys, tenure.fence)
+
+        def may_leave() -> bool:
+            if not self.term.may_order(read_clock()):
+                return False
+            return self._is_current(service, tenure)
+
+        result = lane.release(tenure.keys, tenure.fence, may_leave)
         if result.taken not in (Taken.DONE, Taken.FOREIGN):
             return None
         self.term.note_release(tenure.owner, tenure.keys)
@@ -278,7 +286,11 @@
         return self.term.find_end(tenure.owner, tenure.keys, since)
 
     def _grant(
-        self, upstream: IncarnationName, tenure: Tenure, handover: str
+        self,
+        service: ServiceName,
+        upstream: IncarnationName,
+        tenure: Tenure,
+        handover: str,
     ) -> Taken:
         lane = self._lanes.find(upstream)
         if lane is None:
@@ -289,6 +301,10 @@
 
         def prepare() -> float | None:
             nonlocal restarted
+            # Opening a connection takes up to half a second, and what was
+            # never sent is not waited for when the range moves on.
+            if not self._is_current(service, tenure):
+                return None
             # A restarted upstream has seen no fence and would take the keys
             # under one at which its former start had them.
             known = self._sessions.setdefault(granted, lane.session)
@@ -332,12 +348,13 @@
     def _renew_one(self, service: ServiceName, tenure: Tenure) -> Taken:
         if not self._is_current(service, tenure):
             return Taken.DONE
-        return self._grant(tenure.owner, tenure, "")
+        return self._grant(service, tenure.owner, tenure, "")
 
     def _is_current(self, service: ServiceName, tenure: Tenure) -> bool:
-        """Tell whether a range is still owned as it was.
+        """Tell whether the table still shows a range as it was.
 
-        A renewal must not follow the release of a part of its range.
+        A renewal must not follow the release of a part of its range, and
+        no order the move of its range to someone else.
         """
         table = self._knowledge.find_table(service)
         return table is not None and table.find(tenure.low) == tenure
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -154,10 +154,26 @@
         self._log("grant", keys, fence, result)
         return result
 
-    def release(self, keys: KeyRange, fence: Fence) -> OrderResult:
-        """Take keys back; answered when the work on them has ended."""
-        order = self._dialect.make_release(self.upstream, keys, fence)
-        result = self._give(lambda: order, _RELEASE_TIMEOUT)
+    def release(
+        self,
+        keys: KeyRange,
+        fence: Fence,
+        may_leave: Callable[[], bool],
+    ) -> OrderResult:
+        """Take keys back; answered when the work on them has ended.
+
+        Parameters
+        ----------
+        may_leave : callable
+            Called when the order can leave at once; returns whether it may.
+        """
+
+        def make() -> Order | None:
+            if not may_leave():
+                return None
+            return self._dialect.make_release(self.upstream, keys, fence)
+
+        result = self._give(make, _RELEASE_TIMEOUT)
         self._log("release", keys, fence, result)
         return result
 
--- a/tests/daemons/test_orderdesk.py
+++ b/tests/daemons/test_orderdesk.py
@@ -1,17 +1,22 @@
 """Tests of the orders of one term, against an upstream on a real socket."""
 
 import gevent
+from gevent.event import Event
 import testtools
 
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._orderdesk import OrderDesk
 from sedgetide.daemons._orderdesk import OrderLanes
+from sedgetide.daemons._orders import OrderResult
+from sedgetide.daemons._orders import Taken
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.runtime.clock import read_clock
 from tests.daemons.test_campaign import FakeCatalogue
@@ -77,3 +82,125 @@
         gevent.sleep(0.3)
         self.assertEqual([], self.upstream.grants)
         self.assertEqual(set(self.table.tenures), fenced)
+
+
+class SlowLane:
+    """Way to an upstream whose connection opens when the test says so."""
+
+    session = 0
+
+    def __init__(self, sent):
+        self.opened = Event()
+        self.waiting = Event()
+        self._sent = sent
+
+    def _give(self, kind, keys, fence, may_leave):
+        self.waiting.set()
+        self.opened.wait(5.0)
+        if not may_leave():
+            return OrderResult(Taken.UNSENT)
+        self._sent.append((kind, keys.low, fence))
+        return OrderResult(Taken.DONE)
+
+    def grant(self, keys, fence, handover, prepare):
+        return self._give("grant", keys, fence, prepare)
+
+    def release(self, keys, fence, may_leave):
+        return self._give("release", keys, fence, may_leave)
+
+
+class SlowLanes:
+    """One slow way to each upstream."""
+
+    def __init__(self, names):
+        self.sent = {name: [] for name in names}
+        self.lanes = {name: SlowLane(self.sent[name]) for name in names}
+
+    def find(self, upstream):
+        return self.lanes[upstream]
+
+    def find_address(self, upstream):
+        return ""
+
+
+class TestOrdersHeldUpOnTheirWay(testtools.TestCase):
+    """No order leaves once the table has moved on, however late it can."""
+
+    def setUp(self):
+        super().setUp()
+        durations = Durations(renew=60.0)
+        leadership = Leadership(durations)
+        # Whatever an earlier leader granted has run out.
+        leadership.begin(TERM, read_clock(), read_clock() - 60.0)
+        self.knowledge = Knowledge(FakeCatalogue())
+        self.lanes = SlowLanes(("u-1", "u-2", "u-3"))
+        self.moved = []
+        self.desk = OrderDesk(
+            Term(leadership, durations),
+            self.knowledge,
+            self.lanes,
+            durations,
+            lambda _, tenure: self.moved.append(tenure),
+        )
+        self.addCleanup(self.desk.close)
+        self.revision = 8
+        self.table = RangeTable().assign_first([("u-1", 1)])
+
+    def put_in_force(self, table):
+        self.revision += 1
+        self.table = table
+        self.knowledge.take_table(
+            SERVICE, table, Revision(self.revision), read_clock()
+        )
+
+    def follow(self, table):
+        self.put_in_force(table)
+        self.desk.follow(SERVICE, table)
+
+    def move(self, successor):
+        keys = KeyRange(0, 99)
+        return self.table.begin([Move(keys, successor)])
+
+    def let_through(self, name):
+        self.lanes.lanes[name].opened.set()
+        gevent.sleep(0.01)
+
+    def test_renewal_does_not_follow_the_grant_of_the_next_owner(self):
+        # Two owners of one key at once: the renewal is begun in time, and
+        # its connection opens after its range has gone to another.
+        self.follow(self.table)
+        self.assertTrue(self.lanes.lanes["u-1"].waiting.wait(1.0))
+        # Nothing was sent to the owner, so nothing has to be waited for.
+        self.follow(self.move("u-2"))
+        self.let_through("u-2")
+        self.assertEqual([("grant", 0, 2)], self.lanes.sent["u-2"])
+        self.let_through("u-1")
+        self.assertNotIn(("grant", 0, 1), self.lanes.sent["u-1"])
+
+    def test_grant_of_a_move_that_was_overtaken_stays_here(self):
+        # Two owners of one key at once: the successor of a move that the
+        # table no longer has is reached after the next one has the keys.
+        self.put_in_force(self.move("u-2"))
+        tenure = self.table.find(0)
+        task = gevent.spawn(self.desk._grant, SERVICE, "u-2", tenure, "")
+        self.addCleanup(task.kill)
+        self.assertTrue(self.lanes.lanes["u-2"].waiting.wait(1.0))
+        self.put_in_force(self.table.complete([tenure]))
+        self.put_in_force(self.move("u-3"))
+        self.let_through("u-2")
+        self.assertEqual([], self.lanes.sent["u-2"])
+
+    def test_release_of_a_move_that_was_overtaken_stays_here(self):
+        # Keys go dark: a release sent late takes back what the same
+        # upstream has got again since.
+        self.put_in_force(self.move("u-2"))
+        tenure = self.table.find(0)
+        task = gevent.spawn(self.desk._release, SERVICE, tenure)
+        self.addCleanup(task.kill)
+        self.assertTrue(self.lanes.lanes["u-1"].waiting.wait(1.0))
+        self.put_in_force(self.table.complete([tenure]))
+        self.put_in_force(self.move("u-1"))
+        self.put_in_force(self.table.complete([self.table.find(0)]))
+        self.let_through("u-1")
+        self.assertEqual([], self.lanes.sent["u-1"])
+        self.assertIsNone(task.get())
