Test of a limit that upstreams name for all hosts together (fails)

The stand-in upstream says what a script tells it to, in whole answers, failures and refusals, and writes down what arrives.

--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -24,6 +24,8 @@
 from sedgetide.testing.coldness import Coldness
 from sedgetide.testing.coldness import Pace
 from sedgetide.testing.rangeholder import RangeHolder
+from sedgetide.testing.remarks import LIMIT
+from sedgetide.testing.remarks import Script
 from sedgetide.testing.serving import run_server
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.messages import Answer
@@ -36,6 +38,9 @@
 CRASHED = 139
 # Kind of the event of a cold upstream that is sent more than it bears.
 FLOODED = "flooded"
+# Kinds of the events of an upstream that says something in its answers.
+ARRIVED = "arrived"
+SAID = "said"
 _QUEUE = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
 
@@ -48,7 +53,8 @@
     at : float
         Machine's monotonic clock.
     kind : str
-        ``begin`` or ``end`` of a run, or ``flooded``.
+        ``begin`` or ``end`` of a run, ``flooded``, or, of an upstream that
+        asks something of its senders, ``arrived`` or ``said``.
     upstream : str
         Id of this start of the process.
     request : str
@@ -57,6 +63,8 @@
         Its key; -1 when it has none.
     fence : int
         Fence under which the key is held.
+    said : str
+        Limit that the answer names; empty for none.
     """
 
     at: float
@@ -65,6 +73,7 @@
     request: str
     key: int
     fence: int
+    said: str = ""
 
 
 class RangeUpstream:
@@ -88,6 +97,7 @@
         self._registry = ConnectionPool(options.store, 65536)
         self._coldness = Coldness(options.cold, options.most_cold)
         self._pace = Pace(options.name, options.cold > 0)
+        self._script = Script(options.says)
 
     def _read_clock(self) -> float:
         """Return a clock that runs slow, as an upstream's may."""
@@ -102,7 +112,7 @@
             return self._take_grant(request)
         if request.path == _names.RELEASE_PATH:
             return self._take_release(request)
-        return self._take_request(request)
+        return self._answer(request)
 
     # Orders
 
@@ -133,6 +143,19 @@
 
     # Requests
 
+    def _answer(self, request: Request) -> Answer:
+        """Answer a request, and say what the script says by then."""
+        if not self._script:
+            return self._take_request(request)
+        number = find_header(request.headers, _names.REQUEST_ID.lower()) or ""
+        self._tell(ARRIVED, number, -1, 0)
+        answer = self._take_request(request)
+        now = time.monotonic()
+        said = self._script.find(LIMIT, now)
+        self._tell(SAID, number, -1, 0, said)
+        headers = [*answer.headers, *self._script.list_headers(now)]
+        return Answer(answer.status, headers, answer.body)
+
     def _take_request(self, request: Request) -> Answer:
         number = find_header(request.headers, _names.REQUEST_ID.lower())
         if number is None:
@@ -173,8 +196,9 @@
             self._ended.announce()
             self._tell("end", number, key, fence)
         body = f"{number} {key} ".encode() * 20
+        failed = self._random.random() < self._options.failing
         return Answer(
-            200,
+            500 if failed else 200,
             [
                 (_names.REQUEST_ID, number),
                 (_names.SIGNATURE, f"{len(body):x}"),
@@ -196,9 +220,11 @@
         slots = self._options.slots
         return f"{self._running},{self._waiting},{slots},{pace}"
 
-    def _tell(self, kind: str, number: str, key: int, fence: int) -> None:
+    def _tell(
+        self, kind: str, number: str, key: int, fence: int, said: str = ""
+    ) -> None:
         start = f"{self.name}@{self._options.born}"
-        event = Event(time.monotonic(), kind, start, number, key, fence)
+        event = Event(time.monotonic(), kind, start, number, key, fence, said)
         sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
         sys.stdout.buffer.flush()
 
@@ -268,6 +294,16 @@
         default=0.0,
         help="arrivals a second above which it ends while it is cold",
     )
+    parser.add_argument(
+        "--failing", type=float, default=0.0, help="share of runs that fail"
+    )
+    parser.add_argument(
+        "--says",
+        metavar="SECONDS:KIND:VALUE",
+        action="append",
+        default=[],
+        help="what answers say from so many seconds after the start on",
+    )
     options = parser.parse_args()
     upstream = RangeUpstream(options)
     gevent.spawn(upstream.heartbeat_loop)
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -37,6 +37,8 @@
 # Places after the name of the program, proc(5).
 _USER_TICKS = 11
 _SYSTEM_TICKS = 12
+# Share of runs that fail at an upstream that asks something of its senders.
+_FAILING = 0.1
 
 
 class Program:
@@ -187,8 +189,10 @@
         slots: int,
         crash_on: str,
         cold: ColdStarts | None,
+        says: Sequence[str],
     ) -> None:
         self._slots = slots
+        self._says = says
         self._cold = cold
         self.data_centre = f"dc-{number % 2}"
         self._crash_on = crash_on
@@ -249,6 +253,9 @@
             arguments.append(f"--most-cold={self._cold.most}")
         if self._crash_on:
             arguments.append(f"--crash-on={self._crash_on}")
+        arguments += [f"--says={line}" for line in self._says]
+        if self._says:
+            arguments.append(f"--failing={_FAILING}")
         label = f"{self.name}-{self._starts}"
         program = Program(label, self._folder, arguments)
         program.start()
@@ -294,6 +301,9 @@
         stand before upstreams.
     cold : ColdStarts or None
         What upstreams bear after a start; None when there is no bound.
+    says : mapping
+        Lines of a script by the number of an upstream; see
+        :mod:`sedgetide.testing.remarks`.
     """
 
     def __init__(
@@ -304,6 +314,7 @@
         slots: int = 2,
         crash_on: str = "",
         cold: ColdStarts | None = None,
+        says: Mapping[int, Sequence[str]] | None = None,
     ) -> None:
         self._cold = cold
         if cold is not None:
@@ -336,6 +347,7 @@
                 slots,
                 crash_on,
                 cold,
+                (says or {}).get(number, ()),
             )
             for number, service in enumerate(services)
         ]
