A limit that an upstream names is counted by its lender, for all hosts

Cause: the header was read by nobody, so each host sent by its own window and what a lender knew of slots. Class: a bound over all hosts that no one counts for all.

A host remembers what each start of an upstream said last, by when its answer can have been written. Nobody lends: nothing is sent, and the caller hears when to come again; so lenders are named in every deployment, by the leader's own host if it is alone. The lender wakes when the next token is due. A request that waited for a window or a connection asks again right before its send. Requests without a key go elsewhere first.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -28,6 +28,7 @@
 from sedgetide.core.requests.outcomes import Reason
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.quarantine import QuarantineReport
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.trials import TrialEnd
 
 Headers = list[tuple[str, str]]
@@ -319,6 +320,9 @@
     cold_bound : int or None
         Most sends that its lender may allow while it is cold; None when the
         sender takes it for warm.
+    limit : StatedLimit or None
+        Limit that the sender has heard of, by a clock that shows zero when
+        this is sent; None for none.
     """
 
     number: int
@@ -327,6 +331,7 @@
     priority: int
     left: float
     cold_bound: int | None = None
+    limit: StatedLimit | None = None
 
 
 class PlaceVerdict(Message, tag="place"):
@@ -358,11 +363,15 @@
         How long the upstream took; None without an answer.
     waiting : int
         Requests that waited at the upstream itself, as it said.
+    said : StatedLimit or None
+        What the answer said of the upstream's limit, by a clock that shows
+        zero when this is sent; None without an answer.
     """
 
     number: int
     seconds: float | None = None
     waiting: int = 0
+    said: StatedLimit | None = None
 
 
 class AskTrial(Message, tag="ask-trial"):
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -68,13 +68,13 @@
     ----------
     hosts : tuple of LendingHost
         Who lends.
-    cold_only : bool
-        Whether places are lent at cold upstreams only, and hosts go by
-        their own windows elsewhere.
+    bounded_only : bool
+        Whether places are lent only where so many requests a second are
+        borne, and hosts go by their own windows elsewhere.
     """
 
     hosts: tuple[LendingHost, ...] = ()
-    cold_only: bool = False
+    bounded_only: bool = False
 
     @property
     def version(self) -> int:
@@ -114,11 +114,19 @@
         have reported: hosts would lose their queues for nothing.
     began : float
         When reports began to come, by the own clock.
+    own : LendingHost or None
+        The leader itself, which lends where no other host does.
     """
 
-    def __init__(self, lenders: LenderList, began: float) -> None:
+    def __init__(
+        self,
+        lenders: LenderList,
+        began: float,
+        own: LendingHost | None = None,
+    ) -> None:
         self._seen: dict[LinkAddress, _Seen] = {}
         self._began = began
+        self._own = own
         self.lenders = lenders
 
     def note(self, link: LinkAddress, standing: Standing, now: float) -> None:
@@ -129,7 +137,7 @@
         self,
         upstreams: Collection[RegisteredUpstream],
         now: float,
-        cold_bounded: Collection[RegisteredUpstream] = (),
+        others: Collection[RegisteredUpstream] = (),
     ) -> LenderList:
         """Return who is to lend places at upstreams, by who reports now.
 
@@ -142,8 +150,10 @@
             Those with keys: each request has one choice only.
         now : float
             Own clock.
-        cold_bounded : collection of RegisteredUpstream
-            Those that bear only so much while they are cold.
+        others : collection of RegisteredUpstream
+            All that may come to bear only so many requests a second: cold
+            ones, and whatever names a limit. Nobody knows before, and then
+            there is no time to choose.
         """
         if now - self._began < _SILENCE:
             return self.lenders
@@ -161,16 +171,18 @@
         counts = collections.Counter(
             each.data_centre for each in (upstreams if crowded else ())
         )
-        for each in cold_bounded:
+        for each in others:
             counts.setdefault(each.data_centre, 1)
         hosts: list[LendingHost] = []
         for data_centre, count in counts.items():
             wanted = math.ceil(count / _UPSTREAMS_EACH)
             links = self._rank(data_centre, able)[:wanted]
             hosts += [LendingHost(link, data_centre) for link in links]
+        if not hosts and others and self._own is not None:
+            hosts.append(self._own)
         hosts.sort(key=_order)
-        cold_only = bool(hosts) and not crowded
-        self.lenders = LenderList(tuple(hosts), cold_only)
+        bounded_only = bool(hosts) and not crowded
+        self.lenders = LenderList(tuple(hosts), bounded_only)
         return self.lenders
 
     def _are_crowded(self, upstreams: Collection[RegisteredUpstream]) -> bool:
@@ -183,7 +195,7 @@
             return False
         slots = sum(each.slots for each in upstreams) / len(upstreams)
         bound = _HOSTS_EACH_SLOT * slots
-        if self.lenders.hosts and not self.lenders.cold_only:
+        if self.lenders.hosts and not self.lenders.bounded_only:
             bound *= _CROWDED_STILL
         # The leader itself sends no report.
         return len(self._seen) + 1 > bound
--- a/sedgetide/core/requests/choice.py
+++ b/sedgetide/core/requests/choice.py
@@ -18,8 +18,8 @@
 _CROSSING_SHARE = 0.6
 _CONNECTING_COST = 1.2
 _SUSPECT_COST = 4.0
-# It takes about twice as long and is asked for a place first.
-_COLD_COST = 3.0
+# It takes longer, or has little room, and is asked for a place first.
+_BOUNDED_COST = 3.0
 _JITTER = 0.1
 
 
@@ -43,8 +43,8 @@
     crossing : float
         Seconds that staying in the own data centre is worth; see
         :func:`price_crossing`. Zero for an upstream that is there.
-    cold : bool
-        Whether it bears less than usual for some seconds.
+    bounded : bool
+        Whether it bears only so many requests a second, from all hosts.
     """
 
     upstream: RegisteredUpstream
@@ -54,7 +54,7 @@
     connected: bool
     suspect: bool
     crossing: float = 0.0
-    cold: bool = False
+    bounded: bool = False
 
 
 def price_crossing(size: float, objective: float) -> float:
@@ -87,8 +87,8 @@
         cost *= _CONNECTING_COST
     if candidate.suspect:
         cost *= _SUSPECT_COST
-    if candidate.cold:
-        cost *= _COLD_COST
+    if candidate.bounded:
+        cost *= _BOUNDED_COST
     return cost + candidate.crossing
 
 
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -9,6 +9,10 @@
 is lost, or two that lend the same places for a moment, cost order and time:
 the upstream itself refuses keys that it does not hold, and has room for a
 few requests more than its slots.
+
+The lender also counts what may be sent at all where that is bounded: to a
+cold upstream, and to one that names a limit. There a host that hears no
+lender sends nothing.
 """
 
 import enum
@@ -20,6 +24,8 @@
 from sedgetide.core.requests.cold import RecentSends
 from sedgetide.core.requests.health import FIRST_GUESS
 from sedgetide.core.requests.queues import UpstreamQueue
+from sedgetide.core.requests.ratelimits import StatedLimit
+from sedgetide.core.requests.ratelimits import TokenBucket
 
 # A holder that is lost never gives its place back. After so many times what
 # requests take there, and this many seconds at least, its request has ended
@@ -109,6 +115,7 @@
         self._slots = slots
         self._recent = RecentSends()
         self._cold_bound: int | None = None
+        self._bucket = TokenBucket()
         self._queue: UpstreamQueue[Ticket] = UpstreamQueue(
             slots + _AHEAD, _MOST_WAITING, FIRST_GUESS
         )
@@ -123,14 +130,16 @@
         left: float,
         now: float,
         cold_bound: int | None,
+        limit: StatedLimit | None,
     ) -> list[Decision]:
         self.used_at = now
         self._cold_bound = cold_bound
-        rest = self._find_rest(len(self._queue), now)
+        if limit is not None:
+            self._bucket.note(limit, now)
+        rest = self._find_rest(self._queue.count_ahead(priority), now)
         if rest > 0.0 and rest + self._queue.service_time > left:
-            wait = min(_LONGEST_REST, rest)
-            return [Decision(ticket, Verdict.REFUSED, wait)]
-        free = self._queue.estimate_wait(priority) == 0.0
+            return [Decision(ticket, Verdict.REFUSED, rest)]
+        free = rest <= 0.0 and self._queue.estimate_wait(priority) == 0.0
         # Where a place is free, trying costs nobody else anything.
         deadline = _UNBOUNDED if free else now + left
         refusal = self._queue.offer(ticket, priority, deadline, now)
@@ -142,6 +151,11 @@
             decisions.append(Decision(ticket, Verdict.QUEUED))
         return decisions
 
+    def note_limit(self, said: StatedLimit, now: float) -> list[Decision]:
+        """Take in what an answer said of the upstream's limit."""
+        self._bucket.note(said, now)
+        return self._admit(now)
+
     def end(
         self, ticket: Ticket, seconds: float | None, waiting: int, now: float
     ) -> list[Decision]:
@@ -163,14 +177,33 @@
         for ticket in overdue:
             del self._lent[ticket]
             self._queue.finish(None)
-        rested = self._cold_bound is not None and bool(self._waiting)
+        rested = self._bounded and bool(self._waiting)
         return self._admit(now) if overdue or rested else []
 
+    @property
+    def _bounded(self) -> bool:
+        return self._cold_bound is not None or self._bucket.limited
+
     def _find_rest(self, ahead: int, now: float) -> float:
-        """Return for how long a cold upstream may be sent nothing more."""
+        """Return for how long the upstream may be sent nothing more."""
+        rest = self._bucket.find_wait(ahead, now)
         if self._cold_bound is None:
-            return 0.0
-        return self._recent.find_wait(self._cold_bound, ahead, now)
+            return rest
+        cold = self._recent.find_wait(self._cold_bound, ahead, now)
+        return max(rest, min(_LONGEST_REST, cold))
+
+    def find_opening(self, now: float) -> float | None:
+        """Return after how long a bound lets one more through.
+
+        Returns
+        -------
+        float or None
+            None when nobody waits for that.
+        """
+        if not self._waiting or not self._bounded:
+            return None
+        rest = self._find_rest(0, now)
+        return rest if rest > 0.0 else None
 
     def _admit(self, now: float) -> list[Decision]:
         decisions = []
@@ -186,6 +219,7 @@
             del self._waiting[ticket]
             self._lent[ticket] = now + loan
             self._recent.note(now)
+            self._bucket.take(now)
             decisions.append(Decision(ticket, Verdict.GRANTED))
         return decisions
 
@@ -215,6 +249,7 @@
         left: float,
         now: float,
         cold_bound: int | None = None,
+        limit: StatedLimit | None = None,
     ) -> list[Decision]:
         """Take in a request for a place.
 
@@ -235,6 +270,9 @@
         cold_bound : int or None
             Most sends to allow while the upstream is cold; None when it is
             warm.
+        limit : StatedLimit or None
+            What the asking host has heard of the upstream's limit, by the
+            own clock; None when it has heard of none.
 
         Returns
         -------
@@ -246,11 +284,16 @@
         if places is None:
             places = self._places[upstream] = _Places(slots)
         self._upstreams[ticket] = upstream
-        decisions += places.ask(ticket, priority, left, now, cold_bound)
+        decisions += places.ask(ticket, priority, left, now, cold_bound, limit)
         return self._settle(decisions)
 
     def end(
-        self, ticket: Ticket, seconds: float | None, waiting: int, now: float
+        self,
+        ticket: Ticket,
+        seconds: float | None,
+        waiting: int,
+        now: float,
+        said: StatedLimit | None = None,
     ) -> list[Decision]:
         """Take in that a place is given back or no longer waited for.
 
@@ -264,12 +307,34 @@
             Requests that wait at the upstream itself, as it said.
         now : float
             Own clock.
+        said : StatedLimit or None
+            What its answer said of the upstream's limit, by the own clock;
+            None without an answer.
         """
         upstream = self._upstreams.pop(ticket, None)
         if upstream is None:
             return []
         places = self._places[upstream]
-        return self._settle(places.end(ticket, seconds, waiting, now))
+        decisions = []
+        if said is not None:
+            decisions += places.note_limit(said, now)
+        decisions += places.end(ticket, seconds, waiting, now)
+        return self._settle(decisions)
+
+    def find_opening(self, now: float) -> float | None:
+        """Return after how long a bound lets a waiting request through.
+
+        Returns
+        -------
+        float or None
+            None when none waits for that.
+        """
+        openings = [
+            places.find_opening(now) for places in self._places.values()
+        ]
+        return min(
+            (each for each in openings if each is not None), default=None
+        )
 
     def expire(self, now: float) -> list[Decision]:
         """Take back places whose holders were lost; forget idle queues."""
--- a/sedgetide/core/requests/queues.py
+++ b/sedgetide/core/requests/queues.py
@@ -67,12 +67,16 @@
         """Number of slots in use."""
         return self._running
 
+    def count_ahead(self, priority: int) -> int:
+        """Return how many wait that go before a newcomer."""
+        return sum(1 for each in self._heap if each.priority <= priority)
+
     def estimate_wait(self, priority: int) -> float:
         """Return the expected wait in seconds of a newcomer.
 
         Only requests of its own class or a more urgent one come first.
         """
-        ahead = sum(1 for each in self._heap if each.priority <= priority)
+        ahead = self.count_ahead(priority)
         if ahead == 0 and self._running < self.slots:
             return 0.0
         return (ahead + 1) * self.service_time / self.slots
--- a/sedgetide/core/requests/returns.py
+++ b/sedgetide/core/requests/returns.py
@@ -49,6 +49,17 @@
     return round(max(_LEAST_FOR_PLACE, most), 2)
 
 
+def wait_for_limit(seconds: float) -> float:
+    """Return when to come again to an upstream that has named a limit.
+
+    Parameters
+    ----------
+    seconds : float
+        Until the limit has room again, as the lender says.
+    """
+    return round(max(SOON, seconds), 2)
+
+
 def wait_for_upstream(load: UpstreamLoad | None, seconds: float) -> float:
     """Return when to come again to an upstream that was full.
 
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -28,6 +28,7 @@
 from sedgetide.core.requests.cold import bound_cold_sends
 from sedgetide.core.requests.quarantine import Quarantine
 from sedgetide.core.requests.quarantine import QuarantineRecord
+from sedgetide.core.requests.ratelimits import KnownLimits
 from sedgetide.core.requests.routes import RouteTable
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -108,6 +109,7 @@
         self.heard_at = float("-inf")
         self.hosts: int | None = None
         self.lenders = LenderList()
+        self.limits = KnownLimits()
         self.quarantine = Quarantine()
         self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -22,6 +22,7 @@
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.lenders import LendingHost
 from sedgetide.core.membership.lenders import Roster
 from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.ownership.balance import bound_moves
@@ -94,6 +95,8 @@
         On which single ownership rests.
     send : callable
         Sends a message to a host.
+    own : LendingHost
+        This host, as one that lends places.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         leadership: Leadership,
         durations: Durations,
         send: Callable[[LinkAddress, Message], None],
+        own: LendingHost,
     ) -> None:
         self._store = store
         self._send = send
@@ -120,7 +124,8 @@
         self._desk = self._open_desk()
         self._book = LoadBook()
         self._evacuations = EvacuationDesk(knowledge)
-        self._roster = Roster(knowledge.lenders, float("-inf"))
+        self._own = own
+        self._roster = Roster(knowledge.lenders, float("-inf"), own)
         self._balanced_at = float("-inf")
         self._adopted = False
         self._resigned = False
@@ -244,7 +249,7 @@
         self._desk.close()
         self._revision = revision
         self._desk = self._open_desk()
-        self._roster = Roster(self._knowledge.lenders, read_clock())
+        self._roster = Roster(self._knowledge.lenders, read_clock(), self._own)
         self._adopted = False
 
     def _has_adopted(self) -> bool:
@@ -290,13 +295,14 @@
             for service in self._knowledge.policy.list_keyed()
             for each in self._knowledge.directory.list_active(service)
         ]
-        bounded = [
+        all_active = [
             each
-            for rule in self._knowledge.policy.services.values()
-            if rule.cold_rate is not None
-            for each in self._knowledge.directory.list_active(rule.name)
+            for service in self._knowledge.policy.services
+            for each in self._knowledge.directory.list_active(service)
         ]
-        self._knowledge.take_lenders(self._roster.choose(keyed, now, bounded))
+        self._knowledge.take_lenders(
+            self._roster.choose(keyed, now, all_active)
+        )
 
     def _forget_gone(self) -> None:
         """Forget upstreams that neither are registered nor own anything."""
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -16,7 +16,9 @@
 from sedgetide.core.requests.choice import price_crossing
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import rank_request
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.returns import UNPREPARED
+from sedgetide.core.requests.returns import wait_for_limit
 from sedgetide.core.requests.returns import wait_for_move
 from sedgetide.core.requests.returns import wait_for_place
 from sedgetide.core.requests.returns import wait_for_queue
@@ -32,7 +34,7 @@
 
 # Seconds for which a retry may wait, whatever its request has waited before.
 _RETRY_HOLD = 0.1
-# Seconds; a lost lender of places at a cold upstream is replaced by then.
+# Seconds; a lost lender of places at a bounded upstream is replaced by then.
 _UNLENT = 1.0
 
 
@@ -101,12 +103,12 @@
                     # Another that does the same work may bear it.
                     declined.add(target.upstream.name)
                     continue
-                if passage is None or self._still_holds(job, target):
+                if passage is None or self.may_send(job, passage):
                     return passage
                 passage.leave()
                 continue
             if declined:
-                # All are cold, and have been sent what they bear.
+                # All are bounded, and have been sent what they bear.
                 return None
             job.note = target.value
             if now >= limit:
@@ -121,17 +123,18 @@
 
         Only one upstream may run a request with a key, so the queue there
         is the only one that counts; among equal ones each host's own
-        windows find one with room, unless it is cold.
+        windows find one with room, unless what it bears is bounded.
         """
         lane = self._lanes.find(target.upstream)
         bound = self._knowledge.find_cold_bound(target.upstream, read_clock())
-        if job.keyed or bound is not None:
-            place = self._ask_place(job, target, bound)
-            if place is None and bound is not None:
+        stated = self._knowledge.limits.find(target.upstream.name)
+        bounded = bound is not None or stated is not None
+        if job.keyed or bounded:
+            place = self._ask_place(job, target, bound, stated)
+            if place is None and bounded:
                 place = PlaceRefused(_UNLENT)
             if isinstance(place, PlaceRefused):
-                job.note = "no place" if bound is None else "cold"
-                job.retry_after = wait_for_place(place.retry_after)
+                _note_refusal(job, place.retry_after, bound, stated)
                 return place
             if place is not None:
                 lane.occupy()
@@ -145,12 +148,16 @@
         return None
 
     def _ask_place(
-        self, job: Job, target: Target, bound: int | None
+        self,
+        job: Job,
+        target: Target,
+        bound: int | None,
+        stated: StatedLimit | None,
     ) -> Place | PlaceRefused | None:
         if not job.keyed:
-            # Of equal upstreams a warm one serves it sooner than a wait.
+            # Of equal upstreams another serves it sooner than a wait.
             return self._places.enter(
-                target.upstream, job.route.priority, 0.0, bound
+                target.upstream, job.route.priority, 0.0, bound, stated
             )
         now = read_clock()
         left = job.times.find_patience(now)
@@ -158,7 +165,7 @@
             # It may have run, and only an answer can tell: worth the wait.
             left = job.times.final - now
         rank = rank_request(job.route.priority, job.overdue)
-        return self._places.enter(target.upstream, rank, left, bound)
+        return self._places.enter(target.upstream, rank, left, bound, stated)
 
     def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
@@ -167,6 +174,17 @@
         moving = self._knowledge.find_moving(job.service, job.fields.key, now)
         return wait_for_move(moving)
 
+    def may_send(self, job: Job, passage: Passage) -> bool:
+        """Tell whether a passage may be used at this moment.
+
+        A limit may have been named while the request waited for this host's
+        window, which knows nothing of what others send.
+        """
+        upstream = passage.target.upstream.name
+        if passage.place is None and self._knowledge.limits.find(upstream):
+            return False
+        return self._still_holds(job, passage.target)
+
     def _still_holds(self, job: Job, target: Target) -> bool:
         """Tell whether a target is still right after waiting for it."""
         directory = self._knowledge.directory
@@ -201,6 +219,8 @@
         lane = self._lanes.find(upstream)
         usual = self._usual.find_seconds(upstream.service)
         near = upstream.data_centre == self._data_centre
+        cold = self._knowledge.find_cold_rate(upstream, now) is not None
+        limited = self._knowledge.limits.find(upstream.name) is not None
         return Candidate(
             upstream,
             lane.health.service_time or usual,
@@ -209,5 +229,20 @@
             lane.pool.has_idle,
             lane.health.is_suspect(now),
             0.0 if near else crossing,
-            self._knowledge.find_cold_rate(upstream, now) is not None,
+            cold or limited,
         )
+
+
+def _note_refusal(
+    job: Job,
+    seconds: float,
+    bound: int | None,
+    stated: StatedLimit | None,
+) -> None:
+    """Note why a lender has refused a request, and when to come again."""
+    if stated is not None:
+        job.note = "limited"
+        job.retry_after = wait_for_limit(seconds)
+        return
+    job.note = "no place" if bound is None else "cold"
+    job.retry_after = wait_for_place(seconds)
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import gevent
 import msgspec
 
 from sedgetide.coding.messages import AskPlace
@@ -16,6 +17,7 @@
 from sedgetide.core.requests.places import Lender
 from sedgetide.core.requests.places import Ticket
 from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.daemons._hostmetrics import PLACES
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._questions import Question
@@ -47,23 +49,34 @@
     Parameters
     ----------
     give_back : callable
-        Called with the upstream's seconds, None without an answer, and the
-        number of requests that waited there.
+        Called with the upstream's seconds, None without an answer, the
+        number of requests that waited there, and what the answer said of
+        the upstream's limit.
     """
 
-    def __init__(self, give_back: Callable[[float | None, int], None]) -> None:
+    def __init__(
+        self,
+        give_back: Callable[[float | None, int, StatedLimit | None], None],
+    ) -> None:
         self._give_back = give_back
         self._seconds: float | None = None
         self._waiting = 0
+        self._said: StatedLimit | None = None
 
-    def note_answer(self, seconds: float | None, waiting: int) -> None:
+    def note_answer(
+        self,
+        seconds: float | None,
+        waiting: int,
+        said: StatedLimit | None = None,
+    ) -> None:
         """Take in what the lender is to learn from the answer."""
         self._seconds = seconds
         self._waiting = waiting
+        self._said = said
 
     def leave(self) -> None:
         """Give the place back."""
-        self._give_back(self._seconds, self._waiting)
+        self._give_back(self._seconds, self._waiting, self._said)
 
 
 class Places:
@@ -96,6 +109,7 @@
         self._pending: dict[int, Question] = {}
         self._silent_until: dict[LinkAddress, float] = {}
         self._lender = Lender()
+        self._timer: gevent.Greenlet | None = None
 
     def enter(
         self,
@@ -103,6 +117,7 @@
         priority: int,
         left: float,
         cold_bound: int | None = None,
+        limit: StatedLimit | None = None,
     ) -> Place | PlaceRefused | None:
         """Wait for a place at an upstream.
 
@@ -117,6 +132,8 @@
         cold_bound : int or None
             Most sends that the lender may allow while the upstream is cold;
             None when it is warm.
+        limit : StatedLimit or None
+            Limit that the upstream names; None for none.
 
         Returns
         -------
@@ -128,7 +145,8 @@
         link = lenders.find(upstream)
         if link is None or self._is_silent(link):
             return None
-        if cold_bound is None and lenders.cold_only:
+        bounded = cold_bound is not None or limit is not None
+        if lenders.bounded_only and not bounded:
             return None
         number = next(self._numbers)
         pending = self._pending[number] = Question(number, link)
@@ -139,6 +157,7 @@
             priority,
             round(left, 3),
             cold_bound,
+            None if limit is None else limit.shift(-read_clock()),
         )
         granted = False
         try:
@@ -158,8 +177,14 @@
         PLACES.labels("silent" if found is None else found.value).inc()
         if granted:
             return Place(
-                lambda seconds, waiting: self._tell(
-                    link, EndPlace(number, seconds, waiting)
+                lambda seconds, waiting, said: self._tell(
+                    link,
+                    EndPlace(
+                        number,
+                        seconds,
+                        waiting,
+                        None if said is None else said.shift(-read_clock()),
+                    ),
                 )
             )
         return None if found is None else PlaceRefused(pending.retry_after)
@@ -193,10 +218,15 @@
                 message.left,
                 now,
                 self._find_bound(message, now),
+                None if message.limit is None else message.limit.shift(now),
             )
         else:
             decisions = self._lender.end(
-                ticket, message.seconds, message.waiting, now
+                ticket,
+                message.seconds,
+                message.waiting,
+                now,
+                None if message.said is None else message.said.shift(now),
             )
         self._announce(decisions)
 
@@ -218,6 +248,18 @@
         """Take back what lost hosts hold."""
         self._announce(self._lender.expire(now))
 
+    def _set_timer(self) -> None:
+        """Let the next request through as soon as a bound allows it."""
+        if self._timer is not None and not self._timer.ready():
+            return
+        seconds = self._lender.find_opening(read_clock())
+        if seconds is not None:
+            self._timer = gevent.spawn_later(seconds, self._on_time)
+
+    def _on_time(self) -> None:
+        self._timer = None
+        self.keep(read_clock())
+
     def _announce(self, decisions: list[Decision]) -> None:
         for each in decisions:
             verdict = PlaceVerdict(
@@ -227,3 +269,4 @@
                 self.take(verdict, self._link)
             else:
                 self._send(each.ticket.holder, verdict)
+        self._set_timer()
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -30,6 +30,7 @@
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._lanes import Lanes
+from sedgetide.daemons._passages import Passage
 from sedgetide.daemons._passages import Passages
 from sedgetide.daemons._places import Places
 from sedgetide.daemons._quarantine import SharedQuarantine
@@ -229,15 +230,26 @@
                 if verdict is Verdict.REFUSED:
                     return False
                 if verdict is not Verdict.QUEUED:
-                    trial.begin()
-                    self._sender.attempt(job, passage)
-                    trial.note(job.progress.failure)
-                    return True
+                    if self._send(job, passage, trial):
+                        return True
+                    continue
             finally:
                 passage.leave()
             if not trial.wait():
                 return False
 
+    def _send(self, job: Job, passage: Passage, trial: Trial) -> bool:
+        """Send a request, unless its passage has become void meanwhile."""
+        trial.begin()
+        sent = self._sender.attempt(
+            job, passage, lambda: self._passages.may_send(job, passage)
+        )
+        if sent:
+            trial.note(job.progress.failure)
+        else:
+            trial.withdraw()
+        return sent
+
     def _is_quarantined(self, job: Job) -> bool:
         """Tell whether a request is refused since upstreams end under it."""
         left = self._quarantine.find_stay(job, read_clock())
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -5,7 +5,6 @@
 from sedgetide.backends.dialects import RequestDialect
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
-from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import NO_WORD
@@ -16,6 +15,7 @@
 from sedgetide.core.requests.health import UNREACHED_WEIGHT
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.returns import wait_for_owner
 from sedgetide.core.requests.returns import wait_for_upstream
 from sedgetide.core.requests.usual import UsualFigures
@@ -75,17 +75,30 @@
         self._partitions = partitions
         self._usual = usual
         self._breaks = breaks
-        self._limits: dict[IncarnationName, float | None] = {}
 
-    def attempt(self, job: Job, passage: Passage) -> None:
-        """Send a request once; its progress tells what became of it."""
+    def attempt(
+        self, job: Job, passage: Passage, may_send: Callable[[], bool]
+    ) -> bool:
+        """Send a request once; its progress tells what became of it.
+
+        Parameters
+        ----------
+        may_send : callable
+            Tells right before the send whether the passage still holds: to
+            open a connection takes up to 0.4 s.
+
+        Returns
+        -------
+        bool
+            False when it does not, and nothing was sent.
+        """
         progress = job.progress
         target, lane = passage.target, passage.lane
         now = read_clock()
         if now >= job.times.final:
             job.note = "too late"
             progress.failure = Failure.UNREACHABLE
-            return
+            return True
         try:
             connection = lane.pool.take(
                 min(_CONNECT_TIMEOUT, job.times.final - now),
@@ -98,7 +111,10 @@
                     absence = lane.health.find_absence(read_clock())
                     job.retry_after = wait_for_owner(absence)
             self._note_failure(job, passage, Failure.UNREACHABLE)
-            return
+            return True
+        if not may_send():
+            lane.pool.give_back(connection)
+            return False
         progress.sends += 1
         progress.tried.append(target.upstream.name)
         began = read_clock()
@@ -123,13 +139,14 @@
             job.note = error.detail[:_LONGEST_DETAIL]
             if not silent:
                 self._breaks.note_broken(job, target.upstream)
-            return
+            return True
         self._breaks.note_answer(target.upstream.name, began)
         lane.pool.give_back(connection)
         self._partitions.note_reached(
             target.upstream.data_centre, read_clock()
         )
         self._take_answer(job, passage, answer, before, began)
+        return True
 
     def _make_send(self, job: Job, target: Target, now: float) -> Request:
         headers = drop_hop_headers(job.request.headers)
@@ -169,11 +186,13 @@
         failure = refine_failure(
             self._dialect.judge(answer.status, answer.headers), job.keyed
         )
-        self._hear_pushback(target, answer)
+        said = self._hear_pushback(target, answer, failure, began, now)
         if passage.place is not None:
             waiting = 0 if load is None else load.waiting
             whole = failure is Failure.NONE
-            passage.place.note_answer(now - began if whole else None, waiting)
+            passage.place.note_answer(
+                now - began if whole else None, waiting, said
+            )
         if failure is Failure.NONE:
             lane.health.note_success(now - began)
             self._usual.note_answer(
@@ -217,7 +236,15 @@
             )
             return None
 
-    def _hear_pushback(self, target: Target, answer: Answer) -> None:
+    def _hear_pushback(
+        self,
+        target: Target,
+        answer: Answer,
+        failure: Failure,
+        began: float,
+        now: float,
+    ) -> StatedLimit | None:
+        """Take in what an answer asks; return what it says of a limit."""
         upstream = target.upstream
         pushback = self._dialect.read_pushback(answer.headers)
         for problem in pushback.problems:
@@ -227,18 +254,23 @@
                 upstream=upstream.registered_name,
                 problem=problem,
             )
+        if failure is Failure.FOREIGN:
+            return None
+        limits = self._knowledge.limits
         if pushback.limit is not None:
             PUSHBACKS.labels(upstream.service, "limit").inc()
-        before = self._limits.get(upstream.name)
-        if pushback.limit == before:
-            return
-        self._limits[upstream.name] = pushback.limit
-        tell(
-            Event.LIMITED,
-            upstream=upstream.registered_name,
-            limit=pushback.limit,
-            before=before,
-        )
+        elif failure is not Failure.NONE or pushback.problems:
+            # Only a whole answer that names none says that there is none.
+            return None
+        said = StatedLimit(pushback.limit, began, now)
+        if limits.note(upstream.name, said):
+            limit = limits.find(upstream.name)
+            tell(
+                Event.LIMITED,
+                upstream=upstream.registered_name,
+                limit=None if limit is None else limit.rate,
+            )
+        return said
 
     def _note_failure(
         self,
--- a/sedgetide/daemons/_trials.py
+++ b/sedgetide/daemons/_trials.py
@@ -95,6 +95,10 @@
         question = self._question
         self._job.alone = question is not None and question.alone
 
+    def withdraw(self) -> None:
+        """Take in that the request was not sent after all."""
+        self._end = TrialEnd.NOT_RUN
+
     def note(self, failure: Failure) -> None:
         """Take in what came back."""
         if failure is Failure.NONE:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -36,6 +36,7 @@
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import Revision
 from sedgetide.core.membership.evacuations import Evacuations
+from sedgetide.core.membership.lenders import LendingHost
 from sedgetide.core.membership.lenders import Standing
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -236,6 +237,7 @@
             leadership,
             durations,
             self._transport.send,
+            LendingHost(record.link, DataCentre(self._settings.data_centre)),
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -118,7 +118,7 @@
         logging.INFO,
         "An upstream has named another limit of requests a second for all "
         "hosts together than before, or none any more.",
-        ("upstream", "limit", "before"),
+        ("upstream", "limit"),
     )
     PUSHBACK_REFUSED = Definition(
         "pushback-refused",
--- a/tests/core/membership/test_lenders.py
+++ b/tests/core/membership/test_lenders.py
@@ -72,18 +72,18 @@
         upstreams = make_upstreams(20, slots=6)
         found = self.roster.choose(upstreams, 2.0, upstreams)
         self.assertEqual(1, len(found.hosts))
-        self.assertTrue(found.cold_only)
+        self.assertTrue(found.bounded_only)
         # Lending there is no reason to lend everywhere with half the hosts.
         self.report(5, 2.4)
         self.assertTrue(
-            self.roster.choose(upstreams, 2.4, upstreams).cold_only
+            self.roster.choose(upstreams, 2.4, upstreams).bounded_only
         )
 
     def test_many_hosts_before_cold_upstreams(self):
         self.report(10, 2.0)
         keyed, plain = make_upstreams(20), make_upstreams(3, SOUTH)
         found = self.roster.choose(keyed, 2.0, plain)
-        self.assertFalse(found.cold_only)
+        self.assertFalse(found.bounded_only)
         self.assertEqual(2, len(found.hosts))
 
     def test_strong_hosts_near_the_upstreams_lend(self):
@@ -160,5 +160,5 @@
         self.assertEqual(again.version, self.list.version)
         self.assertNotEqual(fewer.version, self.list.version)
         self.assertEqual(0, LenderList().version)
-        cold_only = LenderList(self.list.hosts, True)
-        self.assertNotEqual(cold_only.version, self.list.version)
+        bounded_only = LenderList(self.list.hosts, True)
+        self.assertNotEqual(bounded_only.version, self.list.version)
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -68,7 +68,7 @@
 class Places:
     """Refuses, and keeps how long it was asked to wait."""
 
-    def enter(self, upstream, priority, left, cold_bound=None):
+    def enter(self, upstream, priority, left, cold_bound=None, limit=None):
         self.left = left
         return PlaceRefused(1.0)
 
@@ -120,7 +120,7 @@
         self.answer = answer
         self.asked = []
 
-    def enter(self, upstream, priority, left, cold_bound=None):
+    def enter(self, upstream, priority, left, cold_bound=None, limit=None):
         self.asked.append((upstream.registered_name, cold_bound, left))
         return self.answer
 
@@ -161,7 +161,7 @@
         return passages.find(self.job)
 
     def test_lender_is_asked_for_each_send(self):
-        place = Place(lambda seconds, waiting: None)
+        place = Place(lambda *_: None)
         self.assertIs(place, self.find(place).place)
         self.assertEqual([("map-1", 7, 0.0)], self.places.asked)
 
