--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -24,7 +24,8 @@
 from sedgetide.testing.coldness import Coldness
 from sedgetide.testing.coldness import Pace
 from sedgetide.testing.rangeholder import RangeHolder
-from sedgetide.testing.remarks import LIMIT
+from sedgetide.testing.remarks import make_headers
+from sedgetide.testing.remarks import REST
 from sedgetide.testing.remarks import Script
 from sedgetide.testing.serving import run_server
 from sedgetide.wire.client import ConnectionPool
@@ -63,8 +64,8 @@
         Its key; -1 when it has none.
     fence : int
         Fence under which the key is held.
-    said : str
-        Limit that the answer names; empty for none.
+    said : dict
+        What the answer says of the upstream, by kind.
     """
 
     at: float
@@ -73,7 +74,7 @@
     request: str
     key: int
     fence: int
-    said: str = ""
+    said: dict[str, str] = {}
 
 
 class RangeUpstream:
@@ -149,11 +150,15 @@
             return self._take_request(request)
         number = find_header(request.headers, _names.REQUEST_ID.lower()) or ""
         self._tell(ARRIVED, number, -1, 0)
-        answer = self._take_request(request)
-        now = time.monotonic()
-        said = self._script.find(LIMIT, now)
-        self._tell(SAID, number, -1, 0, said)
-        headers = [*answer.headers, *self._script.list_headers(now)]
+        if self._script.find(REST, time.monotonic()):
+            answer = Answer(503, [_NOT_RUN])
+        else:
+            answer = self._take_request(request)
+        words = self._script.list_words(time.monotonic())
+        if answer.status != 503:
+            words.pop(REST, None)
+        self._tell(SAID, number, -1, 0, words)
+        headers = [*answer.headers, *make_headers(words)]
         return Answer(answer.status, headers, answer.body)
 
     def _take_request(self, request: Request) -> Answer:
@@ -221,10 +226,17 @@
         return f"{self._running},{self._waiting},{slots},{pace}"
 
     def _tell(
-        self, kind: str, number: str, key: int, fence: int, said: str = ""
+        self,
+        kind: str,
+        number: str,
+        key: int,
+        fence: int,
+        said: dict[str, str] | None = None,
     ) -> None:
         start = f"{self.name}@{self._options.born}"
-        event = Event(time.monotonic(), kind, start, number, key, fence, said)
+        event = Event(
+            time.monotonic(), kind, start, number, key, fence, said or {}
+        )
         sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
         sys.stdout.buffer.flush()
 
--- a/sedgetide/testing/remarks.py
+++ b/sedgetide/testing/remarks.py
@@ -4,13 +4,21 @@
 the start on, each answer carries the value; an empty one ends it.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import time
 
 from sedgetide.platform import _names
 
 LIMIT = "limit"
-_HEADERS = {LIMIT: _names.LIMIT}
+LEAVING = "leaving"
+# Seconds; while it is said, every request is turned away.
+REST = "rest"
+_HEADERS = {
+    LIMIT: _names.LIMIT,
+    LEAVING: _names.LEAVING,
+    REST: "Retry-After",
+}
 
 
 class Script:
@@ -34,17 +42,20 @@
                 found = value
         return found
 
-    def list_headers(self, now: float) -> list[tuple[str, str]]:
-        """Return the headers of an answer that is written now."""
-        said = [
-            (header, self.find(kind, now)) for kind, header in _HEADERS.items()
-        ]
-        return [(header, value) for header, value in said if value]
+    def list_words(self, now: float) -> dict[str, str]:
+        """Return what an answer says that is written now."""
+        said = {kind: self.find(kind, now) for kind in _HEADERS}
+        return {kind: value for kind, value in said.items() if value}
 
     def __bool__(self) -> bool:
         return bool(self._lines)
 
 
+def make_headers(words: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Return words as the headers of an answer."""
+    return [(_HEADERS[kind], value) for kind, value in words.items()]
+
+
 def _read_line(line: str) -> tuple[float, str, str]:
     seconds, kind, value = line.split(":", 2)
     if kind not in _HEADERS:
--- a/sedgetide/testing/soakpushback.py
+++ b/sedgetide/testing/soakpushback.py
@@ -1,5 +1,6 @@
 """Checks that hosts keep to what upstreams ask of them in their answers."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -8,6 +9,10 @@
 from sedgetide.testing.rangeupstream import ARRIVED
 from sedgetide.testing.rangeupstream import Event
 from sedgetide.testing.rangeupstream import SAID
+from sedgetide.testing.remarks import LEAVING
+from sedgetide.testing.remarks import LIMIT
+from sedgetide.testing.remarks import REST
+from sedgetide.testing.soakcallers import Ask
 
 # Seconds, and a factor and requests beyond a limit, as the platform grants
 # them: from its first word on, in any window, by a host that has heard it.
@@ -16,6 +21,10 @@
 _HEARD_FOR = 0.5
 _OVERRUN = 1.5
 _SLACK = 5.0
+# Seconds after the word of leaving in which callers' requests may still come.
+_DRAINED_WITHIN = 2.0
+# Requests that may come in a rest once a host has heard of it.
+_MOST_IN_REST = 2
 
 
 class Absence(msgspec.Struct, frozen=True):
@@ -26,39 +35,102 @@
     ended: float
 
 
-def find_over_limit(
-    events: Sequence[Event],
-    hosts: Mapping[str, int],
-    absences: Sequence[Absence] = (),
+Asked = Mapping[str, Ask]
+Absences = Sequence[Absence]
+
+
+def find_ignored(
+    events: Sequence[Event], asked: Iterable[Ask], absences: Absences = ()
 ) -> list[str]:
-    """Return the limits that were broken.
+    """Return where hosts did not keep to what upstreams had asked.
 
     Parameters
     ----------
     events : sequence of Event
         Of all upstreams, in order.
-    hosts : mapping
-        Host to which each request was sent.
+    asked : iterable of Ask
+        All requests of callers.
     absences : sequence of Absence
         Times for which a host is not judged.
     """
+    requests = {ask.number: ask for ask in asked}
     problems = []
     for upstream in sorted({each.upstream for each in events}):
-        own = [each for each in events if each.upstream == upstream]
-        problems += _judge(own, hosts, absences)
+        own = [
+            each
+            for each in events
+            if each.upstream == upstream and each.request in requests
+        ]
+        problems += _find_over_limit(own, requests, absences)[:1]
+        problems += _find_late(own, requests, absences)[:1]
+        problems += _find_in_rest(own, requests, absences)[:1]
     return problems
 
 
-def _judge(
-    events: Sequence[Event],
-    hosts: Mapping[str, int],
-    absences: Sequence[Absence],
+def _is_absent(host: int, at: float, absences: Absences) -> bool:
+    return any(
+        each.host == host and each.began <= at < each.ended + _BINDS_AFTER
+        for each in absences
+    )
+
+
+def _find_late(
+    events: Sequence[Event], asked: Asked, absences: Absences
+) -> list[str]:
+    """Return what reached an upstream that had told the host of its end."""
+    told: dict[int, float] = {}
+    problems = []
+    for event in events:
+        ask = asked[event.request]
+        if event.kind == SAID and event.said.get(LEAVING) == "1":
+            told.setdefault(ask.host, event.at)
+        heard = told.get(ask.host, float("inf"))
+        forgotten = any(
+            each.host == ask.host and each.ended > heard for each in absences
+        )
+        late = ask.at - heard - _DRAINED_WITHIN
+        if event.kind == ARRIVED and late > 0 and not forgotten:
+            problems.append(
+                f"{event.request} reached {event.upstream}, which leaves, "
+                f"{late + _DRAINED_WITHIN:.1f} s after its word"
+            )
+    return problems
+
+
+def _find_in_rest(
+    events: Sequence[Event], asked: Asked, absences: Absences
+) -> list[str]:
+    """Return rests in which a host went on sending."""
+    problems = []
+    for word in events:
+        rest = _read_number(word.said.get(REST, ""))
+        if word.kind != SAID or rest is None:
+            continue
+        host = asked[word.request].host
+        sent = [
+            each.at
+            for each in events
+            if each.kind == ARRIVED
+            and asked[each.request].host == host
+            and word.at + _HEARD_FOR < each.at < word.at + rest
+            and not _is_absent(host, each.at, absences)
+        ]
+        if len(sent) > _MOST_IN_REST:
+            problems.append(
+                f"{word.upstream} asked host {host} for {rest:g} s of rest "
+                f"and got {len(sent)} requests"
+            )
+    return problems
+
+
+def _find_over_limit(
+    events: Sequence[Event], asked: Asked, absences: Absences
 ) -> list[str]:
     words = [each for each in events if each.kind == SAID]
-    first = next((each.at for each in words if each.said), None)
+    first = next((each.at for each in words if LIMIT in each.said), None)
     if first is None:
         return []
-    counted = _list_counted(events, hosts, absences)
+    counted = _list_counted(events, asked, absences)
     problems = []
     for index, at in enumerate(counted):
         began = at - _WINDOW
@@ -80,13 +152,13 @@
     """Return the requests that a window may hold; None: any number."""
     before = [each.said for each in words if each.at <= began][-1:]
     within = [each.said for each in words if began < each.at <= ended]
-    limits = [_read_limit(each) for each in before + within]
+    limits = [_read_number(each.get(LIMIT, "")) for each in before + within]
     if not limits or None in limits:
         return None
     return _OVERRUN * max(limits) * _WINDOW + _SLACK
 
 
-def _read_limit(said: str) -> float | None:
+def _read_number(said: str) -> float | None:
     try:
         return float(said)
     except ValueError:
@@ -95,24 +167,19 @@
 
 def _list_counted(
     events: Sequence[Event],
-    hosts: Mapping[str, int],
-    absences: Sequence[Absence],
+    asked: Asked,
+    absences: Absences,
 ) -> list[float]:
     """Return the arrivals from hosts that had heard the limit before."""
     told: dict[int, float] = {}
     counted = []
     for event in events:
-        host = hosts.get(event.request)
-        if host is None:
-            continue
-        if event.kind == SAID and event.said:
+        host = asked[event.request].host
+        if event.kind == SAID and LIMIT in event.said:
             told.setdefault(host, event.at)
         elif event.kind == ARRIVED:
             heard = told.get(host, float("inf"))
-            if event.at >= heard + _HEARD_FOR and not any(
-                each.host == host
-                and each.began <= event.at < each.ended + _BINDS_AFTER
-                for each in absences
-            ):
+            late = event.at >= heard + _HEARD_FOR
+            if late and not _is_absent(host, event.at, absences):
                 counted.append(event.at)
     return counted
--- /dev/null
+++ b/tests/daemons/test_pushback.py
@@ -0,0 +1,115 @@
+"""Upstreams that ask something of their senders, as real processes."""
+
+import collections
+import pathlib
+import shutil
+import tempfile
+
+import gevent
+import testtools
+
+from sedgetide.testing.rangeupstream import ARRIVED
+from sedgetide.testing.rangeupstream import SAID
+from sedgetide.testing.remarks import LEAVING
+from sedgetide.testing.remarks import LIMIT
+from sedgetide.testing.remarks import REST
+from sedgetide.testing.soakcallers import Caller
+from sedgetide.testing.soakfleet import call
+from sedgetide.testing.soakfleet import Fleet
+from sedgetide.testing.soakpushback import find_ignored
+
+CALLERS = 14
+KEYED, PLAIN = 0, 4
+# Seconds after the start of an upstream.
+SAID_AT = 4.0
+# Requests a second.
+LIMITS = {KEYED: 2.2, PLAIN: 1.3}
+LIMITED_FOR = 15.0
+LEAVING_FOR = 10.0
+RESTING_FOR = 12.0
+_KEPT = pathlib.Path("build")
+
+
+class PushbackTest(testtools.TestCase):
+    """Fleet of two upstreams, one with keys, that say the same."""
+
+    def start(self, words):
+        """Start a fleet whose two upstreams say some words from a time on."""
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.addOnException(lambda _: self.keep(folder))
+        says = {
+            number: [f"{SAID_AT}:{word}" for word in words[number]]
+            for number in words
+        }
+        self.fleet = Fleet(folder, 0.0, says=says)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+
+    def keep(self, folder):
+        """Keep the output of all processes of a run that failed."""
+        shutil.copytree(folder, _KEPT / self.id(), dirs_exist_ok=True)
+
+    def play(self, seconds):
+        """Have callers ask for a while."""
+        callers = [Caller(each, self.fleet, 1) for each in range(CALLERS)]
+        tasks = [gevent.spawn(each.run) for each in callers]
+        gevent.sleep(seconds)
+        gevent.killall(tasks)
+        self.asked = [ask for each in callers for ask in each.asked]
+        self.events = self.fleet.read_events()
+        self.assertEqual([], find_ignored(self.events, self.asked))
+
+    def count_arrived(self):
+        """Return the requests that reached each upstream with a script."""
+        return collections.Counter(
+            each.upstream for each in self.events if each.kind == ARRIVED
+        )
+
+
+class TestLimit(PushbackTest):
+    def test_hosts_together_keep_to_a_named_limit(self):
+        # Guards against a limit that nobody keeps, or each host on its own.
+        self.start({each: [f"limit:{LIMITS[each]}"] for each in LIMITS})
+        self.play(LIMITED_FOR)
+        words = [each for each in self.events if LIMIT in each.said]
+        counts = collections.Counter(each.upstream for each in words)
+        self.assertGreater(self.count_arrived().total(), len(words))
+        self.assertEqual(len(LIMITS), len(counts), counts)
+        for upstream, count in counts.items():
+            limit = LIMITS[int(upstream.split("-")[1])]
+            span = words[-1].at - words[0].at
+            self.assertGreater(count, 0.5 * limit * span, upstream)
+
+
+class TestLeaving(PushbackTest):
+    def test_word_of_leaving_binds_while_the_store_is_away(self):
+        # Guards against sends to an upstream that only its answers tell of.
+        self.start({KEYED: ["leaving:1"], PLAIN: ["leaving:1"]})
+        document = {"kind": "down", "seconds": LEAVING_FOR}
+        call(self.fleet.store_port, "POST", "/fault", document)
+        self.play(LEAVING_FOR)
+        told = {
+            each.upstream
+            for each in self.events
+            if each.kind == SAID and LEAVING in each.said
+        }
+        self.assertEqual(2, len(told))
+
+    def test_keys_move_from_an_upstream_that_leaves(self):
+        # Guards against keys that stay with it until the store knows.
+        self.start({KEYED: ["leaving:1"]})
+        self.play(LEAVING_FOR)
+        last = self.asked[-1].at - 2.0
+        statuses = [ask.status for ask in self.asked if ask.at > last]
+        self.assertEqual({200}, set(statuses))
+
+
+class TestRest(PushbackTest):
+    def test_host_keeps_to_the_rest_that_it_was_asked_for(self):
+        # Guards against callers' repeats that reach whoever wants a rest.
+        self.start({KEYED: ["rest:3"], PLAIN: ["rest:2.5"]})
+        self.play(RESTING_FOR)
+        words = [each for each in self.events if REST in each.said]
+        self.assertEqual(2, len({each.upstream for each in words}))
+        held = [ask.retry_after for ask in self.asked if ask.retry_after > 1.0]
+        self.assertGreater(max(held, default=0.0), 2.0)
