An upstream's own word that it leaves binds a host for good

Callers' requests reached an upstream 2.5 s and more after a host had passed on an answer that said it leaves (bound 2 s); the store could not be told.

Cause: hosts knew of a leaver only from its entry in the registry, which the store took 12 s later. Class: a fact learned on one way is waited for on another. Ruled out: a newer entry or an older answer that takes the word back; there was no pause in the sends.

A host remembers the word by the start of the upstream that said it, beside the registry's and never undone by it: no new request, no retry, and none that waited for a window, a place, a trial or a connection goes there. Each report tells the leader, which moves the keys as from any leaver. While the store is away nothing can be moved: callers hear so at once, with 1.5 s. A break of its connection is no crash.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -213,12 +213,16 @@
         Up to which the host knows what the store holds.
     standing : Standing
         What the host says of itself.
+    leaving : list of IncarnationName
+        Upstreams that have told the host that they are about to end; the
+        registry may not know for long.
     """
 
     keys: list[KeyWork]
     upstreams: list[UpstreamWork]
     revision: Revision = Revision(0)
     standing: Standing = Standing()
+    leaving: list[IncarnationName] = []
 
 
 class Patch(msgspec.Struct, frozen=True, array_like=True):
--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -98,6 +98,7 @@
         self._missing: set[IncarnationName] = set()
         self._unreadable: set[IncarnationName] = set()
         self._foreign: dict[IncarnationName, float] = {}
+        self._announced: dict[IncarnationName, None] = {}
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
@@ -207,6 +208,35 @@
         """Tell whether another upstream answered at its address lately."""
         return now < self._foreign.get(name, float("-inf"))
 
+    def note_leaving(self, name: IncarnationName) -> bool:
+        """Take in an upstream's own word that it is about to end.
+
+        It holds for good, also against newer entries: those that show the
+        upstream ready were written before, or by a writer that does not
+        know yet.
+
+        Returns
+        -------
+        bool
+            Whether it is news.
+        """
+        if name in self._announced:
+            return False
+        self._announced[name] = None
+        _forget_oldest(self._announced, self._entries)
+        return True
+
+    def list_announced(self) -> list[IncarnationName]:
+        """Return the registered upstreams that said themselves they leave."""
+        return sorted(self._announced.keys() & self._entries.keys())
+
+    def is_leaving(self, name: IncarnationName) -> bool:
+        """Tell whether an upstream has announced its end in any way."""
+        entry = self._entries.get(name)
+        if entry is not None and entry.leaving:
+            return True
+        return name in self._announced
+
     def _drop(self, name: IncarnationName, now: float) -> None:
         self._foreign.pop(name, None)
         self._cold_until.pop(name, None)
@@ -249,7 +279,9 @@
         return now < self._cold_until.get(entry.name, float("-inf"))
 
     def _is_usable(self, entry: RegisteredUpstream) -> bool:
-        return not entry.leaving and entry.name not in self._unreadable
+        if self.is_leaving(entry.name):
+            return False
+        return entry.name not in self._unreadable
 
     def _is_active(self, entry: RegisteredUpstream) -> bool:
         evacuated = self.evacuations.is_asked(entry.data_centre)
--- a/sedgetide/core/requests/returns.py
+++ b/sedgetide/core/requests/returns.py
@@ -11,6 +11,8 @@
 SOON = 0.25
 # Seconds; until a host that starts has read the routes.
 UNPREPARED = 0.5
+# Seconds; until a host that hears nothing of the store may hear it again.
+OUT_OF_TOUCH = 1.5
 # Seconds; a queue changes too fast to be foretold for longer.
 _LONGEST_QUEUE = 1.0
 _LEAST_QUEUED = 0.05
--- a/sedgetide/daemons/_breaks.py
+++ b/sedgetide/daemons/_breaks.py
@@ -62,8 +62,7 @@
         An upstream that has announced its end is no crash.
         """
         now = read_clock()
-        known = self._directory.find(upstream.name)
-        if known is not None and known.leaving:
+        if self._directory.is_leaving(upstream.name):
             return
         self._runs.note(upstream.name, _describe(job, now))
         if self._probe(upstream, now) is Presence.ENDED:
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -13,6 +13,7 @@
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.errors import InputError
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
@@ -343,6 +344,12 @@
                 leaving=entry.leaving,
             )
 
+    def note_leaving(self, upstream: IncarnationName) -> None:
+        """Take in an upstream's own word that it is about to end."""
+        if self.directory.note_leaving(upstream):
+            tell(Event.LEAVING, upstream=upstream)
+            self.changes.announce()
+
     def _take_policy(self, policy: Policy) -> None:
         if self.policy is not None and policy.version <= self.policy.version:
             return
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -159,6 +159,8 @@
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.revision, now)
             self._name_lenders(sender, report.standing, now)
+        for upstream in report.leaving:
+            self._knowledge.note_leaving(upstream)
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
 
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -17,6 +17,7 @@
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import rank_request
 from sedgetide.core.requests.ratelimits import StatedLimit
+from sedgetide.core.requests.returns import OUT_OF_TOUCH
 from sedgetide.core.requests.returns import UNPREPARED
 from sedgetide.core.requests.returns import wait_for_limit
 from sedgetide.core.requests.returns import wait_for_move
@@ -36,6 +37,9 @@
 _RETRY_HOLD = 0.1
 # Seconds; a lost lender of places at a bounded upstream is replaced by then.
 _UNLENT = 1.0
+# Seconds without a word of the store; a watch that finds nothing is answered
+# sooner.
+_SILENT_STORE = 3.0
 
 
 class Passage(msgspec.Struct):
@@ -111,6 +115,10 @@
                 # All are bounded, and have been sent what they bear.
                 return None
             job.note = target.value
+            if target is Wait.OWNER_GONE and self._is_out_of_touch(now):
+                # Nobody can give its keys to another, or tell this host.
+                job.retry_after = OUT_OF_TOUCH
+                return None
             if now >= limit:
                 job.retry_after = self._foresee_owner(job, target, now)
                 return None
@@ -167,6 +175,9 @@
         rank = rank_request(job.route.priority, job.overdue)
         return self._places.enter(target.upstream, rank, left, bound, stated)
 
+    def _is_out_of_touch(self, now: float) -> bool:
+        return now - self._knowledge.heard_at > _SILENT_STORE
+
     def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
         if wait is not Wait.MOVING:
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -258,6 +258,7 @@
             return None
         if pushback.leaving:
             PUSHBACKS.labels(upstream.service, "leaving").inc()
+            self._knowledge.note_leaving(upstream.name)
         if pushback.rest is not None:
             PUSHBACKS.labels(upstream.service, "rest").inc()
         limits = self._knowledge.limits
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -336,6 +336,7 @@
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         report.standing = self._describe_standing()
+        report.leaving = self._knowledge.directory.list_announced()
         if link == self._settings.link:
             self._leader.note_report(report, None, read_clock())
         else:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -120,6 +120,13 @@
         "hosts together than before, or none any more.",
         ("upstream", "limit"),
     )
+    LEAVING = Definition(
+        "upstream-leaving",
+        logging.INFO,
+        "An upstream says in an answer that it is about to end, for the "
+        "first time here.",
+        ("upstream",),
+    )
     PUSHBACK_REFUSED = Definition(
         "pushback-refused",
         logging.ERROR,
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -162,3 +162,50 @@
     def test_unknown_name_changes_nothing(self):
         self.directory.discredit("u-7", 101.0)
         self.assertEqual(100.0, self.directory.changed_at)
+
+
+class TestOwnWord(testtools.TestCase):
+    """An upstream says in its answers that it leaves."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory(grace=2.0)
+        self.first = make_born("u-1", 5)
+        self.directory.put(self.first, 100.0)
+        self.assertTrue(self.directory.note_leaving(self.first.name))
+
+    def is_used(self, entry):
+        name = entry.name
+        serving = self.directory.find_serving(name, 120.0) is not None
+        return serving or self.directory.find_active(name) is not None
+
+    def test_entry_that_shows_it_ready_does_not_take_the_word_back(self):
+        # Guards against sends that go on until the registry knows.
+        self.directory.put(self.first, 101.0)
+        self.directory.replace([self.first], 102.0)
+        self.assertFalse(self.is_used(self.first))
+        self.assertFalse(self.directory.note_leaving(self.first.name))
+        self.assertEqual([self.first.name], self.directory.list_announced())
+
+    def test_word_outlives_an_entry_that_lapses_and_comes_back(self):
+        self.directory.remove("u-1", 101.0)
+        self.assertEqual([], self.directory.list_announced())
+        self.directory.put(self.first, 105.0)
+        self.assertFalse(self.is_used(self.first))
+
+    def test_next_start_under_the_name_has_said_nothing(self):
+        second = make_born("u-1", 6)
+        self.directory.put(second, 101.0)
+        self.assertTrue(self.is_used(second))
+        self.assertFalse(self.directory.is_leaving(second.name))
+
+    def test_word_before_the_entry(self):
+        # The leader may hear of it before it has read the registry.
+        later = make_born("u-2", 7)
+        self.directory.note_leaving(later.name)
+        self.directory.put(later, 101.0)
+        self.assertFalse(self.is_used(later))
+
+
+def make_born(name, born):
+    return RegisteredUpstream(name, "maps", "10.0.0.1:80", "dc", 2, born=born)
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -13,14 +13,17 @@
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import RequestId
+from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.returns import OUT_OF_TOUCH
 from sedgetide.core.requests.routes import Timetable
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.daemons._job import Job
@@ -197,3 +200,43 @@
         rule = msgspec.structs.replace(self.rule, cold_rate=None)
         self.knowledge.policy = Policy(Version(1), (), {SERVICE: rule})
         self.assertIsNotNone(self.find(None))
+
+
+class TestLeaving(testtools.TestCase):
+    """An upstream says in its answers that it leaves."""
+
+    def setUp(self):
+        super().setUp()
+        self.knowledge = Knowledge(PlatformCatalogue())
+        self.knowledge.directory.put(UPSTREAM, read_clock())
+        self.knowledge.heard_at = read_clock()
+        table = RangeTable().assign_first([(UPSTREAM.name, 1)])
+        self.knowledge.take_table(SERVICE, table, Revision(1), read_clock())
+        self.passages = Passages(
+            self.knowledge,
+            Lanes(1000),
+            LentPlaces(None),
+            UsualFigures(),
+            "north",
+            random.Random(1),
+        )
+
+    def test_request_that_waited_is_not_sent_after_the_word(self):
+        # Guards against what was let through before the word came.
+        for keyed in (True, False):
+            job = make_job(keyed)
+            passage = self.passages.find(job)
+            self.assertTrue(self.passages.may_send(job, passage))
+        self.knowledge.note_leaving(UPSTREAM.name)
+        self.assertFalse(self.passages.may_send(job, passage))
+        self.assertFalse(self.passages.may_send(make_job(True), passage))
+
+    def test_caller_hears_at_once_while_nobody_can_move_its_key(self):
+        # Guards against callers held for an owner that can't come.
+        self.knowledge.note_leaving(UPSTREAM.name)
+        self.knowledge.heard_at = read_clock() - 4.0
+        job, began = make_job(True), read_clock()
+        self.assertIsNone(self.passages.find(job))
+        self.assertLess(read_clock() - began, 0.05)
+        self.assertEqual(OUT_OF_TOUCH, job.retry_after)
+        self.assertEqual("owner-gone", job.note)
