A host keeps to the rest that an upstream has asked it for

Callers heard 503 from the upstream itself, after two sends, with a quarter of a second.

Cause: a 503 was busy whatever it carried. Class: pushback that is not heard. Ruled out: retries and waiting requests alone; the reports' requests are first sends, and nothing pauses after the word.

A host remembers until when each start of an upstream wants nothing from it; a shorter word does not end a longer rest, and the next start has asked for none. First sends, retries, trials and what waited for a window, a place or a connection keep to it. A caller whose owner rests hears so at once, with the seconds left; no retry is spent. Others are asked first for requests without a key. Grants and renewals go on: they are no requests of callers, and without them keys would go dark.

--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -31,6 +31,7 @@
     MOVING = "moving"
     OWNER_GONE = "owner-gone"
     NO_UPSTREAM = "no-upstream"
+    RESTING = "resting"
 
 
 class Failure(enum.Enum):
@@ -132,7 +133,7 @@
     Parameters
     ----------
     declined : collection of IncarnationName
-        Cold upstreams that bear no more at present.
+        Upstreams that bear no more at present.
     """
     active = [
         each
--- a/sedgetide/core/requests/pushback.py
+++ b/sedgetide/core/requests/pushback.py
@@ -1,7 +1,14 @@
 """What an upstream asks of those who send to it, in its answers."""
 
+from collections.abc import Collection
+
 import msgspec
 
+from sedgetide.core.identifiers import IncarnationName
+
+# Upstreams whose rests are remembered; one that is over is forgotten first.
+_MOST_RESTS = 4000
+
 
 class Pushback(msgspec.Struct, frozen=True):
     """What one answer says of the upstream that wrote it.
@@ -24,3 +31,50 @@
     leaving: bool = False
     rest: float | None = None
     problems: tuple[str, ...] = ()
+
+
+class Rests:
+    """Times in which upstreams want nothing from this host."""
+
+    def __init__(self) -> None:
+        self._until: dict[IncarnationName, float] = {}
+
+    def note(
+        self, upstream: IncarnationName, seconds: float, now: float
+    ) -> bool:
+        """Take in that an upstream wants a rest from now on.
+
+        A shorter one does not end a longer one: each was asked for, and
+        nobody can tell in which order.
+
+        Returns
+        -------
+        bool
+            Whether none went on before.
+        """
+        before = self._until.get(upstream, now)
+        self._until[upstream] = max(before, now + seconds)
+        if len(self._until) > _MOST_RESTS:
+            self._forget(now)
+        return before <= now
+
+    def _forget(self, now: float) -> None:
+        ending = sorted(self._until.items(), key=lambda each: each[1])
+        kept = [each for each in ending if each[1] > now]
+        self._until = dict(kept[-_MOST_RESTS:])
+
+    def find_left(self, upstream: IncarnationName, now: float) -> float:
+        """Return the seconds that a rest goes on; zero when there is none."""
+        return max(0.0, self._until.get(upstream, now) - now)
+
+    def list_resting(self, now: float) -> set[IncarnationName]:
+        """Return the upstreams that want nothing at present."""
+        return {name for name, end in self._until.items() if end > now}
+
+    def find_first(
+        self, upstreams: Collection[IncarnationName], now: float
+    ) -> float:
+        """Return when the first of some rests ends, in seconds."""
+        return min(
+            (self.find_left(each, now) for each in upstreams), default=0.0
+        )
--- a/sedgetide/core/requests/returns.py
+++ b/sedgetide/core/requests/returns.py
@@ -62,6 +62,17 @@
     return round(max(SOON, seconds), 2)
 
 
+def wait_for_rest(seconds: float) -> float:
+    """Return when to come again to an upstream that wants a rest.
+
+    Parameters
+    ----------
+    seconds : float
+        That are left of it.
+    """
+    return round(max(SOON, seconds), 2)
+
+
 def wait_for_upstream(load: UpstreamLoad | None, seconds: float) -> float:
     """Return when to come again to an upstream that was full.
 
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -27,6 +27,7 @@
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.requests.cold import bound_cold_sends
+from sedgetide.core.requests.pushback import Rests
 from sedgetide.core.requests.quarantine import Quarantine
 from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.ratelimits import KnownLimits
@@ -111,6 +112,7 @@
         self.hosts: int | None = None
         self.lenders = LenderList()
         self.limits = KnownLimits()
+        self.rests = Rests()
         self.quarantine = Quarantine()
         self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -23,6 +23,7 @@
 from sedgetide.core.requests.returns import wait_for_move
 from sedgetide.core.requests.returns import wait_for_place
 from sedgetide.core.requests.returns import wait_for_queue
+from sedgetide.core.requests.returns import wait_for_rest
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
@@ -115,12 +116,8 @@
                 # All are bounded, and have been sent what they bear.
                 return None
             job.note = target.value
-            if target is Wait.OWNER_GONE and self._is_out_of_touch(now):
-                # Nobody can give its keys to another, or tell this host.
-                job.retry_after = OUT_OF_TOUCH
-                return None
-            if now >= limit:
-                job.retry_after = self._foresee_owner(job, target, now)
+            if now >= limit or self._is_hopeless(target, now):
+                job.retry_after = self._foresee(job, target, now)
                 return None
             self._knowledge.changes.wait(limit - now)
 
@@ -175,23 +172,55 @@
         rank = rank_request(job.route.priority, job.overdue)
         return self._places.enter(target.upstream, rank, left, bound, stated)
 
+    def _is_hopeless(self, wait: Wait, now: float) -> bool:
+        """Tell whether waiting here can't bring a target."""
+        if wait is Wait.OWNER_GONE:
+            # Nobody can give its keys to another, or tell this host.
+            return self._is_out_of_touch(now)
+        return wait is Wait.RESTING
+
     def _is_out_of_touch(self, now: float) -> bool:
         return now - self._knowledge.heard_at > _SILENT_STORE
 
-    def _foresee_owner(self, job: Job, wait: Wait, now: float) -> float:
+    def _foresee(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
+        if wait is Wait.RESTING:
+            return wait_for_rest(self.find_rest(job, now))
+        if wait is Wait.OWNER_GONE and self._is_out_of_touch(now):
+            return OUT_OF_TOUCH
         if wait is not Wait.MOVING:
             return UNPREPARED
         moving = self._knowledge.find_moving(job.service, job.fields.key, now)
         return wait_for_move(moving)
 
+    def find_rest(self, job: Job, now: float) -> float:
+        """Return for how long all that may run a request want a rest.
+
+        Returns
+        -------
+        float
+            Seconds; zero when any of them wants none.
+        """
+        directory, rests = self._knowledge.directory, self._knowledge.rests
+        if not job.keyed:
+            active = directory.list_active(job.service)
+            return rests.find_first([each.name for each in active], now)
+        table = self._knowledge.find_table(job.service)
+        owner = find_owner(table, job.fields.key, directory, now)
+        if isinstance(owner, Wait):
+            return 0.0
+        return rests.find_left(owner.upstream.name, now)
+
     def may_send(self, job: Job, passage: Passage) -> bool:
         """Tell whether a passage may be used at this moment.
 
         A limit may have been named while the request waited for this host's
-        window, which knows nothing of what others send.
+        window, which knows nothing of what others send; a rest asked for
+        while it waited for anything.
         """
         upstream = passage.target.upstream.name
+        if self._knowledge.rests.find_left(upstream, read_clock()) > 0.0:
+            return False
         if passage.place is None and self._knowledge.limits.find(upstream):
             return False
         return self._still_holds(job, passage.target)
@@ -210,13 +239,21 @@
     ) -> Target | Wait:
         directory = self._knowledge.directory
         if job.keyed:
+            if self.find_rest(job, now) > 0.0:
+                return Wait.RESTING
             table = self._knowledge.find_table(job.service)
             return find_owner(table, job.fields.key, directory, now)
+        resting = self._knowledge.rests.list_resting(now)
         candidates = list_candidates(
-            directory, job.service, job.progress.tried, now, declined
+            directory,
+            job.service,
+            job.progress.tried,
+            now,
+            resting.union(declined),
         )
         if not candidates:
-            return Wait.NO_UPSTREAM
+            resting = not declined and self.find_rest(job, now) > 0.0
+            return Wait.RESTING if resting else Wait.NO_UPSTREAM
         size = len(job.request.body) + self._usual.find_bytes(job.route.name)
         crossing = price_crossing(size, job.times.objective - job.times.began)
         seen = [
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -14,6 +14,7 @@
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
+from sedgetide.core.requests.attempts import Wait
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.retries import bound_burst
@@ -21,6 +22,7 @@
 from sedgetide.core.requests.retries import RetryBudget
 from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.core.requests.returns import UNPREPARED
+from sedgetide.core.requests.returns import wait_for_rest
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.usual import UsualFigures
@@ -268,6 +270,11 @@
             job.route, job.progress, job.keyed, job.times, now
         ):
             return False
+        rest = self._passages.find_rest(job, now)
+        if rest > 0.0:
+            job.note = Wait.RESTING.value
+            job.retry_after = wait_for_rest(rest)
+            return False
         if not self._quarantine.may_retry(job):
             job.note = "suspect"
             return False
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -5,6 +5,7 @@
 from sedgetide.backends.dialects import RequestDialect
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
+from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import NO_WORD
@@ -261,6 +262,7 @@
             self._knowledge.note_leaving(upstream.name)
         if pushback.rest is not None:
             PUSHBACKS.labels(upstream.service, "rest").inc()
+            self._note_rest(upstream, pushback.rest, now)
         limits = self._knowledge.limits
         if pushback.limit is not None:
             PUSHBACKS.labels(upstream.service, "limit").inc()
@@ -277,6 +279,16 @@
             )
         return said
 
+    def _note_rest(
+        self, upstream: RegisteredUpstream, seconds: float, now: float
+    ) -> None:
+        if self._knowledge.rests.note(upstream.name, seconds, now):
+            tell(
+                Event.RESTING,
+                upstream=upstream.registered_name,
+                seconds=seconds,
+            )
+
     def _note_failure(
         self,
         job: Job,
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -127,6 +127,13 @@
         "first time here.",
         ("upstream",),
     )
+    RESTING = Definition(
+        "upstream-resting",
+        logging.INFO,
+        "An upstream has turned a request away and wants nothing from this "
+        "host for so long. Said again only when no earlier rest goes on.",
+        ("upstream", "seconds"),
+    )
     PUSHBACK_REFUSED = Definition(
         "pushback-refused",
         logging.ERROR,
--- /dev/null
+++ b/tests/core/requests/test_pushback.py
@@ -0,0 +1,41 @@
+"""Tests of what upstreams ask of those who send to them."""
+
+import testtools
+
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.requests.pushback import Rests
+
+FIRST, SECOND = IncarnationName("u@1"), IncarnationName("u@2")
+
+
+class TestRests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.rests = Rests()
+
+    def test_rest_ends_by_itself(self):
+        self.assertTrue(self.rests.note(FIRST, 3.0, 10.0))
+        self.assertEqual(2.0, self.rests.find_left(FIRST, 11.0))
+        self.assertEqual({FIRST}, self.rests.list_resting(12.9))
+        self.assertEqual(0.0, self.rests.find_left(FIRST, 13.0))
+        self.assertEqual(set(), self.rests.list_resting(13.0))
+        self.assertTrue(self.rests.note(FIRST, 1.0, 14.0))
+
+    def test_shorter_rest_does_not_end_a_longer_one(self):
+        # Guards against answers that overtake each other.
+        self.rests.note(FIRST, 3.0, 10.0)
+        self.assertFalse(self.rests.note(FIRST, 0.5, 10.1))
+        self.assertAlmostEqual(2.9, self.rests.find_left(FIRST, 10.1))
+
+    def test_next_start_has_asked_for_nothing(self):
+        self.rests.note(FIRST, 3.0, 10.0)
+        self.assertEqual(0.0, self.rests.find_left(SECOND, 10.0))
+        both = (FIRST, SECOND)
+        self.assertEqual(0.0, self.rests.find_first(both, 10.0))
+
+    def test_memory_is_bounded(self):
+        for number in range(9000):
+            name = IncarnationName(f"u-{number}")
+            self.rests.note(name, 1.0 + number, 10.0)
+        self.assertLess(len(self.rests.list_resting(10.0)), 4002)
+        self.assertGreater(self.rests.find_left(name, 10.0), 0.0)
