Soak of upstreams that name limits, leave, and want rests

Checked from what callers and upstreams saw; a host that was frozen or lost is not judged for 3 s, nor what was held up on the way to an upstream. Who is told to come back late is not judged there: a limit of 0.3 a second is a wait of seconds.

--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -36,6 +36,9 @@
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import GRACE
 from sedgetide.testing.soakpromises import Promises
+from sedgetide.testing.soakpushback import Absence
+from sedgetide.testing.soakpushback import draw_scripts
+from sedgetide.testing.soakpushback import find_ignored
 
 CALLERS = 14
 FAULT_TIME = 9.0
@@ -53,6 +56,8 @@
 _FIRST_EVACUATED = 5000
 # From here on copies of one deadly request come from several callers at once.
 _FIRST_COPIES = 6000
+# From here on upstreams ask something of those who send to them.
+_FIRST_ASKING = 7000
 _COPIES = 5
 # Seconds between the wish and its end; the soak may end before.
 _EVACUATED_FOR = (0.4, 3.0, 9.0, 60.0)
@@ -71,13 +76,30 @@
 
 
 class Fault(msgspec.Struct, frozen=True):
-    """Something that begins at a time and ends some seconds later."""
+    """Something that begins at a time and ends some seconds later.
+
+    Parameters
+    ----------
+    at, seconds : float
+        When it begins, from the first traffic on, and how long it lasts.
+    name : str
+        For people.
+    begin, end : callable
+        Do and undo it.
+    hosts : tuple of int
+        Hosts that are out of touch meanwhile.
+    upstream : str
+        Beginning of the names of the upstreams that they do not reach; all
+        when empty.
+    """
 
     at: float
     seconds: float
     name: str
     begin: Callable[[], None]
     end: Callable[[], None] = lambda: None
+    hosts: tuple[int, ...] = ()
+    upstream: str = ""
 
 
 def _reset_often(proxy: Proxy) -> None:
@@ -102,7 +124,10 @@
         self.seed = seed
         self._random = random.Random(seed)
         late = self._random.choice((0.0, 0.0, 0.1))
-        if seed >= _FIRST_COPIES:
+        if seed >= _FIRST_ASKING:
+            says = draw_scripts(self._random)
+            self.fleet = Fleet(folder, late, says=says)
+        elif seed >= _FIRST_COPIES:
             self.fleet = Fleet(folder, late, crash_on=DEADLY_PATH, slots=4)
         elif seed >= _FIRST_EVACUATED:
             self.fleet = Fleet(folder, late, cold=ColdStarts())
@@ -112,7 +137,8 @@
             self.fleet = Fleet(folder, late, ({},) * _CROWD, slots=1)
         else:
             self.fleet = Fleet(folder, late)
-        self._copied = seed >= _FIRST_COPIES
+        self._asking = seed >= _FIRST_ASKING
+        self._copied = _FIRST_COPIES <= seed < _FIRST_ASKING
         self._evacuated = _FIRST_EVACUATED <= seed < _FIRST_COPIES
         self._deadly_played = (
             self._copied or _FIRST_DEADLY <= seed < _FIRST_EVACUATED
@@ -121,6 +147,7 @@
         self._calm = _CALM_TIME_DEADLY if patient else CALM_TIME
         self._evacuator = Operator(self.fleet)
         self._fault_times: list[tuple[float, float]] = []
+        self._absences: list[Absence] = []
         self._promises = Promises(self.fleet, self._calm)
         self.struck: list[str] = []
         self._extra: list[str] = []
@@ -152,6 +179,8 @@
         elif self._evacuated:
             makers += [self._draw_evacuation] * 3
             makers += [self._draw_cold_return, self._draw_loss_of_all]
+        elif self._asking:
+            makers += [self._draw_restart, self._draw_loss_of_all]
         elif self.seed >= _FIRST_DEADLY:
             # Upstreams crash as it is, and are started again for it.
             makers.remove(self._draw_upstream_loss)
@@ -169,6 +198,7 @@
 
     def _draw_host_signal(self, at: float) -> Fault:
         host = self._random.choice(self.fleet.hosts)
+        hosts = (self.fleet.hosts.index(host),)
         seconds = self._draw_seconds()
         if self._random.random() < 0.5:
             return Fault(
@@ -177,13 +207,19 @@
                 f"freeze {host.name}",
                 lambda: host.program.signal(signal.SIGSTOP),
                 lambda: host.program.signal(signal.SIGCONT),
+                hosts,
             )
 
         def kill() -> None:
             host.program.close()
 
         return Fault(
-            at, seconds, f"kill {host.name}", kill, host.program.start
+            at,
+            seconds,
+            f"kill {host.name}",
+            kill,
+            host.program.start,
+            hosts,
         )
 
     def _draw_planned_stop(self, at: float) -> Fault:
@@ -197,7 +233,8 @@
             host.program.close()
             host.program.start()
 
-        return Fault(at, GRACE, f"stop {host.name}", begin, end)
+        hosts = (self.fleet.hosts.index(host),)
+        return Fault(at, GRACE, f"stop {host.name}", begin, end, hosts)
 
     def _draw_upstream_loss(self, at: float) -> Fault:
         upstream = self._random.choice(self.fleet.upstreams)
@@ -275,7 +312,8 @@
                 host.program.wait()
                 host.program.start()
 
-        return Fault(at, 0.5, "kill all hosts", begin, end)
+        hosts = tuple(range(len(self.fleet.hosts)))
+        return Fault(at, 0.5, "kill all hosts", begin, end, hosts)
 
     def _draw_foreign_entry(self, at: float) -> Fault:
         """Let another writer overwrite an entry, or add one."""
@@ -324,6 +362,12 @@
     def _break_link(self, at: float, name: str, proxy: Proxy) -> Fault:
         kind = self._random.choice(self._list_link_faults())
         label = f"{kind} {name}"
+        hosts: tuple[int, ...] = ()
+        upstream = ""
+        if name.startswith("upstream"):
+            # What was held up on this way arrives together when it ends.
+            hosts = tuple(range(len(self.fleet.hosts)))
+            upstream = f"i-{name.split()[1]}-"
         if kind == "reset":
             return Fault(
                 at, 0.0, label, lambda: gevent.spawn(_reset_often, proxy)
@@ -342,6 +386,8 @@
             label,
             lambda: set_mode(Mode(kind)),
             lambda: set_mode(Mode.PASS),
+            hosts,
+            upstream,
         )
 
     def _draw_configuration(self, at: float) -> Fault:
@@ -391,6 +437,10 @@
         fault.end()
         if not fault.name.startswith("evacuate"):
             self._fault_times.append((began, time.monotonic()))
+        if fault.hosts:
+            self._absences.append(
+                Absence(fault.hosts, began, time.monotonic(), fault.upstream)
+            )
 
     # Promises
 
@@ -406,7 +456,9 @@
         deadly = [ask for caller in self._deadly for ask in caller.asked]
         promises.check_runs([*asked, *deadly], events)
         promises.check_deadly(events)
-        promises.check_held(asked)
+        if not self._asking:
+            promises.check_held(asked)
+        promises.problems += find_ignored(events, asked, self._absences)
         promises.check_answers(asked)
         promises.check_owners(events)
         promises.check_recovery(asked, ended)
--- a/sedgetide/testing/soakpushback.py
+++ b/sedgetide/testing/soakpushback.py
@@ -1,8 +1,9 @@
-"""Checks that hosts keep to what upstreams ask of them in their answers."""
+"""What upstreams of a soak ask of hosts in their answers, and its checks."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import random
 
 import msgspec
 
@@ -28,11 +29,62 @@
 
 
 class Absence(msgspec.Struct, frozen=True):
-    """A time in which a host was not in touch, or had lost what it knew."""
+    """A time in which hosts were not in touch, or had lost what they knew.
 
-    host: int
+    Parameters
+    ----------
+    hosts : tuple of int
+        Which.
+    began, ended : float
+        Machine's monotonic clock.
+    upstream : str
+        Beginning of the names of the upstreams that it concerns; all when
+        empty.
+    """
+
+    hosts: tuple[int, ...]
     began: float
     ended: float
+    upstream: str = ""
+
+
+_LIMITS = ("0", "0.3", "1.3", "2.2", "6", "50", "x")
+_RESTS = ("0.4", "1.5", "3", "soon")
+# Numbers of upstreams with and without keys that may ask for something.
+_ASKING = (0, 1, 4)
+
+
+def draw_scripts(source: random.Random) -> dict[int, list[str]]:
+    """Return what upstreams say, by the time since their start.
+
+    All but the word of leaving ends after some seconds, so that callers are
+    served again.
+    """
+    scripts: dict[int, list[str]] = {}
+    for number in _ASKING:
+        kinds = source.sample((LIMIT, LEAVING, REST, ""), 2)
+        scripts[number] = [
+            line for kind in kinds for line in _draw_lines(source, kind)
+        ]
+    return scripts
+
+
+def _draw_lines(source: random.Random, kind: str) -> list[str]:
+    at = source.uniform(3.0, 7.0)
+    if kind == LEAVING:
+        return [f"{at:.1f}:{kind}:1"]
+    if kind == REST:
+        ended = at + source.uniform(0.3, 2.5)
+        rest = source.choice(_RESTS)
+        return [f"{at:.1f}:{kind}:{rest}", f"{ended:.1f}:{kind}:"]
+    if kind == LIMIT:
+        middle, ended = at + source.uniform(0.2, 4.0), at + 8.0
+        return [
+            f"{at:.1f}:{kind}:{source.choice(_LIMITS)}",
+            f"{middle:.1f}:{kind}:{source.choice(_LIMITS)}",
+            f"{ended:.1f}:{kind}:",
+        ]
+    return []
 
 
 Asked = Mapping[str, Ask]
@@ -61,15 +113,18 @@
             for each in events
             if each.upstream == upstream and each.request in requests
         ]
-        problems += _find_over_limit(own, requests, absences)[:1]
-        problems += _find_late(own, requests, absences)[:1]
-        problems += _find_in_rest(own, requests, absences)[:1]
+        excused = [
+            each for each in absences if upstream.startswith(each.upstream)
+        ]
+        problems += _find_over_limit(own, requests, excused)[:1]
+        problems += _find_late(own, requests, excused)[:1]
+        problems += _find_in_rest(own, requests, excused)[:1]
     return problems
 
 
 def _is_absent(host: int, at: float, absences: Absences) -> bool:
     return any(
-        each.host == host and each.began <= at < each.ended + _BINDS_AFTER
+        host in each.hosts and each.began <= at < each.ended + _BINDS_AFTER
         for each in absences
     )
 
@@ -86,7 +141,7 @@
             told.setdefault(ask.host, event.at)
         heard = told.get(ask.host, float("inf"))
         forgotten = any(
-            each.host == ask.host and each.ended > heard for each in absences
+            ask.host in each.hosts and each.ended > heard for each in absences
         )
         late = ask.at - heard - _DRAINED_WITHIN
         if event.kind == ARRIVED and late > 0 and not forgotten:
