Keys move from an upstream whose limit lasts

An upstream that takes 2.2 requests a second keeps the keys that it owns, and what exceeds the limit is refused for as long as it lasts.

Lenders, who hear every answer of a limited upstream, report its limit with their load reports while it is asked for; the leader takes it for capacity from 1.5 s on, as it does the rate of cold ones, and forgets it when it is reported no longer. A limit that ends sooner moves nothing: each move is paid.

The test asks for nine tenths and fails on the code before.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -216,6 +216,8 @@
     leaving : list of IncarnationName
         Upstreams that have told the host that they are about to end; the
         registry may not know for long.
+    limits : dict
+        Limits that the host counts as a lender, in requests a second.
     """
 
     keys: list[KeyWork]
@@ -223,6 +225,7 @@
     revision: Revision = Revision(0)
     standing: Standing = Standing()
     leaving: list[IncarnationName] = []
+    limits: dict[IncarnationName, float] = {}
 
 
 class Patch(msgspec.Struct, frozen=True, array_like=True):
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -37,6 +37,8 @@
 _MOST_WAITING = 1000
 # Seconds without a request after which an upstream's queue is forgotten.
 _FORGOTTEN_AFTER = 30.0
+# Seconds; callers who were refused for a limit are back by then.
+_ASKED_FOR = 3.0
 # Places lent beyond an upstream's slots. Between two requests a place goes to
 # the lender and on to another host, and the slot would be idle for as long.
 # One request that waits at the upstream fills it; more of them could not be
@@ -182,7 +184,7 @@
 
     @property
     def _bounded(self) -> bool:
-        return self._cold_bound is not None or self._bucket.limited
+        return self._cold_bound is not None or self.rate is not None
 
     def _find_rest(self, ahead: int, now: float) -> float:
         """Return for how long the upstream may be sent nothing more."""
@@ -192,6 +194,11 @@
         cold = self._recent.find_wait(self._cold_bound, ahead, now)
         return max(rest, min(_LONGEST_REST, cold))
 
+    @property
+    def rate(self) -> float | None:
+        """Limit of the upstream, in requests a second."""
+        return self._bucket.rate
+
     def find_opening(self, now: float) -> float | None:
         """Return after how long a bound lets one more through.
 
@@ -350,6 +357,17 @@
         }
         return self._settle(decisions)
 
+    def list_limits(self, now: float) -> dict[IncarnationName, float]:
+        """Return the limits of upstreams that are asked for just now.
+
+        In requests a second.
+        """
+        return {
+            name: places.rate
+            for name, places in self._places.items()
+            if places.rate is not None and now - places.used_at < _ASKED_FOR
+        }
+
     def _settle(self, decisions: list[Decision]) -> list[Decision]:
         for each in decisions:
             if each.verdict is Verdict.REFUSED:
--- a/sedgetide/core/requests/ratelimits.py
+++ b/sedgetide/core/requests/ratelimits.py
@@ -102,9 +102,9 @@
         self._filled_at = 0.0
 
     @property
-    def limited(self) -> bool:
-        """Whether a limit is in force."""
-        return self._rate is not None
+    def rate(self) -> float | None:
+        """Requests a second that may be sent; None: any number."""
+        return self._rate
 
     def note(self, said: StatedLimit, now: float) -> None:
         """Take in what a host has heard, by the own clock."""
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -34,6 +34,7 @@
 from sedgetide.core.ownership.evacuation import plan_evacuation
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.limits import LimitBook
 from sedgetide.core.ownership.load import LoadBook
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
@@ -123,6 +124,7 @@
         self._lanes = OrderLanes(dialect, durations.order_timeout)
         self._desk = self._open_desk()
         self._book = LoadBook()
+        self._limits = LimitBook()
         self._evacuations = EvacuationDesk(knowledge)
         self._own = own
         self._roster = Roster(knowledge.lenders, float("-inf"), own)
@@ -161,6 +163,7 @@
             self._name_lenders(sender, report.standing, now)
         for upstream in report.leaving:
             self._knowledge.note_leaving(upstream)
+        self._limits.note(report.limits, now)
         self._book.note_keys(report.keys, now)
         self._book.note_upstreams(report.upstreams, now)
 
@@ -286,7 +289,7 @@
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
             self._balanced_at = now
-            self._forget_gone()
+            self._forget_gone(now)
             self._choose_lenders(now)
         for service in self._knowledge.policy.list_keyed():
             self._lead_service(service, balance, now)
@@ -306,13 +309,14 @@
             self._roster.choose(keyed, now, all_active)
         )
 
-    def _forget_gone(self) -> None:
+    def _forget_gone(self, now: float) -> None:
         """Forget upstreams that neither are registered nor own anything."""
         known = {each.name for each in self._knowledge.directory.list_all()}
         for each in self._knowledge.tables.values():
             known.update(tenure.owner for tenure in each.table.tenures)
         self._book.forget(known)
         self._lanes.forget(known)
+        self._limits.prune(now)
 
     def _lead_service(
         self, service: ServiceName, balance: bool, now: float
@@ -423,7 +427,11 @@
         self, upstream: RegisteredUpstream, now: float
     ) -> float:
         """Return the slots' worth of work that an upstream bears now."""
-        rate = self._knowledge.find_cold_rate(upstream, now)
+        rates = (
+            self._knowledge.find_cold_rate(upstream, now),
+            self._limits.find(upstream.name, now),
+        )
+        rate = min((each for each in rates if each is not None), default=None)
         if rate is None:
             return upstream.slots
         work = self._book.find_mean_work(upstream.service) or FIRST_GUESS
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -11,6 +11,7 @@
 from sedgetide.coding.messages import EndPlace
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import PlaceVerdict
+from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.places import Decision
@@ -244,6 +245,10 @@
         ]
         return min(bounds, default=None)
 
+    def list_limits(self, now: float) -> dict[IncarnationName, float]:
+        """Return the limits that this host counts for all, a second."""
+        return self._lender.list_limits(now)
+
     def keep(self, now: float) -> None:
         """Take back what lost hosts hold."""
         self._announce(self._lender.expire(now))
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -337,6 +337,7 @@
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         report.standing = self._describe_standing()
         report.leaving = self._knowledge.directory.list_announced()
+        report.limits = self._places.list_limits(read_clock())
         if link == self._settings.link:
             self._leader.note_report(report, None, read_clock())
         else:
--- a/tests/daemons/test_pushback.py
+++ b/tests/daemons/test_pushback.py
@@ -30,6 +30,8 @@
 RESTING_FOR = 12.0
 # Seconds.
 MOVED_WITHIN = 1.0
+# Until a limit counts as lasting, and for some rounds of moves.
+BALANCED_WITHIN = 7.0
 _KEPT = pathlib.Path("build")
 
 
@@ -83,6 +85,15 @@
             span = words[-1].at - words[0].at
             self.assertGreater(count, 0.5 * limit * span, upstream)
 
+    def test_keys_move_from_an_upstream_whose_limit_lasts(self):
+        # Guards against keys that are refused for as long as the limit lasts.
+        self.start({KEYED: [f"limit:{LIMITS[KEYED]}"]})
+        self.play(LIMITED_FOR)
+        first = min(each.at for each in self.events if LIMIT in each.said)
+        late = [ask for ask in self.asked if ask.at > first + BALANCED_WITHIN]
+        served = sum(1 for ask in late if ask.status == 200)
+        self.assertGreater(served, 0.9 * len(late))
+
 
 class TestLeaving(PushbackTest):
     def test_word_of_leaving_binds_while_the_store_is_away(self):
