An answer without a limit is told to a lender only where one was named

Each place given back carried the word that no limit is in force, some 20 bytes for each request, often to another data centre. Only a host that has heard a limit has anything to take back. Tests of what hosts do at a limited upstream that nobody lends, and of what waited when the limit came.

--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -270,6 +270,7 @@
             # Only a whole answer that names none says that there is none.
             return None
         said = StatedLimit(pushback.limit, began, now)
+        before = limits.find(upstream.name)
         if limits.note(upstream.name, said):
             limit = limits.find(upstream.name)
             tell(
@@ -277,7 +278,8 @@
                 upstream=upstream.registered_name,
                 limit=None if limit is None else limit.rate,
             )
-        return said
+        # Nearly all answers name none, and a lender is often far away.
+        return None if before is None and said.rate is None else said
 
     def _note_rest(
         self, upstream: RegisteredUpstream, seconds: float, now: float
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -23,6 +23,7 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.returns import OUT_OF_TOUCH
 from sedgetide.core.requests.routes import Timetable
 from sedgetide.core.requests.usual import UsualFigures
@@ -276,3 +277,48 @@
             passage = self.passages.find(make_job(False))
             self.assertEqual(other, passage.target.upstream)
             passage.leave()
+
+
+class TestLimit(KnownUpstreamTest):
+    """An upstream has named a limit for all hosts together."""
+
+    def name_limit(self, rate):
+        now = read_clock()
+        said = StatedLimit(rate, now, now)
+        self.knowledge.limits.note(UPSTREAM.name, said)
+
+    def test_request_that_waited_asks_again_for_the_limit(self):
+        # Guards against what was let through by this host's own window.
+        job = make_job(False)
+        passage = self.passages.find(job)
+        self.assertIsNone(passage.place)
+        self.name_limit(2.2)
+        self.assertFalse(self.passages.may_send(job, passage))
+
+    def test_nothing_is_sent_while_nobody_counts(self):
+        # Guards against hosts that each take a share which adds up to more.
+        self.name_limit(2.2)
+        for keyed in (True, False):
+            job, began = make_job(keyed), read_clock()
+            self.assertIsNone(self.passages.find(job))
+            self.assertLess(read_clock() - began, 0.05)
+            self.assertEqual("limited", job.note)
+            self.assertEqual(1.0, job.retry_after)
+
+    def test_caller_hears_when_the_limit_has_room(self):
+        self.passages._places = LentPlaces(PlaceRefused(3.4))
+        self.name_limit(0.3)
+        job = make_job(True)
+        self.assertIsNone(self.passages.find(job))
+        self.assertEqual(3.4, job.retry_after)
+
+    def test_request_without_key_goes_to_one_that_names_none(self):
+        self.name_limit(50.0)
+        other = msgspec.structs.replace(
+            UPSTREAM, registered_name=UpstreamName("map-2")
+        )
+        self.knowledge.directory.put(other, read_clock())
+        for _ in range(20):
+            passage = self.passages.find(make_job(False))
+            self.assertEqual(other, passage.target.upstream)
+            passage.leave()
