--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -42,6 +42,9 @@
     ("", "no-upstream"): "its service had no upstream",
     ("", "quarantined"): "upstreams ended under it and its repeats, so it is "
     "refused unsent",
+    ("", "limited"): "its upstream had named a limit of requests a second "
+    "for all hosts together, and this one did not fit in",
+    ("", "resting"): "its upstream had asked the host for a rest",
     ("not-owner", None): "the upstream that the host took for the owner did "
     "not hold the key",
     ("unreachable", None): "no connection to the upstream opened",
--- a/sedgetide/core/requests/ratelimits.py
+++ b/sedgetide/core/requests/ratelimits.py
@@ -91,6 +91,14 @@
         word = self._words.get(upstream)
         return None if word is None or word.rate is None else word
 
+    def list_rates(self) -> dict[IncarnationName, float]:
+        """Return all limits in force, in requests a second."""
+        return {
+            name: word.rate
+            for name, word in self._words.items()
+            if word.rate is not None
+        }
+
 
 class TokenBucket:
     """Sends that a limit allows; any number while there is none."""
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -404,8 +404,21 @@
             else msgspec.to_builtins(self.leader),
             "tables": msgspec.to_builtins(self.tables),
             "upstreams": msgspec.to_builtins(self.directory.list_all()),
+            "asked": self._describe_pushback(read_clock()),
             "evacuated": self.directory.evacuations.describe(read_clock()),
             "quarantine": msgspec.to_builtins(
                 self.quarantine.report(read_clock())
             ),
         }
+
+    def _describe_pushback(self, now: float) -> dict[str, Any]:
+        """Return what upstreams ask of this host, for the state."""
+        rests = self.rests.list_resting(now)
+        return {
+            "limits": self.limits.list_rates(),
+            "leaving": self.directory.list_announced(),
+            "rests": {
+                name: round(self.rests.find_left(name, now), 1)
+                for name in sorted(rests)
+            },
+        }
--- a/tests/daemons/test_pushback.py
+++ b/tests/daemons/test_pushback.py
@@ -6,6 +6,7 @@
 import tempfile
 
 import gevent
+import msgspec
 import testtools
 
 from sedgetide.testing.proxies import Mode
@@ -16,6 +17,7 @@
 from sedgetide.testing.remarks import REST
 from sedgetide.testing.soakcallers import Caller
 from sedgetide.testing.soakcallers import DEADLINE
+from sedgetide.testing.soakfleet import call
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakpushback import find_ignored
 
@@ -92,6 +94,9 @@
         first = min(each.at for each in self.events if LIMIT in each.said)
         late = [ask for ask in self.asked if ask.at > first + BALANCED_WITHIN]
         served = sum(1 for ask in late if ask.status == 200)
+        state = call(self.fleet.hosts[0].admin_port, "GET", "/state")
+        asked = msgspec.json.decode(state.body)["knowledge"]["asked"]
+        self.assertEqual([LIMITS[KEYED]], list(asked["limits"].values()))
         self.assertGreater(served, 0.9 * len(late))
 
 
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -23,6 +23,7 @@
 }
 EVACUATED_AND_COLD = 5001
 COPIES_AND_ALL_HOSTS_LOST = 6004
+ASKING_AND_RESTARTED = 7001
 
 
 class TestProgram(testtools.TestCase):
@@ -61,3 +62,8 @@
     def test_copies_of_a_deadly_request_and_the_loss_of_all_hosts(self):
         # Guards against runs by the dozen after each loss of what hosts know.
         self.play(COPIES_AND_ALL_HOSTS_LOST)
+
+    def test_upstreams_that_ask_something_of_their_senders(self):
+        # Guards against limits, leaving and rests that get lost in faults:
+        # a host and an upstream are killed meanwhile.
+        self.play(ASKING_AND_RESTARTED)
