--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -44,7 +44,10 @@
     "refused unsent",
     ("", "limited"): "its upstream had named a limit of requests a second "
     "for all hosts together, and this one did not fit in",
-    ("", "resting"): "its upstream had asked the host for a rest",
+    (
+        "",
+        "backing-off",
+    ): "its upstream had asked the host to send nothing for a while",
     ("not-owner", None): "the upstream that the host took for the owner did "
     "not hold the key",
     ("unreachable", None): "no connection to the upstream opened",
--- a/sedgetide/core/requests/attempts.py
+++ b/sedgetide/core/requests/attempts.py
@@ -31,7 +31,7 @@
     MOVING = "moving"
     OWNER_GONE = "owner-gone"
     NO_UPSTREAM = "no-upstream"
-    RESTING = "resting"
+    BACKING_OFF = "backing-off"
 
 
 class Failure(enum.Enum):
--- a/sedgetide/core/requests/pushback.py
+++ b/sedgetide/core/requests/pushback.py
@@ -6,8 +6,8 @@
 
 from sedgetide.core.identifiers import IncarnationName
 
-# Upstreams whose rests are remembered; one that is over is forgotten first.
-_MOST_RESTS = 4000
+# Upstreams whose backoffs are remembered; one that is over is forgotten first.
+_MOST_KEPT = 4000
 
 
 class Pushback(msgspec.Struct, frozen=True):
@@ -20,7 +20,7 @@
         it names no limit.
     leaving : bool
         Whether it is about to end.
-    rest : float or None
+    backoff : float or None
         Seconds for which it wants nothing from the host that it turned
         away; None when it did not ask for that.
     problems : tuple of str
@@ -29,12 +29,12 @@
 
     limit: float | None = None
     leaving: bool = False
-    rest: float | None = None
+    backoff: float | None = None
     problems: tuple[str, ...] = ()
 
 
-class Rests:
-    """Times in which upstreams want nothing from this host."""
+class Backoffs:
+    """Times for which upstreams want nothing from this host."""
 
     def __init__(self) -> None:
         self._until: dict[IncarnationName, float] = {}
@@ -42,9 +42,9 @@
     def note(
         self, upstream: IncarnationName, seconds: float, now: float
     ) -> bool:
-        """Take in that an upstream wants a rest from now on.
+        """Take in that an upstream asks to be left alone from now on.
 
-        A shorter one does not end a longer one: each was asked for, and
+        A shorter time does not end a longer one: each was asked for, and
         nobody can tell in which order.
 
         Returns
@@ -54,27 +54,30 @@
         """
         before = self._until.get(upstream, now)
         self._until[upstream] = max(before, now + seconds)
-        if len(self._until) > _MOST_RESTS:
+        if len(self._until) > _MOST_KEPT:
             self._forget(now)
         return before <= now
 
     def _forget(self, now: float) -> None:
         ending = sorted(self._until.items(), key=lambda each: each[1])
         kept = [each for each in ending if each[1] > now]
-        self._until = dict(kept[-_MOST_RESTS:])
+        self._until = dict(kept[-_MOST_KEPT:])
 
     def find_left(self, upstream: IncarnationName, now: float) -> float:
-        """Return the seconds that a rest goes on; zero when there is none."""
+        """Return the seconds that are left; zero when there are none."""
         return max(0.0, self._until.get(upstream, now) - now)
 
-    def list_resting(self, now: float) -> set[IncarnationName]:
+    def list_active(self, now: float) -> set[IncarnationName]:
         """Return the upstreams that want nothing at present."""
         return {name for name, end in self._until.items() if end > now}
 
     def find_first(
         self, upstreams: Collection[IncarnationName], now: float
     ) -> float:
-        """Return when the first of some rests ends, in seconds."""
+        """Return when the first of some upstreams may be sent to again.
+
+        In seconds.
+        """
         return min(
             (self.find_left(each, now) for each in upstreams), default=0.0
         )
--- a/sedgetide/core/requests/returns.py
+++ b/sedgetide/core/requests/returns.py
@@ -62,8 +62,8 @@
     return round(max(SOON, seconds), 2)
 
 
-def wait_for_rest(seconds: float) -> float:
-    """Return when to come again to an upstream that wants a rest.
+def wait_for_backoff(seconds: float) -> float:
+    """Return when to come again to an upstream that wants nothing yet.
 
     Parameters
     ----------
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -27,7 +27,7 @@
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.requests.cold import bound_cold_sends
-from sedgetide.core.requests.pushback import Rests
+from sedgetide.core.requests.pushback import Backoffs
 from sedgetide.core.requests.quarantine import Quarantine
 from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.ratelimits import KnownLimits
@@ -112,7 +112,7 @@
         self.hosts: int | None = None
         self.lenders = LenderList()
         self.limits = KnownLimits()
-        self.rests = Rests()
+        self.backoffs = Backoffs()
         self.quarantine = Quarantine()
         self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
@@ -413,12 +413,12 @@
 
     def _describe_pushback(self, now: float) -> dict[str, Any]:
         """Return what upstreams ask of this host, for the state."""
-        rests = self.rests.list_resting(now)
+        backoffs = self.backoffs.list_active(now)
         return {
             "limits": self.limits.list_rates(),
             "leaving": self.directory.list_announced(),
-            "rests": {
-                name: round(self.rests.find_left(name, now), 1)
-                for name in sorted(rests)
+            "backoffs": {
+                name: round(self.backoffs.find_left(name, now), 1)
+                for name in sorted(backoffs)
             },
         }
--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -19,11 +19,11 @@
 from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.returns import OUT_OF_TOUCH
 from sedgetide.core.requests.returns import UNPREPARED
+from sedgetide.core.requests.returns import wait_for_backoff
 from sedgetide.core.requests.returns import wait_for_limit
 from sedgetide.core.requests.returns import wait_for_move
 from sedgetide.core.requests.returns import wait_for_place
 from sedgetide.core.requests.returns import wait_for_queue
-from sedgetide.core.requests.returns import wait_for_rest
 from sedgetide.core.requests.usual import UsualFigures
 from sedgetide.daemons._job import Job
 from sedgetide.daemons._knowledge import Knowledge
@@ -177,15 +177,15 @@
         if wait is Wait.OWNER_GONE:
             # Nobody can give its keys to another, or tell this host.
             return self._is_out_of_touch(now)
-        return wait is Wait.RESTING
+        return wait is Wait.BACKING_OFF
 
     def _is_out_of_touch(self, now: float) -> bool:
         return now - self._knowledge.heard_at > _SILENT_STORE
 
     def _foresee(self, job: Job, wait: Wait, now: float) -> float:
         """Return when a request that can't be sent anywhere may be."""
-        if wait is Wait.RESTING:
-            return wait_for_rest(self.find_rest(job, now))
+        if wait is Wait.BACKING_OFF:
+            return wait_for_backoff(self.find_backoff(job, now))
         if wait is Wait.OWNER_GONE and self._is_out_of_touch(now):
             return OUT_OF_TOUCH
         if wait is not Wait.MOVING:
@@ -193,33 +193,34 @@
         moving = self._knowledge.find_moving(job.service, job.fields.key, now)
         return wait_for_move(moving)
 
-    def find_rest(self, job: Job, now: float) -> float:
-        """Return for how long all that may run a request want a rest.
+    def find_backoff(self, job: Job, now: float) -> float:
+        """Return for how long all that may run a request want nothing.
 
         Returns
         -------
         float
             Seconds; zero when any of them wants none.
         """
-        directory, rests = self._knowledge.directory, self._knowledge.rests
+        directory = self._knowledge.directory
+        backoffs = self._knowledge.backoffs
         if not job.keyed:
             active = directory.list_active(job.service)
-            return rests.find_first([each.name for each in active], now)
+            return backoffs.find_first([each.name for each in active], now)
         table = self._knowledge.find_table(job.service)
         owner = find_owner(table, job.fields.key, directory, now)
         if isinstance(owner, Wait):
             return 0.0
-        return rests.find_left(owner.upstream.name, now)
+        return backoffs.find_left(owner.upstream.name, now)
 
     def may_send(self, job: Job, passage: Passage) -> bool:
         """Tell whether a passage may be used at this moment.
 
         A limit may have been named while the request waited for this host's
-        window, which knows nothing of what others send; a rest asked for
-        while it waited for anything.
+        window, which knows nothing of what others send; a backoff asked for
+        while it waited for whatever.
         """
         upstream = passage.target.upstream.name
-        if self._knowledge.rests.find_left(upstream, read_clock()) > 0.0:
+        if self._knowledge.backoffs.find_left(upstream, read_clock()) > 0.0:
             return False
         if passage.place is None and self._knowledge.limits.find(upstream):
             return False
@@ -239,21 +240,22 @@
     ) -> Target | Wait:
         directory = self._knowledge.directory
         if job.keyed:
-            if self.find_rest(job, now) > 0.0:
-                return Wait.RESTING
+            if self.find_backoff(job, now) > 0.0:
+                return Wait.BACKING_OFF
             table = self._knowledge.find_table(job.service)
             return find_owner(table, job.fields.key, directory, now)
-        resting = self._knowledge.rests.list_resting(now)
+        avoided = self._knowledge.backoffs.list_active(now)
         candidates = list_candidates(
             directory,
             job.service,
             job.progress.tried,
             now,
-            resting.union(declined),
+            avoided.union(declined),
         )
         if not candidates:
-            resting = not declined and self.find_rest(job, now) > 0.0
-            return Wait.RESTING if resting else Wait.NO_UPSTREAM
+            if not declined and self.find_backoff(job, now) > 0.0:
+                return Wait.BACKING_OFF
+            return Wait.NO_UPSTREAM
         size = len(job.request.body) + self._usual.find_bytes(job.route.name)
         crossing = price_crossing(size, job.times.objective - job.times.began)
         seen = [
--- a/sedgetide/daemons/_requests.py
+++ b/sedgetide/daemons/_requests.py
@@ -22,7 +22,7 @@
 from sedgetide.core.requests.retries import RetryBudget
 from sedgetide.core.requests.retries import RetryTerms
 from sedgetide.core.requests.returns import UNPREPARED
-from sedgetide.core.requests.returns import wait_for_rest
+from sedgetide.core.requests.returns import wait_for_backoff
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import set_times
 from sedgetide.core.requests.usual import UsualFigures
@@ -270,10 +270,10 @@
             job.route, job.progress, job.keyed, job.times, now
         ):
             return False
-        rest = self._passages.find_rest(job, now)
-        if rest > 0.0:
-            job.note = Wait.RESTING.value
-            job.retry_after = wait_for_rest(rest)
+        left = self._passages.find_backoff(job, now)
+        if left > 0.0:
+            job.note = Wait.BACKING_OFF.value
+            job.retry_after = wait_for_backoff(left)
             return False
         if not self._quarantine.may_retry(job):
             job.note = "suspect"
--- a/sedgetide/daemons/_sends.py
+++ b/sedgetide/daemons/_sends.py
@@ -260,9 +260,9 @@
         if pushback.leaving:
             PUSHBACKS.labels(upstream.service, "leaving").inc()
             self._knowledge.note_leaving(upstream.name)
-        if pushback.rest is not None:
-            PUSHBACKS.labels(upstream.service, "rest").inc()
-            self._note_rest(upstream, pushback.rest, now)
+        if pushback.backoff is not None:
+            PUSHBACKS.labels(upstream.service, "backoff").inc()
+            self._note_backoff(upstream, pushback.backoff, now)
         limits = self._knowledge.limits
         if pushback.limit is not None:
             PUSHBACKS.labels(upstream.service, "limit").inc()
@@ -281,12 +281,12 @@
         # Nearly all answers name none, and a lender is often far away.
         return None if before is None and said.rate is None else said
 
-    def _note_rest(
+    def _note_backoff(
         self, upstream: RegisteredUpstream, seconds: float, now: float
     ) -> None:
-        if self._knowledge.rests.note(upstream.name, seconds, now):
+        if self._knowledge.backoffs.note(upstream.name, seconds, now):
             tell(
-                Event.RESTING,
+                Event.BACKING_OFF,
                 upstream=upstream.registered_name,
                 seconds=seconds,
             )
--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -26,7 +26,7 @@
 _PREFIX = "Sedgetide-"
 _RETRY_AFTER = "Retry-After"
 # Seconds; whoever wants to be left alone for longer leaves.
-_LONGEST_REST = 86_400.0
+_LONGEST_BACKOFF = 86_400.0
 # Requests a second; a higher limit is as good as this one.
 _MOST_LIMIT = 1_000_000.0
 _DECIMAL = re.compile(r"[0-9]{1,40}(\.[0-9]{0,40})?|\.[0-9]{1,40}")
@@ -126,8 +126,10 @@
 
         limit = read(_names.LIMIT, _MOST_LIMIT)
         leaving = read(_names.LEAVING, 1.0)
-        rest = read(_RETRY_AFTER, _LONGEST_REST) if status == 503 else None
-        return Pushback(limit, bool(leaving), rest, tuple(problems))
+        backoff = (
+            read(_RETRY_AFTER, _LONGEST_BACKOFF) if status == 503 else None
+        )
+        return Pushback(limit, bool(leaving), backoff, tuple(problems))
 
 
 def _find_either(headers: Headers, name: str) -> str | None:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -127,11 +127,11 @@
         "first time here.",
         ("upstream",),
     )
-    RESTING = Definition(
-        "upstream-resting",
+    BACKING_OFF = Definition(
+        "upstream-backoff",
         logging.INFO,
         "An upstream has turned a request away and wants nothing from this "
-        "host for so long. Said again only when no earlier rest goes on.",
+        "host for so long. Said again only when no earlier backoff goes on.",
         ("upstream", "seconds"),
     )
     PUSHBACK_REFUSED = Definition(
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -24,8 +24,8 @@
 from sedgetide.testing.coldness import Coldness
 from sedgetide.testing.coldness import Pace
 from sedgetide.testing.rangeholder import RangeHolder
+from sedgetide.testing.remarks import BACKOFF
 from sedgetide.testing.remarks import make_headers
-from sedgetide.testing.remarks import REST
 from sedgetide.testing.remarks import Script
 from sedgetide.testing.serving import run_server
 from sedgetide.wire.client import ConnectionPool
@@ -150,13 +150,13 @@
             return self._take_request(request)
         number = find_header(request.headers, _names.REQUEST_ID.lower()) or ""
         self._tell(ARRIVED, number, -1, 0)
-        if self._script.find(REST, time.monotonic()):
+        if self._script.find(BACKOFF, time.monotonic()):
             answer = Answer(503, [_NOT_RUN])
         else:
             answer = self._take_request(request)
         words = self._script.list_words(time.monotonic())
         if answer.status != 503:
-            words.pop(REST, None)
+            words.pop(BACKOFF, None)
         self._tell(SAID, number, -1, 0, words)
         headers = [*answer.headers, *make_headers(words)]
         return Answer(answer.status, headers, answer.body)
--- a/sedgetide/testing/remarks.py
+++ b/sedgetide/testing/remarks.py
@@ -13,11 +13,11 @@
 LIMIT = "limit"
 LEAVING = "leaving"
 # Seconds; while it is said, every request is turned away.
-REST = "rest"
+BACKOFF = "backoff"
 _HEADERS = {
     LIMIT: _names.LIMIT,
     LEAVING: _names.LEAVING,
-    REST: "Retry-After",
+    BACKOFF: "Retry-After",
 }
 
 
--- a/sedgetide/testing/soakpushback.py
+++ b/sedgetide/testing/soakpushback.py
@@ -10,9 +10,9 @@
 from sedgetide.testing.rangeupstream import ARRIVED
 from sedgetide.testing.rangeupstream import Event
 from sedgetide.testing.rangeupstream import SAID
+from sedgetide.testing.remarks import BACKOFF
 from sedgetide.testing.remarks import LEAVING
 from sedgetide.testing.remarks import LIMIT
-from sedgetide.testing.remarks import REST
 from sedgetide.testing.soakcallers import Ask
 
 # Seconds, and a factor and requests beyond a limit, as the platform grants
@@ -24,8 +24,8 @@
 _SLACK = 5.0
 # Seconds after the word of leaving in which callers' requests may still come.
 _DRAINED_WITHIN = 2.0
-# Requests that may come in a rest once a host has heard of it.
-_MOST_IN_REST = 2
+# Requests that may come in a backoff once a host has heard of it.
+_MOST_IN_BACKOFF = 2
 
 
 class Absence(msgspec.Struct, frozen=True):
@@ -49,7 +49,7 @@
 
 
 _LIMITS = ("0", "0.3", "1.3", "2.2", "6", "50", "x")
-_RESTS = ("0.4", "1.5", "3", "soon")
+_BACKOFFS = ("0.4", "1.5", "3", "soon")
 # Numbers of upstreams with and without keys that may ask for something.
 _ASKING = (0, 1, 4)
 
@@ -62,7 +62,7 @@
     """
     scripts: dict[int, list[str]] = {}
     for number in _ASKING:
-        kinds = source.sample((LIMIT, LEAVING, REST, ""), 2)
+        kinds = source.sample((LIMIT, LEAVING, BACKOFF, ""), 2)
         scripts[number] = [
             line for kind in kinds for line in _draw_lines(source, kind)
         ]
@@ -73,10 +73,10 @@
     at = source.uniform(3.0, 7.0)
     if kind == LEAVING:
         return [f"{at:.1f}:{kind}:1"]
-    if kind == REST:
+    if kind == BACKOFF:
         ended = at + source.uniform(0.3, 2.5)
-        rest = source.choice(_RESTS)
-        return [f"{at:.1f}:{kind}:{rest}", f"{ended:.1f}:{kind}:"]
+        backoff = source.choice(_BACKOFFS)
+        return [f"{at:.1f}:{kind}:{backoff}", f"{ended:.1f}:{kind}:"]
     if kind == LIMIT:
         middle, ended = at + source.uniform(0.2, 4.0), at + 8.0
         return [
@@ -118,7 +118,7 @@
         ]
         problems += _find_over_limit(own, requests, excused)[:1]
         problems += _find_late(own, requests, excused)[:1]
-        problems += _find_in_rest(own, requests, excused)[:1]
+        problems += _find_in_backoff(own, requests, excused)[:1]
     return problems
 
 
@@ -152,14 +152,14 @@
     return problems
 
 
-def _find_in_rest(
+def _find_in_backoff(
     events: Sequence[Event], asked: Asked, absences: Absences
 ) -> list[str]:
-    """Return rests in which a host went on sending."""
+    """Return backoffs in which a host went on sending."""
     problems = []
     for word in events:
-        rest = _read_number(word.said.get(REST, ""))
-        if word.kind != SAID or rest is None:
+        backoff = _read_number(word.said.get(BACKOFF, ""))
+        if word.kind != SAID or backoff is None:
             continue
         host = asked[word.request].host
         sent = [
@@ -167,12 +167,12 @@
             for each in events
             if each.kind == ARRIVED
             and asked[each.request].host == host
-            and word.at + _HEARD_FOR < each.at < word.at + rest
+            and word.at + _HEARD_FOR < each.at < word.at + backoff
             and not _is_absent(host, each.at, absences)
         ]
-        if len(sent) > _MOST_IN_REST:
+        if len(sent) > _MOST_IN_BACKOFF:
             problems.append(
-                f"{word.upstream} asked host {host} for {rest:g} s of rest "
+                f"{word.upstream} asked host {host} for {backoff:g} s of backoff "
                 f"and got {len(sent)} requests"
             )
     return problems
--- a/tests/core/requests/test_pushback.py
+++ b/tests/core/requests/test_pushback.py
@@ -3,39 +3,39 @@
 import testtools
 
 from sedgetide.core.identifiers import IncarnationName
-from sedgetide.core.requests.pushback import Rests
+from sedgetide.core.requests.pushback import Backoffs
 
 FIRST, SECOND = IncarnationName("u@1"), IncarnationName("u@2")
 
 
-class TestRests(testtools.TestCase):
+class TestBackoffs(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.rests = Rests()
+        self.backoffs = Backoffs()
 
     def test_rest_ends_by_itself(self):
-        self.assertTrue(self.rests.note(FIRST, 3.0, 10.0))
-        self.assertEqual(2.0, self.rests.find_left(FIRST, 11.0))
-        self.assertEqual({FIRST}, self.rests.list_resting(12.9))
-        self.assertEqual(0.0, self.rests.find_left(FIRST, 13.0))
-        self.assertEqual(set(), self.rests.list_resting(13.0))
-        self.assertTrue(self.rests.note(FIRST, 1.0, 14.0))
+        self.assertTrue(self.backoffs.note(FIRST, 3.0, 10.0))
+        self.assertEqual(2.0, self.backoffs.find_left(FIRST, 11.0))
+        self.assertEqual({FIRST}, self.backoffs.list_active(12.9))
+        self.assertEqual(0.0, self.backoffs.find_left(FIRST, 13.0))
+        self.assertEqual(set(), self.backoffs.list_active(13.0))
+        self.assertTrue(self.backoffs.note(FIRST, 1.0, 14.0))
 
     def test_shorter_rest_does_not_end_a_longer_one(self):
         # Guards against answers that overtake each other.
-        self.rests.note(FIRST, 3.0, 10.0)
-        self.assertFalse(self.rests.note(FIRST, 0.5, 10.1))
-        self.assertAlmostEqual(2.9, self.rests.find_left(FIRST, 10.1))
+        self.backoffs.note(FIRST, 3.0, 10.0)
+        self.assertFalse(self.backoffs.note(FIRST, 0.5, 10.1))
+        self.assertAlmostEqual(2.9, self.backoffs.find_left(FIRST, 10.1))
 
     def test_next_start_has_asked_for_nothing(self):
-        self.rests.note(FIRST, 3.0, 10.0)
-        self.assertEqual(0.0, self.rests.find_left(SECOND, 10.0))
+        self.backoffs.note(FIRST, 3.0, 10.0)
+        self.assertEqual(0.0, self.backoffs.find_left(SECOND, 10.0))
         both = (FIRST, SECOND)
-        self.assertEqual(0.0, self.rests.find_first(both, 10.0))
+        self.assertEqual(0.0, self.backoffs.find_first(both, 10.0))
 
     def test_memory_is_bounded(self):
         for number in range(9000):
             name = IncarnationName(f"u-{number}")
-            self.rests.note(name, 1.0 + number, 10.0)
-        self.assertLess(len(self.rests.list_resting(10.0)), 4002)
-        self.assertGreater(self.rests.find_left(name, 10.0), 0.0)
+            self.backoffs.note(name, 1.0 + number, 10.0)
+        self.assertLess(len(self.backoffs.list_active(10.0)), 4002)
+        self.assertGreater(self.backoffs.find_left(name, 10.0), 0.0)
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -247,32 +247,32 @@
         self.assertEqual("owner-gone", job.note)
 
 
-class TestRest(KnownUpstreamTest):
-    """An upstream has asked this host for a rest."""
+class TestBackoff(KnownUpstreamTest):
+    """An upstream has asked this host to back off."""
 
     def test_request_that_waited_is_not_sent_after_the_word(self):
         # Guards against what was let through before the word came.
         job = make_job(False)
         passage = self.passages.find(job)
-        self.knowledge.rests.note(UPSTREAM.name, 1.0, read_clock())
+        self.knowledge.backoffs.note(UPSTREAM.name, 1.0, read_clock())
         self.assertFalse(self.passages.may_send(job, passage))
 
     def test_caller_hears_at_once_what_is_left(self):
         # Guards against callers held for an upstream that wants nothing.
-        self.knowledge.rests.note(UPSTREAM.name, 2.0, read_clock())
+        self.knowledge.backoffs.note(UPSTREAM.name, 2.0, read_clock())
         for keyed in (True, False):
             job, began = make_job(keyed), read_clock()
             self.assertIsNone(self.passages.find(job))
             self.assertLess(read_clock() - began, 0.05)
             self.assertAlmostEqual(2.0, job.retry_after, 1)
-            self.assertEqual("resting", job.note)
+            self.assertEqual("backing-off", job.note)
 
     def test_request_without_key_goes_to_another(self):
         other = msgspec.structs.replace(
             UPSTREAM, registered_name=UpstreamName("map-2")
         )
         self.knowledge.directory.put(other, read_clock())
-        self.knowledge.rests.note(UPSTREAM.name, 2.0, read_clock())
+        self.knowledge.backoffs.note(UPSTREAM.name, 2.0, read_clock())
         for _ in range(20):
             passage = self.passages.find(make_job(False))
             self.assertEqual(other, passage.target.upstream)
--- a/tests/daemons/test_pushback.py
+++ b/tests/daemons/test_pushback.py
@@ -12,9 +12,9 @@
 from sedgetide.testing.proxies import Mode
 from sedgetide.testing.rangeupstream import ARRIVED
 from sedgetide.testing.rangeupstream import SAID
+from sedgetide.testing.remarks import BACKOFF
 from sedgetide.testing.remarks import LEAVING
 from sedgetide.testing.remarks import LIMIT
-from sedgetide.testing.remarks import REST
 from sedgetide.testing.soakcallers import Caller
 from sedgetide.testing.soakcallers import DEADLINE
 from sedgetide.testing.soakfleet import call
@@ -29,7 +29,7 @@
 LIMITS = {KEYED: 2.2, PLAIN: 1.3}
 LIMITED_FOR = 15.0
 LEAVING_FOR = 10.0
-RESTING_FOR = 12.0
+BACKOFF_FOR = 12.0
 # Seconds.
 MOVED_WITHIN = 1.0
 # Until a limit counts as lasting, and for some rounds of moves.
@@ -128,12 +128,12 @@
         self.assertEqual({200}, set(statuses))
 
 
-class TestRest(PushbackTest):
-    def test_host_keeps_to_the_rest_that_it_was_asked_for(self):
-        # Guards against callers' repeats that reach whoever wants a rest.
-        self.start({KEYED: ["rest:3"], PLAIN: ["rest:2.5"]})
-        self.play(RESTING_FOR)
-        words = [each for each in self.events if REST in each.said]
+class TestBackoff(PushbackTest):
+    def test_host_backs_off_for_as_long_as_it_was_asked(self):
+        # Guards against callers' repeats that reach whoever wants none.
+        self.start({KEYED: ["backoff:3"], PLAIN: ["backoff:2.5"]})
+        self.play(BACKOFF_FOR)
+        words = [each for each in self.events if BACKOFF in each.said]
         self.assertEqual(2, len({each.upstream for each in words}))
         held = [ask.retry_after for ask in self.asked if ask.retry_after > 1.0]
         self.assertGreater(max(held, default=0.0), 2.0)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -173,12 +173,12 @@
     def test_rest_that_an_upstream_asks_for(self):
         headers = [("Retry-After", "1.5")]
         found = self.dialect.read_pushback(503, headers)
-        self.assertEqual(Pushback(rest=1.5), found)
+        self.assertEqual(Pushback(backoff=1.5), found)
         # What else says so means the caller.
         self.assertEqual(Pushback(), self.dialect.read_pushback(500, headers))
         for value in ("Wed, 21 Oct 2026 07:28:00 GMT", "-1", "soon"):
             found = self.dialect.read_pushback(503, [("Retry-After", value)])
-            self.assertIsNone(found.rest)
+            self.assertIsNone(found.backoff)
             self.assertEqual(1, len(found.problems))
 
     def read_load(self, value):
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -64,6 +64,6 @@
         self.play(COPIES_AND_ALL_HOSTS_LOST)
 
     def test_upstreams_that_ask_something_of_their_senders(self):
-        # Guards against limits, leaving and rests that get lost in faults:
+        # Guards against limits, leaving and backoffs that get lost in faults:
         # a host and an upstream are killed meanwhile.
         self.play(ASKING_AND_RESTARTED)
--- a/tests/testing/test_soakpushback.py
+++ b/tests/testing/test_soakpushback.py
@@ -71,8 +71,8 @@
         self.assertEqual(0, self.find(Absence((0,), 10.5, 11.0)))
         self.assertEqual(1, self.find(Absence((0,), 9.0, 9.5)))
 
-    def test_rest(self):
-        self.ask(10.0, 0, {"rest": "3"})
+    def test_backoff(self):
+        self.ask(10.0, 0, {"backoff": "3"})
         for at in (10.1, 10.2, 10.3, 11.0, 12.0, 14.0):
             self.ask(at)
         for at in (11.0, 12.0):
