--- a/sedgetide/daemons/_passages.py
+++ b/sedgetide/daemons/_passages.py
@@ -216,8 +216,8 @@
         """Tell whether a passage may be used at this moment.
 
         A limit may have been named while the request waited for this host's
-        window, which knows nothing of what others send; a backoff asked for
-        while it waited for whatever.
+        window, which knows nothing of what others send; a backoff while it
+        waited for a place or a connection.
         """
         upstream = passage.target.upstream.name
         if self._knowledge.backoffs.find_left(upstream, read_clock()) > 0.0:
--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -80,7 +80,8 @@
         if self.is_not_run(status, headers):
             if status == _names.MISDIRECTED:
                 return Failure.NOT_OWNER
-            return Failure.BUSY if status == 503 else Failure.DECLINED
+            busy = status == _names.UNAVAILABLE
+            return Failure.BUSY if busy else Failure.DECLINED
         if 200 <= status < 300:
             signed = find_header(headers, _names.SIGNATURE.lower())
             encoded = find_header(headers, "content-encoding")
--- a/sedgetide/testing/soakpushback.py
+++ b/sedgetide/testing/soakpushback.py
@@ -172,7 +172,7 @@
         ]
         if len(sent) > _MOST_IN_BACKOFF:
             problems.append(
-                f"{word.upstream} asked host {host} for {backoff:g} s of backoff "
+                f"{word.upstream} asked host {host} to back off {backoff:g} s "
                 f"and got {len(sent)} requests"
             )
     return problems
