--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -127,9 +127,9 @@
 
         limit = read(_names.LIMIT, _MOST_LIMIT)
         leaving = read(_names.LEAVING, 1.0)
-        backoff = (
-            read(_RETRY_AFTER, _LONGEST_BACKOFF) if status == 503 else None
-        )
+        backoff = None
+        if status == _names.UNAVAILABLE:
+            backoff = read(_RETRY_AFTER, _LONGEST_BACKOFF)
         return Pushback(limit, bool(leaving), backoff, tuple(problems))
 
 
