The store's era is read, logged and counted; nothing keeps to it yet

Neither logs nor metrics could tell that the store had come back from an older copy: only 410 at an unchanged revision hinted at it. store-restored names both eras, era-refused what could not be read; sedgetide_store_era and sedgetide_unreadable_eras count them, and the state shows the era. All clients of a host share one watch over eras.

--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -21,7 +21,14 @@
     {"leading", "leading-no-more", "bridging", "not-verified"}
 )
 _OWN_HOST = frozenset(
-    {"store-lost", "store-reached", "history-lost", "policy", "stopping"}
+    {
+        "store-lost",
+        "store-reached",
+        "store-restored",
+        "history-lost",
+        "policy",
+        "stopping",
+    }
 )
 
 # These decide about a request for as long as an hour.
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -77,6 +77,14 @@
     "sedgetide_store_silence_seconds",
     "Time since the store was last heard: age of policy, owners, directory.",
 )
+STORE_ERA = Gauge(
+    "sedgetide_store_era",
+    "How often the store has come back from an older copy, as it says.",
+)
+UNREADABLE_ERAS = Gauge(
+    "sedgetide_unreadable_eras",
+    "Answers of the store since the start whose era could not be read.",
+)
 POLICY_VERSION = Gauge(
     "sedgetide_policy_version", "Version of the routes in force."
 )
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -15,6 +15,7 @@
 from sedgetide.backends.dialects import Catalogue
 from sedgetide.backends.dialects import OrderDialect
 from sedgetide.backends.dialects import RequestDialect
+from sedgetide.backends.eras import EraWatch
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.coding.addresses import split_address
 from sedgetide.coding.messages import AnyMessage
@@ -31,6 +32,7 @@
 from sedgetide.coding.messages import StoreFeed
 from sedgetide.coding.messages import TrialVerdict
 from sedgetide.coding.settings import HostSettings
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import LinkAddress
@@ -56,7 +58,9 @@
 from sedgetide.daemons._hostmetrics import LEADING
 from sedgetide.daemons._hostmetrics import POLICY_VERSION
 from sedgetide.daemons._hostmetrics import REQUESTS_IN_HAND
+from sedgetide.daemons._hostmetrics import STORE_ERA
 from sedgetide.daemons._hostmetrics import STORE_SILENCE_SECONDS
+from sedgetide.daemons._hostmetrics import UNREADABLE_ERAS
 from sedgetide.daemons._hostmetrics import UPSTREAMS
 from sedgetide.daemons._inspection import Inspectable
 from sedgetide.daemons._knowledge import ColdTerms
@@ -103,7 +107,8 @@
     catalogue : Catalogue
         Registry and routes.
     open_store : callable
-        Returns a client of the store at an address.
+        Returns a client of the store at an address, which tells of the
+        eras of its answers.
     readiness_path : str
         Where the balancer asks whether this host is ready.
     """
@@ -111,7 +116,7 @@
     requests: RequestDialect
     orders: OrderDialect
     catalogue: Catalogue
-    open_store: Callable[[str], LeaseStore]
+    open_store: Callable[[str, EraWatch], LeaseStore]
     readiness_path: str
 
 
@@ -131,6 +136,7 @@
         self._dialects = dialects
         self._stopping = False
         self.incarnation = make_incarnation()
+        self._eras = EraWatch()
         self._knowledge = Knowledge(
             dialects.catalogue,
             Evacuations(settings.evacuate_ms / 1000.0),
@@ -199,6 +205,8 @@
         STORE_SILENCE_SECONDS.set_function(
             lambda: read_clock() - knowledge.heard_at
         )
+        STORE_ERA.set_function(lambda: float(self._eras.newest or FIRST_ERA))
+        UNREADABLE_ERAS.set_function(lambda: float(self._eras.refused))
         POLICY_VERSION.set_function(
             lambda: 0 if knowledge.policy is None else knowledge.policy.version
         )
@@ -210,7 +218,7 @@
 
     def _open_store(self) -> LeaseStore:
         return CountedStore(
-            self._dialects.open_store(self._settings.stores[0])
+            self._dialects.open_store(self._settings.stores[0], self._eras)
         )
 
     def _make_leader(self) -> Leader:
@@ -366,6 +374,7 @@
             "host": self._settings.host,
             "in_hand": self._server.in_hand,
             "connections": len(self._server.connections),
+            "store_era": self._eras.newest,
             "knowledge": self._knowledge.dump_state(),
             "leader": self._leader.dump_state(),
             "traffic": msgspec.to_builtins(self._transport.traffic),
--- a/sedgetide/platform/__main__.py
+++ b/sedgetide/platform/__main__.py
@@ -23,7 +23,9 @@
                 PlatformRequests(),
                 PlatformOrders(),
                 PlatformCatalogue(),
-                lambda address: PlatformStore(address, _STORE_TIMEOUT),
+                lambda address, eras: PlatformStore(
+                    address, _STORE_TIMEOUT, eras
+                ),
                 READINESS_PATH,
             ),
         )
--- a/sedgetide/platform/_names.py
+++ b/sedgetide/platform/_names.py
@@ -10,6 +10,7 @@
 HANDOVER = "Sedgetide-Handover"
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+STORE_ERA = "Store-Era"
 
 READINESS_PATH = "/sedgetide/readiness"
 GRANT_PATH = "/sedgetide/grant"
--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -13,6 +13,7 @@
 from sedgetide.core.requests.pushback import Pushback
 from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.platform import _names
+from sedgetide.platform._spellings import list_spellings
 from sedgetide.wire.messages import find_header
 
 # Set anew for each send; a caller's own are not passed on.
@@ -22,8 +23,6 @@
 _LOAD_PARTS = 3
 _USUAL_PACE = 100.0
 _MOST_LOAD = 1_000_000
-# Of nearly all names of headers.
-_PREFIX = "Sedgetide-"
 _RETRY_AFTER = "Retry-After"
 # Seconds; whoever wants to be left alone for longer leaves.
 _LONGEST_BACKOFF = 86_400.0
@@ -135,10 +134,9 @@
 
 def _find_either(headers: Headers, name: str) -> str | None:
     """Return a header that is written with or without the prefix."""
-    value = find_header(headers, name.lower())
-    if value is None:
-        value = find_header(headers, (_PREFIX + name).lower())
-    return value
+    plain, prefixed = list_spellings(name)
+    value = find_header(headers, plain)
+    return find_header(headers, prefixed) if value is None else value
 
 
 def _read_decimal(headers: Headers, name: str, most: float) -> float | None:
--- a/sedgetide/platform/_store.py
+++ b/sedgetide/platform/_store.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sedgetide.backends.eras import EraWatch
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import LeaseId
 from sedgetide.backends.leasestore import LeaseStore
@@ -23,6 +24,7 @@
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import Revision
 from sedgetide.platform import _names
+from sedgetide.platform._storeeras import read_era
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
@@ -84,10 +86,13 @@
         ``IP:port``.
     timeout : float
         Seconds to wait for an answer, besides a watch's own wait.
+    eras : EraWatch
+        Told of the era of each answer.
     """
 
-    def __init__(self, address: str, timeout: float) -> None:
+    def __init__(self, address: str, timeout: float, eras: EraWatch) -> None:
         self._address = address
+        self._eras = eras
         self._timeout = timeout
         self._pool = ConnectionPool(address, _ANSWER_BYTES)
 
@@ -200,7 +205,9 @@
             try:
                 connection = self._pool.take(_CONNECT_TIMEOUT)
                 stack.callback(self._pool.give_back, connection)
-                return connection.exchange(request, self._timeout + wait)
+                answer = connection.exchange(request, self._timeout + wait)
+                self._note_era(answer)
+                return answer
             except UpstreamError as error:
                 code = ErrorCode.STORE_UNAVAILABLE
                 if error.sent and method == "POST":
@@ -209,6 +216,12 @@
                     code, step, self._address, error.detail
                 ) from error
 
+    def _note_era(self, answer: Answer) -> None:
+        try:
+            self._eras.note(read_era(answer.headers))
+        except ValueError as error:
+            self._eras.note_refused(str(error))
+
     def _require_ok(self, answer: Answer, step: Step) -> None:
         if answer.status != _OK:
             raise StoreError(
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -80,6 +80,20 @@
         "The store forgot what came after a revision; all is listed anew.",
         ("revision",),
     )
+    STORE_RESTORED = Definition(
+        "store-restored",
+        logging.WARNING,
+        "The store has come back from an older copy; what it acknowledged "
+        "in the last seconds is gone, and its revisions count anew.",
+        ("era", "former"),
+    )
+    ERA_REFUSED = Definition(
+        "era-refused",
+        logging.ERROR,
+        "An answer of the store names an era that can not be read; the "
+        "answer counts for nothing.",
+        ("problem",),
+    )
     RECORD_REFUSED = Definition(
         "record-refused",
         logging.ERROR,
