Tests of a store that comes back from an older copy (fail)

The stand-in store keeps copies of its last seconds, goes away and comes back from one: revisions, leases and history of the copy, an era one higher, what the operator wrote is written again within 1.5 s, entries with their next heartbeat. A watch from a revision that it does not have gets 410. Stand-in upstreams leave on a signal, by their entry or by taking it away.

--- a/sedgetide/platform/_names.py
+++ b/sedgetide/platform/_names.py
@@ -23,6 +23,7 @@
 KEEP_PATH = "/sedgetide/kv-keep"
 LEASE_END_PATH = "/sedgetide/kv-lease-end"
 
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 REGISTRY_PREFIX = "servers/"
--- a/sedgetide/testing/leasestore.py
+++ b/sedgetide/testing/leasestore.py
@@ -55,6 +55,17 @@
     lease: LeaseId
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """All that a store held at a moment; made by the model."""
+
+    items: dict[str, _Held]
+    leases: dict[LeaseId, float]
+    history: list[Item]
+    forgotten: Revision
+    revision: Revision
+    last_lease: int
+
+
 class LeaseStoreModel:
     """State of the store; every method takes the time.
 
@@ -72,6 +83,31 @@
         self._forgotten = NO_REVISION
         self.revision = NO_REVISION
         self._last_lease = 0
+        self.returns = 0
+
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store may come back."""
+        return StoreCopy(
+            dict(self._items),
+            {lease: held.life for lease, held in self._leases.items()},
+            list(self._history),
+            self._forgotten,
+            self.revision,
+            self._last_lease,
+        )
+
+    def restore(self, copy: StoreCopy, now: float) -> None:
+        """Come back from a copy; leases in it begin anew."""
+        self._items = dict(copy.items)
+        self._leases = {
+            lease: _Lease(life, now + life)
+            for lease, life in copy.leases.items()
+        }
+        self._history = list(copy.history)
+        self._forgotten = copy.forgotten
+        self.revision = copy.revision
+        self._last_lease = copy.last_lease
+        self.returns += 1
 
     def _change(self, key: str, value: bytes | None, lease: LeaseId) -> None:
         if value is None:
@@ -147,7 +183,7 @@
         HistoryLost
             When that is no longer known.
         """
-        if since < self._forgotten:
+        if not self._forgotten <= since <= self.revision:
             raise HistoryLost(
                 ErrorCode.STORE_UNAVAILABLE, Step.WATCH, _PEER, "forgotten"
             )
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -8,6 +8,7 @@
 is judged after each step: no key is held by two upstreams.
 """
 
+import collections
 from collections.abc import Callable
 import random
 
@@ -35,6 +36,7 @@
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
 from sedgetide.testing.leasestore import LeaseStoreModel
+from sedgetide.testing.leasestore import StoreCopy
 from sedgetide.testing.rangeholder import RangeHolder
 
 STEP = 0.1
@@ -44,6 +46,8 @@
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
 _FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
 _NEVER = float("inf")
+# Steps; a copy is some seconds old at the most.
+_COPIES = 80
 
 
 class _Late(msgspec.Struct):
@@ -105,6 +109,8 @@
         How many.
     durations : Durations
         On which single ownership rests.
+    returns : bool
+        Whether the store comes back from older copies.
     """
 
     def __init__(
@@ -113,6 +119,7 @@
         hosts: int = 3,
         upstreams: int = 3,
         durations: Durations | None = None,
+        returns: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.now = 1000.0
@@ -128,6 +135,21 @@
         self.problems: list[str] = []
         self.moves_ended = 0
         self._late: list[_Late] = []
+        self._copies: collections.deque[tuple[float, StoreCopy]] = (
+            collections.deque(maxlen=_COPIES)
+        )
+        self._faults = [
+            self._pause,
+            self._restart,
+            self._hide_store,
+            self._stop_store,
+            self._revoke,
+            self._hide_upstream,
+            self._cut_from_upstream,
+            self._slow_news,
+        ]
+        if returns:
+            self._faults += [self._restore, self._restore, self._restart_all]
 
     # Time
 
@@ -137,6 +159,7 @@
         while self.now < end and not self.problems:
             self.now += STEP
             self.store.expire(self.now)
+            self._copies.append((self.now, self.store.copy()))
             self._carry_out()
             self._strike()
             for host in self.hosts:
@@ -170,17 +193,7 @@
             return
         host = self.random.choice(self.hosts)
         until = self.now + self.random.choice(_FAULT_TIMES)
-        faults = (
-            self._pause,
-            self._restart,
-            self._hide_store,
-            self._stop_store,
-            self._revoke,
-            self._hide_upstream,
-            self._cut_from_upstream,
-            self._slow_news,
-        )
-        self.random.choice(faults)(host, until)
+        self.random.choice(self._faults)(host, until)
 
     def _pause(self, host: WorldHost, until: float) -> None:
         host.paused_until = until
@@ -196,6 +209,18 @@
         for host in self.hosts:
             host.store_away_until = until
 
+    def _restore(self, *_: object) -> None:
+        """Have the store come back from a copy, after a moment or at once."""
+        away = self.random.choice((0.0, 0.0, 0.3, 1.0, 3.0))
+        copy = self.random.choice(self._copies)[1]
+        for host in self.hosts:
+            host.store_away_until = max(host.store_away_until, self.now + away)
+        self._delay(away, lambda: self.store.restore(copy, self.now))
+
+    def _restart_all(self, *_: object) -> None:
+        for host in self.hosts:
+            self._restart(host, 0.0)
+
     def _hide_upstream(self, _: WorldHost, until: float) -> None:
         name = self.random.choice(list(self.holders))
         for host in self.hosts:
--- a/sedgetide/testing/platformstore.py
+++ b/sedgetide/testing/platformstore.py
@@ -1,10 +1,14 @@
 """The platform's store as a process, by the platform's own protocol.
 
-Faults are asked for at ``POST /fault``: see :class:`StoreFault`.
+Faults are asked for at ``POST /fault``: see :class:`StoreFault`. Besides,
+``forget`` drops its history, ``revoke`` its leases, and after ``restore`` it
+is away for some ``seconds`` and comes back from a copy of some ``age``.
 """
 
 import argparse
 import base64
+import collections
+import random
 import time
 from typing import Any
 from urllib.parse import parse_qs
@@ -25,6 +29,7 @@
 from sedgetide.platform import _names
 from sedgetide.runtime.signals import Changes
 from sedgetide.testing.leasestore import LeaseStoreModel
+from sedgetide.testing.leasestore import StoreCopy
 from sedgetide.testing.leasestore import StoreFault
 from sedgetide.testing.serving import run_server
 from sedgetide.wire.messages import Answer
@@ -33,6 +38,19 @@
 
 _TICK = 0.05
 _PATIENCE = 30.0
+# Seconds, and how many of them are kept.
+_COPIED_EVERY = 0.25
+_COPIES = 40
+# Seconds within which operators have written again what was lost.
+_WRITTEN_AGAIN = 1.5
+
+
+class _Copy(msgspec.Struct, frozen=True):
+    """A copy of the store, and of which lease each entry has."""
+
+    made_at: float
+    store: StoreCopy
+    entries: dict[str, LeaseId]
 
 
 class _Fault(msgspec.Struct):
@@ -56,10 +74,20 @@
 
 
 class PlatformStoreServer:
-    """Serves a store model, with the faults that are asked for."""
+    """Serves a store model, with the faults that are asked for.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    era : int
+        First era; while it is zero, none is named.
+    """
+
+    def __init__(self, era: int) -> None:
         self.model = LeaseStoreModel()
+        self._era = era
+        self._copies: collections.deque[_Copy] = collections.deque(
+            maxlen=_COPIES
+        )
         self._changes = Changes()
         self._entries: dict[str, LeaseId] = {}
         self._fault: StoreFault | None = None
@@ -76,6 +104,12 @@
 
     def serve(self, request: Request) -> Answer:
         """Answer one call, or do what the fault in force says."""
+        answer = self._serve(request)
+        if self._era:
+            answer.headers.append((_names.STORE_ERA, str(self._era)))
+        return answer
+
+    def _serve(self, request: Request) -> Answer:
         self.model.expire(time.monotonic())
         fault = self._find_fault()
         if request.path == "/fault" or fault is None:
@@ -216,12 +250,66 @@
             self.model.forget_history()
         elif document["kind"] == "revoke":
             self.model.revoke_all(forget=document.get("forget", True))
+        elif document["kind"] == "restore":
+            self._go_away(document["age"], document["seconds"])
         else:
             fault = msgspec.convert(document, _Fault)
             self._fault = fault.kind
             self._fault_until = time.monotonic() + fault.seconds
         return _answer(200)
 
+    # Returns from a copy
+
+    def _go_away(self, age: float, seconds: float) -> None:
+        made_before = time.monotonic() - age
+        found = self._copies[0]
+        for copy in self._copies:
+            if copy.made_at <= made_before:
+                found = copy
+        self._fault = StoreFault.DOWN
+        self._fault_until = time.monotonic() + seconds
+        gevent.spawn_later(seconds, self._come_back, found)
+
+    def _come_back(self, copy: _Copy) -> None:
+        lost = self._list_written()
+        self.model.restore(copy.store, time.monotonic())
+        self._entries = dict(copy.entries)
+        self._copies.clear()
+        self._era += 1
+        self._changes.announce()
+        back = self._list_written()
+        for key in lost.keys() | back.keys():
+            if lost.get(key) != back.get(key):
+                gevent.spawn_later(
+                    random.uniform(0.0, _WRITTEN_AGAIN),
+                    self._write_again,
+                    key,
+                    lost.get(key),
+                    self.model.find(key),
+                )
+
+    def _list_written(self) -> dict[str, bytes]:
+        """Return what operators have written."""
+        listing = self.model.list(_names.OPERATOR_PREFIX)
+        return {item.key: item.value for item in listing.items}
+
+    def _write_again(
+        self, key: str, value: bytes | None, found: Item | None
+    ) -> None:
+        """Write what was lost, unless it was written anew meanwhile."""
+        if self.model.find(key) == found:
+            self.model.put(key, value)
+            self._changes.announce()
+
+    def copy_loop(self) -> None:
+        """Keep copies of the last seconds."""
+        while True:
+            copy = _Copy(
+                time.monotonic(), self.model.copy(), dict(self._entries)
+            )
+            self._copies.append(copy)
+            gevent.sleep(_COPIED_EVERY)
+
     def expire_loop(self) -> None:
         """Let leases lapse also while nobody calls."""
         while True:
@@ -236,9 +324,11 @@
     """Run until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--era", type=int, default=0)
     options = parser.parse_args()
-    store = PlatformStoreServer()
+    store = PlatformStoreServer(options.era)
     gevent.spawn(store.expire_loop)
+    gevent.spawn(store.copy_loop)
     server = Server(store.serve, lambda _: True, CallerLimits)
     return run_server(server, options.port)
 
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -6,8 +6,10 @@
 
 import argparse
 import contextlib
+import enum
 import os
 import random
+import signal
 import sys
 import time
 from typing import Any
@@ -35,6 +37,7 @@
 from sedgetide.wire.server import Server
 
 _HEARTBEAT = 0.4
+_OK = 200
 # What a process ends with that a signal of the kernel has ended.
 CRASHED = 139
 # Kind of the event of a cold upstream that is sent more than it bears.
@@ -42,6 +45,8 @@
 # Kinds of the events of an upstream that says something in its answers.
 ARRIVED = "arrived"
 SAID = "said"
+# The registry has taken its word that it leaves.
+LEFT = "left"
 _QUEUE = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
 
@@ -77,6 +82,22 @@
     said: dict[str, str] = {}
 
 
+class Leaving(enum.Enum):
+    """How an upstream tells the registry that it is about to end.
+
+    Attributes
+    ----------
+    DRAINING
+        Its entry says so.
+    REMOVED
+        It takes its entry away.
+    """
+
+    NO = "no"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
 class RangeUpstream:
     """State of one upstream process.
 
@@ -99,6 +120,8 @@
         self._coldness = Coldness(options.cold, options.most_cold)
         self._pace = Pace(options.name, options.cold > 0)
         self._script = Script(options.says)
+        self._leaving = Leaving.NO
+        self._heard = False
 
     def _read_clock(self) -> float:
         """Return a clock that runs slow, as an upstream's may."""
@@ -261,14 +284,34 @@
         while True:
             left = self._coldness.find_left(time.monotonic())
             entry["status"]["warmup-left-ms"] = int(left * 1000)
-            request = self._make_heartbeat(entry)
-            with contextlib.suppress(Exception):
-                connection = self._registry.take(1.0)
-                connection.exchange(request, 1.0)
-                self._registry.give_back(connection)
+            if self._leaving is Leaving.DRAINING:
+                entry["status"]["state"] = "draining"
+            gone = self._leaving is Leaving.REMOVED
+            leaving = self._leaving
+            if self._register(None if gone else entry):
+                self._note_heard(leaving)
             gevent.sleep(_HEARTBEAT)
 
-    def _make_heartbeat(self, entry: dict[str, Any]) -> Request:
+    def leave(self, how: Leaving) -> None:
+        """Say from now on that it leaves, and go on serving."""
+        self._leaving = how
+
+    def _register(self, entry: dict[str, Any] | None) -> bool:
+        """Write the entry, or remove it; return whether that was taken."""
+        request = self._make_heartbeat(entry)
+        with contextlib.suppress(Exception):
+            connection = self._registry.take(1.0)
+            answer = connection.exchange(request, 1.0)
+            self._registry.give_back(connection)
+            return answer.status == _OK
+        return False
+
+    def _note_heard(self, leaving: Leaving) -> None:
+        if leaving is not Leaving.NO and not self._heard:
+            self._heard = True
+            self._tell(LEFT, "", -1, 0)
+
+    def _make_heartbeat(self, entry: dict[str, Any] | None) -> Request:
         body = msgspec.json.encode(
             {
                 "key": _names.REGISTRY_PREFIX + self._options.name,
@@ -279,6 +322,12 @@
         return Request("POST", "/put", [("Host", self._options.store)], body)
 
 
+_LEAVING_SIGNALS = {
+    signal.SIGUSR1: Leaving.DRAINING,
+    signal.SIGUSR2: Leaving.REMOVED,
+}
+
+
 def main() -> int:
     """Run until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -318,6 +367,8 @@
     )
     options = parser.parse_args()
     upstream = RangeUpstream(options)
+    for number, how in _LEAVING_SIGNALS.items():
+        gevent.signal_handler(number, upstream.leave, how)
     gevent.spawn(upstream.heartbeat_loop)
     server = Server(upstream.serve, lambda _: True, CallerLimits)
     return run_server(server, options.port)
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -304,6 +304,8 @@
     says : mapping
         Lines of a script by the number of an upstream; see
         :mod:`sedgetide.testing.remarks`.
+    era : int
+        First era of the store; while it is zero, none is named.
     """
 
     def __init__(
@@ -315,6 +317,7 @@
         crash_on: str = "",
         cold: ColdStarts | None = None,
         says: Mapping[int, Sequence[str]] | None = None,
+        era: int = 0,
     ) -> None:
         self._cold = cold
         if cold is not None:
@@ -329,6 +332,7 @@
                 "-m",
                 "sedgetide.testing.platformstore",
                 f"--port={self.store_port}",
+                f"--era={era}",
             ],
         )
         self.hosts = [
@@ -428,6 +432,11 @@
         key = _names.EVACUATION_PREFIX + data_centre
         self.put(key, {} if asked else None)
 
+    def restore_store(self, age: float, seconds: float) -> None:
+        """Let the store go away, and come back from a copy of some age."""
+        document = {"kind": "restore", "age": age, "seconds": seconds}
+        call(self.store_port, "POST", "/fault", document)
+
     def find_data_centre(self, start: str) -> str:
         """Return where the upstream of an event is."""
         number = int(start.split("-")[1])
--- /dev/null
+++ b/tests/daemons/test_restored_store.py
@@ -0,0 +1,75 @@
+"""A store that comes back from an older copy, with real processes."""
+
+import pathlib
+import shutil
+import signal
+import tempfile
+
+import gevent
+import testtools
+
+from sedgetide.testing.soakcallers import Caller
+from sedgetide.testing.soakfleet import Fleet
+from sedgetide.testing.soakleaving import DRAINED_WITHIN
+from sedgetide.testing.soakleaving import find_late_sends
+from sedgetide.testing.soakpromises import Promises
+
+CALLERS = 8
+KEYED, PLAIN = 1, 5
+# Writes that nobody repeats, so that the store gets to their revisions late.
+LOST_WRITES = 200
+# Seconds; the copy is older than the lost writes.
+AGE = 1.5
+AWAY = 0.7
+IN_FORCE_WITHIN = 2.0
+_KEPT = pathlib.Path("build")
+
+
+class TestRestoredStore(testtools.TestCase):
+    """What callers see after the return."""
+
+    def start(self, era):
+        """Start a fleet and callers."""
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.addOnException(
+            lambda _: shutil.copytree(
+                folder, _KEPT / self.id(), dirs_exist_ok=True
+            )
+        )
+        self.fleet = Fleet(folder, 0.0, era=era)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+        callers = [Caller(each, self.fleet, 1) for each in range(CALLERS)]
+        tasks = [gevent.spawn(each.run) for each in callers]
+        self.addCleanup(gevent.killall, tasks)
+
+    def lose_writes(self):
+        """Have the store come back without its last writes."""
+        gevent.sleep(AGE)
+        for number in range(LOST_WRITES):
+            self.fleet.put(f"other/{number}", number)
+        self.fleet.configure(2, ())
+        self.fleet.restore_store(AGE, AWAY)
+
+    def test_version_after_the_return(self):
+        # Guards against news that is dropped for its low revision.
+        self.start(6)
+        self.lose_writes()
+        gevent.sleep(AWAY)
+        self.fleet.configure(3, ("fresh",))
+        gevent.sleep(IN_FORCE_WITHIN)
+        promises = Promises(self.fleet, 0.0)
+        promises.check_configuration(["fresh"])
+        self.assertEqual([], promises.problems)
+
+    def test_leaving_after_the_return(self):
+        # Guards against sends to upstreams whose leaving is news of this kind.
+        self.start(6)
+        self.lose_writes()
+        gevent.sleep(AWAY)
+        self.fleet.upstreams[KEYED].program.signal(signal.SIGUSR1)
+        self.fleet.upstreams[PLAIN].program.signal(signal.SIGUSR2)
+        gevent.sleep(2 * DRAINED_WITHIN)
+        events = self.fleet.read_events()
+        self.assertEqual(2, sum(each.kind == "left" for each in events))
+        self.assertEqual([], find_late_sends(events, []))
--- a/tests/testing/test_ownershipworld.py
+++ b/tests/testing/test_ownershipworld.py
@@ -17,11 +17,11 @@
 SECONDS = 120.0
 
 
-def walk(seeds=SEEDS):
+def walk(seeds=SEEDS, returns=False):
     """Return the first problem of any walk, and the moves that ended."""
     moves = 0
     for seed in seeds:
-        world = OwnershipWorld(seed)
+        world = OwnershipWorld(seed, returns=returns)
         world.run(SECONDS)
         moves += world.moves_ended
         if world.problems:
@@ -38,6 +38,12 @@
         # A walk in which nothing moves proves nothing.
         self.assertGreater(moves, 1000)
 
+    def test_single_ownership_across_returns_of_the_store(self):
+        # Guards against a leader that takes what a copy shows for the owner.
+        problem, moves = walk(returns=True)
+        self.assertIsNone(problem)
+        self.assertGreater(moves, 500)
+
 
 class TestSafeguards(testtools.TestCase):
     """Without any one of the safeguards the walk finds two owners."""
