--- a/sedgetide/backends/leasestore.py
+++ b/sedgetide/backends/leasestore.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import Era
+from sedgetide.core.history import Position
 
 LeaseId = NewType("LeaseId", int)
 
@@ -18,15 +19,15 @@
     """A key's newest version; without a value, it was removed."""
 
     key: str
-    revision: Revision
+    position: Position
     value: bytes | None
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Items, and the revision up to which they are complete."""
+    """Items, and the position up to which they are complete."""
 
     items: list[Item]
-    revision: Revision
+    position: Position
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -40,10 +41,11 @@
 class LeaseStore(abc.ABC):
     """A key-value service with leases, transactions and watches.
 
-    Revisions are counted over the whole store and only grow. Every method
-    raises :class:`~sedgetide.core.errors.StoreError` when it got no usable
-    answer; after a failed write the change may be in force, or come into
-    force later while its conditions hold.
+    Revisions are counted over the whole store and grow within an era. Every
+    method raises :class:`~sedgetide.core.errors.StoreError` when it got no
+    usable answer, which one of an earlier era than known is not; after a
+    failed write the change may be in force, or come into force later while
+    its conditions hold, also in a later era.
     """
 
     @abc.abstractmethod
@@ -54,30 +56,42 @@
     def list(self, prefix: str) -> Listing:
         """Return all items whose key begins with a prefix.
 
-        The revision is that of the first page, so that a watch from there
-        misses nothing that changed while the others were read.
+        The position is that of the first page, so that a watch from there
+        misses nothing that changed while the others were read. All pages are
+        of one era.
         """
 
     @abc.abstractmethod
-    def watch(self, prefix: str, since: Revision, wait: float) -> Listing:
+    def watch(self, prefix: str, since: Position, wait: float) -> Listing:
         """Wait for changes of keys with a prefix.
 
         Raises
         ------
         HistoryLost
-            When changes since then are no longer known.
+            When changes since then are no longer known, or another era
+            has begun.
         """
 
     @abc.abstractmethod
     def transact(
-        self, expected: Mapping[str, Revision], writes: Sequence[Write]
-    ) -> Revision:
+        self,
+        era: Era,
+        expected: Mapping[str, Position],
+        writes: Sequence[Write],
+    ) -> Position:
         """Write all values if all keys have the expected revisions.
 
+        Parameters
+        ----------
+        era : Era
+            In which they were read. A write that meets a later one has
+            failed, although it may be in force there.
+
         Raises
         ------
         StoreConflict
-            When one has another; nothing was changed.
+            When one has another, or the era is known to be over; nothing
+            was changed.
         LeaseEnded
             When a lease is not known; nothing was changed.
         """
--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -7,6 +7,8 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import LinkError
 from sedgetide.core.errors import Step
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import Fingerprint
@@ -209,7 +211,7 @@
         Work asked for since the last report.
     upstreams : list of UpstreamWork
         What was seen of upstreams since then.
-    revision : Revision
+    position : Position
         Up to which the host knows what the store holds.
     standing : Standing
         What the host says of itself.
@@ -222,7 +224,7 @@
 
     keys: list[KeyWork]
     upstreams: list[UpstreamWork]
-    revision: Revision = Revision(0)
+    position: Position = NO_POSITION
     standing: Standing = Standing()
     leaving: list[IncarnationName] = []
     limits: dict[IncarnationName, float] = {}
@@ -235,15 +237,15 @@
     ----------
     key : str
         Key of the item.
-    revision, base : Revision
+    position, base : Position
         Of the newer and of the older version.
     data : bytes
         The newer value, deflated with the older one as dictionary.
     """
 
     key: str
-    revision: Revision
-    base: Revision
+    position: Position
+    base: Position
     data: bytes
 
 
@@ -252,7 +254,7 @@
 
     Parameters
     ----------
-    since, as_of : Revision
+    since, as_of : Position
         The items are all that changed between these.
     age : float
         Seconds since the leader heard from the store.
@@ -268,8 +270,8 @@
         Newest versions of items that the host has in older ones.
     """
 
-    since: Revision
-    as_of: Revision
+    since: Position
+    as_of: Position
     age: float
     disturbed: float
     items: list[Item]
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -3,17 +3,17 @@
 The record of the leader lies in the store under a lease. The lease alone
 proves nothing to its holder: the store may take the record away early and
 still renew the lease. What proves it is a read, sent after the record was
-written, that finds the holder's own revision; it counts for ``proof_life``
+written, that finds the holder's own position; it counts for ``proof_life``
 from before it was sent. A successor therefore waits ``proof_life`` before
 it takes its predecessor's last order for sent.
 """
 
 import msgspec
 
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
 
 NEVER = float("-inf")
 _RENEWALS_IN_A_HOLD = 3
@@ -125,36 +125,36 @@
 
     def __init__(self, durations: Durations) -> None:
         self._durations = durations
-        self._term = NO_REVISION
+        self._term = NO_POSITION
         self._proved_at = NEVER
         self._took_over_at = NEVER
 
     @property
-    def term(self) -> Revision:
-        """Revision of the own record; zero when this host does not lead."""
+    def term(self) -> Position:
+        """Position of the own record; zero when this host does not lead."""
         return self._term
 
-    def begin(self, revision: Revision, asked_at: float, now: float) -> None:
+    def begin(self, position: Position, asked_at: float, now: float) -> None:
         """Take in that the own record was written.
 
         Parameters
         ----------
-        revision : Revision
+        position : Position
             Of the record.
         asked_at : float
             Own clock before the write was sent.
         now : float
             Own clock.
         """
-        self._term = revision
+        self._term = position
         self._proved_at = asked_at
         self._took_over_at = now
 
-    def note_read(self, revision: Revision, asked_at: float) -> bool:
+    def note_read(self, position: Position, asked_at: float) -> bool:
         """Take in a read of the record; return whether it is the own."""
-        if self._term == NO_REVISION:
+        if self._term == NO_POSITION:
             return False
-        if revision != self._term:
+        if position != self._term:
             self.end()
             return False
         self._proved_at = max(self._proved_at, asked_at)
@@ -162,7 +162,7 @@
 
     def end(self) -> None:
         """Give no more orders."""
-        self._term = NO_REVISION
+        self._term = NO_POSITION
         self._proved_at = NEVER
 
     def may_order(self, now: float) -> bool:
@@ -172,7 +172,7 @@
         clock that runs on meanwhile shows that the proof still counts.
         """
         return (
-            self._term != NO_REVISION
+            self._term != NO_POSITION
             and now < self._proved_at + self._durations.proof_life
         )
 
@@ -184,7 +184,7 @@
         no news from the one that is.
         """
         gone = self._durations.proof_life + self._durations.lease
-        return self._term != NO_REVISION and now >= self._proved_at + gone
+        return self._term != NO_POSITION and now >= self._proved_at + gone
 
     def choose_hold(self, now: float) -> float:
         """Return the life of a grant that is given now.
@@ -204,7 +204,7 @@
         no longer good enough for others to do without their own.
         """
         due = _MISSED * self._durations.verify
-        return self._term != NO_REVISION and now - self._proved_at < due
+        return self._term != NO_POSITION and now - self._proved_at < due
 
     def bound_inherited(self) -> float:
         """Return until when orders of earlier leaders may hold."""
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -38,7 +38,7 @@
 
     def __init__(self, leadership: Leadership, durations: Durations) -> None:
         self._leadership = leadership
-        self._revision = leadership.term
+        self._position = leadership.term
         self._durations = durations
         self._holds = HoldLedger(leadership.bound_inherited())
 
@@ -48,7 +48,7 @@
         An order prepared in an earlier term of the same host knows nothing
         of what another leader did in between.
         """
-        if self._leadership.term != self._revision:
+        if self._leadership.term != self._position:
             return False
         return self._leadership.may_order(now)
 
--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -12,7 +12,7 @@
 from sedgetide.core.errors import LeaseEnded
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
-from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.history import NO_POSITION
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_yield
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -75,7 +75,7 @@
         """Do what is due: stand, or prove to be leader still."""
         if self._leadership.is_hopeless(now):
             self._end("proof too old")
-        if self._leadership.term != NO_REVISION:
+        if self._leadership.term != NO_POSITION:
             if now - self._verified_at >= self._durations.verify:
                 self._verify()
             return
@@ -110,7 +110,7 @@
         record took its reports, so that one is gone.
         """
         leader = self._knowledge.leader
-        if leader is None or self._leadership.term != NO_REVISION:
+        if leader is None or self._leadership.term != NO_POSITION:
             return False
         record = leader.record
         same_place = (record.host, record.link) == (
@@ -121,13 +121,14 @@
 
     def _stand(self, now: float) -> None:
         self._try_at = now + self._random.uniform(0.5, 1.0)
-        expected = NO_REVISION
+        expected = NO_POSITION
         if self._has_former_record():
-            expected = self._knowledge.leader.revision
+            expected = self._knowledge.leader.position
         try:
             lease = self._store.open_lease(self._durations.lease)
             asked_at = read_clock()
-            revision = self._store.transact(
+            position = self._store.transact(
+                self._knowledge.as_of.era,
                 {LEADER_KEY: expected},
                 [Write(LEADER_KEY, msgspec.json.encode(self._record), lease)],
             )
@@ -139,8 +140,8 @@
             return
         self._lease = lease
         self._verified_at = asked_at
-        self._leadership.begin(revision, asked_at, read_clock())
-        tell(Event.LEADING, term=revision)
+        self._leadership.begin(position, asked_at, read_clock())
+        tell(Event.LEADING, term=position)
 
     def _drop_lease(self, lease: LeaseId) -> None:
         with contextlib.suppress(StoreError):
@@ -165,8 +166,8 @@
             self._verified_at = asked_at - self._durations.verify / 2
             return
         self._verified_at = asked_at
-        revision = NO_REVISION if item is None else item.revision
-        if not self._leadership.note_read(revision, asked_at):
+        position = NO_POSITION if item is None else item.position
+        if not self._leadership.note_read(position, asked_at):
             self._end("record taken away")
 
     def _end(self, reason: str) -> None:
@@ -176,7 +177,7 @@
 
     def resign(self) -> None:
         """Stop to lead, so that another host need not wait for the lease."""
-        if self._leadership.term == NO_REVISION:
+        if self._leadership.term == NO_POSITION:
             return
         lease = self._lease
         self._end("resigned")
--- a/sedgetide/daemons/_countedstore.py
+++ b/sedgetide/daemons/_countedstore.py
@@ -11,7 +11,8 @@
 from sedgetide.backends.leasestore import Listing
 from sedgetide.backends.leasestore import Write
 from sedgetide.core.errors import SedgetideError
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import Era
+from sedgetide.core.history import Position
 from sedgetide.daemons._hostmetrics import STORE_CALLS
 
 AnswerT = TypeVar("AnswerT")
@@ -45,14 +46,17 @@
     def list(self, prefix: str) -> Listing:
         return _count("list", lambda: self._store.list(prefix))
 
-    def watch(self, prefix: str, since: Revision, wait: float) -> Listing:
+    def watch(self, prefix: str, since: Position, wait: float) -> Listing:
         return _count("watch", lambda: self._store.watch(prefix, since, wait))
 
     def transact(
-        self, expected: Mapping[str, Revision], writes: Sequence[Write]
-    ) -> Revision:
+        self,
+        era: Era,
+        expected: Mapping[str, Position],
+        writes: Sequence[Write],
+    ) -> Position:
         return _count(
-            "transact", lambda: self._store.transact(expected, writes)
+            "transact", lambda: self._store.transact(era, expected, writes)
         )
 
     def open_lease(self, life: float) -> LeaseId:
--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -3,18 +3,22 @@
 A watch of each host costs a call of the store for each event and host. So
 hosts that hear from the leader leave theirs out, and begin it again as soon
 as they have not heard for a second. The feed carries versions, never
-beliefs: whoever sends it, a host can not be led back.
+beliefs: whoever sends it, a host can not be led back, neither within an era
+of the store nor to an earlier one.
 """
 
 from collections.abc import Callable
 
 import msgspec
 
+from sedgetide.backends.eras import EraWatch
 from sedgetide.backends.leasestore import Item
+from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.messages import Patch
 from sedgetide.coding.messages import StoreFeed
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.identifiers import Revision
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._patches import apply_patch
 from sedgetide.daemons._patches import PatchBook
@@ -33,7 +37,7 @@
 
 class _Subscriber(msgspec.Struct):
     heard_at: float
-    revision: Revision
+    position: Position
 
 
 def _are_large(items: list[Item]) -> bool:
@@ -70,10 +74,10 @@
         self._large_at = float("-inf")
 
     def note_report(
-        self, link: LinkAddress, revision: Revision, now: float
+        self, link: LinkAddress, position: Position, now: float
     ) -> None:
         """Take in how far a host is, and tell it what is newer."""
-        self._subscribers[link] = _Subscriber(now, revision)
+        self._subscribers[link] = _Subscriber(now, position)
         self._feed(link, self._subscribers[link], now)
 
     def publish(self, now: float) -> None:
@@ -82,26 +86,51 @@
             if now - subscriber.heard_at > _SUBSCRIBER_LIFE:
                 del self._subscribers[link]
                 self._told.pop(link, None)
-            elif subscriber.revision < self._knowledge.as_of:
+            elif subscriber.position < self._knowledge.as_of:
                 self._feed(link, subscriber, now)
 
     def _feed(
         self, link: LinkAddress, subscriber: _Subscriber, now: float
     ) -> None:
-        items = self._knowledge.list_newer(subscriber.revision)
+        known = subscriber.position
+        if known.era > self._knowledge.as_of.era:
+            return
+        if known.era < self._knowledge.as_of.era:
+            self._feed_all(link, subscriber, now)
+            return
+        items = self._knowledge.list_newer(known)
         if items is None:
             # It is too far behind; without the feed it lists the store.
             return
         if _are_large(items) and not self._may_send_large(link, now):
             return
+        whole, patches = self._pack(items, known)
+        self._pass_on(link, subscriber, whole, patches, now)
+
+    def _feed_all(
+        self, link: LinkAddress, subscriber: _Subscriber, now: float
+    ) -> None:
+        """Tell a host that knows an earlier era all there is in this one."""
+        if self._may_send_large(link, now):
+            subscriber.position = NO_POSITION
+            items = self._knowledge.list_present()
+            self._pass_on(link, subscriber, items, [], now)
+
+    def _pass_on(
+        self,
+        link: LinkAddress,
+        subscriber: _Subscriber,
+        whole: list[Item],
+        patches: list[Patch],
+        now: float,
+    ) -> None:
         age = now - self._knowledge.heard_at
         if age > _OLDEST:
             return
         disturbed = self._knowledge.directory.find_disturbance(now)
         as_of = self._knowledge.as_of
-        whole, patches = self._pack(items, subscriber.revision)
         message = StoreFeed(
-            subscriber.revision,
+            subscriber.position,
             as_of,
             age,
             disturbed,
@@ -110,7 +139,7 @@
             patches,
         )
         self._send(link, message)
-        subscriber.revision = as_of
+        subscriber.position = as_of
         self._told.pop(link, None)
 
     def _may_send_large(self, link: LinkAddress, now: float) -> bool:
@@ -131,7 +160,7 @@
         return True
 
     def _pack(
-        self, items: list[Item], known: Revision
+        self, items: list[Item], known: Position
     ) -> tuple[list[Item], list[Patch]]:
         """Return what is sent whole, and what as a patch."""
         whole = []
@@ -178,10 +207,13 @@
     ----------
     knowledge : Knowledge
         What is kept up to date.
+    eras : EraWatch
+        Told of eras that the leader has heard of.
     """
 
-    def __init__(self, knowledge: Knowledge) -> None:
+    def __init__(self, knowledge: Knowledge, eras: EraWatch) -> None:
         self._knowledge = knowledge
+        self._eras = eras
         self._fresh_at = float("-inf")
 
     def take(self, message: StoreFeed, now: float) -> None:
@@ -191,9 +223,9 @@
         if message.age > _OLDEST:
             self._fresh_at = float("-inf")
             return
-        if message.since > self._knowledge.as_of:
-            # A message before it was lost; what it brought is not known.
+        if not self._continues(message):
             return
+        self._eras.note(message.as_of.era)
         patched = self._apply(message.patches)
         if patched is None:
             # It has another version than the leader thinks: ask the store.
@@ -201,16 +233,33 @@
             return
         if message.disturbed > 0:
             self._knowledge.directory.note_disturbance(now, message.disturbed)
-        self._knowledge.take_items([*message.items, *patched], now)
+        items = [*message.items, *patched]
+        if message.as_of.era > self._knowledge.as_of.era:
+            listing = Listing(items, message.as_of)
+            self._knowledge.take_listing(listing, now)
+        else:
+            self._knowledge.take_items(items, now)
         self._knowledge.note_heard(message.as_of, now - message.age)
         self._fresh_at = now
 
+    def _continues(self, message: StoreFeed) -> bool:
+        """Tell whether nothing is missing between a message and before.
+
+        One may have been lost, and a leader may not have heard yet that its
+        era is over. Of a later era all that there is has to be told first.
+        """
+        known = self._knowledge.as_of
+        if message.as_of.era != known.era:
+            later = message.as_of.era > known.era
+            return later and message.since == NO_POSITION
+        return message.since <= known
+
     def _apply(self, patches: list[Patch]) -> list[Item] | None:
         """Return the patched items; None when one does not fit."""
         patched = []
         for patch in patches:
             base = self._knowledge.find_item(patch.key)
-            if base is not None and base.revision >= patch.revision:
+            if base is not None and base.position >= patch.position:
                 continue
             item = apply_patch(base, patch)
             if item is None:
--- a/sedgetide/daemons/_follower.py
+++ b/sedgetide/daemons/_follower.py
@@ -44,7 +44,7 @@
 
 
 class Follower:
-    """Lists the store once and watches it from there.
+    """Lists the store once in each era and watches it from there.
 
     Parameters
     ----------
@@ -108,7 +108,7 @@
             since = self._knowledge.as_of
             listing = self._store.watch(self._prefix, since, wait)
             self._knowledge.take_items(listing.items, read_clock())
-        self._knowledge.note_heard(listing.revision, read_clock())
+        self._knowledge.note_heard(listing.position, read_clock())
         self._note_back()
         gevent.sleep(choose_pause(self._is_leading(), len(listing.items)))
 
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -13,10 +13,10 @@
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.errors import InputError
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
-from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
@@ -45,24 +45,24 @@
 
 
 class KnownTable(msgspec.Struct, frozen=True):
-    """Owners of a service's keys, with the record's revision."""
+    """Owners of a service's keys, with the record's position."""
 
     table: RangeTable
-    revision: Revision
+    position: Position
 
 
 class KnownLeader(msgspec.Struct, frozen=True):
-    """The leader's record with its revision."""
+    """The leader's record with its position."""
 
     record: LeaderRecord
-    revision: Revision
+    position: Position
 
 
 class KnownQuarantine(msgspec.Struct, frozen=True):
-    """Requests in quarantine by the store, with the record's revision."""
+    """Requests in quarantine by the store, with the record's position."""
 
     record: QuarantineRecord = QuarantineRecord()
-    revision: Revision = NO_REVISION
+    position: Position = NO_POSITION
 
 
 class ColdTerms(msgspec.Struct, frozen=True):
@@ -81,7 +81,7 @@
 
 
 class Knowledge:
-    """Policy, directory, owners and leader; never goes back in revision.
+    """Policy, directory, owners and leader; never goes back in position.
 
     Parameters
     ----------
@@ -117,8 +117,8 @@
         self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
-        self._forgotten = NO_REVISION
-        self.as_of = NO_REVISION
+        self._forgotten = NO_POSITION
+        self.as_of = NO_POSITION
 
     def note_hosts(self, hosts: int) -> None:
         """Take in how many hosts there are.
@@ -143,16 +143,18 @@
             version=named.version,
         )
 
-    def note_heard(self, as_of: Revision, heard_at: float) -> None:
-        """Take in that all is known up to a revision, and since when."""
+    def note_heard(self, as_of: Position, heard_at: float) -> None:
+        """Take in that all is known up to a position, and since when."""
         self.as_of = max(self.as_of, as_of)
         self.heard_at = max(self.heard_at, heard_at)
 
     def take_listing(self, listing: Listing, now: float) -> None:
         """Take in everything that the store holds."""
+        if listing.position.era > self.as_of.era and self._items:
+            tell(Event.RELISTED, revision=listing.position, known=self.as_of)
         present = {item.key for item in listing.items}
         gone = [
-            Item(key, listing.revision, None)
+            Item(key, listing.position, None)
             for key, item in self._items.items()
             if key not in present and item.value is not None
         ]
@@ -162,11 +164,13 @@
         """Take in new versions; older ones than known change nothing."""
         taken = False
         for item in items:
+            if item.position.era < self.as_of.era:
+                continue
             known = self._items.get(item.key)
-            if known is not None and item.revision <= known.revision:
+            if known is not None and item.position <= known.position:
                 continue
             self._items[item.key] = item
-            self._take(item.key, item.value, item.revision, now)
+            self._take(item.key, item.value, item.position, now)
             taken = True
         if taken:
             self._forget_removed()
@@ -177,33 +181,42 @@
         removed = [each for each in self._items.values() if each.value is None]
         if len(removed) <= _MOST_REMOVED:
             return
-        removed.sort(key=lambda each: each.revision)
+        removed.sort(key=lambda each: each.position)
         for item in removed[: len(removed) // 2]:
-            self._forgotten = max(self._forgotten, item.revision)
+            self._forgotten = max(self._forgotten, item.position)
             del self._items[item.key]
 
     def find_item(self, key: str) -> Item | None:
         """Return the newest version of an item that is known."""
         return self._items.get(key)
 
-    def list_newer(self, revision: Revision) -> list[Item] | None:
-        """Return what changed after a revision; None when not all is known."""
-        if revision < self._forgotten:
+    def list_newer(self, position: Position) -> list[Item] | None:
+        """Return what changed after a position; None when not all is known.
+
+        What another era has brought about is not known one by one.
+        """
+        if position < self._forgotten or position.era != self.as_of.era:
             return None
         return [
-            item for item in self._items.values() if item.revision > revision
+            item for item in self._items.values() if item.position > position
+        ]
+
+    def list_present(self) -> list[Item]:
+        """Return everything that the store holds, as far as is known."""
+        return [
+            item for item in self._items.values() if item.value is not None
         ]
 
     def _take(
-        self, key: str, value: bytes | None, revision: Revision, now: float
+        self, key: str, value: bytes | None, position: Position, now: float
     ) -> None:
         try:
             if key == LEADER_KEY:
-                self._take_leader(value, revision)
+                self._take_leader(value, position)
             elif key == QUARANTINE_KEY:
-                self._take_quarantine(value, revision, now)
+                self._take_quarantine(value, position, now)
             elif key.startswith(RANGES_PREFIX):
-                self._take_record(key, value, revision, now)
+                self._take_record(key, value, position, now)
             else:
                 self._take_other(key, value, now)
         except UnreadableEntry as error:
@@ -212,50 +225,50 @@
         except (InputError, msgspec.MsgspecError) as error:
             tell(Event.RECORD_REFUSED, key=key, problem=error)
 
-    def _take_leader(self, value: bytes | None, revision: Revision) -> None:
+    def _take_leader(self, value: bytes | None, position: Position) -> None:
         if value is None:
             self.leader = None
         else:
             record = msgspec.json.decode(value, type=LeaderRecord)
-            self.leader = KnownLeader(record, revision)
+            self.leader = KnownLeader(record, position)
         name = "" if self.leader is None else self.leader.record.host
-        tell(Event.LEADER, leader=name, revision=revision)
+        tell(Event.LEADER, leader=name, revision=position)
 
     def _take_quarantine(
-        self, value: bytes | None, revision: Revision, now: float
+        self, value: bytes | None, position: Position, now: float
     ) -> None:
         record = QuarantineRecord()
         if value is not None:
             record = msgspec.json.decode(value, type=QuarantineRecord)
-        self.recorded_quarantine = KnownQuarantine(record, revision)
+        self.recorded_quarantine = KnownQuarantine(record, position)
         self.quarantine.take_record(record, now)
 
     def _take_record(
-        self, key: str, value: bytes | None, revision: Revision, now: float
+        self, key: str, value: bytes | None, position: Position, now: float
     ) -> None:
         if value is None:
             # Owners are never removed; what is known stays the best guess.
             return
         service = ServiceName(key.removeprefix(RANGES_PREFIX))
         table = decode_ranges(value)
-        self.take_table(service, table, revision, now)
+        self.take_table(service, table, position, now)
 
     def take_table(
         self,
         service: ServiceName,
         table: RangeTable,
-        revision: Revision,
+        position: Position,
         now: float,
     ) -> None:
         """Take in owners, unless newer ones are known."""
         known = self.tables.get(service)
-        if known is not None and known.revision >= revision:
+        if known is not None and known.position >= position:
             return
         moved = self._moved.get(service, set()).intersection(table.tenures)
         self._moved[service] = moved
         sightings = self._sightings.setdefault(service, MoveSightings())
         sightings.note_table(table, now)
-        self.tables[service] = KnownTable(table.complete(moved), revision)
+        self.tables[service] = KnownTable(table.complete(moved), position)
         self.changes.announce()
 
     def take_moved(self, service: ServiceName, moved: list[Tenure]) -> None:
@@ -269,7 +282,7 @@
             return
         self._moved.setdefault(service, set()).update(moved)
         self.tables[service] = KnownTable(
-            known.table.complete(moved), known.revision
+            known.table.complete(moved), known.position
         )
         self.changes.announce()
 
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -16,10 +16,10 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.lenders import LendingHost
@@ -120,7 +120,7 @@
         self._campaign = campaign
         self._leadership = leadership
         self._durations = durations
-        self._revision = NO_REVISION
+        self._position = NO_POSITION
         self._lanes = OrderLanes(dialect, durations.order_timeout)
         self._desk = self._open_desk()
         self._book = LoadBook()
@@ -159,7 +159,7 @@
             Who reports; None for the own host.
         """
         if sender is not None and self._leadership.is_fresh(now):
-            self._feed.note_report(sender, report.revision, now)
+            self._feed.note_report(sender, report.position, now)
             self._name_lenders(sender, report.standing, now)
         for upstream in report.leaving:
             self._knowledge.note_leaving(upstream)
@@ -178,7 +178,7 @@
     @property
     def leading(self) -> bool:
         """Whether this host holds the leader's record."""
-        return self._leadership.term != NO_REVISION
+        return self._leadership.term != NO_POSITION
 
     def dump_state(self) -> dict[str, Any]:
         """Return the state for the dump."""
@@ -204,9 +204,9 @@
     def _loop(self) -> None:
         while True:
             self._lanes.note_addresses(self._knowledge.directory)
-            revision = self._leadership.term
-            if revision != self._revision:
-                self._begin_term(revision)
+            position = self._leadership.term
+            if position != self._position:
+                self._begin_term(position)
             self._feed_hosts(read_clock())
             ordering = self._leadership.may_order(read_clock())
             if ordering and self._has_adopted():
@@ -250,9 +250,9 @@
             self._spread,
         )
 
-    def _begin_term(self, revision: Revision) -> None:
+    def _begin_term(self, position: Position) -> None:
         self._desk.close()
-        self._revision = revision
+        self._position = position
         self._desk = self._open_desk()
         self._roster = Roster(self._knowledge.lenders, read_clock(), self._own)
         self._adopted = False
@@ -284,7 +284,7 @@
             return
         self._desk.term.prune(now)
         self._knowledge.directory.expire(now)
-        self._stays.keep(self._revision, now)
+        self._stays.keep(self._position, now)
         self._evacuations.keep(now)
         balance = now - self._balanced_at >= _BALANCE_EVERY
         if balance:
@@ -439,11 +439,12 @@
 
     def _write(self, service: ServiceName, table: RangeTable) -> bool:
         known = self._knowledge.tables.get(service)
-        revision = NO_REVISION if known is None else known.revision
+        position = NO_POSITION if known is None else known.position
         key = RANGES_PREFIX + service
         try:
-            written: Revision = self._store.transact(
-                {LEADER_KEY: self._revision, key: revision},
+            written: Position = self._store.transact(
+                self._position.era,
+                {LEADER_KEY: self._position, key: position},
                 [Write(key, encode_ranges(table))],
             )
         except StoreConflict:
--- a/sedgetide/daemons/_patches.py
+++ b/sedgetide/daemons/_patches.py
@@ -10,7 +10,7 @@
 
 from sedgetide.backends.leasestore import Item
 from sedgetide.coding.messages import Patch
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import Position
 
 # Shorter values gain less than a patch costs.
 _SHORTEST = 1024
@@ -20,9 +20,9 @@
 _LEVEL = 6
 
 
-def _find_base(versions: Sequence[Item], known: Revision) -> Item | None:
-    """Return the version that a host has which knows up to a revision."""
-    older = [each for each in versions if each.revision <= known]
+def _find_base(versions: Sequence[Item], known: Position) -> Item | None:
+    """Return the version that a host has which knows up to a position."""
+    older = [each for each in versions if each.position <= known]
     return older[-1] if older else None
 
 
@@ -34,7 +34,7 @@
 
     def __init__(self) -> None:
         self._versions: dict[str, list[Item]] = {}
-        self._patches: dict[tuple[str, Revision, Revision], Patch] = {}
+        self._patches: dict[tuple[str, Position, Position], Patch] = {}
 
     def note(self, item: Item) -> None:
         """Remember a version, if patches of it are worth while."""
@@ -43,7 +43,7 @@
             self._versions.pop(item.key, None)
             return
         versions = self._versions.setdefault(item.key, [])
-        if not versions or versions[-1].revision < item.revision:
+        if not versions or versions[-1].position < item.position:
             versions.append(item)
             del versions[:-_VERSIONS]
             self._forget_patches(item.key)
@@ -55,20 +55,20 @@
             if place[0] != key
         }
 
-    def find(self, item: Item, known: Revision) -> Patch | None:
+    def find(self, item: Item, known: Position) -> Patch | None:
         """Return a patch to an item for a host; None to send it whole.
 
         Parameters
         ----------
         item : Item
             Newest version, noted before.
-        known : Revision
+        known : Position
             Up to which the host knows the store.
         """
         base = _find_base(self._versions.get(item.key, ()), known)
-        if base is None or base.revision == item.revision:
+        if base is None or base.position == item.position:
             return None
-        place = (item.key, base.revision, item.revision)
+        place = (item.key, base.position, item.position)
         patch = self._patches.get(place)
         if patch is None:
             patch = make_patch(base, item)
@@ -80,7 +80,7 @@
     """Return what turns one version of an item into another."""
     deflate = zlib.compressobj(_LEVEL, zdict=base.value)
     data = deflate.compress(item.value) + deflate.flush()
-    return Patch(item.key, item.revision, base.revision, data)
+    return Patch(item.key, item.position, base.position, data)
 
 
 def apply_patch(base: Item | None, patch: Patch) -> Item | None:
@@ -91,10 +91,10 @@
     Item or None
         None when the patch is of another version than the base.
     """
-    if base is None or base.revision != patch.base or base.value is None:
+    if base is None or base.position != patch.base or base.value is None:
         return None
     try:
         value = zlib.decompressobj(zdict=base.value).decompress(patch.data)
     except zlib.error:
         return None
-    return Item(patch.key, patch.revision, value)
+    return Item(patch.key, patch.position, value)
--- a/sedgetide/daemons/_quarantinerecord.py
+++ b/sedgetide/daemons/_quarantinerecord.py
@@ -5,7 +5,7 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.backends.leasestore import Write
 from sedgetide.core.errors import StoreError
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import Position
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.daemons._knowledge import QUARANTINE_KEY
@@ -40,12 +40,12 @@
         self._knowledge = knowledge
         self._tried_at = float("-inf")
 
-    def keep(self, term: Revision, now: float) -> None:
+    def keep(self, term: Position, now: float) -> None:
         """Write stays and losses if they are others than in the store.
 
         Parameters
         ----------
-        term : Revision
+        term : Position
             Of the own leader's record, under which alone it is written.
         now : float
             Own clock.
@@ -61,8 +61,10 @@
             return
         self._tried_at = now
         value = msgspec.json.encode(record)
-        expected = {LEADER_KEY: term, QUARANTINE_KEY: recorded.revision}
+        expected = {LEADER_KEY: term, QUARANTINE_KEY: recorded.position}
         try:
-            self._store.transact(expected, [Write(QUARANTINE_KEY, value)])
+            self._store.transact(
+                term.era, expected, [Write(QUARANTINE_KEY, value)]
+            )
         except StoreError as error:
             tell(Event.QUARANTINE_UNWRITTEN, error=error)
--- a/sedgetide/daemons/_reporter.py
+++ b/sedgetide/daemons/_reporter.py
@@ -6,10 +6,10 @@
 import gevent
 
 from sedgetide.coding.messages import LoadReport
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.load import KeyWork
@@ -77,12 +77,12 @@
         """Count a request without a usable answer."""
         self._upstreams.setdefault(upstream, _Seen()).failures += 1
 
-    def take_report(self, revision: Revision) -> LoadReport:
+    def take_report(self, position: Position) -> LoadReport:
         """Return what was counted, and begin anew.
 
         Parameters
         ----------
-        revision : Revision
+        position : Position
             Up to which the store's items are known.
         """
         keys = [
@@ -98,7 +98,7 @@
         ]
         self._keys.clear()
         self._upstreams.clear()
-        return LoadReport(keys[:_MOST_KEYS], upstreams, revision)
+        return LoadReport(keys[:_MOST_KEYS], upstreams, position)
 
 
 class ReportReceiver(Protocol):
@@ -107,7 +107,7 @@
     def find_leader_link(self) -> LinkAddress | None:
         """Return where the leader takes reports; None when unknown."""
 
-    def find_revision(self) -> Revision:
+    def find_position(self) -> Position:
         """Return up to which the store's items are known."""
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
@@ -139,6 +139,6 @@
             link = self._receiver.find_leader_link()
             if link is None:
                 continue
-            revision = self._receiver.find_revision()
-            report = self._meter.take_report(revision)
+            position = self._receiver.find_position()
+            report = self._meter.take_report(position)
             self._receiver.send_report(link, report)
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -60,7 +60,7 @@
             held_ms=int(job.held * 1000),
             rested_ms=int(job.rested * 1000),
             version=self._knowledge.policy.version,
-            revision=0 if known is None else known.revision,
+            revision=0 if known is None else known.position,
             fence=job.fence,
             age_ms=int((now - self._knowledge.heard_at) * 1000),
         )
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -33,10 +33,10 @@
 from sedgetide.coding.messages import TrialVerdict
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.history import FIRST_ERA
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import LinkAddress
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LendingHost
 from sedgetide.core.membership.lenders import Standing
@@ -142,7 +142,7 @@
             Evacuations(settings.evacuate_ms / 1000.0),
             ColdTerms(settings.cold_overrun, settings.cold_slack),
         )
-        self._feed = FeedSink(self._knowledge)
+        self._feed = FeedSink(self._knowledge, self._eras)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
         self._partitions = PartitionDetector(settings.data_centre)
@@ -335,7 +335,7 @@
     def _is_fed(self) -> bool:
         return not self._leader.leading and self._feed.is_fresh(read_clock())
 
-    def find_revision(self) -> Revision:
+    def find_position(self) -> Position:
         return self._knowledge.as_of
 
     def find_leader_link(self) -> LinkAddress | None:
--- a/sedgetide/platform/_store.py
+++ b/sedgetide/platform/_store.py
@@ -22,6 +22,8 @@
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.errors import UpstreamError
+from sedgetide.core.history import Era
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import Revision
 from sedgetide.platform import _names
 from sedgetide.platform._storeeras import read_era
@@ -35,6 +37,7 @@
 _CONFLICT = 412
 _CONNECT_TIMEOUT = 0.7
 _ANSWER_BYTES = 64 * 1024 * 1024
+_UNDONE = ErrorCode.STORE_UNAVAILABLE
 
 
 class _Row(msgspec.Struct, rename="kebab", frozen=True):
@@ -43,11 +46,11 @@
     value: str | None = None
     tombstone: bool = False
 
-    def make_item(self) -> Item:
+    def make_item(self, era: Era) -> Item:
         value = None
         if not self.tombstone and self.value is not None:
             value = _decode_value(self.value)
-        return Item(self.key, Revision(self.revision), value)
+        return Item(self.key, Position(era, Revision(self.revision)), value)
 
 
 def _decode_value(text: str) -> bytes:
@@ -69,6 +72,11 @@
     has_more: bool = False
 
 
+class _Reply(msgspec.Struct, frozen=True):
+    answer: Answer
+    era: Era
+
+
 class _Changed(msgspec.Struct, frozen=True):
     revision: int
 
@@ -98,76 +106,89 @@
 
     def read(self, key: str) -> Item | None:
         path = _names.ITEM_PATH + "?" + urlencode({"key": key})
-        answer = self._call(Step.READ, "GET", path)
-        if answer.status == _NOT_FOUND:
+        reply = self._call(Step.READ, "GET", path)
+        if reply.answer.status == _NOT_FOUND:
             return None
-        return self._decode(answer, _Row, Step.READ).make_item()
+        row = self._decode(reply.answer, _Row, Step.READ)
+        return row.make_item(reply.era)
 
     def list(self, prefix: str) -> Listing:
         items: list[Item] = []
-        revision = None
+        position = None
         query = {"path-prefix": prefix}
         while True:
             path = _names.RANGE_PATH + "?" + urlencode(query)
-            answer = self._call(Step.READ, "GET", path)
-            page = self._decode(answer, _Page, Step.READ)
-            items.extend(row.make_item() for row in page.items)
-            if revision is None:
-                revision = page.as_of
+            reply = self._call(Step.READ, "GET", path)
+            page = self._decode(reply.answer, _Page, Step.READ)
+            items.extend(row.make_item(reply.era) for row in page.items)
+            if position is None:
+                position = Position(reply.era, Revision(page.as_of))
+            if reply.era != position.era:
+                raise self._fail(
+                    Step.READ, f"pages of eras {position.era} and {reply.era}"
+                )
             if not page.has_more or not page.items:
-                return Listing(items, Revision(revision))
+                return Listing(items, position)
             query["after"] = page.items[-1].key
 
-    def watch(self, prefix: str, since: Revision, wait: float) -> Listing:
+    def watch(self, prefix: str, since: Position, wait: float) -> Listing:
+        if self._eras.newest != since.era:
+            raise self._lose_history(since)
         query = urlencode(
             {
                 "path-prefix": prefix,
-                "after": since,
+                "after": since.revision,
                 "wait-ms": int(wait * 1000),
             }
         )
         path = f"{_names.WATCH_PATH}?{query}"
-        answer = self._call(Step.WATCH, "GET", path, wait=wait)
-        if answer.status == _GONE:
-            raise HistoryLost(
-                ErrorCode.STORE_UNAVAILABLE,
-                Step.WATCH,
-                self._address,
-                f"history after revision {since} is gone",
-            )
-        page = self._decode(answer, _Page, Step.WATCH)
-        items = [row.make_item() for row in page.events]
-        return Listing(items, Revision(page.as_of))
+        reply = self._call(Step.WATCH, "GET", path, wait=wait)
+        if reply.answer.status == _GONE or reply.era != since.era:
+            raise self._lose_history(since)
+        page = self._decode(reply.answer, _Page, Step.WATCH)
+        items = [row.make_item(reply.era) for row in page.events]
+        return Listing(items, Position(reply.era, Revision(page.as_of)))
 
     def transact(
-        self, expected: Mapping[str, Revision], writes: Sequence[Write]
-    ) -> Revision:
+        self,
+        era: Era,
+        expected: Mapping[str, Position],
+        writes: Sequence[Write],
+    ) -> Position:
+        if self._eras.newest != era:
+            raise self._conflict(expected)
         document = {
             "expect": [
-                {"key": key, "revision": revision}
-                for key, revision in expected.items()
+                {"key": key, "revision": position.revision}
+                for key, position in expected.items()
             ],
             "writes": [_make_write(write) for write in writes],
             "deletes": [],
         }
-        answer = self._call(
+        reply = self._call(
             Step.WRITE, "POST", _names.TRANSACTION_PATH, document
         )
-        if answer.status == _CONFLICT:
-            raise StoreConflict(
-                Step.WRITE, self._address, max(expected.values()), -1
-            )
-        if answer.status == _NOT_FOUND:
+        if reply.answer.status == _CONFLICT:
+            raise self._conflict(expected)
+        if reply.answer.status == _NOT_FOUND:
             raise self._lose_lease()
-        return Revision(self._decode(answer, _Changed, Step.WRITE).revision)
+        changed = self._decode(reply.answer, _Changed, Step.WRITE)
+        if reply.era != era:
+            raise self._fail(
+                Step.WRITE,
+                f"written in era {reply.era} on what was read in {era}",
+                ErrorCode.STORE_UNCERTAIN,
+            )
+        return Position(era, Revision(changed.revision))
 
     def open_lease(self, life: float) -> LeaseId:
         document = {"ttl-ms": int(life * 1000)}
-        answer = self._call(Step.WRITE, "POST", _names.LEASE_PATH, document)
-        return LeaseId(self._decode(answer, _Lease, Step.WRITE).lease)
+        reply = self._call(Step.WRITE, "POST", _names.LEASE_PATH, document)
+        return LeaseId(self._decode(reply.answer, _Lease, Step.WRITE).lease)
 
     def renew_lease(self, lease: LeaseId) -> None:
-        answer = self._call(Step.WRITE, "POST", f"{_names.KEEP_PATH}/{lease}")
+        path = f"{_names.KEEP_PATH}/{lease}"
+        answer = self._call(Step.WRITE, "POST", path).answer
         if answer.status == _NOT_FOUND:
             raise self._lose_lease()
         self._require_ok(answer, Step.WRITE)
@@ -179,6 +200,26 @@
     def close(self) -> None:
         self._pool.close()
 
+    def _fail(
+        self,
+        step: Step,
+        detail: str,
+        code: ErrorCode = ErrorCode.STORE_UNAVAILABLE,
+    ) -> StoreError:
+        return StoreError(code, step, self._address, detail)
+
+    def _conflict(self, expected: Mapping[str, Position]) -> StoreConflict:
+        newest = max(expected.values()).revision
+        return StoreConflict(Step.WRITE, self._address, newest, -1)
+
+    def _lose_history(self, since: Position) -> HistoryLost:
+        return HistoryLost(
+            ErrorCode.STORE_UNAVAILABLE,
+            Step.WATCH,
+            self._address,
+            f"history after revision {since} is gone",
+        )
+
     def _lose_lease(self) -> LeaseEnded:
         return LeaseEnded(
             ErrorCode.STORE_CONFLICT,
@@ -194,51 +235,66 @@
         path: str,
         document: Any = None,
         wait: float = 0.0,
-    ) -> Answer:
+    ) -> _Reply:
         headers = [("Host", self._address)]
         body = b""
         if document is not None:
             body = msgspec.json.encode(document)
             headers.append(("Content-Type", "application/json"))
         request = Request(method, path, headers, body)
+        answer = self._exchange(step, request, self._timeout + wait)
+        return _Reply(answer, self._place(answer, step, request))
+
+    def _exchange(
+        self, step: Step, request: Request, timeout: float
+    ) -> Answer:
         with contextlib.ExitStack() as stack:
             try:
                 connection = self._pool.take(_CONNECT_TIMEOUT)
                 stack.callback(self._pool.give_back, connection)
-                answer = connection.exchange(request, self._timeout + wait)
-                self._note_era(answer)
-                return answer
+                return connection.exchange(request, timeout)
             except UpstreamError as error:
-                code = ErrorCode.STORE_UNAVAILABLE
-                if error.sent and method == "POST":
-                    code = ErrorCode.STORE_UNCERTAIN
-                raise StoreError(
-                    code, step, self._address, error.detail
-                ) from error
-
-    def _note_era(self, answer: Answer) -> None:
+                code = _judge(request) if error.sent else _UNDONE
+                raise self._fail(step, error.detail, code) from error
+
+    def _place(self, answer: Answer, step: Step, request: Request) -> Era:
+        """Return the era of an answer.
+
+        Raises
+        ------
+        StoreError
+            When the answer says nothing of the store as it is: its era is
+            over, or can not be read.
+        """
         try:
-            self._eras.note(read_era(answer.headers))
+            era = read_era(answer.headers)
         except ValueError as error:
             self._eras.note_refused(str(error))
+            raise self._fail(step, str(error), _judge(request)) from error
+        self._eras.note(era)
+        if era != self._eras.newest:
+            raise self._fail(
+                step,
+                f"answer of era {era} after era {self._eras.newest}",
+                _judge(request),
+            )
+        return era
 
     def _require_ok(self, answer: Answer, step: Step) -> None:
         if answer.status != _OK:
-            raise StoreError(
-                ErrorCode.STORE_UNAVAILABLE,
-                step,
-                self._address,
-                f"status {answer.status}",
-            )
+            raise self._fail(step, f"status {answer.status}")
 
     def _decode(self, answer: Answer, kind: Any, step: Step) -> Any:
         self._require_ok(answer, step)
         try:
             return msgspec.json.decode(answer.body, type=kind)
         except msgspec.MsgspecError as error:
-            raise StoreError(
-                ErrorCode.BAD_ANSWER, step, self._address, str(error)
-            ) from error
+            raise self._fail(step, str(error), ErrorCode.BAD_ANSWER) from error
+
+
+def _judge(request: Request) -> ErrorCode:
+    """Return what is known of a call without a usable answer."""
+    return ErrorCode.STORE_UNCERTAIN if request.method == "POST" else _UNDONE
 
 
 def _make_write(write: Write) -> dict[str, Any]:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -87,6 +87,13 @@
         "in the last seconds is gone, and its revisions count anew.",
         ("era", "former"),
     )
+    RELISTED = Definition(
+        "relisted",
+        logging.INFO,
+        "All that the store holds has been taken in after its return from a "
+        "copy. Both positions are era/revision.",
+        ("revision", "known"),
+    )
     ERA_REFUSED = Definition(
         "era-refused",
         logging.ERROR,
--- a/sedgetide/testing/leasestore.py
+++ b/sedgetide/testing/leasestore.py
@@ -20,6 +20,9 @@
 from sedgetide.core.errors import LeaseEnded
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreConflict
+from sedgetide.core.history import Era
+from sedgetide.core.history import FIRST_ERA
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import Revision
 
@@ -73,9 +76,11 @@
     ----------
     history : int
         Changes that a watch may go back.
+    era : Era
+        First era.
     """
 
-    def __init__(self, history: int = 1000) -> None:
+    def __init__(self, history: int = 1000, era: Era = FIRST_ERA) -> None:
         self._history_size = history
         self._items: dict[str, _Held] = {}
         self._leases: dict[LeaseId, _Lease] = {}
@@ -83,7 +88,12 @@
         self._forgotten = NO_REVISION
         self.revision = NO_REVISION
         self._last_lease = 0
-        self.returns = 0
+        self.era = era
+
+    @property
+    def position(self) -> Position:
+        """Where its history stands."""
+        return Position(self.era, self.revision)
 
     def copy(self) -> StoreCopy:
         """Return a copy from which the store may come back."""
@@ -107,16 +117,16 @@
         self._forgotten = copy.forgotten
         self.revision = copy.revision
         self._last_lease = copy.last_lease
-        self.returns += 1
+        self.era = Era(self.era + 1)
 
     def _change(self, key: str, value: bytes | None, lease: LeaseId) -> None:
         if value is None:
             del self._items[key]
         else:
             self._items[key] = _Held(value, self.revision, lease)
-        self._history.append(Item(key, self.revision, value))
+        self._history.append(Item(key, self.position, value))
         while len(self._history) > self._history_size:
-            self._forgotten = self._history.pop(0).revision
+            self._forgotten = self._history.pop(0).position.revision
 
     def expire(self, now: float) -> None:
         """Remove the keys of leases that have ended."""
@@ -153,27 +163,27 @@
 
     def put(
         self, key: str, value: bytes | None, lease: LeaseId = NO_LEASE
-    ) -> Revision:
+    ) -> Position:
         """Write or remove a key as the operator or a server does."""
         self.revision = Revision(self.revision + 1)
         self._change(key, value, lease)
-        return self.revision
+        return self.position
 
     def find(self, key: str) -> Item | None:
         """Return the newest version of a key."""
         held = self._items.get(key)
         if held is None:
             return None
-        return Item(key, held.revision, held.value)
+        return Item(key, Position(self.era, held.revision), held.value)
 
     def list(self, prefix: str) -> Listing:
         """Return all items whose key begins with a prefix."""
         items = [
-            Item(key, held.revision, held.value)
+            Item(key, Position(self.era, held.revision), held.value)
             for key, held in sorted(self._items.items())
             if key.startswith(prefix)
         ]
-        return Listing(items, self.revision)
+        return Listing(items, self.position)
 
     def list_changes(self, prefix: str, since: Revision) -> Listing:
         """Return what has changed since a revision.
@@ -188,15 +198,17 @@
                 ErrorCode.STORE_UNAVAILABLE, Step.WATCH, _PEER, "forgotten"
             )
         items = [
-            item
+            msgspec.structs.replace(
+                item, position=Position(self.era, item.position.revision)
+            )
             for item in self._history
-            if item.revision > since and item.key.startswith(prefix)
+            if item.position.revision > since and item.key.startswith(prefix)
         ]
-        return Listing(items, self.revision)
+        return Listing(items, self.position)
 
     def transact(
         self, expected: Mapping[str, Revision], writes: Sequence[Write]
-    ) -> Revision:
+    ) -> Position:
         """Write all if all revisions are as expected.
 
         Raises
@@ -217,7 +229,7 @@
         self.revision = Revision(self.revision + 1)
         for write in writes:
             self._change(write.key, write.value, write.lease)
-        return self.revision
+        return self.position
 
     def open_lease(self, life: float, now: float) -> LeaseId:
         """Return a new lease."""
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -21,10 +21,11 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import RuleError
 from sedgetide.core.errors import StoreError
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
@@ -84,17 +85,17 @@
         self.term: Term | None = None
         self.lease: LeaseId = NO_LEASE
         self.table = RangeTable()
-        self.revision: Revision = NO_REVISION
+        self.position: Position = NO_POSITION
         self.sightings = MoveSightings()
         self.verified_at = -_NEVER
         self.renewed_at: dict[IncarnationName, float] = {}
 
-    def adopt(self, table: RangeTable, revision: Revision, now: float) -> None:
+    def adopt(self, table: RangeTable, position: Position, now: float) -> None:
         """Take in a version of the table."""
-        if revision <= self.revision:
+        if position <= self.position:
             return
         self.table = table
-        self.revision = revision
+        self.position = position
         self.sightings.note_table(table, now)
 
 
@@ -245,7 +246,7 @@
         reached = self.now >= host.store_away_until
         if reached and self.random.random() < host.follows:
             self._follow(host)
-        if host.leadership.term == NO_REVISION:
+        if host.leadership.term == NO_POSITION:
             if reached and self.store.find(_LEADER) is None:
                 self._stand(host)
             return
@@ -257,19 +258,19 @@
     def _follow(self, host: WorldHost) -> None:
         item = self.store.find(_TABLE)
         if item is not None:
-            host.adopt(decode_ranges(item.value), item.revision, self.now)
+            host.adopt(decode_ranges(item.value), item.position, self.now)
 
     def _stand(self, host: WorldHost) -> None:
         if self.random.random() < 0.7:
             return
         lease = self.store.open_lease(self.durations.lease, self.now)
-        revision = self.store.transact(
+        position = self.store.transact(
             {_LEADER: NO_REVISION},
             [Write(_LEADER, host.name.encode(), lease)],
         )
         host.lease = lease
         host.verified_at = self.now
-        host.leadership.begin(revision, self.now, self.now)
+        host.leadership.begin(position, self.now, self.now)
         host.term = Term(host.leadership, self.durations)
         host.renewed_at.clear()
         self._follow(host)
@@ -282,13 +283,13 @@
             host.leadership.end()
             return
         item = self.store.find(_LEADER)
-        revision = NO_REVISION if item is None else item.revision
+        position = NO_POSITION if item is None else item.position
         asked_at = self.now
         leadership = host.leadership
         # The answer is on its way for a while.
         self._delay(
             self.random.uniform(0.0, 0.4),
-            lambda: leadership.note_read(revision, asked_at),
+            lambda: leadership.note_read(position, asked_at),
         )
 
     def _delay(self, seconds: float, act: Callable[[], None]) -> None:
@@ -324,18 +325,18 @@
         """Write a table; the answer, or the write itself, may be late."""
         if self.now < host.store_away_until:
             return
-        term, expected = host.leadership.term, host.revision
+        term, expected = host.leadership.term, host.position
 
         def write() -> None:
             try:
-                revision = self.store.transact(
-                    {_LEADER: term, _TABLE: expected},
+                position = self.store.transact(
+                    {_LEADER: term.revision, _TABLE: expected.revision},
                     [Write(_TABLE, encode_ranges(table))],
                 )
             except StoreError:
                 return
             if not lost:
-                host.adopt(table, revision, self.now)
+                host.adopt(table, position, self.now)
 
         lost = self.random.random() < 0.1
         if self.random.random() < 0.1:
--- a/sedgetide/testing/platformstore.py
+++ b/sedgetide/testing/platformstore.py
@@ -25,6 +25,8 @@
 from sedgetide.core.errors import HistoryLost
 from sedgetide.core.errors import LeaseEnded
 from sedgetide.core.errors import StoreConflict
+from sedgetide.core.history import Era
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.identifiers import Revision
 from sedgetide.platform import _names
 from sedgetide.runtime.signals import Changes
@@ -60,10 +62,14 @@
 
 def _show(item: Item) -> dict[str, Any]:
     if item.value is None:
-        return {"key": item.key, "revision": item.revision, "tombstone": True}
+        return {
+            "key": item.key,
+            "revision": item.position.revision,
+            "tombstone": True,
+        }
     return {
         "key": item.key,
-        "revision": item.revision,
+        "revision": item.position.revision,
         "value": base64.b64encode(item.value).decode(),
     }
 
@@ -83,8 +89,7 @@
     """
 
     def __init__(self, era: int) -> None:
-        self.model = LeaseStoreModel()
-        self._era = era
+        self.model = LeaseStoreModel(era=Era(era))
         self._copies: collections.deque[_Copy] = collections.deque(
             maxlen=_COPIES
         )
@@ -105,8 +110,9 @@
     def serve(self, request: Request) -> Answer:
         """Answer one call, or do what the fault in force says."""
         answer = self._serve(request)
-        if self._era:
-            answer.headers.append((_names.STORE_ERA, str(self._era)))
+        era = self.model.era
+        if era != FIRST_ERA:
+            answer.headers.append((_names.STORE_ERA, str(era)))
         return answer
 
     def _serve(self, request: Request) -> Answer:
@@ -159,7 +165,7 @@
             {
                 "items": [_show(item) for item in listing.items],
                 "has-more": False,
-                "as-of": listing.revision,
+                "as-of": listing.position.revision,
             },
         )
 
@@ -177,11 +183,13 @@
 
     def _show_events(self, listing: Listing) -> Answer:
         events = [_show(item) for item in listing.items]
-        return _answer(200, {"events": events, "as-of": listing.revision})
+        return _answer(
+            200, {"events": events, "as-of": listing.position.revision}
+        )
 
     def _transact(self, request: Request) -> Answer:
         document = msgspec.json.decode(request.body)
-        revision = self.model.transact(
+        position = self.model.transact(
             {row["key"]: row["revision"] for row in document["expect"]},
             [
                 Write(
@@ -192,7 +200,7 @@
                 for row in document["writes"]
             ],
         )
-        return _answer(200, {"revision": revision})
+        return _answer(200, {"revision": position.revision})
 
     def _open_lease(self, request: Request) -> Answer:
         life = msgspec.json.decode(request.body)["ttl-ms"] / 1000.0
@@ -275,7 +283,6 @@
         self.model.restore(copy.store, time.monotonic())
         self._entries = dict(copy.entries)
         self._copies.clear()
-        self._era += 1
         self._changes.announce()
         back = self._list_written()
         for key in lost.keys() | back.keys():
--- a/tests/core/ownership/test_leadership.py
+++ b/tests/core/ownership/test_leadership.py
@@ -2,14 +2,14 @@
 
 import testtools
 
-from sedgetide.core.identifiers import NO_REVISION
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.terms import Term
 
-TERM = Revision(7)
+TERM = Position(0, 7)
 
 
 class TestLeadership(testtools.TestCase):
@@ -41,7 +41,7 @@
     def test_record_taken_away_ends_it_at_once(self):
         # The store drops the record and renews the lease all the same; the
         # read finds another's record, or none.
-        for found in (NO_REVISION, Revision(9)):
+        for found in (NO_POSITION, Position(0, 9)):
             self.lead(100.0)
             self.assertFalse(self.leadership.note_read(found, 100.5))
             self.assertFalse(self.leadership.may_order(100.6))
@@ -96,7 +96,7 @@
         last_order = 100.0 + durations.proof_life
         held_until = last_order + durations.long_hold * 1.02
         successor = Leadership(durations)
-        successor.begin(Revision(8), 100.0, 100.0)
+        successor.begin(Position(0, 8), 100.0, 100.0)
         self.assertGreater(successor.bound_inherited(), held_until)
 
 
@@ -114,7 +114,7 @@
         keys = KeyRange(0, 9)
         self.assertIsNotNone(first.prepare_grant("u-1", keys, 100.1))
         leadership.end()
-        leadership.begin(Revision(9), 104.0, 104.0)
+        leadership.begin(Position(0, 9), 104.0, 104.0)
         self.assertIsNone(first.prepare_grant("u-1", keys, 104.1))
         second = Term(leadership, durations)
         self.assertIsNotNone(second.prepare_grant("u-1", keys, 104.1))
--- a/tests/daemons/test_campaign.py
+++ b/tests/daemons/test_campaign.py
@@ -8,7 +8,7 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreError
-from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.history import NO_POSITION
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_yield
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -55,9 +55,10 @@
         self._reach()
         return self.model.list_changes(prefix, since)
 
-    def transact(self, expected, writes):
+    def transact(self, era, expected, writes):
         self._reach()
-        return self.model.transact(expected, writes)
+        revisions = {key: each.revision for key, each in expected.items()}
+        return self.model.transact(revisions, writes)
 
     def open_lease(self, life):
         self._reach()
@@ -131,13 +132,13 @@
         # The host was cut off; that nobody leads is what it knew then.
         self.campaign.step(read_clock())
         self.campaign.step(read_clock() + 1.0)
-        self.assertEqual(NO_REVISION, self.leadership.term)
+        self.assertEqual(NO_POSITION, self.leadership.term)
 
     def test_faster_host_wins(self):
         self.model.put(LEADER_KEY, b"{}")
         self.step()
         self.step(1.0)
-        self.assertEqual(NO_REVISION, self.leadership.term)
+        self.assertEqual(NO_POSITION, self.leadership.term)
 
     def list_own(self):
         self.knowledge.take_items(self.model.list("").items, read_clock())
@@ -163,21 +164,21 @@
             self.list_own()
             self.step()
             self.step(1.0)
-            self.assertEqual(NO_REVISION, self.leadership.term)
+            self.assertEqual(NO_POSITION, self.leadership.term)
 
     def test_record_taken_away_while_the_lease_goes_on(self):
         self.stand()
         self.model.revoke_all(forget=False)
         self.step(2.0)
-        self.assertEqual(NO_REVISION, self.leadership.term)
+        self.assertEqual(NO_POSITION, self.leadership.term)
 
     def test_turned_away_long_enough_it_gives_up(self):
         self.stand()
         self.store.away = True
         self.step(1.0)
-        self.assertNotEqual(NO_REVISION, self.leadership.term)
+        self.assertNotEqual(NO_POSITION, self.leadership.term)
         self.step(10.0)
-        self.assertEqual(NO_REVISION, self.leadership.term)
+        self.assertEqual(NO_POSITION, self.leadership.term)
 
     def test_resigned_record_is_gone_at_once(self):
         self.stand()
--- a/tests/daemons/test_feed.py
+++ b/tests/daemons/test_feed.py
@@ -4,8 +4,11 @@
 
 from sedgetide.backends.dialects import Catalogue
 from sedgetide.backends.dialects import Withdrawn
+from sedgetide.backends.eras import EraWatch
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
+from sedgetide.coding.messages import StoreFeed
+from sedgetide.core.history import Position
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.daemons._feed import FEED_LIFE
 from sedgetide.daemons._feed import FeedSink
@@ -15,6 +18,11 @@
 LINK = "10.0.0.2:1"
 
 
+def at(revision, era=0):
+    """Return a position in the store's history."""
+    return Position(era, revision)
+
+
 class FakeCatalogue(Catalogue):
     """Every key is an upstream."""
 
@@ -27,22 +35,23 @@
         return RegisteredUpstream(key, "maps", "a", "dc")
 
 
-class TestFeed(testtools.TestCase):
-    """Versions go from the leader to hosts; a gap is never passed over."""
+class FeedTest(testtools.TestCase):
+    """A leader and a host."""
 
     def setUp(self):
         super().setUp()
         self.leader = Knowledge(FakeCatalogue())
         self.host = Knowledge(FakeCatalogue())
-        self.sink = FeedSink(self.host)
+        self.eras = EraWatch()
+        self.sink = FeedSink(self.host, self.eras)
         self.sent = []
         self.source = FeedSource(
             self.leader, lambda _, message: self.sent.append(message)
         )
 
     def tell_leader(self, revision, key, value=b"x", now=100.0):
-        self.leader.take_items([Item(key, revision, value)], now)
-        self.leader.note_heard(revision, now)
+        self.leader.take_items([Item(key, at(revision), value)], now)
+        self.leader.note_heard(at(revision), now)
 
     def report(self, now):
         self.source.note_report(LINK, self.host.as_of, now)
@@ -56,20 +65,24 @@
         entries = self.host.directory.list_active("maps")
         return sorted(entry.name for entry in entries)
 
+
+class TestFeed(FeedTest):
+    """Versions go from the leader to hosts; a gap is never passed over."""
+
     def test_host_gets_what_it_lacks(self):
         self.tell_leader(5, "u-1")
         self.tell_leader(6, "u-2")
         self.report(100.1)
         self.deliver(100.1)
         self.assertEqual(["u-1", "u-2"], self.list_names())
-        self.assertEqual(6, self.host.as_of)
+        self.assertEqual(at(6), self.host.as_of)
         self.assertTrue(self.sink.is_fresh(100.2))
 
     def test_host_learns_how_many_there_are(self):
         # Each host saves its part of the retries granted to all; one that
         # a cut hides from the leader goes on to use its own.
         self.tell_leader(5, "u-1")
-        self.source.note_report("10.0.0.3:1", 0, 100.0)
+        self.source.note_report("10.0.0.3:1", at(0), 100.0)
         self.report(100.0)
         self.deliver(100.0)
         self.assertEqual(3, self.host.hosts)
@@ -111,12 +124,12 @@
         self.report(100.0)
         self.feed_versions(value, value + b"a")
         first, second = self.sent
-        self.host.take_items([Item("u-1", 4, value)], 100.0)
-        self.host.note_heard(5, 100.0)
+        self.host.take_items([Item("u-1", at(4), value)], 100.0)
+        self.host.note_heard(at(5), 100.0)
         self.sent = [second]
         self.deliver(100.0)
-        self.assertEqual(4, self.host.find_item("u-1").revision)
-        self.assertEqual(5, self.host.as_of)
+        self.assertEqual(4, self.host.find_item("u-1").position.revision)
+        self.assertEqual(at(5), self.host.as_of)
         self.assertFalse(self.sink.is_fresh(100.0))
 
     def test_news_are_pushed_once(self):
@@ -139,7 +152,7 @@
         self.source.publish(100.2)
         self.deliver(100.2)
         self.assertEqual([], self.list_names())
-        self.assertEqual(0, self.host.as_of)
+        self.assertEqual(at(0), self.host.as_of)
         self.report(100.4)
         self.deliver(100.4)
         self.assertEqual(["u-1", "u-2"], self.list_names())
@@ -164,7 +177,7 @@
         self.sent = old
         self.deliver(100.2)
         self.assertEqual([], self.list_names())
-        self.assertEqual(7, self.host.as_of)
+        self.assertEqual(at(7), self.host.as_of)
 
     def test_silence_ends_the_feed(self):
         # The leader is gone, or cut off: the host watches again.
@@ -201,7 +214,7 @@
         self.assertEqual([[]], [each.items for each in self.sent])
         self.deliver(100.1)
         self.assertFalse(self.sink.is_fresh(100.1))
-        self.assertEqual(0, self.host.as_of)
+        self.assertEqual(at(0), self.host.as_of)
 
     def test_host_that_the_store_turns_away_gets_the_large_item(self):
         # The store serves all but two hosts. Sent there for the large
@@ -211,13 +224,13 @@
         other = "10.0.0.3:1"
         self.tell_leader(5, "u-1", b"x" * 140_000)
         for moment in (100.0, 100.4, 100.8, 101.2, 101.3):
-            self.leader.note_heard(5, moment)
+            self.leader.note_heard(at(5), moment)
             self.report(moment)
-            self.source.note_report(other, 0, moment)
+            self.source.note_report(other, at(0), moment)
         large = [each for each in self.sent if each.items]
         self.assertEqual(1, len(large))
-        self.leader.note_heard(5, 101.6)
-        self.source.note_report(other, 0, 101.6)
+        self.leader.note_heard(at(5), 101.6)
+        self.source.note_report(other, at(0), 101.6)
         large = [each for each in self.sent if each.items]
         self.assertEqual(2, len(large))
         self.deliver(101.6)
@@ -228,7 +241,7 @@
         self.report(100.0)
         self.deliver(100.0)
         self.assertFalse(self.sink.is_fresh(100.0))
-        self.host.note_heard(5, 100.1)
+        self.host.note_heard(at(5), 100.1)
         self.tell_leader(6, "u-2", now=100.2)
         self.report(100.3)
         self.deliver(100.3)
@@ -248,6 +261,71 @@
         self.assertEqual(["u-1"], self.list_names())
 
 
+class TestEras(FeedTest):
+    """The store comes back from a copy, and counts its revisions anew."""
+
+    def return_from_copy(self, names, now=101.0):
+        """Let the leader list the store in its second era."""
+        items = [Item(name, at(3, 1), b"x") for name in names]
+        self.leader.take_listing(Listing(items, at(4, 1)), now)
+        self.leader.note_heard(at(4, 1), now)
+
+    def feed_both(self):
+        self.tell_leader(50, "u-1")
+        self.report(100.0)
+        self.deliver(100.0)
+
+    def feed_until_read(self):
+        """Report until a host that reads nothing itself is told all."""
+        for moment in (101.0, 101.4, 102.2):
+            self.leader.note_heard(at(4, 1), moment)
+            self.report(moment)
+
+    def test_host_that_knows_an_earlier_era_is_told_all(self):
+        # Guards against hosts that wait for a revision which was passed.
+        self.feed_both()
+        self.return_from_copy(["u-1", "u-2"])
+        self.feed_until_read()
+        self.deliver(102.2)
+        self.assertEqual(["u-1", "u-2"], self.list_names())
+        self.assertEqual(at(4, 1), self.host.as_of)
+        self.assertEqual(1, self.eras.newest)
+
+    def test_host_is_sent_to_the_store_first(self):
+        # Guards against a leader that sends all there is to each host.
+        self.feed_both()
+        self.return_from_copy(["u-1"])
+        self.source.publish(101.0)
+        self.assertEqual([[]], [each.items for each in self.sent])
+        self.deliver(101.0)
+        self.assertFalse(self.sink.is_fresh(101.0))
+        self.assertEqual(at(50), self.host.as_of)
+
+    def test_part_of_a_later_era_is_not_taken(self):
+        # Guards against a host that believes to know all of it.
+        self.feed_both()
+        part = StoreFeed(
+            at(4, 1), at(5, 1), 0.0, 0.0, [Item("u-2", at(5, 1), b"x")]
+        )
+        self.sink.take(part, 101.0)
+        self.assertEqual(["u-1"], self.list_names())
+        self.assertEqual(at(50), self.host.as_of)
+
+    def test_leader_that_does_not_know_the_era_leads_nobody_back(self):
+        # Guards against its words, which look newer by their revision.
+        self.feed_both()
+        items = [Item("u-2", at(3, 1), b"x")]
+        self.host.take_listing(Listing(items, at(4, 1)), 101.0)
+        self.host.note_heard(at(4, 1), 101.0)
+        self.tell_leader(60, "u-3", now=101.0)
+        self.source.publish(101.0)
+        self.deliver(101.0)
+        self.assertNotIn("u-3", self.list_names())
+        self.report(101.1)
+        self.assertEqual([], self.sent)
+        self.assertEqual(at(4, 1), self.host.as_of)
+
+
 class TestListing(testtools.TestCase):
     """A listing of the store, taken while other news come in."""
 
@@ -255,7 +333,30 @@
         # The listing was read before u-2 registered and arrives after the
         # feed has told of it.
         known = Knowledge(FakeCatalogue())
-        known.take_items([Item("u-1", 3, b"x"), Item("u-2", 9, b"x")], 1.0)
-        known.take_listing(Listing([Item("u-3", 4, b"x")], 5), 2.0)
+        known.take_items(
+            [Item("u-1", at(3), b"x"), Item("u-2", at(9), b"x")], 1.0
+        )
+        known.take_listing(Listing([Item("u-3", at(4), b"x")], at(5)), 2.0)
         names = [each.name for each in known.directory.list_all()]
         self.assertEqual(["u-2", "u-3"], sorted(names))
+
+    def test_low_revision_of_a_later_era_is_news(self):
+        # Guards against a version, a leaving and a start that are dropped.
+        known = Knowledge(FakeCatalogue())
+        known.take_items([Item("u-1", at(200), b"x")], 1.0)
+        known.note_heard(at(200), 1.0)
+        known.take_listing(Listing([Item("u-1", at(3, 1), b"x")], at(9, 1)), 2)
+        known.note_heard(at(9, 1), 2.0)
+        known.take_items(
+            [Item("u-2", at(10, 1), b"x"), Item("u-1", at(11, 1), None)], 9.0
+        )
+        names = [each.name for each in known.directory.list_all()]
+        self.assertEqual(["u-2"], names)
+
+    def test_high_revision_of_an_earlier_era_is_none(self):
+        # Guards against an answer that was under way during the return.
+        known = Knowledge(FakeCatalogue())
+        known.take_listing(Listing([], at(9, 1)), 2.0)
+        known.note_heard(at(9, 1), 2.0)
+        known.take_items([Item("u-1", at(200), b"x")], 3.0)
+        self.assertEqual([], known.directory.list_all())
--- a/tests/daemons/test_orderdesk.py
+++ b/tests/daemons/test_orderdesk.py
@@ -4,7 +4,7 @@
 from gevent.event import Event
 import testtools
 
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import Position
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
@@ -23,7 +23,7 @@
 from tests.daemons.test_orders import Upstream
 
 SERVICE = "maps"
-TERM = Revision(7)
+TERM = Position(0, 7)
 
 
 class TestRestartedOwner(testtools.TestCase):
@@ -43,7 +43,7 @@
         self.knowledge.directory.put(entry, read_clock())
         self.table = RangeTable().assign_first([(entry.name, 1)])
         self.knowledge.take_table(
-            SERVICE, self.table, Revision(8), read_clock()
+            SERVICE, self.table, Position(0, 8), read_clock()
         )
         lanes = OrderLanes(PlatformOrders(), durations.order_timeout)
         lanes.note_addresses(self.knowledge.directory)
@@ -150,7 +150,7 @@
         self.revision += 1
         self.table = table
         self.knowledge.take_table(
-            SERVICE, table, Revision(self.revision), read_clock()
+            SERVICE, table, Position(0, self.revision), read_clock()
         )
 
     def follow(self, table):
--- a/tests/daemons/test_passages.py
+++ b/tests/daemons/test_passages.py
@@ -10,10 +10,10 @@
 from sedgetide.core.configuration.policy import RouteRule
 from sedgetide.core.configuration.policy import ServiceRule
 from sedgetide.core.configuration.policy import Share
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import RequestId
-from sedgetide.core.identifiers import Revision
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
@@ -212,7 +212,7 @@
         self.knowledge.directory.put(UPSTREAM, read_clock())
         self.knowledge.heard_at = read_clock()
         table = RangeTable().assign_first([(UPSTREAM.name, 1)])
-        self.knowledge.take_table(SERVICE, table, Revision(1), read_clock())
+        self.knowledge.take_table(SERVICE, table, Position(0, 1), read_clock())
         self.passages = Passages(
             self.knowledge,
             Lanes(1000),
--- a/tests/daemons/test_quarantinerecord.py
+++ b/tests/daemons/test_quarantinerecord.py
@@ -6,14 +6,15 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreError
-from sedgetide.core.identifiers import Revision
+from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.daemons._knowledge import Knowledge
 from sedgetide.daemons._knowledge import LEADER_KEY
 from sedgetide.daemons._knowledge import QUARANTINE_KEY
 from sedgetide.daemons._quarantinerecord import QuarantineWriter
 from sedgetide.platform._catalogue import PlatformCatalogue
 
-TERM = Revision(7)
+TERM = Position(0, 7)
 
 
 class Store:
@@ -23,11 +24,11 @@
         self.calls = []
         self.away = False
 
-    def transact(self, expected, writes):
+    def transact(self, era, expected, writes):
         self.calls.append((expected, writes))
         if self.away:
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, Step.WRITE)
-        return Revision(10 + len(self.calls))
+        return Position(0, 10 + len(self.calls))
 
 
 class TestQuarantineWriter(testtools.TestCase):
@@ -44,7 +45,7 @@
     def read_back(self, now):
         """Let the watch bring what was written last."""
         write = self.store.calls[-1][1][0]
-        revision = Revision(10 + len(self.store.calls))
+        revision = Position(0, 10 + len(self.store.calls))
         item = Item(QUARANTINE_KEY, revision, write.value)
         self.knowledge.take_items([item], now)
 
@@ -80,7 +81,8 @@
         self.hold()
         self.writer.keep(TERM, 8.0)
         self.assertEqual(
-            {LEADER_KEY: TERM, QUARANTINE_KEY: 0}, self.store.calls[0][0]
+            {LEADER_KEY: TERM, QUARANTINE_KEY: NO_POSITION},
+            self.store.calls[0][0],
         )
 
     def test_store_that_is_away_is_tried_once_a_second(self):
@@ -101,7 +103,7 @@
 
     def test_record_of_another_form_changes_nothing(self):
         self.hold()
-        item = Item(QUARANTINE_KEY, Revision(11), b'{"stays": 7}')
+        item = Item(QUARANTINE_KEY, Position(0, 11), b'{"stays": 7}')
         self.knowledge.take_items([item], 9.0)
         self.assertGreater(
             self.knowledge.quarantine.find_stay("f", 9.0), 290.0
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -12,6 +12,7 @@
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.addresses import split_address
+from sedgetide.core.history import Position
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.daemons._knowledge import Knowledge
@@ -95,8 +96,10 @@
             self.assertTrue(entry.service)
             split_address(entry.address)
         knowledge = Knowledge(PlatformCatalogue())
-        knowledge.take_items([Item(KEY, 1, msgspec.json.encode(GOOD))], 1.0)
-        knowledge.take_items([Item(KEY, 2, value)], 2.0)
+        knowledge.take_items(
+            [Item(KEY, Position(0, 1), msgspec.json.encode(GOOD))], 1.0
+        )
+        knowledge.take_items([Item(KEY, Position(0, 2), value)], 2.0)
         if entry is None:
             self.assertEqual([], knowledge.directory.list_active("maps"))
             self.assertEqual(1, len(knowledge.directory.list_all()))
@@ -131,10 +134,10 @@
     def test_any_wish_is_taken(self, name, value):
         knowledge = Knowledge(PlatformCatalogue())
         key = "op/evacuate/" + name
-        knowledge.take_items([Item(key, 5, value)], 1.0)
+        knowledge.take_items([Item(key, Position(0, 5), value)], 1.0)
         evacuations = knowledge.directory.evacuations
         self.assertEqual(value is not None, evacuations.is_asked(name))
-        knowledge.take_items([Item(key, 6, None)], 2.0)
+        knowledge.take_items([Item(key, Position(0, 6), None)], 2.0)
         self.assertEqual([], evacuations.list_asked())
 
     def test_host_that_starts_knows_before_it_sends(self):
@@ -146,21 +149,27 @@
         """
         knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
         items = [
-            Item("op/evacuate/z", 5, b"{}"),
-            Item(KEY, 4, msgspec.json.encode(GOOD)),
+            Item("op/evacuate/z", Position(0, 5), b"{}"),
+            Item(KEY, Position(0, 4), msgspec.json.encode(GOOD)),
         ]
-        knowledge.take_listing(Listing(items, 6), 100.0)
+        knowledge.take_listing(Listing(items, Position(0, 6)), 100.0)
         name = knowledge.directory.list_all()[0].name
         self.assertIsNone(knowledge.directory.find_serving(name, 100.0))
 
     def test_wish_that_ends_while_history_is_lost(self):
         knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
-        knowledge.take_items([Item("op/evacuate/z", 5, b"{}")], 1.0)
-        knowledge.take_listing(Listing([], 9), 4.0)
+        knowledge.take_items(
+            [Item("op/evacuate/z", Position(0, 5), b"{}")], 1.0
+        )
+        knowledge.take_listing(Listing([], Position(0, 9)), 4.0)
         self.assertEqual([], knowledge.directory.evacuations.list_asked())
 
     def test_older_wish_changes_nothing(self):
         knowledge = Knowledge(PlatformCatalogue(), Evacuations(5.0))
-        knowledge.take_items([Item("op/evacuate/z", 7, None)], 1.0)
-        knowledge.take_items([Item("op/evacuate/z", 5, b"{}")], 2.0)
+        knowledge.take_items(
+            [Item("op/evacuate/z", Position(0, 7), None)], 1.0
+        )
+        knowledge.take_items(
+            [Item("op/evacuate/z", Position(0, 5), b"{}")], 2.0
+        )
         self.assertEqual([], knowledge.directory.evacuations.list_asked())
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,124 @@
+"""Tests of the store's client: what its answers count for in which era."""
+
+import collections
+
+import msgspec
+import testtools
+
+from sedgetide.backends.eras import EraWatch
+from sedgetide.backends.leasestore import Write
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import HistoryLost
+from sedgetide.core.errors import StoreConflict
+from sedgetide.core.errors import StoreError
+from sedgetide.core.history import Position
+from sedgetide.platform._store import PlatformStore
+from sedgetide.wire.messages import Answer
+
+ITEM = {"key": "k", "revision": 4, "value": "eA=="}
+
+
+class ScriptedStore(PlatformStore):
+    """Gets the answers of a script instead of calling anyone."""
+
+    def __init__(self):
+        self.eras = EraWatch()
+        super().__init__("1.1.1.1:1", 1.0, self.eras)
+        self.answers = collections.deque()
+        self.requests = []
+
+    def answer(self, era, document, status=200):
+        """Add an answer to the script."""
+        headers = [] if era is None else [("Store-Era", str(era))]
+        body = msgspec.json.encode(document)
+        self.answers.append(Answer(status, headers, body))
+
+    def _exchange(self, step, request, timeout):
+        self.requests.append(request)
+        return self.answers.popleft()
+
+
+class TestEras(testtools.TestCase):
+    """Answers before, across and after a return from a copy."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = ScriptedStore()
+        self.heard = []
+        self.store.eras.subscribe(self.heard.append)
+
+    def listing(self, era, more=False):
+        page = {"as-of": 9, "items": [ITEM], "has-more": more}
+        self.store.answer(era, page)
+
+    def list(self, era):
+        self.listing(era)
+        return self.store.list("")
+
+    def test_listing_names_its_era(self):
+        for era, position in ((None, Position(0, 9)), (3, Position(3, 9))):
+            found = self.list(era)
+            self.assertEqual(position, found.position)
+            self.assertEqual(position.era, found.items[0].position.era)
+        self.assertEqual([3], self.heard)
+
+    def test_refusal_names_an_era_too(self):
+        # Guards against a host that hears of a return only once it is served.
+        self.list(3)
+        self.store.answer(4, {}, 429)
+        self.assertRaises(StoreError, self.store.read, "k")
+        self.assertEqual([4], self.heard)
+
+    def test_answer_of_an_earlier_era_counts_for_nothing(self):
+        # Guards against an answer that was under way during the return.
+        self.list(4)
+        for era in (3, None):
+            self.store.answer(era, ITEM)
+            self.assertRaises(StoreError, self.store.read, "k")
+
+    def test_answer_whose_era_is_unreadable_counts_for_nothing(self):
+        # Guards against an answer that is placed in an era by a guess.
+        self.list(4)
+        self.store.answer("x", ITEM)
+        self.assertRaises(StoreError, self.store.read, "k")
+        self.assertEqual(1, self.store.eras.refused)
+
+    def test_listing_that_spans_a_return_is_none(self):
+        # Guards against pages of two states taken for one.
+        self.listing(3, more=True)
+        self.listing(4)
+        self.assertRaises(StoreError, self.store.list, "")
+
+    def test_watch_that_spans_a_return_has_lost_its_history(self):
+        # Guards against news missed without 410: the new history may have
+        # passed the revision from which the watch began.
+        since = self.list(3).position
+        self.store.answer(4, {"as-of": 12, "events": [ITEM]})
+        self.assertRaises(HistoryLost, self.store.watch, "", since, 1.0)
+
+    def test_watch_of_an_era_that_is_over_asks_nobody(self):
+        since = self.list(3).position
+        self.store.eras.note(4)
+        self.assertRaises(HistoryLost, self.store.watch, "", since, 1.0)
+        self.assertEqual(1, len(self.store.requests))
+
+    def write(self, era):
+        expected = {"k": Position(era, 4)}
+        return self.store.transact(era, expected, [Write("k", b"x")])
+
+    def test_write_that_spans_a_return_has_failed(self):
+        # Guards against a write that is in force on what nobody has read.
+        self.list(3)
+        self.store.answer(4, {"revision": 10})
+        error = self.assertRaises(StoreError, self.write, 3)
+        self.assertIs(ErrorCode.STORE_UNCERTAIN, error.code)
+
+    def test_write_in_an_era_that_is_over_is_not_sent(self):
+        self.list(4)
+        self.assertRaises(StoreConflict, self.write, 3)
+        self.assertEqual(1, len(self.store.requests))
+
+    def test_write_names_its_position(self):
+        self.list(4)
+        self.store.answer(4, {"revision": 10})
+        self.assertEqual(Position(4, 10), self.write(4))
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -13,6 +13,7 @@
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import Withdrawn
 from sedgetide.core.errors import InputError
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.pushback import Pushback
@@ -267,7 +268,7 @@
             b'"value":"A"},{"key":"servers/b","revision":5,"value":"eA=="}]}',
             type=_Page,
         )
-        values = [row.make_item().value for row in page.items]
+        values = [row.make_item(FIRST_ERA).value for row in page.items]
         self.assertEqual([b"", b"x"], values)
 
 
