--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -5,11 +5,13 @@
 still renew the lease. What proves it is a read, sent after the record was
 written, that finds the holder's own position; it counts for ``proof_life``
 from before it was sent. A successor therefore waits ``proof_life`` before
-it takes its predecessor's last order for sent.
+it takes its predecessor's last order for sent. A store that comes back from
+a copy proves nothing about the era before any more.
 """
 
 import msgspec
 
+from sedgetide.core.history import Era
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import HostName
@@ -128,6 +130,21 @@
         self._term = NO_POSITION
         self._proved_at = NEVER
         self._took_over_at = NEVER
+        self._outlived = False
+
+    @property
+    def outlived(self) -> bool:
+        """Whether the own record is of an era of the store that is over.
+
+        There is no further proof. As long as the last one counts, grants
+        are renewed: a leader of the new era takes them back first.
+        """
+        return self._outlived
+
+    def note_era(self, era: Era) -> None:
+        """Take in that an era of the store has begun."""
+        if self._term != NO_POSITION and self._term.era < era:
+            self._outlived = True
 
     @property
     def term(self) -> Position:
@@ -147,12 +164,13 @@
             Own clock.
         """
         self._term = position
+        self._outlived = False
         self._proved_at = asked_at
         self._took_over_at = now
 
     def note_read(self, position: Position, asked_at: float) -> bool:
         """Take in a read of the record; return whether it is the own."""
-        if self._term == NO_POSITION:
+        if self._term == NO_POSITION or self._outlived:
             return False
         if position != self._term:
             self.end()
@@ -163,6 +181,7 @@
     def end(self) -> None:
         """Give no more orders."""
         self._term = NO_POSITION
+        self._outlived = False
         self._proved_at = NEVER
 
     def may_order(self, now: float) -> bool:
@@ -203,6 +222,8 @@
         away. It may order a while longer, but what it knows of the store is
         no longer good enough for others to do without their own.
         """
+        if self._outlived:
+            return False
         due = _MISSED * self._durations.verify
         return self._term != NO_POSITION and now - self._proved_at < due
 
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -5,6 +5,7 @@
 """
 
 import bisect
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -41,6 +42,9 @@
         return self.low <= other.low and other.high <= self.high
 
 
+ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
+
+
 class Tenure(msgspec.Struct, frozen=True, array_like=True):
     """Who owns a range.
 
@@ -142,6 +146,43 @@
             low = end
         return RangeTable(fence, tuple(tenures))
 
+    def restart(
+        self, fence: Fence, owners: Collection[IncarnationName]
+    ) -> "RangeTable":
+        """Settle all ranges anew, after everyone has given back theirs.
+
+        Parameters
+        ----------
+        fence : Fence
+            Above which the new one is.
+        owners : collection of IncarnationName
+            Who may own; ranges of others go to whoever has the fewest keys.
+
+        Raises
+        ------
+        RuleError
+            When there is nobody to own them.
+        """
+        if not owners:
+            raise RuleError(Step.ASSIGN, "no owners: accepted is one or more")
+        fence = Fence(max(self.fence, fence) + 1)
+        counts = dict.fromkeys(sorted(owners), 0)
+        heirs = [each.successor or each.owner for each in self.tenures]
+        for tenure, heir in zip(self.tenures, heirs, strict=True):
+            if heir in counts:
+                counts[heir] += len(tenure.keys)
+        tenures: list[Tenure] = []
+        for tenure, heir in zip(self.tenures, heirs, strict=True):
+            owner = heir
+            if owner not in counts:
+                owner = min(counts, key=counts.__getitem__)
+                counts[owner] += len(tenure.keys)
+            low = tenure.low
+            if tenures and tenures[-1].owner == owner:
+                low = tenures.pop().low
+            tenures.append(Tenure(low, tenure.high, owner, fence))
+        return RangeTable(fence, tuple(tenures))
+
     def begin(self, moves: Iterable[Move]) -> "RangeTable":
         """Begin to move ranges, each within one tenure that stays.
 
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sedgetide.core.history import Era
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.ownership.holds import Hold
 from sedgetide.core.ownership.holds import HoldLedger
@@ -34,13 +35,29 @@
         Proof that the record is still the own one.
     durations : Durations
         On which single ownership rests.
+
+    Attributes
+    ----------
+    inherited_until : float
+        When orders of earlier leaders have certainly run out.
     """
 
     def __init__(self, leadership: Leadership, durations: Durations) -> None:
         self._leadership = leadership
         self._position = leadership.term
         self._durations = durations
-        self._holds = HoldLedger(leadership.bound_inherited())
+        self.inherited_until = leadership.bound_inherited()
+        self._holds = HoldLedger(self.inherited_until)
+
+    @property
+    def longest_hold(self) -> float:
+        """Seconds for which an order of an earlier leader may hold."""
+        return self._durations.bound_unknown()
+
+    @property
+    def era(self) -> Era:
+        """Era of the store in which the term began."""
+        return self._position.era
 
     def may_order(self, now: float) -> bool:
         """Tell whether an order may be sent at this very moment.
--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -18,7 +18,7 @@
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._knowledge import Knowledge
-from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.daemons._records import make_leader_key
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -75,6 +75,10 @@
         """Do what is due: stand, or prove to be leader still."""
         if self._leadership.is_hopeless(now):
             self._end("proof too old")
+        if self._leadership.outlived:
+            if not self._leadership.may_order(now):
+                self._end("the store has come back from a copy")
+            return
         if self._leadership.term != NO_POSITION:
             if now - self._verified_at >= self._durations.verify:
                 self._verify()
@@ -88,7 +92,8 @@
         The delay differs from host to host, so that not all ask for a
         lease at once.
         """
-        if now - self._knowledge.heard_at >= _FRESH:
+        silent = now - self._knowledge.heard_at >= _FRESH
+        if silent or not self._knowledge.follows_era:
             self._try_at = None
             return False
         if self._has_former_record():
@@ -121,6 +126,8 @@
 
     def _stand(self, now: float) -> None:
         self._try_at = now + self._random.uniform(0.5, 1.0)
+        era = self._knowledge.as_of.era
+        key = make_leader_key(era)
         expected = NO_POSITION
         if self._has_former_record():
             expected = self._knowledge.leader.position
@@ -128,9 +135,9 @@
             lease = self._store.open_lease(self._durations.lease)
             asked_at = read_clock()
             position = self._store.transact(
-                self._knowledge.as_of.era,
-                {LEADER_KEY: expected},
-                [Write(LEADER_KEY, msgspec.json.encode(self._record), lease)],
+                era,
+                {key: expected},
+                [Write(key, msgspec.json.encode(self._record), lease)],
             )
         except StoreConflict:
             self._drop_lease(lease)
@@ -154,11 +161,13 @@
         and renew the lease all the same.
         """
         asked_at = read_clock()
+        key = make_leader_key(self._leadership.term.era)
         try:
             self._store.renew_lease(self._lease)
-            item = self._store.read(LEADER_KEY)
+            item = self._store.read(key)
         except LeaseEnded:
-            self._end("lease ended")
+            if not self._leadership.outlived:
+                self._end("lease ended")
             return
         except StoreError as error:
             age = read_clock() - asked_at
@@ -166,6 +175,8 @@
             self._verified_at = asked_at - self._durations.verify / 2
             return
         self._verified_at = asked_at
+        if self._leadership.outlived:
+            return
         position = NO_POSITION if item is None else item.position
         if not self._leadership.note_read(position, asked_at):
             self._end("record taken away")
@@ -179,9 +190,11 @@
         """Stop to lead, so that another host need not wait for the lease."""
         if self._leadership.term == NO_POSITION:
             return
-        lease = self._lease
+        # Ids of leases are given out again in a later era.
+        lease = NO_LEASE if self._leadership.outlived else self._lease
         self._end("resigned")
-        self._drop_lease(lease)
+        if lease != NO_LEASE:
+            self._drop_lease(lease)
 
     def close(self) -> None:
         """Close the connections to the store."""
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -13,6 +13,8 @@
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.errors import InputError
+from sedgetide.core.history import Era
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
@@ -20,6 +22,7 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import Directory
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import RETURN_GRACE
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -32,15 +35,13 @@
 from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.ratelimits import KnownLimits
 from sedgetide.core.requests.routes import RouteTable
+from sedgetide.daemons._records import read_key
+from sedgetide.daemons._records import RecordName
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
 from sedgetide.runtime.signals import Changes
 
-OWN_PREFIX = "sedgetide/"
-LEADER_KEY = OWN_PREFIX + "leader"
-RANGES_PREFIX = OWN_PREFIX + "ranges/"
-QUARANTINE_KEY = OWN_PREFIX + "quarantine"
 _MOST_REMOVED = 2000
 
 
@@ -119,6 +120,34 @@
         self._items: dict[str, Item] = {}
         self._forgotten = NO_POSITION
         self.as_of = NO_POSITION
+        self._era = FIRST_ERA
+        self._era_since = float("-inf")
+
+    @property
+    def follows_era(self) -> bool:
+        """Whether the store has been listed since it came back last."""
+        return self.as_of != NO_POSITION and self.as_of.era >= self._era
+
+    def note_era(self, era: Era, now: float) -> None:
+        """Take in that the store has come back from an older copy.
+
+        What stands under the records of before is no longer true of it;
+        owners stay known, as the best guess of where requests go.
+        """
+        self._begin_era(era, now)
+        if self.leader is not None and self.leader.position.era < era:
+            self.leader = None
+        self.recorded_quarantine = KnownQuarantine()
+        self.changes.announce()
+
+    def _begin_era(self, era: Era, now: float) -> None:
+        if era > self._era or self.as_of == NO_POSITION:
+            self._era = era
+            self._era_since = now
+
+    def find_settled_at(self) -> float:
+        """Return when all that live have registered since the last return."""
+        return self._era_since + RETURN_GRACE
 
     def note_hosts(self, hosts: int) -> None:
         """Take in how many hosts there are.
@@ -150,6 +179,7 @@
 
     def take_listing(self, listing: Listing, now: float) -> None:
         """Take in everything that the store holds."""
+        self._begin_era(listing.position.era, now)
         if listing.position.era > self.as_of.era and self._items:
             tell(Event.RELISTED, revision=listing.position, known=self.as_of)
         present = {item.key for item in listing.items}
@@ -211,20 +241,36 @@
         self, key: str, value: bytes | None, position: Position, now: float
     ) -> None:
         try:
-            if key == LEADER_KEY:
-                self._take_leader(value, position)
-            elif key == QUARANTINE_KEY:
-                self._take_quarantine(value, position, now)
-            elif key.startswith(RANGES_PREFIX):
-                self._take_record(key, value, position, now)
-            else:
+            own = read_key(key)
+            if own is None:
                 self._take_other(key, value, now)
+            else:
+                self._take_own(own, value, position, now)
         except UnreadableEntry as error:
             self.directory.discredit(error.upstream, now)
             tell(Event.ENTRY_REFUSED, key=key, problem=error.detail[:200])
         except (InputError, msgspec.MsgspecError) as error:
             tell(Event.RECORD_REFUSED, key=key, problem=error)
 
+    def _take_own(
+        self,
+        name: RecordName,
+        value: bytes | None,
+        position: Position,
+        now: float,
+    ) -> None:
+        """Take in a record of the hosts; one of an earlier era is a hint."""
+        current = name.era == position.era
+        written_at = Position(name.era, position.revision)
+        if name.is_leader and current:
+            self._take_leader(value, written_at)
+        elif name.is_quarantine:
+            self._take_quarantine(value, written_at, current, now)
+        elif name.service is not None and value is not None:
+            # Owners are never removed; what is known stays the best guess.
+            table = decode_ranges(value)
+            self.take_table(name.service, table, written_at, now)
+
     def _take_leader(self, value: bytes | None, position: Position) -> None:
         if value is None:
             self.leader = None
@@ -235,24 +281,19 @@
         tell(Event.LEADER, leader=name, revision=position)
 
     def _take_quarantine(
-        self, value: bytes | None, position: Position, now: float
+        self,
+        value: bytes | None,
+        position: Position,
+        current: bool,
+        now: float,
     ) -> None:
         record = QuarantineRecord()
         if value is not None:
             record = msgspec.json.decode(value, type=QuarantineRecord)
-        self.recorded_quarantine = KnownQuarantine(record, position)
+        if current:
+            self.recorded_quarantine = KnownQuarantine(record, position)
         self.quarantine.take_record(record, now)
 
-    def _take_record(
-        self, key: str, value: bytes | None, position: Position, now: float
-    ) -> None:
-        if value is None:
-            # Owners are never removed; what is known stays the best guess.
-            return
-        service = ServiceName(key.removeprefix(RANGES_PREFIX))
-        table = decode_ranges(value)
-        self.take_table(service, table, position, now)
-
     def take_table(
         self,
         service: ServiceName,
@@ -394,8 +435,17 @@
         first_seen = sightings.find_first_seen(tenure)
         return 0.0 if first_seen is None else now - first_seen
 
+    def find_table_of(
+        self, service: ServiceName, era: Era
+    ) -> RangeTable | None:
+        """Return the owners as they were written in an era, or None."""
+        known = self.tables.get(service)
+        if known is None or known.position.era != era:
+            return None
+        return known.table
+
     def find_table(self, service: ServiceName) -> RangeTable | None:
-        """Return the owners of a service's keys."""
+        """Return the owners of a service's keys, as known last."""
         known = self.tables.get(service)
         return None if known is None else known.table
 
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -16,6 +16,7 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import Key
@@ -48,11 +49,13 @@
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
 from sedgetide.daemons._knowledge import Knowledge
-from sedgetide.daemons._knowledge import LEADER_KEY
-from sedgetide.daemons._knowledge import RANGES_PREFIX
 from sedgetide.daemons._orderdesk import OrderDesk
 from sedgetide.daemons._orderdesk import OrderLanes
 from sedgetide.daemons._quarantinerecord import QuarantineWriter
+from sedgetide.daemons._records import make_leader_key
+from sedgetide.daemons._records import make_ranges_key
+from sedgetide.daemons._records import make_ranges_prefix
+from sedgetide.daemons._recoverydesk import RecoveryDesk
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
@@ -123,6 +126,7 @@
         self._position = NO_POSITION
         self._lanes = OrderLanes(dialect, durations.order_timeout)
         self._desk = self._open_desk()
+        self._recovery = self._open_recovery()
         self._book = LoadBook()
         self._limits = LimitBook()
         self._evacuations = EvacuationDesk(knowledge)
@@ -137,6 +141,7 @@
         stack.callback(self._store.close)
         stack.callback(self._campaign.close)
         stack.callback(lambda: self._desk.close())
+        stack.callback(lambda: self._recovery.close())
         spawn_vital(self._campaign_loop, stack)
         spawn_vital(self._loop, stack)
         spawn_vital(self._bridge_loop, stack)
@@ -145,6 +150,7 @@
         """Give the lead away, for good."""
         self._resigned = True
         self._desk.close()
+        self._recovery.close()
         self._campaign.resign()
         self._feed.end()
 
@@ -203,17 +209,21 @@
 
     def _loop(self) -> None:
         while True:
-            self._lanes.note_addresses(self._knowledge.directory)
+            self._lanes.note_addresses(self._knowledge.directory, read_clock())
             position = self._leadership.term
             if position != self._position:
                 self._begin_term(position)
             self._feed_hosts(read_clock())
-            ordering = self._leadership.may_order(read_clock())
-            if ordering and self._has_adopted():
+            if self._may_lead() and self._has_adopted():
                 self._lead()
             tick = _TICK if self.leading else _IDLE_TICK
             self._knowledge.changes.wait(tick)
 
+    def _may_lead(self) -> bool:
+        """Tell whether owners may be changed, and not only kept."""
+        ordering = self._leadership.may_order(read_clock())
+        return ordering and not self._leadership.outlived
+
     def _bridge_loop(self) -> None:
         """Act at once when the store falls silent.
 
@@ -250,10 +260,15 @@
             self._spread,
         )
 
+    def _open_recovery(self) -> RecoveryDesk:
+        return RecoveryDesk(self._desk.term, self._knowledge, self._lanes)
+
     def _begin_term(self, position: Position) -> None:
         self._desk.close()
+        self._recovery.close()
         self._position = position
         self._desk = self._open_desk()
+        self._recovery = self._open_recovery()
         self._roster = Roster(self._knowledge.lenders, read_clock(), self._own)
         self._adopted = False
 
@@ -273,7 +288,7 @@
 
     def _adopt_tables(self) -> None:
         """Read what earlier leaders have written, to the last change."""
-        listing = self._store.list(RANGES_PREFIX)
+        listing = self._store.list(make_ranges_prefix(self._position.era))
         self._knowledge.take_items(listing.items, read_clock())
 
     # Leading
@@ -311,6 +326,8 @@
 
     def _forget_gone(self, now: float) -> None:
         """Forget upstreams that neither are registered nor own anything."""
+        if self._recovery.busy:
+            return
         known = {each.name for each in self._knowledge.directory.list_all()}
         for each in self._knowledge.tables.values():
             known.update(tenure.owner for tenure in each.table.tenures)
@@ -321,12 +338,29 @@
     def _lead_service(
         self, service: ServiceName, balance: bool, now: float
     ) -> None:
-        table = self._knowledge.find_table(service) or RangeTable()
+        era = self._position.era
+        table = self._knowledge.find_table_of(service, era)
+        if table is None:
+            table = self._recovery.begin_table(service)
+            if table is None:
+                return
+            if table.tenures and era != FIRST_ERA:
+                self._restart(service, table)
+                return
         changed = self._change(service, table, balance, now)
         if changed is not table and self._write(service, changed):
             table = changed
         self._desk.follow(service, table)
 
+    def _restart(self, service: ServiceName, table: RangeTable) -> None:
+        """Write the first owners of an era of the store."""
+        owners = {
+            each.name
+            for each in self._knowledge.directory.list_active(service)
+        }
+        if owners:
+            self._write(service, table.restart(table.fence, owners))
+
     def _change(
         self,
         service: ServiceName,
@@ -438,13 +472,16 @@
         return min(upstream.slots, max(_LEAST_CAPACITY, rate * work))
 
     def _write(self, service: ServiceName, table: RangeTable) -> bool:
+        era = self._position.era
         known = self._knowledge.tables.get(service)
-        position = NO_POSITION if known is None else known.position
-        key = RANGES_PREFIX + service
+        position = NO_POSITION
+        if known is not None and known.position.era == era:
+            position = known.position
+        key = make_ranges_key(era, service)
         try:
             written: Position = self._store.transact(
-                self._position.era,
-                {LEADER_KEY: self._position, key: position},
+                era,
+                {make_leader_key(era): self._position, key: position},
                 [Write(key, encode_ranges(table))],
             )
         except StoreConflict:
--- a/sedgetide/daemons/_orderdesk.py
+++ b/sedgetide/daemons/_orderdesk.py
@@ -51,11 +51,23 @@
         self._grant_timeout = grant_timeout
         self._lanes: dict[IncarnationName, OrderLane] = {}
         self._entries: dict[IncarnationName, RegisteredUpstream] = {}
+        self._seen_at: dict[IncarnationName, float] = {}
 
-    def note_addresses(self, directory: Directory) -> None:
+    def note_addresses(self, directory: Directory, now: float) -> None:
         """Remember where upstreams are, also once they have left."""
         for entry in directory.list_all():
             self._entries[entry.name] = entry
+            self._seen_at[entry.name] = now
+
+    def list_seen(
+        self, service: ServiceName, since: float
+    ) -> list[IncarnationName]:
+        """Return the upstreams of a service that were there at some time."""
+        return [
+            name
+            for name, seen_at in self._seen_at.items()
+            if seen_at >= since and self._entries[name].service == service
+        ]
 
     def find_address(self, upstream: IncarnationName) -> str:
         """Return where an upstream is or was; empty when unknown."""
@@ -81,6 +93,7 @@
         for name in list(self._entries):
             if name not in known:
                 del self._entries[name]
+                del self._seen_at[name]
         for name in list(self._lanes):
             if name not in known:
                 self._lanes.pop(name).close()
@@ -332,7 +345,7 @@
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
         """Renew all that one upstream owns, again and again."""
         while True:
-            table = self._knowledge.find_table(service)
+            table = self._find_table(service)
             owned = [] if table is None else table.list_owned(owner)
             if not owned:
                 return
@@ -356,5 +369,13 @@
         A renewal must not follow the release of a part of its range, and
         no order the move of its range to someone else.
         """
-        table = self._knowledge.find_table(service)
+        table = self._find_table(service)
         return table is not None and table.find(tenure.low) == tenure
+
+    def _find_table(self, service: ServiceName) -> RangeTable | None:
+        """Return the owners, if they were written in the term's own era.
+
+        A leader whose era is over would order by the table of the next one
+        on a proof that counts for nothing there.
+        """
+        return self._knowledge.find_table_of(service, self.term.era)
--- a/sedgetide/daemons/_orders.py
+++ b/sedgetide/daemons/_orders.py
@@ -126,6 +126,15 @@
         )
         self.session = 0
 
+    def reach(self) -> bool:
+        """Connect, unless a connection is kept; return whether one is open."""
+        try:
+            connection = self._take()
+        except UpstreamError:
+            return False
+        self._pool.give_back(connection)
+        return True
+
     def grant(
         self,
         keys: KeyRange,
--- a/sedgetide/daemons/_quarantinerecord.py
+++ b/sedgetide/daemons/_quarantinerecord.py
@@ -7,8 +7,8 @@
 from sedgetide.core.errors import StoreError
 from sedgetide.core.history import Position
 from sedgetide.daemons._knowledge import Knowledge
-from sedgetide.daemons._knowledge import LEADER_KEY
-from sedgetide.daemons._knowledge import QUARANTINE_KEY
+from sedgetide.daemons._records import make_leader_key
+from sedgetide.daemons._records import make_quarantine_key
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import tell
 
@@ -61,10 +61,9 @@
             return
         self._tried_at = now
         value = msgspec.json.encode(record)
-        expected = {LEADER_KEY: term, QUARANTINE_KEY: recorded.position}
+        key = make_quarantine_key(term.era)
+        expected = {make_leader_key(term.era): term, key: recorded.position}
         try:
-            self._store.transact(
-                term.era, expected, [Write(QUARANTINE_KEY, value)]
-            )
+            self._store.transact(term.era, expected, [Write(key, value)])
         except StoreError as error:
             tell(Event.QUARANTINE_UNWRITTEN, error=error)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -142,6 +142,9 @@
             Evacuations(settings.evacuate_ms / 1000.0),
             ColdTerms(settings.cold_overrun, settings.cold_slack),
         )
+        self._eras.subscribe(
+            lambda era: self._knowledge.note_era(era, read_clock())
+        )
         self._feed = FeedSink(self._knowledge, self._eras)
         self._lanes = Lanes(settings.limits.body_bytes)
         self._meter = LoadMeter()
@@ -224,6 +227,7 @@
     def _make_leader(self) -> Leader:
         durations = self._settings.fit_durations()
         leadership = Leadership(durations)
+        self._eras.subscribe(leadership.note_era)
         record = LeaderRecord(
             self._settings.host_name,
             self.incarnation,
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -307,6 +307,21 @@
         "A new version of a service's owners is in the store.",
         ("service", "revision", "ranges", "moving", "fence"),
     )
+    RECOVERING = Definition(
+        "recovering",
+        logging.WARNING,
+        "The store has come back from a copy: nobody gets keys of a service "
+        "before all upstreams have given back theirs, or most_seconds have "
+        "passed.",
+        ("service", "era", "most_seconds"),
+    )
+    RECOVERED = Definition(
+        "recovered",
+        logging.INFO,
+        "Keys of a service are granted again; released: upstreams that have "
+        "given back theirs.",
+        ("service", "era", "released"),
+    )
     TABLES_UNREAD = Definition(
         "tables-unread",
         logging.WARNING,
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -21,28 +21,37 @@
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import RuleError
 from sedgetide.core.errors import StoreError
+from sedgetide.core.history import Era
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
+from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import NO_REVISION
+from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import ALL_KEYS
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import LAST_KEY
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.recovery import find_first_fence
+from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.core.ownership.terms import Term
+from sedgetide.daemons._records import make_leader_key
+from sedgetide.daemons._records import make_ranges_key
+from sedgetide.daemons._records import read_key
 from sedgetide.testing.leasestore import LeaseStoreModel
 from sedgetide.testing.leasestore import StoreCopy
 from sedgetide.testing.rangeholder import RangeHolder
 
 STEP = 0.1
-_LEADER = "leader"
-_TABLE = "ranges"
+_SERVICE = ServiceName("maps")
 _SLOW_CLOCK = 1.02
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
 _FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
@@ -86,10 +95,19 @@
         self.lease: LeaseId = NO_LEASE
         self.table = RangeTable()
         self.position: Position = NO_POSITION
+        self.recovery: Recovery | None = None
         self.sightings = MoveSightings()
         self.verified_at = -_NEVER
         self.renewed_at: dict[IncarnationName, float] = {}
 
+    def note_era(self, era: Era) -> None:
+        """Take in the era of an answer of the store."""
+        self.leadership.note_era(era)
+
+    def owns_table(self) -> bool:
+        """Tell whether the table was written in the era of the term."""
+        return self.position.era == self.leadership.term.era
+
     def adopt(self, table: RangeTable, position: Position, now: float) -> None:
         """Take in a version of the table."""
         if position <= self.position:
@@ -246,43 +264,57 @@
         reached = self.now >= host.store_away_until
         if reached and self.random.random() < host.follows:
             self._follow(host)
-        if host.leadership.term == NO_POSITION:
-            if reached and self.store.find(_LEADER) is None:
+        leadership = host.leadership
+        if leadership.outlived and not leadership.may_order(self.now):
+            leadership.end()
+        if leadership.term == NO_POSITION:
+            vacant = self.store.find(make_leader_key(self.store.era)) is None
+            if reached and vacant:
                 self._stand(host)
             return
-        if reached and self.now - host.verified_at >= self.durations.verify:
+        due = self.now - host.verified_at >= self.durations.verify
+        if reached and due and not leadership.outlived:
             self._verify(host)
-        if host.leadership.may_order(self.now):
+        if leadership.may_order(self.now):
             self._lead(host)
 
     def _follow(self, host: WorldHost) -> None:
-        item = self.store.find(_TABLE)
-        if item is not None:
-            host.adopt(decode_ranges(item.value), item.position, self.now)
+        """Read all tables that the store has; older ones are hints."""
+        host.note_era(self.store.era)
+        for item in self.store.list("").items:
+            name = read_key(item.key)
+            if name is not None and name.service is not None:
+                written_at = Position(name.era, item.position.revision)
+                host.adopt(decode_ranges(item.value), written_at, self.now)
 
     def _stand(self, host: WorldHost) -> None:
         if self.random.random() < 0.7:
             return
+        key = make_leader_key(self.store.era)
         lease = self.store.open_lease(self.durations.lease, self.now)
         position = self.store.transact(
-            {_LEADER: NO_REVISION},
-            [Write(_LEADER, host.name.encode(), lease)],
+            {key: NO_REVISION},
+            [Write(key, host.name.encode(), lease)],
         )
         host.lease = lease
         host.verified_at = self.now
         host.leadership.begin(position, self.now, self.now)
         host.term = Term(host.leadership, self.durations)
         host.renewed_at.clear()
+        host.recovery = Recovery(self.now, host.term.inherited_until)
         self._follow(host)
 
     def _verify(self, host: WorldHost) -> None:
         host.verified_at = self.now
+        host.note_era(self.store.era)
+        if host.leadership.outlived:
+            return
         try:
             self.store.renew_lease(host.lease, self.now)
         except StoreError:
             host.leadership.end()
             return
-        item = self.store.find(_LEADER)
+        item = self.store.find(make_leader_key(self.store.era))
         position = NO_POSITION if item is None else item.position
         asked_at = self.now
         leadership = host.leadership
@@ -296,7 +328,10 @@
         self._late.append(_Late(self.now + seconds, act))
 
     def _lead(self, host: WorldHost) -> None:
-        self._plan(host)
+        if not host.owns_table() and not self._recover(host):
+            return
+        if not host.leadership.outlived:
+            self._plan(host)
         for tenure in host.table.list_moving():
             self._move(host, tenure)
         for name in self.holders:
@@ -306,6 +341,45 @@
                 for tenure in host.table.list_owned(name):
                     self._grant(host, name, tenure)
 
+    def _recover(self, host: WorldHost) -> bool:
+        """Begin the table of an era; return whether it is there."""
+        if host.leadership.outlived:
+            return False
+        era = host.leadership.term.era
+        if era == FIRST_ERA:
+            self._plan(host)
+            return host.owns_table()
+        first = find_first_fence(era)
+        recovery = host.recovery
+        for name in recovery.list_open(self.holders, self.now):
+            reached = self.now >= host.unreachable.get(name, 0.0)
+            if reached and self.random.random() < 0.4:
+                self._give_back(host, name, Fence(first + 1))
+        if recovery.is_over(self.holders, self.now):
+            for name in recovery.list_released():
+                host.term.note_release(name, ALL_KEYS)
+            if host.table.tenures:
+                table = host.table.restart(first, list(self.holders))
+            else:
+                names = [(name, 1) for name in sorted(self.holders)]
+                table = RangeTable(first).assign_first(names)
+            self._write(host, table)
+        return host.owns_table()
+
+    def _give_back(
+        self, host: WorldHost, name: IncarnationName, fence: Fence
+    ) -> None:
+        holder = self.holders[name]
+        if self.random.random() < 0.15:
+            self._delay(
+                self.random.uniform(0.5, 9.0),
+                lambda: holder.release(ALL_KEYS, fence),
+            )
+            return
+        holder.release(ALL_KEYS, fence)
+        if self.random.random() < 0.9:
+            host.recovery.note_released(name)
+
     def _plan(self, host: WorldHost) -> None:
         if not host.table.tenures:
             names = [(name, 1) for name in sorted(self.holders)]
@@ -325,17 +399,20 @@
         """Write a table; the answer, or the write itself, may be late."""
         if self.now < host.store_away_until:
             return
-        term, expected = host.leadership.term, host.position
+        term = host.leadership.term
+        expected = host.position if host.owns_table() else NO_POSITION
+        leader = make_leader_key(term.era)
+        key = make_ranges_key(term.era, _SERVICE)
 
         def write() -> None:
             try:
                 position = self.store.transact(
-                    {_LEADER: term.revision, _TABLE: expected.revision},
-                    [Write(_TABLE, encode_ranges(table))],
+                    {leader: term.revision, key: expected.revision},
+                    [Write(key, encode_ranges(table))],
                 )
             except StoreError:
                 return
-            if not lost:
+            if not lost and position.era == term.era:
                 host.adopt(table, position, self.now)
 
         lost = self.random.random() < 0.1
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -31,6 +31,7 @@
 from sedgetide.testing.soakfaults import Play
 from sedgetide.testing.soakfleet import ColdStarts
 from sedgetide.testing.soakfleet import Fleet
+from sedgetide.testing.soakleaving import find_late_sends
 from sedgetide.testing.soakpromises import Promises
 from sedgetide.testing.soakpushback import Absence
 from sedgetide.testing.soakpushback import draw_scripts
@@ -85,6 +86,9 @@
 
     def _make_fleet(self, folder: pathlib.Path, late: float) -> Fleet:
         match self._play:
+            case Play.RETURNING:
+                era = self._random.choice((0, 0, 6))
+                return Fleet(folder, late, cold=ColdStarts(), era=era)
             case Play.ASKING:
                 says = draw_scripts(self._random)
                 return Fleet(folder, late, says=says)
@@ -158,6 +162,7 @@
         promises.check_recovery(asked, ended)
         promises.check_configuration(self._drawer.extra)
         promises.problems += find_floods(events)
+        promises.problems += find_late_sends(events, self._fault_times)
         promises.problems += find_late_runs(
             self.fleet, self._evacuator.evacuations, events, self._fault_times
         )
--- a/sedgetide/testing/soakfaults.py
+++ b/sedgetide/testing/soakfaults.py
@@ -16,6 +16,7 @@
 from sedgetide.testing.soakfleet import call
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import GRACE
+from sedgetide.testing.soakfleet import Program
 
 FAULT_TIME = 9.0
 CALM_TIME = 12.0
@@ -32,6 +33,8 @@
     },
 )
 _RESET_PAUSE = 0.05
+# Seconds between a return of the store and the next one.
+_BETWEEN_RETURNS = 0.7
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -85,6 +88,8 @@
     COPIES = 6000
     # Upstreams ask something of those who send to them.
     ASKING = 7000
+    # The store comes back from older copies, and upstreams leave.
+    RETURNING = 8000
 
 
 def find_play(seed: int) -> Play:
@@ -140,6 +145,10 @@
             makers += [self._draw_cold_return, self._draw_loss_of_all]
         elif self._play is Play.ASKING:
             makers += [self._draw_restart, self._draw_loss_of_all]
+        elif self._play is Play.RETURNING:
+            makers += [self._draw_return] * 4
+            makers += [self._draw_leaving] * 3
+            makers += [self._draw_loss_of_all, self._draw_evacuation]
         elif self._play is Play.DEADLY:
             # Upstreams crash as it is, and are started again for it.
             makers.remove(self._draw_upstream_loss)
@@ -226,6 +235,42 @@
             upstream.start_again,
         )
 
+    def _draw_return(self, at: float) -> Fault:
+        """Have the store come back from a copy, now and then twice."""
+        ages = [self._random.choice((0.5, 1.5, 3.0, 6.0)) for _ in range(2)]
+        away = self._random.choice((0.0, 0.3, 1.5, 4.0))
+        twice = self._random.random() < 0.3
+
+        def begin() -> None:
+            self._fleet.restore_store(ages[0], away)
+
+        def end() -> None:
+            if twice:
+                self._fleet.restore_store(ages[1], 0.0)
+
+        name = f"store back from {ages[0]:g} s" + twice * " and again"
+        return Fault(at, away + _BETWEEN_RETURNS, name, begin, end)
+
+    def _draw_leaving(self, at: float) -> Fault:
+        """Have an upstream leave, end some seconds later, and be replaced."""
+        upstream = self._random.choice(self._fleet.upstreams)
+        how = self._random.choice((signal.SIGUSR1, signal.SIGUSR2))
+        seconds = self._random.choice((3.0, 5.0, 8.0))
+
+        def end() -> None:
+            if upstream.program is leaver[0]:
+                upstream.program.close()
+                upstream.start()
+
+        leaver: list[Program] = []
+
+        def begin() -> None:
+            leaver.append(upstream.program)
+            upstream.program.signal(how)
+            gevent.spawn_later(seconds, end)
+
+        return Fault(at, 0.0, f"{upstream.name} leaves", begin)
+
     def _draw_evacuation(self, at: float) -> Fault:
         name = draw_data_centre(self._random)
         seconds = self._random.choice(_EVACUATED_FOR)
--- a/tests/core/ownership/test_leadership.py
+++ b/tests/core/ownership/test_leadership.py
@@ -46,6 +46,31 @@
             self.assertFalse(self.leadership.note_read(found, 100.5))
             self.assertFalse(self.leadership.may_order(100.6))
 
+    def test_return_of_the_store_ends_all_proofs(self):
+        # Guards against a record of before that the copy shows as well.
+        self.lead(100.0)
+        self.leadership.note_era(1)
+        self.assertTrue(self.leadership.outlived)
+        self.assertFalse(self.leadership.note_read(TERM, 101.0))
+        end = 100.0 + self.durations.proof_life
+        self.assertTrue(self.leadership.may_order(end - 0.01))
+        self.assertFalse(self.leadership.may_order(end))
+
+    def test_grants_bridge_the_return_of_the_store(self):
+        # Guards against keys that are dark until the next leader grants.
+        self.lead(100.0)
+        self.leadership.note_era(1)
+        self.assertFalse(self.leadership.is_fresh(100.1))
+        hold = self.leadership.choose_hold(100.1)
+        self.assertEqual(self.durations.long_hold, hold)
+
+    def test_next_term_is_not_outlived(self):
+        self.lead(100.0)
+        self.leadership.note_era(1)
+        self.leadership.begin(Position(1, 3), 103.0, 103.0)
+        self.leadership.note_era(1)
+        self.assertTrue(self.leadership.is_fresh(103.1))
+
     def test_late_read_proves_nothing_once_ended(self):
         self.lead(100.0)
         self.leadership.end()
--- /dev/null
+++ b/tests/core/ownership/test_recovery.py
@@ -0,0 +1,99 @@
+"""Tests of what is over before the first grant of an era of the store."""
+
+import testtools
+
+from sedgetide.core.errors import RuleError
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.recovery import find_first_fence
+from sedgetide.core.ownership.recovery import Recovery
+
+BOTH = ("u-1", "u-2")
+
+
+class TestRecovery(testtools.TestCase):
+    """Everyone has given back all keys, or time has passed."""
+
+    def setUp(self):
+        super().setUp()
+        self.recovery = Recovery(settled_at=102.0, over_at=110.0)
+
+    def test_all_that_may_hold_keys_are_asked(self):
+        # Guards against a key that an upstream was granted in lost seconds.
+        self.assertEqual(list(BOTH), self.recovery.list_open(BOTH, 102.0))
+        self.recovery.note_released("u-1")
+        self.assertEqual(["u-2"], self.recovery.list_open(BOTH, 103.0))
+        self.assertFalse(self.recovery.is_over(BOTH, 103.0))
+        self.recovery.note_released("u-2")
+        self.assertTrue(self.recovery.is_over(BOTH, 103.0))
+
+    def test_nobody_is_asked_before_all_are_registered_again(self):
+        # Guards against a young upstream that the copy does not show yet.
+        self.assertEqual([], self.recovery.list_open(BOTH, 101.9))
+        self.assertFalse(self.recovery.is_over((), 101.9))
+
+    def test_time_is_enough_where_one_does_not_answer(self):
+        self.assertFalse(self.recovery.is_over(BOTH, 109.9))
+        self.assertTrue(self.recovery.is_over(BOTH, 110.0))
+        self.assertEqual([], self.recovery.list_open(BOTH, 110.0))
+
+    def test_upstream_that_comes_late_is_asked_too(self):
+        self.recovery.note_released("u-1")
+        self.assertEqual(["u-2"], self.recovery.list_open(BOTH, 103.0))
+
+
+class TestFirstFence(testtools.TestCase):
+    """Fences of an era are above all those of earlier ones."""
+
+    def test_later_era_has_higher_fences(self):
+        # Guards against a fence that was given to somebody else before.
+        moved = 4 * 10**9
+        self.assertEqual(0, find_first_fence(0))
+        for era in (0, 1, 2**31 - 2):
+            first = find_first_fence(era)
+            self.assertLess(first + moved, find_first_fence(era + 1))
+        self.assertLess(find_first_fence(2**31 - 1) + moved, 2**63)
+
+
+class TestRestart(testtools.TestCase):
+    """The table with which an era begins."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = RangeTable().assign_first([("a", 1), ("b", 1), ("c", 1)])
+
+    def test_owners_stay_at_one_new_fence(self):
+        began = self.table.restart(90, {"a", "b", "c"})
+        self.assertEqual(91, began.fence)
+        self.assertEqual({91}, {each.fence for each in began.tenures})
+        self.assertEqual(
+            [each.owner for each in self.table.tenures],
+            [each.owner for each in began.tenures],
+        )
+
+    def test_range_on_its_way_goes_to_its_successor(self):
+        keys = KeyRange(0, 99)
+        began = self.table.begin([Move(keys, "c")]).restart(90, {"a", "c"})
+        self.assertEqual("c", began.find(50).owner)
+        self.assertEqual([], began.list_moving())
+
+    def test_ranges_of_those_that_are_gone_are_spread(self):
+        # Guards against keys that wait for the end of an owner that has none.
+        began = self.table.restart(90, {"b", "d"})
+        self.assertEqual("b", began.find(self.table.tenures[1].low).owner)
+        self.assertEqual({"b", "d"}, {each.owner for each in began.tenures})
+        self.assertEqual(0, began.tenures[0].low)
+        self.assertEqual(65535, began.tenures[-1].high)
+
+    def test_neighbours_of_one_owner_are_joined(self):
+        began = self.table.restart(90, {"a"})
+        self.assertEqual(1, len(began.tenures))
+        self.assertEqual(KeyRange(0, 65535), began.tenures[0].keys)
+
+    def test_fences_never_fall(self):
+        table = RangeTable(200, self.table.tenures)
+        self.assertEqual(201, table.restart(90, {"a"}).fence)
+
+    def test_nobody_to_own_them_is_an_error(self):
+        self.assertRaises(RuleError, self.table.restart, 90, ())
--- a/tests/daemons/test_campaign.py
+++ b/tests/daemons/test_campaign.py
@@ -8,17 +8,22 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import StoreError
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
+from sedgetide.core.history import Position
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_yield
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._campaign import Campaign
 from sedgetide.daemons._knowledge import Knowledge
-from sedgetide.daemons._knowledge import LEADER_KEY
+from sedgetide.daemons._records import make_leader_key
 from sedgetide.runtime.clock import read_clock
 from sedgetide.testing.leasestore import LeaseStoreModel
 
+LEADER_KEY = make_leader_key(FIRST_ERA)
+AS_OF = Position(FIRST_ERA, 1)
+
 
 class FakeCatalogue(Catalogue):
     """Knows nothing."""
@@ -95,7 +100,7 @@
         )
 
     def step(self, later=0.0):
-        self.knowledge.heard_at = read_clock() + later
+        self.knowledge.note_heard(AS_OF, read_clock() + later)
         self.campaign.step(read_clock() + later)
 
     def stand(self):
@@ -122,7 +127,7 @@
         )
         now = read_clock()
         for later in (0.0, 0.2, 0.3):
-            self.knowledge.heard_at = now
+            self.knowledge.note_heard(AS_OF, now)
             weak.step(now + later)
         self.assertIsNone(self.model.find(LEADER_KEY))
         weak.step(now + last_of_the_strong + find_yield(0.4))
@@ -180,6 +185,45 @@
         self.step(10.0)
         self.assertEqual(NO_POSITION, self.leadership.term)
 
+    def return_from_copy(self):
+        """Have the store come back, and the host hear of it."""
+        self.model.restore(self.model.copy(), read_clock())
+        self.leadership.note_era(1)
+        self.knowledge.note_era(1, read_clock())
+
+    def test_leads_on_the_last_proof_only_after_a_return(self):
+        # Guards against a term that goes on by a record from the copy.
+        self.stand()
+        self.return_from_copy()
+        self.step(0.1)
+        self.assertTrue(self.leadership.may_order(read_clock()))
+        self.step(self.durations.proof_life)
+        self.assertEqual(NO_POSITION, self.leadership.term)
+
+    def test_lease_of_an_earlier_era_is_left_alone(self):
+        # Guards against an end to the lease of whoever has its id now.
+        self.stand()
+        calls = []
+        self.store.renew_lease = calls.append
+        self.store.end_lease = calls.append
+        self.return_from_copy()
+        self.step(0.1)
+        self.campaign.resign()
+        self.assertEqual([], calls)
+
+    def test_stands_in_the_new_era_once_it_has_listed_the_store(self):
+        # Guards against standing by what was known of the era before.
+        self.stand()
+        self.return_from_copy()
+        self.step(self.durations.proof_life)
+        self.step(5.0)
+        self.assertIsNone(self.model.find(make_leader_key(1)))
+        self.knowledge.note_heard(Position(1, 1), read_clock())
+        self.step(5.0)
+        self.step(6.0)
+        self.assertIsNotNone(self.model.find(make_leader_key(1)))
+        self.assertEqual(1, self.leadership.term.era)
+
     def test_resigned_record_is_gone_at_once(self):
         self.stand()
         self.campaign.resign()
--- a/tests/daemons/test_orderdesk.py
+++ b/tests/daemons/test_orderdesk.py
@@ -46,7 +46,7 @@
             SERVICE, self.table, Position(0, 8), read_clock()
         )
         lanes = OrderLanes(PlatformOrders(), durations.order_timeout)
-        lanes.note_addresses(self.knowledge.directory)
+        lanes.note_addresses(self.knowledge.directory, read_clock())
         self.addCleanup(lanes.forget, ())
         self.desk = OrderDesk(
             Term(leadership, durations),
@@ -177,6 +177,16 @@
         self.let_through("u-1")
         self.assertNotIn(("grant", 0, 1), self.lanes.sent["u-1"])
 
+    def test_owners_of_a_later_era_get_no_orders_of_this_term(self):
+        # Guards against two owners: the next leader counts on its own grants
+        # only, once an upstream has given back all keys.
+        self.knowledge.take_table(
+            SERVICE, self.table, Position(1, 2), read_clock()
+        )
+        self.desk.follow(SERVICE, self.table)
+        self.let_through("u-1")
+        self.assertEqual([], self.lanes.sent["u-1"])
+
     def test_grant_of_a_move_that_was_overtaken_stays_here(self):
         # Two owners of one key at once: the successor of a move that the
         # table no longer has is reached after the next one has the keys.
--- a/tests/daemons/test_quarantinerecord.py
+++ b/tests/daemons/test_quarantinerecord.py
@@ -9,12 +9,14 @@
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.daemons._knowledge import Knowledge
-from sedgetide.daemons._knowledge import LEADER_KEY
-from sedgetide.daemons._knowledge import QUARANTINE_KEY
 from sedgetide.daemons._quarantinerecord import QuarantineWriter
+from sedgetide.daemons._records import make_leader_key
+from sedgetide.daemons._records import make_quarantine_key
 from sedgetide.platform._catalogue import PlatformCatalogue
 
 TERM = Position(0, 7)
+LEADER_KEY = make_leader_key(TERM.era)
+QUARANTINE_KEY = make_quarantine_key(TERM.era)
 
 
 class Store:
--- /dev/null
+++ b/tests/daemons/test_recoverydesk.py
@@ -0,0 +1,165 @@
+"""Tests of how a leader has all upstreams give back their keys."""
+
+import gevent
+import testtools
+
+from sedgetide.core.history import Position
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.leadership import Leadership
+from sedgetide.core.ownership.ranges import ALL_KEYS
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.terms import Term
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.daemons._orders import OrderResult
+from sedgetide.daemons._orders import Taken
+from sedgetide.daemons._recoverydesk import RecoveryDesk
+from sedgetide.runtime.clock import read_clock
+from tests.daemons.test_campaign import FakeCatalogue
+
+SERVICE = "maps"
+FIRST = 1 << 32
+
+
+class Lane:
+    """Way to an upstream that can be reached, or not."""
+
+    def __init__(self):
+        self.reached = True
+        self.taken = Taken.DONE
+        self.released = []
+
+    def reach(self):
+        return self.reached
+
+    def release(self, keys, fence, may_leave):
+        if not may_leave():
+            return OrderResult(Taken.UNSENT)
+        self.released.append((keys, fence))
+        return OrderResult(self.taken)
+
+
+class Lanes:
+    """Ways by name; upstreams that are gone stand among the seen ones."""
+
+    def __init__(self, names):
+        self.lanes = {name: Lane() for name in names}
+        self.addresses = {}
+
+    def list_seen(self, service, since):
+        return list(self.lanes)
+
+    def find(self, name):
+        return self.lanes.get(name)
+
+    def find_address(self, name):
+        return self.addresses.get(name, "")
+
+
+class TestRecoveryDesk(testtools.TestCase):
+    """A new era; the last table known is one of the era before."""
+
+    def setUp(self):
+        super().setUp()
+        self.durations = Durations()
+        self.knowledge = Knowledge(FakeCatalogue())
+        self.table = RangeTable(5).assign_first([("u-1", 1), ("u-2", 1)])
+        self.knowledge.take_table(SERVICE, self.table, Position(0, 8), 1.0)
+        self.lanes = Lanes(("u-1", "u-2", "u-3"))
+        self.leadership = Leadership(self.durations)
+
+    def begin(self, era=1, took_over=0.0):
+        now = read_clock()
+        self.leadership.begin(Position(era, 7), now, now - took_over)
+        term = Term(self.leadership, self.durations)
+        self.desk = RecoveryDesk(term, self.knowledge, self.lanes)
+        self.addCleanup(self.desk.close)
+        self.term = term
+
+    def drive(self, seconds=2.0):
+        """Ask for the table until it is there, or for some seconds."""
+        with gevent.Timeout(seconds, False):
+            while True:
+                table = self.desk.begin_table(SERVICE)
+                if table is not None:
+                    return table
+                gevent.sleep(0.02)
+        return None
+
+    def count_released(self):
+        return {
+            name: len(lane.released) for name, lane in self.lanes.lanes.items()
+        }
+
+    def test_all_give_back_all_keys_at_a_fence_of_the_era(self):
+        # Guards against a key that moved in the seconds that were lost.
+        self.begin()
+        table = self.drive()
+        self.assertEqual(RangeTable(FIRST, self.table.tenures), table)
+        for lane in self.lanes.lanes.values():
+            self.assertEqual([(ALL_KEYS, FIRST + 1)], lane.released)
+        # What they held before need not be waited for any more.
+        now = read_clock()
+        self.assertTrue(self.term.has_ended("u-3", ALL_KEYS, now, now))
+
+    def test_nobody_gives_back_while_one_can_not_be_reached(self):
+        # Guards against keys that are dark for an upstream that is cut off.
+        self.lanes.lanes["u-3"].reached = False
+        self.begin()
+        self.assertIsNone(self.drive(0.7))
+        self.assertEqual(0, sum(self.count_released().values()))
+        self.lanes.lanes["u-3"].reached = True
+        self.assertIsNotNone(self.drive())
+
+    def test_unanswered_release_is_none(self):
+        self.lanes.lanes["u-2"].taken = Taken.UNKNOWN
+        self.begin()
+        self.assertIsNone(self.drive(0.7))
+        self.assertGreater(self.count_released()["u-2"], 1)
+        self.assertEqual(1, self.count_released()["u-1"])
+
+    def test_time_proves_what_nobody_answers(self):
+        self.lanes.lanes["u-3"].reached = False
+        self.begin(took_over=self.durations.bound_unknown())
+        self.assertIsNotNone(self.drive())
+        self.assertEqual(0, sum(self.count_released().values()))
+
+    def test_owner_whose_address_another_has_has_ended(self):
+        now = read_clock()
+        self.lanes.lanes["u-3"].reached = False
+        self.lanes.addresses["u-3"] = "1.1.1.3:1"
+        entry = RegisteredUpstream("u-9", SERVICE, "1.1.1.3:1", "dc")
+        self.knowledge.directory.put(entry, now)
+        self.begin()
+        self.assertIsNotNone(self.drive())
+
+    def test_owner_at_whose_address_nobody_listens_has_ended(self):
+        # Guards against keys that are dark for ten seconds after a crash.
+        self.lanes.lanes["u-3"].reached = False
+        self.lanes.addresses["u-3"] = "127.0.0.1:1"
+        self.begin()
+        self.assertIsNotNone(self.drive())
+
+    def test_nobody_is_asked_before_the_registry_is_whole(self):
+        # Guards against a young upstream that is missing in the copy.
+        self.knowledge.note_era(1, read_clock())
+        self.begin()
+        self.assertIsNone(self.drive(0.5))
+        self.assertEqual(0, sum(self.count_released().values()))
+
+    def test_leader_whose_proof_has_ended_asks_nobody(self):
+        self.begin()
+        self.leadership.end()
+        self.assertIsNone(self.drive(0.5))
+        self.assertEqual(0, sum(self.count_released().values()))
+
+    def test_store_without_eras_needs_none(self):
+        self.begin(era=0)
+        self.assertEqual(self.table, self.desk.begin_table(SERVICE))
+
+    def test_it_is_done_once_in_a_term(self):
+        self.begin()
+        self.drive()
+        self.assertIsNotNone(self.desk.begin_table(SERVICE))
+        self.assertFalse(self.desk.busy)
+        self.assertEqual({1}, set(self.count_released().values()))
--- a/tests/testing/test_ownershipworld.py
+++ b/tests/testing/test_ownershipworld.py
@@ -7,8 +7,10 @@
 from sedgetide.core.ownership.holds import HoldLedger
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.sightings import MoveSightings
 from sedgetide.core.ownership.terms import Term
+from sedgetide.testing import ownershipworld
 from sedgetide.testing.ownershipworld import OwnershipWorld
 from sedgetide.testing.rangeholder import RangeHolder
 
@@ -48,9 +50,9 @@
 class TestSafeguards(testtools.TestCase):
     """Without any one of the safeguards the walk finds two owners."""
 
-    def check_found(self, owner, name, replacement):
+    def check_found(self, owner, name, replacement, returns=False):
         with mock.patch.object(owner, name, replacement):
-            problem, _ = walk(MUTATION_SEEDS)
+            problem, _ = walk(MUTATION_SEEDS, returns)
         self.assertIsNotNone(problem)
 
     def test_old_owner_not_waited_for(self):
@@ -115,3 +117,21 @@
     def test_upstream_without_fences(self):
         zero = mock.Mock(return_value=0)
         self.check_found(RangeHolder, "_find_fence", zero)
+
+    def test_keys_not_given_back_at_the_beginning_of_an_era(self):
+        over = mock.Mock(return_value=True)
+        self.check_found(Recovery, "is_over", over, returns=True)
+
+    def test_one_upstream_not_asked_for_its_keys(self):
+        real = Recovery.is_over
+
+        def is_over(recovery, upstreams, now):
+            return real(recovery, list(upstreams)[1:], now)
+
+        self.check_found(Recovery, "is_over", is_over, returns=True)
+
+    def test_fences_of_an_era_given_out_again(self):
+        zero = mock.Mock(return_value=0)
+        self.check_found(
+            ownershipworld, "find_first_fence", zero, returns=True
+        )
