What a copy shows undone is held to until it is written again

What callers would see after the store's return: requests to an upstream that had said that it leaves, or had taken its entry away, and that the copy shows as ready; keys taken from upstreams that registered lately, and are missing there; a data centre whose evacuation ends for two seconds, or begins again.

Change: at a return, upstreams that leave stay so for good; one that had gone counts as leaving until it writes its entry again, and is dropped at once when the entry lapses; missing entries get the grace that they get after an outage; wishes of operators stay as known until they are written again, or the grace is over. Versions of the routes never went back.

--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -99,6 +99,7 @@
         self._unreadable: set[IncarnationName] = set()
         self._foreign: dict[IncarnationName, float] = {}
         self._announced: dict[IncarnationName, None] = {}
+        self._revived: set[IncarnationName] = set()
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
@@ -116,12 +117,34 @@
         until = now + (self._grace if seconds is None else seconds)
         self._disturbed_until = max(self._disturbed_until, until)
 
+    def begin_era(self, now: float) -> None:
+        """Take in that the registry has come back from an older copy.
+
+        What it shows from then on may be older than what is known: entries
+        of young upstreams are missing until these have written them again,
+        and who had said that it leaves is shown as ready.
+        """
+        self.note_disturbance(now)
+        for name, entry in self._entries.items():
+            if entry.leaving:
+                self._announced[name] = None
+
     def find_disturbance(self, now: float) -> float:
         """Return for how long missing entries are not believed yet."""
         return max(0.0, self._disturbed_until - now)
 
-    def put(self, entry: RegisteredUpstream, now: float) -> None:
-        """Take in an entry, unless a later start of its upstream is known."""
+    def put(
+        self, entry: RegisteredUpstream, now: float, copied: bool = False
+    ) -> None:
+        """Take in an entry, unless a later start of its upstream is known.
+
+        Parameters
+        ----------
+        copied : bool
+            Whether a copy shows it, from which the registry has come back.
+            An upstream that had gone by then counts as leaving, unless it
+            writes its entry again.
+        """
         known = self._born.get(entry.registered_name, UNKNOWN_BIRTH)
         if entry.born == UNKNOWN_BIRTH != known:
             self.discredit(entry.registered_name, now)
@@ -132,6 +155,7 @@
         former = self._current.get(entry.registered_name)
         if former is not None and former != name:
             self._drop(former, now)
+        self._note_revived(name, copied)
         self._note_seen(entry, now)
         if entry.warmup > 0:
             self._cold_until[name] = now + entry.warmup
@@ -145,6 +169,13 @@
         self._current[entry.registered_name] = name
         self.changed_at = now
 
+    def _note_revived(self, name: IncarnationName, copied: bool) -> None:
+        gone = name in self._first_seen and name not in self._entries
+        if copied and gone:
+            self._revived.add(name)
+        elif not copied:
+            self._revived.discard(name)
+
     def _note_seen(self, entry: RegisteredUpstream, now: float) -> None:
         self._born[entry.registered_name] = entry.born
         self._first_seen.setdefault(entry.name, now)
@@ -170,7 +201,8 @@
         if name is None:
             return
         entry = self._entries[name]
-        if now < self._disturbed_until and not entry.leaving:
+        expected = entry.leaving or name in self._revived
+        if now < self._disturbed_until and not expected:
             self._missing.add(name)
             return
         self._drop(name, now)
@@ -235,12 +267,13 @@
         entry = self._entries.get(name)
         if entry is not None and entry.leaving:
             return True
-        return name in self._announced
+        return name in self._announced or name in self._revived
 
     def _drop(self, name: IncarnationName, now: float) -> None:
         self._foreign.pop(name, None)
         self._cold_until.pop(name, None)
         self._missing.discard(name)
+        self._revived.discard(name)
         self._unreadable.discard(name)
         entry = self._entries.pop(name, None)
         if (
--- a/sedgetide/daemons/_knowledge.py
+++ b/sedgetide/daemons/_knowledge.py
@@ -118,6 +118,7 @@
         self.recorded_quarantine = KnownQuarantine()
         self._catalogue = catalogue
         self._items: dict[str, Item] = {}
+        self._doubted: dict[str, EvacuationWish] = {}
         self._forgotten = NO_POSITION
         self.as_of = NO_POSITION
         self._era = FIRST_ERA
@@ -135,6 +136,7 @@
         owners stay known, as the best guess of where requests go.
         """
         self._begin_era(era, now)
+        self.directory.begin_era(now)
         if self.leader is not None and self.leader.position.era < era:
             self.leader = None
         self.recorded_quarantine = KnownQuarantine()
@@ -180,18 +182,30 @@
     def take_listing(self, listing: Listing, now: float) -> None:
         """Take in everything that the store holds."""
         self._begin_era(listing.position.era, now)
-        if listing.position.era > self.as_of.era and self._items:
+        copied = listing.position.era > self.as_of.era and bool(self._items)
+        if copied:
             tell(Event.RELISTED, revision=listing.position, known=self.as_of)
+            self.directory.begin_era(now)
         present = {item.key for item in listing.items}
         gone = [
             Item(key, listing.position, None)
             for key, item in self._items.items()
             if key not in present and item.value is not None
         ]
-        self.take_items([*gone, *listing.items], now)
+        self.take_items([*gone, *listing.items], now, copied)
 
-    def take_items(self, items: list[Item], now: float) -> None:
-        """Take in new versions; older ones than known change nothing."""
+    def take_items(
+        self, items: list[Item], now: float, copied: bool = False
+    ) -> None:
+        """Take in new versions; older ones than known change nothing.
+
+        Parameters
+        ----------
+        copied : bool
+            Whether a copy shows them, from which the store has come back.
+            What operators and upstreams wrote since is written again
+            within seconds.
+        """
         taken = False
         for item in items:
             if item.position.era < self.as_of.era:
@@ -200,7 +214,7 @@
             if known is not None and item.position <= known.position:
                 continue
             self._items[item.key] = item
-            self._take(item.key, item.value, item.position, now)
+            self._take(item, now, copied)
             taken = True
         if taken:
             self._forget_removed()
@@ -237,15 +251,14 @@
             item for item in self._items.values() if item.value is not None
         ]
 
-    def _take(
-        self, key: str, value: bytes | None, position: Position, now: float
-    ) -> None:
+    def _take(self, item: Item, now: float, copied: bool) -> None:
+        key = item.key
         try:
             own = read_key(key)
             if own is None:
-                self._take_other(key, value, now)
+                self._take_other(key, item.value, now, copied)
             else:
-                self._take_own(own, value, position, now)
+                self._take_own(own, item.value, item.position, now)
         except UnreadableEntry as error:
             self.directory.discredit(error.upstream, now)
             tell(Event.ENTRY_REFUSED, key=key, problem=error.detail[:200])
@@ -327,19 +340,37 @@
         )
         self.changes.announce()
 
-    def _take_other(self, key: str, value: bytes | None, now: float) -> None:
+    def _take_other(
+        self, key: str, value: bytes | None, now: float, copied: bool
+    ) -> None:
         entry = self._catalogue.read(key, value)
+        self._doubted.pop(key, None)
         if isinstance(entry, RegisteredUpstream):
             self._note_entry(entry)
-            self.directory.put(entry, now)
+            self.directory.put(entry, now, copied)
         elif isinstance(entry, Withdrawn):
             tell(Event.UPSTREAM_WITHDRAWN, upstream=entry.upstream)
             self.directory.remove(entry.upstream, now)
+        elif isinstance(entry, EvacuationWish) and copied:
+            self._doubted[key] = entry
         elif isinstance(entry, EvacuationWish):
             self._take_wish(entry, now)
         elif isinstance(entry, Policy):
             self._take_policy(entry)
 
+    def settle(self, now: float) -> None:
+        """Take in what a copy shows and nobody has written again since.
+
+        Operators' last wishes hold until then: an evacuation that the copy
+        does not know of would end for a moment, and one that was taken back
+        would begin again.
+        """
+        if self._doubted and now >= self.find_settled_at():
+            doubted, self._doubted = self._doubted, {}
+            for wish in doubted.values():
+                self._take_wish(wish, now)
+            self.changes.announce()
+
     def _take_wish(self, wish: EvacuationWish, now: float) -> None:
         evacuations = self.directory.evacuations
         if wish.asked:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -294,6 +294,7 @@
             self._breaks.keep(now)
             self._quarantine.keep(now)
             self._trials.keep(now)
+            self._knowledge.settle(now)
             if self._knowledge.directory.expire(now):
                 self._knowledge.changes.announce()
             if turn % _PRUNED_EVERY == 0:
--- a/tests/daemons/test_knowledge.py
+++ b/tests/daemons/test_knowledge.py
@@ -3,11 +3,15 @@
 import msgspec
 import testtools
 
+from sedgetide.backends.dialects import EvacuationWish
+from sedgetide.backends.dialects import Withdrawn
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.daemons._knowledge import Knowledge
@@ -17,6 +21,9 @@
 from tests.daemons.test_campaign import FakeCatalogue
 
 SERVICE = "maps"
+CENTRE = "dc"
+WISH = "op/wish"
+READY, LEAVING = b"ready", b"leaving"
 OLD = RangeTable(3).assign_first([("u-1", 1)])
 NEW = RangeTable(8).assign_first([("u-2", 1)])
 FIRST = RangeTable(1 << 32).assign_first([("u-3", 1)])
@@ -93,3 +100,120 @@
         self.known.note_era(1, 9.0)
         self.list_items(1)
         self.assertEqual(11.3, self.known.find_settled_at())
+
+
+class Registry(FakeCatalogue):
+    """Upstreams whose value tells whether they leave, and a wish."""
+
+    def read(self, key, value):
+        if key == WISH:
+            return EvacuationWish(CENTRE, value is not None)
+        if value is None:
+            return Withdrawn(key)
+        return RegisteredUpstream(
+            key, SERVICE, key, CENTRE, leaving=value == LEAVING
+        )
+
+
+class TestWhatTheCopyShowsUndone(testtools.TestCase):
+    """Operators and upstreams wrote it, and it is lost for some seconds."""
+
+    def setUp(self):
+        super().setUp()
+        self.known = Knowledge(Registry(), Evacuations(5.0))
+        self.revision = 0
+
+    def write(self, now, key, value, era=0):
+        self.revision += 1
+        position = Position(era, self.revision)
+        self.known.take_items([Item(key, position, value)], now)
+        self.known.note_heard(position, now)
+
+    def return_from_copy(self, now, **items):
+        """Let the host list what a copy shows."""
+        self.revision = 3
+        position = Position(1, self.revision)
+        shown = [
+            Item(key.replace("_", "/"), position, value)
+            for key, value in items.items()
+        ]
+        self.known.note_era(1, now)
+        self.known.take_listing(Listing(shown, position), now)
+        self.known.note_heard(position, now)
+
+    def list_active(self):
+        found = self.known.directory.list_active(SERVICE)
+        return sorted(each.name for each in found)
+
+    def test_upstream_that_leaves_is_not_ready_again(self):
+        # Guards against requests to whoever has said that it leaves.
+        self.write(1.0, "u1", READY)
+        self.write(2.0, "u1", LEAVING)
+        self.return_from_copy(5.0, u1=READY)
+        self.assertEqual([], self.list_active())
+        self.write(6.0, "u1", READY, era=1)
+        self.assertEqual([], self.list_active())
+        self.assertEqual(["u1"], self.known.directory.list_announced())
+
+    def test_upstream_that_had_gone_is_not_back(self):
+        # Guards against requests to whoever took its entry away.
+        self.write(1.0, "u1", READY)
+        self.write(2.0, "u1", None)
+        self.return_from_copy(5.0, u1=READY)
+        self.assertEqual([], self.list_active())
+        self.write(6.5, "u1", None, era=1)
+        self.assertIsNone(self.known.directory.find("u1"))
+
+    def test_upstream_that_writes_its_entry_again_is_back(self):
+        # Guards against one that was cut off and is left out for good.
+        self.write(1.0, "u1", READY)
+        self.write(2.0, "u1", None)
+        self.return_from_copy(5.0, u1=READY)
+        self.write(6.0, "u1", READY, era=1)
+        self.assertEqual(["u1"], self.list_active())
+
+    def test_upstream_that_is_missing_has_two_seconds(self):
+        # Guards against keys taken from all that registered lately.
+        self.write(1.0, "u1", READY)
+        self.return_from_copy(5.0)
+        self.known.directory.expire(7.0)
+        self.assertEqual(["u1"], self.list_active())
+        self.known.directory.expire(7.4)
+        self.assertEqual([], self.list_active())
+
+    def test_upstream_of_the_new_era_is_taken_at_once(self):
+        self.return_from_copy(5.0, u1=READY)
+        self.assertEqual(["u1"], self.list_active())
+
+    def list_evacuated(self):
+        return list(self.known.directory.evacuations.list_asked())
+
+    def test_evacuation_goes_on_until_it_is_written_again(self):
+        # Guards against work that goes back to a data centre for a second.
+        self.write(1.0, WISH, b"{}")
+        self.return_from_copy(5.0)
+        self.known.settle(7.0)
+        self.assertEqual([CENTRE], self.list_evacuated())
+        self.write(7.1, WISH, b"{}", era=1)
+        self.known.settle(9.0)
+        self.assertEqual([CENTRE], self.list_evacuated())
+
+    def test_evacuation_that_was_taken_back_does_not_begin_again(self):
+        # Guards against keys that leave a data centre and come back, cold.
+        self.write(1.0, WISH, b"{}")
+        self.write(2.0, WISH, None)
+        self.return_from_copy(5.0, op_wish=b"{}")
+        self.assertEqual([], self.list_evacuated())
+        self.write(6.0, WISH, None, era=1)
+        self.known.settle(9.0)
+        self.assertEqual([], self.list_evacuated())
+
+    def test_what_nobody_writes_again_is_taken_in_the_end(self):
+        self.write(1.0, WISH, b"{}")
+        self.return_from_copy(5.0)
+        self.known.settle(7.4)
+        self.assertEqual([], self.list_evacuated())
+
+    def test_host_that_starts_takes_what_there_is(self):
+        self.return_from_copy(5.0, op_wish=b"{}")
+        self.assertEqual([CENTRE], self.list_evacuated())
