Test of the cap of the token bucket

With the cap taken out all tests passed: an upstream that was left alone for a minute would have got a minute's limit at once. The new test fails then.

--- a/tests/core/requests/test_ratelimits.py
+++ b/tests/core/requests/test_ratelimits.py
@@ -111,6 +111,16 @@
         self.assertAlmostEqual(10.0, bucket.find_wait(0, 0.1))
         self.assertEqual(0.0, bucket.find_wait(0, 10.2))
 
+    def test_upstream_left_alone_for_long_gets_no_more_at_once(self):
+        # Guards against a minute's limit that is sent in one moment.
+        bucket = TokenBucket()
+        bucket.note(StatedLimit(2.2, 0.0, 0.0), 0.0)
+        sent = 0
+        while bucket.find_wait(0, 60.0) <= 0.0:
+            bucket.take(60.0)
+            sent += 1
+        self.assertLessEqual(sent, 2)
+
     @given(
         strategies.sampled_from((0.0, 0.3, 1.3, 2.2, 6.0, 50.0)),
         strategies.lists(strategies.floats(0.0, 0.6), max_size=80),
