Test of keys that move from a leaver judges by why requests were refused

In its place: of late requests less than a tenth is refused, and none for another reason than a full owner, by the hosts' own log.

--- a/tests/daemons/test_pushback.py
+++ b/tests/daemons/test_pushback.py
@@ -2,6 +2,7 @@
 
 import collections
 import pathlib
+import re
 import shutil
 import tempfile
 
@@ -34,6 +35,9 @@
 MOVED_WITHIN = 1.0
 # Until a limit counts as lasting, and for some rounds of moves.
 BALANCED_WITHIN = 7.0
+# Status and note of a request that found no room at its owner.
+FULL = ("503", "window")
+_REASON = re.compile(r" status=(\d+) .* note=(\S*)")
 _KEPT = pathlib.Path("build")
 
 
@@ -66,6 +70,14 @@
         self.events = self.fleet.read_events()
         self.assertEqual([], find_ignored(self.events, self.asked))
 
+    def find_reason(self, number):
+        """Return the status of a request and why it was refused."""
+        for host in self.fleet.hosts:
+            for line in host.program.output.read_text().splitlines():
+                if f" id={number} " in line and "event=request " in line:
+                    return _REASON.search(line).groups()
+        return None
+
     def count_arrived(self):
         """Return the requests that reached each upstream with a script."""
         return collections.Counter(
@@ -124,8 +136,13 @@
         )
         late = [ask for ask in self.asked if ask.at > moved]
         ended = late[-1].at - DEADLINE
-        statuses = [ask.status for ask in late if ask.at < ended]
-        self.assertEqual({200}, set(statuses))
+        late = [ask for ask in late if ask.at < ended]
+        refused = [ask.number for ask in late if ask.status != 200]
+        self.assertLess(len(refused), 0.1 * len(late))
+        # Three upstreams are left of four, and may have no room at times.
+        self.assertLessEqual(
+            {self.find_reason(number) for number in refused}, {FULL}
+        )
 
 
 class TestBackoff(PushbackTest):
