--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -18,7 +18,14 @@
 _OWNERSHIP = frozenset({"owner-stopped", "order"})
 _UPSTREAM = frozenset({"upstream", "upstream-withdrawn"})
 _LEADERSHIP = frozenset(
-    {"leading", "leading-no-more", "bridging", "not-verified"}
+    {
+        "leading",
+        "leading-no-more",
+        "bridging",
+        "not-verified",
+        "recovering",
+        "recovered",
+    }
 )
 _OWN_HOST = frozenset(
     {
--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -88,7 +88,8 @@
         match self._play:
             case Play.RETURNING:
                 era = self._random.choice((0, 0, 6))
-                return Fleet(folder, late, cold=ColdStarts(), era=era)
+                options = ({},) * self._random.choice((3, 3, 8))
+                return Fleet(folder, late, options, cold=ColdStarts(), era=era)
             case Play.ASKING:
                 says = draw_scripts(self._random)
                 return Fleet(folder, late, says=says)
