--- a/sedgetide/daemons/_campaign.py
+++ b/sedgetide/daemons/_campaign.py
@@ -140,7 +140,9 @@
                 [Write(key, msgspec.json.encode(self._record), lease)],
             )
         except StoreConflict:
-            self._drop_lease(lease)
+            # Ids of leases are given out again in a later era.
+            if self._knowledge.follows_era:
+                self._drop_lease(lease)
             return
         except StoreError as error:
             tell(Event.NOT_ELECTED, error=error)
@@ -190,7 +192,6 @@
         """Stop to lead, so that another host need not wait for the lease."""
         if self._leadership.term == NO_POSITION:
             return
-        # Ids of leases are given out again in a later era.
         lease = NO_LEASE if self._leadership.outlived else self._lease
         self._end("resigned")
         if lease != NO_LEASE:
--- a/sedgetide/daemons/_follower.py
+++ b/sedgetide/daemons/_follower.py
@@ -74,6 +74,7 @@
         self._listed = False
         self._is_fed = is_fed
         self._is_leading = is_leading
+        self._lost_again = False
         self.available = False
 
     def start(self, stack: contextlib.ExitStack) -> None:
@@ -88,17 +89,24 @@
                 gevent.sleep(_FED_PAUSE)
                 continue
             try:
-                self._step()
-                pause = _PAUSE
+                if self._step():
+                    pause = _PAUSE
+                    self._lost_again = False
             except HistoryLost:
                 tell(Event.HISTORY_LOST, revision=self._knowledge.as_of)
                 self._listed = False
+                if self._lost_again:
+                    gevent.sleep(pause)
+                    pause = min(_LONGEST_PAUSE, pause * 1.5)
+                self._lost_again = True
             except StoreError as error:
                 self._note_lost(error)
                 gevent.sleep(pause)
                 pause = min(_LONGEST_PAUSE, pause * 1.5)
 
-    def _step(self) -> None:
+    def _step(self) -> bool:
+        """List or watch once; return whether it was a watch."""
+        watching = self._listed
         if not self._listed:
             listing = self._store.list(self._prefix)
             self._knowledge.take_listing(listing, read_clock())
@@ -111,6 +119,7 @@
         self._knowledge.note_heard(listing.position, read_clock())
         self._note_back()
         gevent.sleep(choose_pause(self._is_leading(), len(listing.items)))
+        return watching
 
     def _note_lost(self, error: StoreError) -> None:
         self._knowledge.directory.note_disturbance(read_clock())
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -326,7 +326,9 @@
 
     def _forget_gone(self, now: float) -> None:
         """Forget upstreams that neither are registered nor own anything."""
-        if self._recovery.busy:
+        if not self._has_all_tables():
+            # Whoever has left may hold keys of an earlier era, and has to be
+            # asked for them.
             return
         known = {each.name for each in self._knowledge.directory.list_all()}
         for each in self._knowledge.tables.values():
@@ -335,6 +337,14 @@
         self._lanes.forget(known)
         self._limits.prune(now)
 
+    def _has_all_tables(self) -> bool:
+        """Tell whether the owners of all keys are known in this era."""
+        era = self._position.era
+        return all(
+            self._knowledge.find_table_of(service, era) is not None
+            for service in self._knowledge.policy.list_keyed()
+        )
+
     def _lead_service(
         self, service: ServiceName, balance: bool, now: float
     ) -> None:
--- a/sedgetide/daemons/_recoverydesk.py
+++ b/sedgetide/daemons/_recoverydesk.py
@@ -56,11 +56,6 @@
         self._services: dict[ServiceName, _ServiceRecovery] = {}
         self._done: set[ServiceName] = set()
 
-    @property
-    def busy(self) -> bool:
-        """Whether any service is not recovered yet."""
-        return bool(self._services)
-
     def close(self) -> None:
         """Ask nobody any more."""
         for service in list(self._services):
--- a/tests/daemons/test_campaign.py
+++ b/tests/daemons/test_campaign.py
@@ -7,6 +7,7 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
+from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
@@ -211,6 +212,21 @@
         self.campaign.resign()
         self.assertEqual([], calls)
 
+    def test_lease_of_a_stand_that_a_return_cut_short_is_left_alone(self):
+        # Guards against an end to the lease of whoever has its id now.
+        ended = []
+
+        def conflict(era, expected, writes):
+            self.return_from_copy()
+            raise StoreConflict(Step.WRITE, "store", 0, -1)
+
+        self.store.transact = conflict
+        self.store.end_lease = ended.append
+        self.step()
+        self.step(1.0)
+        self.assertEqual([], ended)
+        self.assertEqual(NO_POSITION, self.leadership.term)
+
     def test_stands_in_the_new_era_once_it_has_listed_the_store(self):
         # Guards against standing by what was known of the era before.
         self.stand()
--- a/tests/daemons/test_follower.py
+++ b/tests/daemons/test_follower.py
@@ -1,8 +1,19 @@
 """Tests of how often a host asks the store."""
 
+import contextlib
+
+import gevent
 import testtools
 
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import HistoryLost
+from sedgetide.core.errors import Step
 from sedgetide.daemons._follower import choose_pause
+from sedgetide.daemons._follower import Follower
+from sedgetide.daemons._knowledge import Knowledge
+from sedgetide.testing.leasestore import LeaseStoreModel
+from tests.daemons.test_campaign import FakeCatalogue
+from tests.daemons.test_campaign import ModelStore
 
 
 class TestChoosePause(testtools.TestCase):
@@ -22,3 +33,36 @@
 
     def test_leader_acts_at_once(self):
         self.assertEqual(0.0, choose_pause(leading=True, news=5))
+
+
+class LosingStore(ModelStore):
+    """Lists what it holds, and remembers no history at all."""
+
+    def __init__(self, model):
+        super().__init__(model)
+        self.listed = 0
+
+    def list(self, prefix):
+        self.listed += 1
+        gevent.sleep(0.001)
+        return super().list(prefix)
+
+    def watch(self, prefix, since, wait):
+        raise HistoryLost(
+            ErrorCode.STORE_UNAVAILABLE, Step.WATCH, "store", "gone"
+        )
+
+
+class TestFollower(testtools.TestCase):
+    """What a host asks of the store again and again."""
+
+    def test_history_that_stays_lost_is_asked_for_at_intervals(self):
+        # Guards against sixty whole listings a second, of each host.
+        store = LosingStore(LeaseStoreModel())
+        knowledge = Knowledge(FakeCatalogue())
+        follower = Follower(store, "", knowledge, lambda: False, lambda: True)
+        with contextlib.ExitStack() as stack:
+            follower.start(stack)
+            gevent.sleep(0.6)
+        self.assertGreaterEqual(store.listed, 2)
+        self.assertLess(store.listed, 6)
