A host that the store turns away hears of a new era from its former leader

Found by reading: such a host reports to the leader it knows, which leads no more, and hears from nobody that the store has come back. Its callers would get older routes, and requests would reach upstreams that have left, for as long as the store turns it away. The former leader's host now tells it all there is in the new era, among it who leads (test in passed-in time).

--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -71,6 +71,7 @@
         self._subscribers: dict[LinkAddress, _Subscriber] = {}
         self._book = PatchBook()
         self._told: dict[LinkAddress, float] = {}
+        self._behind: dict[LinkAddress, float] = {}
         self._large_at = float("-inf")
 
     def note_report(
@@ -80,6 +81,23 @@
         self._subscribers[link] = _Subscriber(now, position)
         self._feed(link, self._subscribers[link], now)
 
+    def tell_era(
+        self, link: LinkAddress, position: Position, now: float
+    ) -> None:
+        """Tell a host that reports to a former leader of the era it missed.
+
+        The store turns it away, else it would have listed it by then; it
+        learns from nobody else who leads now.
+        """
+        if position.era >= self._knowledge.as_of.era:
+            self._behind.pop(link, None)
+            return
+        since = self._behind.setdefault(link, now)
+        if now - since >= _READING:
+            subscriber = _Subscriber(now, NO_POSITION)
+            items = self._knowledge.list_present()
+            self._pass_on(link, subscriber, items, [], now)
+
     def publish(self, now: float) -> None:
         """Tell all hosts what has come since they were told last."""
         for link, subscriber in list(self._subscribers.items()):
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -167,6 +167,8 @@
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.position, now)
             self._name_lenders(sender, report.standing, now)
+        elif sender is not None:
+            self._feed.tell_era(sender, report.position, now)
         for upstream in report.leaving:
             self._knowledge.note_leaving(upstream)
         self._limits.note(report.limits, now)
--- a/tests/daemons/test_feed.py
+++ b/tests/daemons/test_feed.py
@@ -291,6 +291,21 @@
         self.assertEqual(at(4, 1), self.host.as_of)
         self.assertEqual(1, self.eras.newest)
 
+    def test_former_leader_tells_of_the_era(self):
+        # Guards against a host that the store turns away for long, and that
+        # goes on reporting to who led before.
+        self.feed_both()
+        self.return_from_copy(["u-2"])
+        for moment in (101.0, 101.4, 101.8):
+            self.source.tell_era(LINK, self.host.as_of, moment)
+        self.assertEqual([], self.sent)
+        self.leader.note_heard(at(4, 1), 102.1)
+        self.source.tell_era(LINK, self.host.as_of, 102.1)
+        self.deliver(102.1)
+        self.assertEqual(at(4, 1), self.host.as_of)
+        self.source.tell_era(LINK, self.host.as_of, 102.5)
+        self.assertEqual([], self.sent)
+
     def test_host_is_sent_to_the_store_first(self):
         # Guards against a leader that sends all there is to each host.
         self.feed_both()
