An upstream whose entry stands on after a return is back in the end

The copies first lacked the two upstreams without keys, which were dropped when the grace was over, and a later copy showed them: they counted as leaving until they changed their entries, which a live upstream has no reason to do (a renewal is no change). They count as leaving for 4 s now, in which the entry of one that is gone has lapsed.

--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -19,6 +19,8 @@
 RETURN_GRACE = 2.3
 # A lost upstream's entry lapses within this time.
 _FOREIGN_LIFE = 3.0
+# Seconds; within them an entry has lapsed that nobody renews.
+_REVIVED_LIFE = 4.0
 # Upstreams that were ever seen, kept to know late entries of old starts: an
 # entry outlives its upstream by seconds, and 4,000 starts are more than any
 # deployment sees in that time, at 200 bytes each.
@@ -99,7 +101,7 @@
         self._unreadable: set[IncarnationName] = set()
         self._foreign: dict[IncarnationName, float] = {}
         self._announced: dict[IncarnationName, None] = {}
-        self._revived: set[IncarnationName] = set()
+        self._revived: dict[IncarnationName, float] = {}
         self._disturbed_until = float("-inf")
         self.changed_at = float("-inf")
 
@@ -142,8 +144,8 @@
         ----------
         copied : bool
             Whether a copy shows it, from which the registry has come back.
-            An upstream that had gone by then counts as leaving, unless it
-            writes its entry again.
+            An upstream that had gone by then counts as leaving until its
+            entry must have lapsed, unless it changes its entry.
         """
         known = self._born.get(entry.registered_name, UNKNOWN_BIRTH)
         if entry.born == UNKNOWN_BIRTH != known:
@@ -155,7 +157,7 @@
         former = self._current.get(entry.registered_name)
         if former is not None and former != name:
             self._drop(former, now)
-        self._note_revived(name, copied)
+        self._note_revived(name, copied, now)
         self._note_seen(entry, now)
         if entry.warmup > 0:
             self._cold_until[name] = now + entry.warmup
@@ -169,12 +171,14 @@
         self._current[entry.registered_name] = name
         self.changed_at = now
 
-    def _note_revived(self, name: IncarnationName, copied: bool) -> None:
+    def _note_revived(
+        self, name: IncarnationName, copied: bool, now: float
+    ) -> None:
         gone = name in self._first_seen and name not in self._entries
         if copied and gone:
-            self._revived.add(name)
+            self._revived[name] = now + _REVIVED_LIFE
         elif not copied:
-            self._revived.discard(name)
+            self._revived.pop(name, None)
 
     def _note_seen(self, entry: RegisteredUpstream, now: float) -> None:
         self._born[entry.registered_name] = entry.born
@@ -219,9 +223,18 @@
             self.put(each, now)
 
     def expire(self, now: float) -> bool:
-        """Drop entries whose grace is over; return whether any was."""
+        """Take in that time has passed; return whether it changed anything.
+
+        Entries whose grace is over are dropped. Upstreams that had gone, and
+        whose entries a copy shows and nobody took away since, are back: a
+        live one need not change its entry for it.
+        """
+        back = [name for name, end in self._revived.items() if end <= now]
+        for name in back:
+            del self._revived[name]
+            self.changed_at = now
         if now < self._disturbed_until or not self._missing:
-            return False
+            return bool(back)
         for name in list(self._missing):
             self._drop(name, now)
         return True
@@ -273,7 +286,7 @@
         self._foreign.pop(name, None)
         self._cold_until.pop(name, None)
         self._missing.discard(name)
-        self._revived.discard(name)
+        self._revived.pop(name, None)
         self._unreadable.discard(name)
         entry = self._entries.pop(name, None)
         if (
--- a/sedgetide/testing/platformstore.py
+++ b/sedgetide/testing/platformstore.py
@@ -94,6 +94,8 @@
             maxlen=_COPIES
         )
         self._changes = Changes()
+        # What operators wrote last, whatever became of it.
+        self._wanted: dict[str, bytes | None] = {}
         self._entries: dict[str, LeaseId] = {}
         self._fault: StoreFault | None = None
         self._fault_until = 0.0
@@ -226,6 +228,9 @@
         """Write a key, or remove it; with a life it lapses by itself."""
         document = msgspec.json.decode(request.body)
         key, value = document["key"], document.get("value")
+        if key.startswith(_names.OPERATOR_PREFIX):
+            wanted = None if value is None else msgspec.json.encode(value)
+            self._wanted[key] = wanted
         if value is None:
             if self.model.find(key) is not None:
                 self.model.put(key, None)
@@ -275,36 +280,25 @@
             if copy.made_at <= made_before:
                 found = copy
         self._fault = StoreFault.DOWN
-        self._fault_until = time.monotonic() + seconds
+        self._fault_until = float("inf")
         gevent.spawn_later(seconds, self._come_back, found)
 
     def _come_back(self, copy: _Copy) -> None:
-        lost = self._list_written()
+        self._fault_until = 0.0
         self.model.restore(copy.store, time.monotonic())
         self._entries = dict(copy.entries)
         self._copies.clear()
         self._changes.announce()
-        back = self._list_written()
-        for key in lost.keys() | back.keys():
-            if lost.get(key) != back.get(key):
-                gevent.spawn_later(
-                    random.uniform(0.0, _WRITTEN_AGAIN),
-                    self._write_again,
-                    key,
-                    lost.get(key),
-                    self.model.find(key),
-                )
-
-    def _list_written(self) -> dict[str, bytes]:
-        """Return what operators have written."""
-        listing = self.model.list(_names.OPERATOR_PREFIX)
-        return {item.key: item.value for item in listing.items}
+        for key in self._wanted:
+            gevent.spawn_later(
+                random.uniform(0.0, _WRITTEN_AGAIN), self._write_again, key
+            )
 
-    def _write_again(
-        self, key: str, value: bytes | None, found: Item | None
-    ) -> None:
-        """Write what was lost, unless it was written anew meanwhile."""
-        if self.model.find(key) == found:
+    def _write_again(self, key: str) -> None:
+        """Have a key be as operators wrote it last."""
+        found = self.model.find(key)
+        value = self._wanted[key]
+        if value != (None if found is None else found.value):
             self.model.put(key, value)
             self._changes.announce()
 
--- a/tests/daemons/test_knowledge.py
+++ b/tests/daemons/test_knowledge.py
@@ -172,6 +172,17 @@
         self.write(6.0, "u1", READY, era=1)
         self.assertEqual(["u1"], self.list_active())
 
+    def test_upstream_whose_entry_does_not_lapse_is_back(self):
+        # Guards against one that lives, was missing in one copy for long,
+        # stands in the next, and has no reason to change its entry.
+        self.write(1.0, "u1", READY)
+        self.write(2.0, "u1", None)
+        self.return_from_copy(5.0, u1=READY)
+        self.known.directory.expire(8.9)
+        self.assertEqual([], self.list_active())
+        self.assertTrue(self.known.directory.expire(9.1))
+        self.assertEqual(["u1"], self.list_active())
+
     def test_upstream_that_is_missing_has_two_seconds(self):
         # Guards against keys taken from all that registered lately.
         self.write(1.0, "u1", READY)
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -20,10 +20,15 @@
     "had crashed, and its successor waited 9.8 s before it moved the keys; "
     "207 of 291 were served from 7.5 s after the last fault on",
     4012: "the same after a planned stop of the leader: 203 of 280",
+    8017: "the stand-in store forgot what operators had written between two "
+    "returns, and a route was denied for good",
+    8019: "upstreams that were missing in one copy and stood in the next "
+    "counted as leaving for good: 171 of 254 were served",
 }
 EVACUATED_AND_COLD = 5001
 COPIES_AND_ALL_HOSTS_LOST = 6004
 ASKING_AND_RESTARTED = 7001
+RETURNS_IN_SERIES = 8019
 
 
 class TestProgram(testtools.TestCase):
@@ -67,3 +72,7 @@
         # Guards against limits, leaving and backoffs that get lost in faults:
         # a host and an upstream are killed meanwhile.
         self.play(ASKING_AND_RESTARTED)
+
+    def test_store_that_comes_back_from_copies_in_series(self):
+        # Guards against live upstreams that count as leaving after a return.
+        self.play(RETURNS_IN_SERIES)
