--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -69,6 +69,10 @@
             return False
         return self._leadership.may_order(now)
 
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the last proof came when it was due."""
+        return self.may_order(now) and self._leadership.is_fresh(now)
+
     def prepare_grant(
         self, upstream: IncarnationName, keys: KeyRange, now: float
     ) -> Grant | None:
--- a/sedgetide/daemons/_recoverydesk.py
+++ b/sedgetide/daemons/_recoverydesk.py
@@ -151,14 +151,16 @@
         """Ask all for their keys, once each of them can be reached.
 
         While one can't, nothing may be granted anyway, and the others go on
-        serving under what they were granted before.
+        serving under what they were granted before. So they do while the
+        store is silent: the table could not be written.
         """
         reached = state.reached.issuperset(upstreams)
+        ready = reached and self._term.is_fresh(read_clock())
         for upstream in upstreams:
             task = state.tasks.get(upstream)
             if task is not None and not task.ready():
                 continue
-            if reached:
+            if ready:
                 state.tasks[upstream] = gevent.spawn(
                     self._release, state, upstream
                 )
--- a/tests/daemons/test_recoverydesk.py
+++ b/tests/daemons/test_recoverydesk.py
@@ -109,6 +109,18 @@
         self.assertIsNone(self.drive(0.7))
         self.assertEqual(0, sum(self.count_released().values()))
         self.lanes.lanes["u-3"].reached = True
+        self.leadership.note_read(self.leadership.term, read_clock())
+        self.assertIsNotNone(self.drive())
+
+    def test_nobody_gives_back_while_the_store_is_silent(self):
+        # Guards against keys that are dark since no table can be written.
+        self.begin()
+        silent = read_clock() - 2.1 * self.durations.verify
+        self.leadership.begin(self.leadership.term, silent, read_clock())
+        self.assertTrue(self.term.may_order(read_clock()))
+        self.assertIsNone(self.drive(0.5))
+        self.assertEqual(0, sum(self.count_released().values()))
+        self.leadership.note_read(self.leadership.term, read_clock())
         self.assertIsNotNone(self.drive())
 
     def test_unanswered_release_is_none(self):
