Hosts with narrow links let others lead and lend

Cause: with 91 hosts the leader was one of 1.07 cores and 5 Mbit/s. Answers of up to 540 KB to its own callers occupy such a link for 0.9 s: grants timed out while connecting, the first moves took 1.6 to 3 s and the leader's lease expired at 3.4 s. Ruled out: planning time and the size of table patches (614 bytes for 60 moves).

Change: setting link_mbps; the election delay and the order of lenders follow the scarcer of processor time and bandwidth.

--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -20,6 +20,7 @@
 from sedgetide.core.errors import Step
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import HostName
+from sedgetide.core.membership.capacity import HostCapacity
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.timing import Timing
 
@@ -172,6 +173,8 @@
         Speed of the processors as a multiple of one core.
     memory_mb : float
         Memory of the process in megabytes; limits the request bodies held.
+    link_mbps : float
+        Bandwidth of the host's network link in megabits per second.
     limits : Limits
         Further limits. A planned stop may take ``grace`` minus a reserve;
         ``drain`` is not used.
@@ -199,6 +202,7 @@
     processor_share: PositiveFloat = 1.0
     processors: PositiveFloat = 1.0
     memory_mb: PositiveFloat = 1024.0
+    link_mbps: PositiveFloat = 1000.0
     limits: Limits = Limits()
     durations: Durations = Durations()
     log_level: str = "INFO"
@@ -213,6 +217,11 @@
         """Number of cores that the host may use, possibly a fraction."""
         return self.processor_share * self.processors
 
+    @property
+    def capacity(self) -> HostCapacity:
+        """Capacity of the host to lead and to lend places."""
+        return HostCapacity(self.available_cores, self.link_mbps)
+
     def fit_durations(self) -> Durations:
         """Return the durations, capped at the hold that upstreams accept."""
         return self.durations.cap_holds(self.max_hold_ms / 1000.0)
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -14,6 +14,7 @@
 
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.membership.capacity import HostCapacity
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.rendezvous import choose_candidate
 
@@ -44,12 +45,20 @@
         Version of the lender list that the host knows.
     quarantine : int
         Version of the host's quarantine.
+    link_mbps : float
+        Bandwidth of the host's network link, in megabits per second.
     """
 
     data_centre: DataCentre = DataCentre("")
     processors: float = 0.0
     lenders: int = 0
     quarantine: int = 0
+    link_mbps: float = 1000.0
+
+    @property
+    def capacity(self) -> HostCapacity:
+        """Capacity of the host to lend places."""
+        return HostCapacity(self.processors, self.link_mbps)
 
 
 class LendingHost(msgspec.Struct, frozen=True, array_like=True):
@@ -227,6 +236,7 @@
             ),
             key=lambda link: (
                 link not in present,
+                capable[link].capacity.find_shortfall(),
                 -capable[link].processors,
                 link,
             ),
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -17,29 +17,29 @@
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.membership.capacity import HostCapacity
 
 NEVER = float("-inf")
 _RENEWALS_PER_HOLD = 3
 _FRESH_VERIFY_INTERVALS = 2
-_SUFFICIENT_CORES = 1.0
 _MAX_ELECTION_DELAY = 0.6
 
 
-def find_election_delay(processors: float) -> float:
+def find_election_delay(capacity: HostCapacity) -> float:
     """Return by how many seconds a host delays its candidacy for leader.
 
-    Hosts with less than one core of processor time let stronger hosts go
-    first. The leader renews every grant and sends updates to every host;
-    in a large deployment this can saturate a weak host, and grants expire
-    while their renewals are queued.
+    Hosts with little processor time or a narrow link let stronger hosts go
+    first. The leader renews every grant and sends updates to every host; in
+    a large deployment this can saturate a weak host, and grants expire while
+    their renewals are queued. On a narrow link a single large answer to a
+    caller delays them by as much.
 
     Parameters
     ----------
-    processors : float
-        Processor time available to the host, in cores.
+    capacity : HostCapacity
+        Processor time and bandwidth of the host.
     """
-    lacking = max(0.0, _SUFFICIENT_CORES - processors)
-    return _MAX_ELECTION_DELAY * lacking / _SUFFICIENT_CORES
+    return _MAX_ELECTION_DELAY * capacity.find_shortfall()
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
--- a/sedgetide/daemons/_election.py
+++ b/sedgetide/daemons/_election.py
@@ -13,6 +13,8 @@
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
 from sedgetide.core.history import NO_POSITION
+from sedgetide.core.membership.capacity import HostCapacity
+from sedgetide.core.membership.capacity import SUFFICIENT_CAPACITY
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_election_delay
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -45,8 +47,8 @@
         Current leader, as read from the store.
     durations : Durations
         Time to live of the lease and interval of verification.
-    processors : float
-        Number of processor cores available to the host.
+    capacity : HostCapacity
+        Processor time and bandwidth of the host.
     """
 
     def __init__(
@@ -56,10 +58,10 @@
         leadership: Leadership,
         deployment: DeploymentState,
         durations: Durations,
-        processors: float = 1.0,
+        capacity: HostCapacity = SUFFICIENT_CAPACITY,
     ) -> None:
         self._store = store
-        self._election_delay = find_election_delay(processors)
+        self._election_delay = find_election_delay(capacity)
         self._record = record
         self._leadership = leadership
         self._deployment = deployment
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -246,7 +246,7 @@
             leadership,
             self._deployment,
             durations,
-            self._settings.available_cores,
+            self._settings.capacity,
         )
         return Leader(
             self._open_store(),
@@ -368,12 +368,13 @@
             self._transport.send(link, report)
 
     def _make_status(self) -> HostStatus:
-        cores = self._settings.available_cores
+        capacity = self._settings.capacity
         return HostStatus(
             DataCentre(self._settings.data_centre),
-            0.0 if self._stopping else cores,
+            0.0 if self._stopping else capacity.processors,
             self._deployment.lenders.version,
             self._deployment.quarantine.version,
+            capacity.link_mbps,
         )
 
     # Admin
--- a/tests/coding/test_settings.py
+++ b/tests/coding/test_settings.py
@@ -39,6 +39,7 @@
     "limits.cpu-share": 0.001,
     "limits.cores": 0.001,
     "limits.memory-mb": 1,
+    "limits.link-mbps": 0.001,
 }
 TYPICAL = {
     "bounds.grace-s": 6,
@@ -51,6 +52,7 @@
     "limits.cpu-share": 0.43,
     "limits.cores": 1,
     "limits.memory-mb": 200,
+    "limits.link-mbps": 5,
 }
 
 
@@ -116,6 +118,7 @@
         self.assertEqual(30.71, found.retry_slack)
         self.assertEqual(6.0, found.grace)
         self.assertAlmostEqual(0.43, found.available_cores)
+        self.assertEqual(5.0, found.capacity.link_mbps)
         self.assertEqual(5000.0, found.evacuate_ms)
         self.assertEqual(1.5, found.cold_overrun)
         self.assertEqual(8.0, found.cold_slack)
@@ -128,6 +131,7 @@
             ("bounds.warmup-slack", "8", '$.cold_slack: "8"'),
             ("bounds.max-hold-ms", 5, "$.max_hold_ms: 5"),
             ("limits.cores", "two", '$.processors: "two"'),
+            ("limits.link-mbps", 0, "$.link_mbps: 0"),
         )
         for name, value, shown in wrong:
             error = self.assertRaises(
--- a/tests/core/membership/test_lenders.py
+++ b/tests/core/membership/test_lenders.py
@@ -97,6 +97,17 @@
         chosen = self.choose(make_upstreams(20), 2.0)
         self.assertEqual([make_link(8), make_link(9)], chosen)
 
+    def test_hosts_with_broad_links_lend(self):
+        # On a narrow link, places wait behind large answers to callers.
+        for index, link_mbps in enumerate((5.0, 5.0, 100.0)):
+            self.selector.note(
+                make_link(index),
+                HostStatus(NORTH, 2.0 - index / 4, 0, 0, link_mbps),
+                2.0,
+            )
+        self.report(10, 1.9, SOUTH)
+        self.assertEqual([make_link(2)], self.choose(make_upstreams(10), 2.0))
+
     def test_current_lenders_are_kept(self):
         self.report(10, 2.0, weak=range(5))
         before = self.choose(make_upstreams(10), 2.0)
--- a/tests/daemons/test_election.py
+++ b/tests/daemons/test_election.py
@@ -12,6 +12,7 @@
 from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
+from sedgetide.core.membership.capacity import HostCapacity
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_election_delay
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -24,6 +25,7 @@
 
 LEADER_KEY = make_leader_key(FIRST_ERA)
 AS_OF = Position(FIRST_ERA, 1)
+STRONG = HostCapacity(2.0, 100.0)
 
 
 class FakeRegistry(RegistryDialect):
@@ -120,21 +122,29 @@
         # The leader of ninety hosts renews some five hundred grants a second.
         # A leader with 0.4 of a core falls behind: grants expire and callers
         # of their keys are refused.
-        latest_strong_delay = find_election_delay(2.0) + 0.4
+        self.check_lets_stronger_ones_run_first(HostCapacity(0.4))
+
+    def test_host_with_a_narrow_link_lets_stronger_ones_run_first(self):
+        # A leader on a link of 5 Mbit/s was busy for a second with each large
+        # answer to a caller: grants timed out and its lease expired.
+        self.check_lets_stronger_ones_run_first(HostCapacity(2.0, 5.0))
+
+    def check_lets_stronger_ones_run_first(self, capacity):
+        latest_strong_delay = find_election_delay(STRONG) + 0.4
         weak = Election(
             self.store,
             LeaderRecord("h-2", "y", "1.1.1.2:1"),
             Leadership(self.durations),
             self.deployment,
             self.durations,
-            processors=0.4,
+            capacity,
         )
         now = read_clock()
         for later in (0.0, 0.2, 0.3):
             self.deployment.record_sync(AS_OF, now)
             weak.step(now + later)
         self.assertIsNone(self.model.find(LEADER_KEY))
-        weak.step(now + latest_strong_delay + find_election_delay(0.4))
+        weak.step(now + latest_strong_delay + find_election_delay(capacity))
         self.assertIsNotNone(self.model.find(LEADER_KEY))
 
     def test_does_not_run_on_outdated_state(self):
