Hosts that the store turns away ask lenders for the leader

Cause: the store turned away a third of the hosts for nine seconds, their leader with them. Its successor was elected within two seconds, but those hosts went on reporting to the former leader, which had no news either. Until the store answered them again they sent requests to owners that had been replaced: at 9 s all 'not-owner' answers of that second came from these 32 hosts.

Ruled out: slow grants of the new leader (ranges of lost upstreams moved within 0.2 s of the proof of their end).

Change: a host without news for 1.2 s asks one lender after the other for a leader newer than the one it knows, reports to it, and is fed by it. The question is a field of the load report, which hosts of earlier versions ignore.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -23,6 +23,7 @@
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.assignment import Member
 from sedgetide.core.ownership.assignment import ShardKey
+from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.load import KeyWork
 from sedgetide.core.ownership.load import UpstreamWork
 from sedgetide.core.ownership.ranges import Tenure
@@ -221,6 +222,10 @@
     limits : dict
         Rate limits that the host enforces as a lender, in requests per
         second.
+    leader : Position or None
+        Asks the receiver for a leader elected after this position; None if
+        the host is in contact with the store or the leader. Hosts of earlier
+        versions ignore it.
     """
 
     keys: list[KeyWork]
@@ -229,6 +234,22 @@
     standing: HostStatus = HostStatus()
     leaving: list[IncarnationName] = []
     limits: dict[IncarnationName, float] = {}
+    leader: Position | None = None
+
+
+class LeaderNotice(Message, tag="leader"):
+    """Answer to a host that has lost contact with the leader and the store.
+
+    Parameters
+    ----------
+    record : LeaderRecord
+        Record of the leader that the sender knows.
+    position : Position
+        Position of the record in the history of the store.
+    """
+
+    record: LeaderRecord
+    position: Position
 
 
 class Patch(msgspec.Struct, frozen=True, array_like=True):
@@ -464,6 +485,7 @@
     | Response
     | Cancel
     | LoadReport
+    | LeaderNotice
     | Moved
     | StoreFeed
     | Lenders
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -315,6 +315,28 @@
         name = "" if self.leader is None else self.leader.record.host
         log_event(Event.LEADER, leader=name, revision=position)
 
+    def note_leader(self, record: LeaderRecord, position: Position) -> bool:
+        """Apply a leader's record that another host has read.
+
+        Until the store or the new leader itself confirms it, the record only
+        decides to whom this host reports.
+
+        Returns
+        -------
+        bool
+            Whether it is newer than everything that this host has read.
+        """
+        known = self.leader
+        newest = (
+            self.as_of if known is None else max(self.as_of, known.position)
+        )
+        if position.era != self._era or position <= newest:
+            return False
+        self.leader = KnownLeader(record, position)
+        log_event(Event.LEADER, leader=record.host, revision=position)
+        self.changes.notify_all()
+        return True
+
     def _apply_quarantine(
         self,
         value: bytes | None,
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -32,6 +32,11 @@
     "Places asked for at upstreams, by what the lender said.",
     ["verdict"],
 )
+LEADERS_FOUND = Counter(
+    "sedgetide_leaders_found",
+    "Leaders that this host learnt of from a lender, while the store turned "
+    "it away.",
+)
 TRIALS = Counter(
     "sedgetide_trials",
     "Requests under which upstreams have ended that asked to run, by what "
--- a/sedgetide/daemons/_loadreporter.py
+++ b/sedgetide/daemons/_loadreporter.py
@@ -113,12 +113,18 @@
     def find_leader_link(self) -> LinkAddress | None:
         """Return the link address of the leader; None if unknown."""
 
+    def find_contact(self) -> LinkAddress | None:
+        """Return a host to ask for the leader; None in normal operation."""
+
     def find_position(self) -> Position:
         """Return the position up to which this host is synced."""
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         """Send a report to a link address."""
 
+    def ask_leader(self, contact: LinkAddress) -> None:
+        """Ask another host which host leads."""
+
 
 class LoadReporter:
     """Sends load reports to the leader at short intervals.
@@ -142,6 +148,9 @@
     def _loop(self) -> None:
         while True:
             gevent.sleep(_INTERVAL)
+            contact = self._transport.find_contact()
+            if contact is not None:
+                self._transport.ask_leader(contact)
             link = self._transport.find_leader_link()
             if link is None:
                 continue
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -23,6 +23,7 @@
 from sedgetide.coding.messages import AskTrial
 from sedgetide.coding.messages import EndPlace
 from sedgetide.coding.messages import EndTrial
+from sedgetide.coding.messages import LeaderNotice
 from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
@@ -33,11 +34,13 @@
 from sedgetide.coding.messages import TrialVerdict
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.history import FIRST_ERA
+from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.membership.evacuations import Evacuations
+from sedgetide.core.membership.leadercontacts import LeaderContacts
 from sedgetide.core.membership.lenders import HostStatus
 from sedgetide.core.membership.lenders import LendingHost
 from sedgetide.core.membership.partitions import PartitionDetector
@@ -55,6 +58,7 @@
 from sedgetide.daemons._hostmetrics import BODY_BYTES_IN_HAND
 from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
 from sedgetide.daemons._hostmetrics import EVACUATED
+from sedgetide.daemons._hostmetrics import LEADERS_FOUND
 from sedgetide.daemons._hostmetrics import LEADING
 from sedgetide.daemons._hostmetrics import POLICY_VERSION
 from sedgetide.daemons._hostmetrics import REQUESTS_IN_HAND
@@ -152,6 +156,7 @@
         self._meter = LoadMeter()
         self._partitions = PartitionDetector(settings.data_centre)
         self._withdrawn = False
+        self._leader_contacts = LeaderContacts(LinkAddress(settings.link))
         self._transport = Transport(
             settings.link,
             _MAX_LINK_BYTES,
@@ -327,6 +332,8 @@
             self._handle_report(message, LinkAddress(sender))
         elif isinstance(message, StoreFeed):
             self._feed.handle_feed(message, read_clock())
+        elif isinstance(message, LeaderNotice):
+            self._handle_leader_notice(message)
         elif isinstance(message, Moved):
             self._deployment.complete_moves(message.service, message.tenures)
         elif isinstance(message, Lenders):
@@ -342,9 +349,26 @@
 
     def _handle_report(self, report: LoadReport, link: LinkAddress) -> None:
         now = read_clock()
+        if report.leader is not None:
+            self._answer_leader_question(report.leader, link)
+            return
         self._quarantine.note_report(link, report.standing.quarantine, now)
         self._leader.note_report(report, link, now)
 
+    def _answer_leader_question(
+        self, known: Position, link: LinkAddress
+    ) -> None:
+        """Tell a host that has lost contact who leads, if that is news."""
+        leader = self._deployment.leader
+        if leader is not None and leader.position > known:
+            self._transport.send(
+                link, LeaderNotice(leader.record, leader.position)
+            )
+
+    def _handle_leader_notice(self, notice: LeaderNotice) -> None:
+        if self._deployment.note_leader(notice.record, notice.position):
+            LEADERS_FOUND.inc()
+
     def _drop_message(self, message: Message) -> None:
         """Ignore a message that wasn't sent; the next load report suffices."""
 
@@ -358,6 +382,20 @@
         leader = self._deployment.leader
         return None if leader is None else leader.record.link
 
+    def find_contact(self) -> LinkAddress | None:
+        lenders = self._deployment.lenders.hosts
+        return self._leader_contacts.choose(
+            [each.link for each in lenders],
+            self.find_leader_link(),
+            self._deployment.heard_at,
+            read_clock(),
+        )
+
+    def ask_leader(self, contact: LinkAddress) -> None:
+        leader = self._deployment.leader
+        known = NO_POSITION if leader is None else leader.position
+        self._transport.send(contact, LoadReport([], [], leader=known))
+
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         report.standing = self._make_status()
         report.leaving = self._deployment.directory.list_announced()
--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -104,6 +104,47 @@
         self.assertEqual(11.3, self.deployment.find_reregistration_end())
 
 
+class TestLeaderNotice(testtools.TestCase):
+    """Leader's record that another host has read."""
+
+    def setUp(self):
+        super().setUp()
+        self.deployment = DeploymentState(FakeRegistry())
+        items = [Item(make_leader_key(0), Position(0, 7), LEADER)]
+        self.deployment.apply_listing(Listing(items, Position(0, 9)), 1.0)
+        self.deployment.record_sync(Position(0, 9), 1.0)
+        self.successor = LeaderRecord("h-2", "y", "1.1.1.2:1")
+
+    def find_leader(self):
+        return self.deployment.leader.record.host
+
+    def test_newer_leader_replaces_the_known_one(self):
+        # Guards against reports to a leader that has been replaced while the
+        # store turned this host away.
+        self.assertTrue(
+            self.deployment.note_leader(self.successor, Position(0, 12))
+        )
+        self.assertEqual("h-2", self.find_leader())
+
+    def test_notice_older_than_the_state_is_ignored(self):
+        # Guards against a late notice that undoes what the store has said.
+        for revision in (6, 7, 9):
+            position = Position(0, revision)
+            self.assertFalse(
+                self.deployment.note_leader(self.successor, position)
+            )
+        self.assertEqual("h-1", self.find_leader())
+
+    def test_notice_of_another_era_is_ignored(self):
+        # A record of an earlier era proves nothing, and a later era is
+        # learnt from the store or from the feed.
+        self.deployment.note_era(1, 2.0)
+        self.assertFalse(
+            self.deployment.note_leader(self.successor, Position(0, 12))
+        )
+        self.assertIsNone(self.deployment.leader)
+
+
 class Registry(FakeRegistry):
     """Upstreams that are ready or leaving, and an evacuation request."""
 
