--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,14 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
+# Workers of the test run. Most tests wait for processes, so that there may be
+# more workers than cores; more than six start too many processes at once.
+TEST_WORKERS ?= 6
+
 .PHONY: test demo faults soak slopes losses logcost lint clean
 
 test: lint
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n $(TEST_WORKERS)
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
