Each refused or failed request has a reason

A request whose attempts failed and that was not sent again (busy,busy or not-owner,not-owner) was logged with an empty note, or with what it had waited for before it was sent. Error texts of connections stood in the same field.

Change: the enum RefusalReason with the texts that logs had, and decide_reason, which takes the failure that ended the request where nothing else kept it from being sent. A failure clears what the request waited for before. The log line gains detail (error text), no_room_at (upstream without room) and retry_after (seconds that the caller was told); lines without them omit the fields. A host that has not read the routes logs its refusals, and an exception in the router ends in a line with the reason internal-error.

Tests of the selector and of trials compare Refusal values instead of strings, and now also the upstream without room.

--- a/sedgetide/daemons/_requestcontext.py
+++ b/sedgetide/daemons/_requestcontext.py
@@ -9,6 +9,9 @@
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.fingerprints import make_fingerprint
+from sedgetide.core.requests.refusals import decide_reason
+from sedgetide.core.requests.refusals import Refusal
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import SHORT_RETRY_DELAY
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.wire.messages import Answer
@@ -34,8 +37,11 @@
         Last answer that may be returned to the caller.
     retry_after : float
         Seconds after which the caller should retry.
-    note : str
-        Why it got no answer; logged.
+    refusal : Refusal or None
+        What last kept it from being sent; None if nothing has since its last
+        failure.
+    detail : str
+        Error text of the last attempt without a response.
     unreached : int
         Number of failed connection attempts.
     overdue : bool
@@ -62,7 +68,8 @@
     progress: Progress
     answer: Answer | None = None
     retry_after: float = SHORT_RETRY_DELAY
-    note: str = ""
+    refusal: Refusal | None = None
+    detail: str = ""
     unreached: int = 0
     overdue: bool = False
     fence: int = 0
@@ -72,6 +79,16 @@
     alone: bool = False
     fingerprint: Fingerprint | None = None
 
+    def refuse(self, reason: RefusalReason) -> None:
+        """Record what keeps it from being sent; no single upstream does."""
+        self.refusal = Refusal(reason)
+
+    def find_reason(self) -> RefusalReason | None:
+        """Return why it was refused or failed; None if it was answered."""
+        return decide_reason(
+            self.progress.outcome, self.refusal, self.failures
+        )
+
     def find_fingerprint(self) -> Fingerprint:
         """Return the fingerprint that the request and its repeats share."""
         if self.fingerprint is None:
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -1,6 +1,9 @@
 """Logs and metrics of requests."""
 
 from sedgetide.backends.dialects import CallerFields
+from sedgetide.backends.dialects import RequestDialect
+from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import HELD_SECONDS
 from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
@@ -26,6 +29,32 @@
         SENDS.labels(context.service).inc(progress.sends)
 
 
+def _choose_note(context: RequestContext, status: int) -> str:
+    """Return why a request was refused or failed.
+
+    For an answered request, and for one whose caller left, it is what the
+    request waited for before; empty if nothing kept it from being sent.
+    """
+    if status and context.progress.outcome is not Outcome.ANSWERED:
+        return context.find_reason().value
+    refusal = context.refusal
+    return "" if refusal is None else refusal.reason.value
+
+
+def _list_details(context: RequestContext, status: int) -> dict[str, str]:
+    """Return the fields that only lines without an answer have."""
+    details = {}
+    if context.progress.outcome is Outcome.ANSWERED:
+        return details
+    if context.detail:
+        details["detail"] = context.detail
+    if context.refusal is not None and context.refusal.upstream:
+        details["no_room_at"] = context.refusal.upstream
+    if status == 503 and context.progress.outcome is Outcome.NOT_RUN:
+        details["retry_after"] = f"{context.retry_after:g}"
+    return details
+
+
 class RequestLog:
     """Logs each request with the state by which it was routed.
 
@@ -36,10 +65,15 @@
     ----------
     deployment : DeploymentState
         State of the deployment as this host knows it.
+    dialect : RequestDialect
+        Reads the ids of requests that are not routed.
     """
 
-    def __init__(self, deployment: DeploymentState) -> None:
+    def __init__(
+        self, deployment: DeploymentState, dialect: RequestDialect
+    ) -> None:
         self._deployment = deployment
+        self._dialect = dialect
 
     def log_end(
         self, context: RequestContext, status: int, began: float
@@ -57,7 +91,8 @@
             outcome=context.progress.outcome.value,
             failure=context.progress.failure.value,
             failures=",".join(each.value for each in context.failures),
-            note=context.note,
+            note=_choose_note(context, status),
+            **_list_details(context, status),
             caller=context.request.caller,
             fingerprint=context.fingerprint or "",
             upstreams=",".join(context.progress.tried),
@@ -81,3 +116,16 @@
             version=self._deployment.policy.version,
             age_ms=int((read_clock() - self._deployment.heard_at) * 1000),
         )
+
+    def log_no_routes(self, request: Request, retry_after: float) -> None:
+        """Log and count a request refused before the routes are known."""
+        reason = RefusalReason.NO_ROUTES.value
+        log_event(
+            Event.DENIED,
+            id=self._dialect.read_request_id(request.headers) or "",
+            status=503,
+            note=reason,
+            retry_after=f"{retry_after:g}",
+            host_header=find_header(request.headers, "host"),
+            path=request.path[:80],
+        )
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -13,11 +13,11 @@
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
-from sedgetide.core.requests.attempts import Wait
 from sedgetide.core.requests.averages import AnswerAverages
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.overdue import OverdueDetector
 from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retries import compute_burst_limit
 from sedgetide.core.requests.retries import FIRST_TOKENS
 from sedgetide.core.requests.retries import RetryBudget
@@ -122,7 +122,7 @@
             answer_averages,
             crash_detector,
         )
-        self._log = RequestLog(deployment)
+        self._log = RequestLog(deployment, dialect)
 
     def read_limits(self) -> CallerLimits:
         """Return the caller limits in force."""
@@ -144,6 +144,7 @@
         """Serve a request and return its final answer."""
         began = read_clock()
         if self._deployment.routes is None:
+            self._log.log_no_routes(request, STARTUP_RETRY_DELAY)
             return _make_refusal(STARTUP_RETRY_DELAY)
         try:
             fields = self._dialect.read_request(request.headers)
@@ -162,6 +163,12 @@
         except gevent.GreenletExit:
             self._log.log_end(context, 0, began)
             raise
+        except Exception:
+            # The server answers 502.
+            _note_internal_error(context)
+            self._log.log_end(context, 502, began)
+            record_metrics(context, began)
+            raise
         self._log.log_end(context, answer.status, began)
         record_metrics(context, began)
         self._partitions.note_end(context.progress.outcome is Outcome.ANSWERED)
@@ -269,7 +276,7 @@
         remaining = self._quarantine.find_stay_left(context, read_clock())
         if remaining <= 0.0:
             return False
-        context.note = "quarantined"
+        context.refuse(RefusalReason.QUARANTINED)
         context.retry_after = remaining
         QUARANTINE_REFUSALS.labels(context.service).inc()
         return True
@@ -284,14 +291,14 @@
             return False
         backoff = self._selector.find_backoff(context, now)
         if backoff > 0.0:
-            context.note = Wait.BACKING_OFF.value
+            context.refuse(RefusalReason.BACKING_OFF)
             context.retry_after = retry_after_backoff(backoff)
             return False
         if not self._quarantine.may_retry(context):
-            context.note = "suspect"
+            context.refuse(RefusalReason.SUSPECT)
             return False
         if not self._find_budget(context.service).spend():
-            context.note = "no retry budget"
+            context.refuse(RefusalReason.NO_RETRY_BUDGET)
             RETRIES.labels(context.service, "refused").inc()
             return False
         RETRIES.labels(context.service, "spent").inc()
@@ -330,6 +337,12 @@
         return _make_error_answer(504 if silent else 502, "may have run")
 
 
+def _note_internal_error(context: RequestContext) -> None:
+    context.refuse(RefusalReason.INTERNAL_ERROR)
+    # The caller gets a 502, by which the request may have run.
+    context.progress.outcome = Outcome.UNKNOWN
+
+
 def _make_refusal(retry_after: float) -> Answer:
     """Return the answer of a request that has not run and will not run."""
     return Answer(503, [("Retry-After", f"{retry_after:g}")], b"not run\n")
--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -18,6 +18,7 @@
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.ratelimits import StatedLimit
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import retry_after_full_upstream
 from sedgetide.core.requests.retryafter import retry_after_owner_loss
 from sedgetide.core.requests.windows import UpstreamLoad
@@ -105,7 +106,7 @@
         target, channel = permit.target, permit.channel
         now = read_clock()
         if now >= context.times.final:
-            context.note = "too late"
+            context.refuse(RefusalReason.TOO_LATE)
             progress.failure = Failure.UNREACHABLE
             return True
         try:
@@ -122,6 +123,7 @@
                     )
                     context.retry_after = retry_after_owner_loss(absence)
             self._note_failure(context, permit, Failure.UNREACHABLE)
+            context.detail = error.detail[:_MAX_DETAIL_LENGTH]
             return True
         if not may_send():
             channel.pool.give_back(connection)
@@ -147,7 +149,7 @@
                 channel.idle_limit.note_reset(connection.rested, read_clock())
             failure = Failure.SILENT if silent else Failure.BROKEN
             self._note_failure(context, permit, failure)
-            context.note = error.detail[:_MAX_DETAIL_LENGTH]
+            context.detail = error.detail[:_MAX_DETAIL_LENGTH]
             if not silent:
                 self._crash_detector.note_broken(context, target.upstream)
             return True
@@ -328,6 +330,8 @@
         target, channel = permit.target, permit.channel
         context.progress.failure = failure
         context.failures.append(failure)
+        context.refusal = None
+        context.detail = ""
         if failure in (Failure.BUSY, Failure.BROKEN):
             channel.window.note_refusal(load)
         if failure in NO_RESPONSE_FAILURES:
--- a/sedgetide/daemons/_trials.py
+++ b/sedgetide/daemons/_trials.py
@@ -22,6 +22,8 @@
 from sedgetide.core.requests.attempts import NOT_RUN_FAILURES
 from sedgetide.core.requests.places import Ticket
 from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.refusals import Refusal
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.trials import TrialDecision
 from sedgetide.core.requests.trials import TrialEnd
 from sedgetide.core.requests.trials import TrialScheduler
@@ -88,7 +90,7 @@
     def _apply(self, verdict: Verdict) -> None:
         self._verdict = verdict
         if verdict is Verdict.REFUSED:
-            self._context.note = "on trial"
+            self._context.refusal = Refusal(RefusalReason.ON_TRIAL)
             if (
                 self._pending_verdict is not None
                 and self._pending_verdict.retry_after
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -18,6 +18,8 @@
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import rank_request
 from sedgetide.core.requests.ratelimits import StatedLimit
+from sedgetide.core.requests.refusals import Refusal
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import retry_after_backoff
 from sedgetide.core.requests.retryafter import retry_after_limit
 from sedgetide.core.requests.retryafter import retry_after_move
@@ -128,7 +130,7 @@
             if declined:
                 # All remaining upstreams are at their limit.
                 return None
-            context.note = target.value
+            context.refusal = Refusal(RefusalReason(target.value))
             if now >= hold_deadline or self._is_wait_futile(target, now):
                 context.retry_after = self._estimate_retry_after(
                     context, target, now
@@ -158,7 +160,11 @@
                 place = PlaceRefused(_NO_LENDER_RETRY_DELAY)
             if isinstance(place, PlaceRefused):
                 _note_refusal(
-                    context, place.retry_after, cold_bound, stated_limit
+                    context,
+                    target.upstream.name,
+                    place.retry_after,
+                    cold_bound,
+                    stated_limit,
                 )
                 return place
             if place is not None:
@@ -168,7 +174,7 @@
         wait = min(hold_deadline, context.times.final) - read_clock()
         if channel.acquire(priority, wait):
             return SendPermit(target, channel, None)
-        context.note = "window"
+        context.refusal = Refusal(RefusalReason.WINDOW, target.upstream.name)
         context.retry_after = retry_after_queue(
             channel.estimate_wait(priority)
         )
@@ -331,14 +337,18 @@
 
 def _note_refusal(
     context: RequestContext,
+    upstream: IncarnationName,
     seconds: float,
     cold_bound: int | None,
     stated_limit: StatedLimit | None,
 ) -> None:
     """Record why the lender refused a request, and its Retry-After."""
     if stated_limit is not None:
-        context.note = "limited"
+        context.refusal = Refusal(RefusalReason.LIMITED, upstream)
         context.retry_after = retry_after_limit(seconds)
         return
-    context.note = "no place" if cold_bound is None else "cold"
+    reason = (
+        RefusalReason.NO_PLACE if cold_bound is None else RefusalReason.COLD
+    )
+    context.refusal = Refusal(reason, upstream)
     context.retry_after = retry_after_place(seconds)
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -386,7 +386,12 @@
         "and milliseconds since the last response of the store. rested_ms: "
         "idle time of the connection to the upstream before; 0 for a new "
         "connection. failures: of all attempts, in order. fingerprint: as in "
-        "upstream-ended, if the request was looked up in the quarantine.",
+        "upstream-ended, if the request was looked up in the quarantine. "
+        "note: why the request was refused or failed; of an answered one, and "
+        "with status 0, what kept it from being sent before. detail: error "
+        "text of the last attempt without a response. no_room_at: upstream "
+        "that had no room for it. retry_after: seconds that the caller of a "
+        "refused request was told. Lines without them omit these three.",
         (
             "id",
             "route",
@@ -397,6 +402,9 @@
             "failure",
             "failures",
             "note",
+            "detail",
+            "no_room_at",
+            "retry_after",
             "caller",
             "fingerprint",
             "upstreams",
@@ -412,8 +420,18 @@
     DENIED = Definition(
         "denied",
         logging.INFO,
-        "A request was answered without being routed.",
-        ("id", "status", "host_header", "path", "version", "age_ms"),
+        "A request was answered without being routed. status=503: the host "
+        "has not read the routes yet; note and retry_after as in request.",
+        (
+            "id",
+            "status",
+            "note",
+            "retry_after",
+            "host_header",
+            "path",
+            "version",
+            "age_ms",
+        ),
     )
 
 
--- a/tests/daemons/test_trials.py
+++ b/tests/daemons/test_trials.py
@@ -15,12 +15,15 @@
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.quarantine import Quarantine
+from sedgetide.core.requests.refusals import Refusal
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._quarantine import SharedQuarantine
 from sedgetide.daemons._trials import Trials
 from sedgetide.runtime.clock import read_clock
 
 DEADLY = Fingerprint("deadly")
+ON_TRIAL = Refusal(RefusalReason.ON_TRIAL)
 
 
 def make_context(seconds=1.0):
@@ -31,7 +34,7 @@
         times=RequestTimes(now, now + seconds, now + seconds),
         service=ServiceName("maps"),
         find_fingerprint=lambda: DEADLY,
-        note="",
+        refusal=None,
         retry_after=0.25,
         alone=False,
     )
@@ -118,7 +121,7 @@
         first.release()
         self.assertFalse(second.wait())
         self.assertEqual(
-            ("on trial", 1.0), (context.note, context.retry_after)
+            (ON_TRIAL, 1.0), (context.refusal, context.retry_after)
         )
 
     def test_lost_leader_refuses_at_once(self):
@@ -127,7 +130,7 @@
         context = make_context()
         self.assertIs(Verdict.REFUSED, self.open(1, context).ask())
         self.assertEqual(
-            ("on trial", 1.0), (context.note, context.retry_after)
+            (ON_TRIAL, 1.0), (context.refusal, context.retry_after)
         )
         began = time.monotonic()
         self.assertIs(Verdict.REFUSED, self.open(1).ask())
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -25,6 +25,8 @@
 from sedgetide.core.requests.averages import AnswerAverages
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.ratelimits import StatedLimit
+from sedgetide.core.requests.refusals import Refusal
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._deployment import ColdTolerance
@@ -193,7 +195,9 @@
         """
         self.assertIsNone(self.acquire_permit(None))
         self.assertIsNone(self.acquire_permit(None, keyed=True))
-        self.assertEqual("cold", self.context.note)
+        self.assertEqual(
+            Refusal(RefusalReason.COLD, UPSTREAM.name), self.context.refusal
+        )
 
     def test_warm_one_needs_no_lender(self):
         self.put("map-1", 0.0)
@@ -251,7 +255,7 @@
         self.assertIsNone(self.selector.acquire(context))
         self.assertLess(read_clock() - began, 0.05)
         self.assertEqual(STORE_SILENT_RETRY_DELAY, context.retry_after)
-        self.assertEqual("owner-gone", context.note)
+        self.assertEqual(Refusal(RefusalReason.OWNER_GONE), context.refusal)
 
 
 class TestBackoff(KnownUpstreamTest):
@@ -272,7 +276,9 @@
             self.assertIsNone(self.selector.acquire(context))
             self.assertLess(read_clock() - began, 0.05)
             self.assertAlmostEqual(2.0, context.retry_after, 1)
-            self.assertEqual("backing-off", context.note)
+            self.assertEqual(
+                Refusal(RefusalReason.BACKING_OFF), context.refusal
+            )
 
     def test_request_without_key_goes_to_another(self):
         other = msgspec.structs.replace(
@@ -310,7 +316,9 @@
             context, began = make_context(keyed), read_clock()
             self.assertIsNone(self.selector.acquire(context))
             self.assertLess(read_clock() - began, 0.05)
-            self.assertEqual("limited", context.note)
+            self.assertEqual(
+                Refusal(RefusalReason.LIMITED, UPSTREAM.name), context.refusal
+            )
             self.assertEqual(1.0, context.retry_after)
 
     def test_caller_is_told_when_the_limit_has_room(self):
