Metrics of refusals and of waits by route

Cause: counters had the service, the outcome and the last failure, so that the kind of request which is refused or waits could only be counted from logs, whose lines are limited.

Change: sedgetide_unanswered_requests counts final answers that are refusals or failures by route and reason; sedgetide_route_held_seconds is the time before the first send by route. The labels are route names and members of RefusalReason.

--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -9,6 +9,12 @@
     "Final answers to callers.",
     ["service", "outcome", "failure"],
 )
+UNANSWERED_REQUESTS = Counter(
+    "sedgetide_unanswered_requests",
+    "Final answers that are refusals or failures, by why. Without a route: "
+    "refused before the host had read the routes.",
+    ["route", "reason"],
+)
 REQUEST_SECONDS = Histogram(
     "sedgetide_request_seconds",
     "Time from a whole request to its final answer.",
@@ -21,6 +27,12 @@
     ["service"],
     buckets=(0.001, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0),
 )
+ROUTE_HELD_SECONDS = Histogram(
+    "sedgetide_route_held_seconds",
+    "Time from a whole request to its first send, by route.",
+    ["route"],
+    buckets=(0.001, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0),
+)
 SENDS = Counter("sedgetide_sends", "Requests sent to upstreams.", ["service"])
 RETRIES = Counter(
     "sedgetide_retries",
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -8,7 +8,9 @@
 from sedgetide.daemons._hostmetrics import HELD_SECONDS
 from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
 from sedgetide.daemons._hostmetrics import REQUESTS
+from sedgetide.daemons._hostmetrics import ROUTE_HELD_SECONDS
 from sedgetide.daemons._hostmetrics import SENDS
+from sedgetide.daemons._hostmetrics import UNANSWERED_REQUESTS
 from sedgetide.daemons._requestcontext import RequestContext
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -24,8 +26,12 @@
         context.service, progress.outcome.value, progress.failure.value
     ).inc()
     REQUEST_SECONDS.labels(context.service).observe(read_clock() - began)
+    reason = context.find_reason()
+    if reason is not None:
+        UNANSWERED_REQUESTS.labels(context.route.name, reason.value).inc()
     if progress.sends:
         HELD_SECONDS.labels(context.service).observe(context.held)
+        ROUTE_HELD_SECONDS.labels(context.route.name).observe(context.held)
         SENDS.labels(context.service).inc(progress.sends)
 
 
@@ -120,6 +126,7 @@
     def log_no_routes(self, request: Request, retry_after: float) -> None:
         """Log and count a request refused before the routes are known."""
         reason = RefusalReason.NO_ROUTES.value
+        UNANSWERED_REQUESTS.labels("", reason).inc()
         log_event(
             Event.DENIED,
             id=self._dialect.read_request_id(request.headers) or "",
--- a/tests/daemons/test_requestlog.py
+++ b/tests/daemons/test_requestlog.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from prometheus_client import REGISTRY
 import testtools
 
 from sedgetide.backends.dialects import CallerFields
@@ -22,6 +23,7 @@
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._requestcontext import RequestContext
+from sedgetide.daemons._requestlog import record_metrics
 from sedgetide.daemons._requestlog import RequestLog
 from sedgetide.platform._registry import PlatformRegistry
 from sedgetide.platform._requests import PlatformRequests
@@ -131,3 +133,34 @@
         self.assertEqual(
             ("no-routes", "0.5"), (line["note"], line["retry_after"])
         )
+
+
+class TestRecordMetrics(testtools.TestCase):
+    """Refusals and failures are counted by route and reason."""
+
+    def read(self, name, **labels):
+        labels["route"] = ROUTE.name
+        return REGISTRY.get_sample_value(f"sedgetide_{name}", labels) or 0.0
+
+    def test_refusals_by_reason(self):
+        labels = {"reason": "no retry budget"}
+        before = self.read("unanswered_requests_total", **labels)
+        context = make_context(Outcome.NOT_RUN, [Failure.BUSY])
+        context.refuse(RefusalReason.NO_RETRY_BUDGET)
+        record_metrics(context, read_clock())
+        after = self.read("unanswered_requests_total", **labels)
+        self.assertEqual(1.0, after - before)
+
+    def test_answered_request_is_held_but_not_counted_as_refused(self):
+        before = self.read("route_held_seconds_sum")
+        context = make_context(
+            Outcome.ANSWERED, refusal=Refusal(RefusalReason.MOVING), held=0.2
+        )
+        context.progress.sends = 1
+        record_metrics(context, read_clock())
+        self.assertAlmostEqual(
+            0.2, self.read("route_held_seconds_sum") - before
+        )
+        self.assertEqual(
+            0.0, self.read("unanswered_requests_total", reason="moving")
+        )
