Explain tells what was awaited, who decided and what was promised

Events of an upstream were missed when the request's line named the incarnation with its start time, since events have the registered name.

Change: each member of RefusalReason has an explanation; the output names the kind of request, what it waited for and where, who decided, and the Retry-After that the caller was told. Lines of earlier versions are read: an empty reason is taken from the failure, and an error text in place of the reason is shown as such. Events about limits, leaving and backoffs of the upstreams concerned, and about lenders of the host, are part of the timeline.

--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -7,16 +7,26 @@
 
 import msgspec
 
+from sedgetide.command._reasons import EXPLANATIONS
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import Step
+from sedgetide.core.requests.refusals import RefusalReason
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _TIME = "%Y-%m-%d %H:%M:%S,%f"
 _WINDOW_BEFORE = datetime.timedelta(seconds=12)
 _WINDOW_AFTER = datetime.timedelta(seconds=1)
 _OWNERSHIP_EVENTS = frozenset({"owner-stopped", "order"})
-_UPSTREAM_EVENTS = frozenset({"upstream", "upstream-withdrawn"})
+_UPSTREAM_EVENTS = frozenset(
+    {
+        "upstream",
+        "upstream-withdrawn",
+        "upstream-limited",
+        "upstream-leaving",
+        "upstream-backoff",
+    }
+)
 _LEADERSHIP_EVENTS = frozenset(
     {
         "leading",
@@ -33,6 +43,7 @@
         "store-reached",
         "store-restored",
         "history-lost",
+        "lenders",
         "policy",
         "stopping",
     }
@@ -48,31 +59,8 @@
     }
 )
 
-_CAUSES = {
-    ("", "window"): "its owner had no free place in time",
-    ("", "moving"): "its range had no owner while it moved",
-    ("", "owner-gone"): "its owner was no longer available and its range had "
-    "not yet moved",
-    ("", "no-owner"): "the host knew no owner of its key",
-    ("", "no-upstream"): "its service had no upstream",
-    ("", "quarantined"): "it is quarantined and was not sent, because "
-    "upstreams ended during it and its repeats",
-    ("", "limited"): "it exceeded the rate limit that its upstream had set "
-    "for all hosts together",
-    (
-        "",
-        "backing-off",
-    ): "its upstream had asked the host to send nothing for some time",
-    ("not-owner", None): "the upstream that the host considered the owner "
-    "did not own the key",
-    ("unreachable", None): "the connection to the upstream failed",
-    ("busy", None): "the upstream reported that it was full",
-    ("declined", None): "the upstream declined it",
-    ("broken", None): "the connection broke before the response was complete",
-    ("foreign", None): "only responses to other requests were received",
-    ("failed", None): "the upstream ran it and failed",
-    ("silent", None): "no response was received in time",
-}
+# Status codes of the router's own answers to requests that may have run.
+_UNKNOWN_STATUSES = frozenset({"502", "504"})
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -136,6 +124,12 @@
     return int(low) <= int(key) <= int(high)
 
 
+def _drop_start_time(incarnation: str) -> str:
+    """Return the registered name of an upstream, which events have."""
+    name, _, born = incarnation.rpartition("@")
+    return name if name and born.isdigit() else incarnation
+
+
 def _concerns(line: Line, request: Line) -> bool:
     """Return whether an event may explain the outcome of a request."""
     event = line.find("event")
@@ -144,8 +138,9 @@
     if event in _OWNERSHIP_EVENTS:
         return _concerns_key(line, request.find("key"))
     if event in _UPSTREAM_EVENTS:
-        tried = request.find("upstreams").split(",")
-        return line.find("upstream") in tried
+        names = request.find("upstreams").split(",")
+        names.append(request.find("no_room_at"))
+        return line.find("upstream") in map(_drop_start_time, names)
     if event in _HOST_EVENTS:
         return line.find("host") == request.find("host")
     return False
@@ -158,17 +153,95 @@
     return line.find("fingerprint") == fingerprint
 
 
+def _parse_reason(text: str) -> RefusalReason | None:
+    try:
+        return RefusalReason(text)
+    except ValueError:
+        return None
+
+
+def find_reason(request: Line) -> RefusalReason | None:
+    """Return why a request was refused or failed; None if it is unknown.
+
+    Earlier versions logged the error text of a failure, or nothing, in place
+    of the reason.
+    """
+    reason = _parse_reason(request.find("note"))
+    return reason or _parse_reason(request.find("failure"))
+
+
+def _was_refused_or_failed(request: Line) -> bool:
+    if request.find("event") == "denied":
+        return request.find("status") == "503"
+    return (
+        request.find("outcome") != "answered" and request.find("status") != "0"
+    )
+
+
 def describe_cause(request: Line) -> str:
     """Return a sentence about the cause of a request's outcome."""
     if request.find("outcome") == "answered":
         return f"answered after {request.find('ms')} ms"
     if request.find("status") == "0":
         return f"its caller disconnected after {request.find('ms')} ms"
-    failure, note = request.find("failure"), request.find("note")
-    if failure in ("", "none"):
-        return _CAUSES.get(("", note), f"unknown: {note}")
-    cause = _CAUSES.get((failure, None), f"unknown: {failure}")
-    return f"{cause} ({note})" if note else cause
+    if not _was_refused_or_failed(request):
+        return "no route matched it"
+    note, reason = request.find("note"), find_reason(request)
+    if reason is None:
+        return f"unknown: {note}"
+    cause = EXPLANATIONS[reason].cause
+    failure = _parse_reason(request.find("failure"))
+    if failure not in (None, reason):
+        cause += f"; before, {EXPLANATIONS[failure].cause}"
+    detail = request.find("detail")
+    if not detail and _parse_reason(note) is None:
+        detail = note
+    return f"{cause} ({detail})" if detail else cause
+
+
+def _describe_kind(request: Line) -> str:
+    kind = f"route {request.find('route')}, service {request.find('service')}"
+    key = request.find("key")
+    return kind if key in ("", "None") else f"{kind}, key {key}"
+
+
+def _describe_wait(request: Line, awaited: str) -> str:
+    upstream = request.find("no_room_at") or request.find("upstreams")
+    where = f", upstream {upstream}" if upstream else ""
+    if request.find("upstreams"):
+        held = request.find("held_ms") or "unknown"
+        return (
+            f"{awaited}{where}; {held} ms before its first send, "
+            f"{request.find('ms')} ms in all"
+        )
+    return f"{awaited}{where}; {request.find('ms')} ms, never sent"
+
+
+def _describe_answer(request: Line) -> str:
+    """Return what the caller of a request without an answer was told."""
+    status, retry_after = request.find("status"), request.find("retry_after")
+    if status == "503" and request.find("outcome") != "unknown":
+        promise = f", retry after {retry_after} s" if retry_after else ""
+        return f"503, it has not run and never will{promise}"
+    if status in _UNKNOWN_STATUSES:
+        return f"{status}, it may have run"
+    return f"the upstream's answer, status {status}"
+
+
+def _describe_refusal(request: Line) -> Iterator[str]:
+    """Yield the kind of a request, its wait, who decided, and its answer."""
+    if not _was_refused_or_failed(request):
+        return
+    routed = request.find("event") == "request"
+    if routed:
+        yield f"request: {_describe_kind(request)}"
+    reason = find_reason(request)
+    if reason is not None:
+        explanation = EXPLANATIONS[reason]
+        if routed:
+            yield f"waited for: {_describe_wait(request, explanation.awaited)}"
+        yield f"decided by: {explanation.decider}"
+    yield f"told: {_describe_answer(request)}"
 
 
 def _format_line(line: Line, since: datetime.datetime) -> str:
@@ -225,6 +298,9 @@
         for line in near:
             yield _format_line(line, began)
         yield f"cause: {describe_cause(request)}"
+        yield from _describe_refusal(request)
+        if not request.find("version"):
+            continue
         yield (
             f"decided with version {request.find('version')}, range table "
             f"revision {request.find('revision')}, fence "
--- a/sedgetide/core/requests/refusals.py
+++ b/sedgetide/core/requests/refusals.py
@@ -6,12 +6,11 @@
 import msgspec
 
 from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import NO_UPSTREAM
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import NOT_RUN_FAILURES
 from sedgetide.core.requests.outcomes import Outcome
 
-_NO_UPSTREAM = IncarnationName("")
-
 
 class RefusalReason(enum.Enum):
     """Why a request got no answer of an upstream.
@@ -62,7 +61,7 @@
     """
 
     reason: RefusalReason
-    upstream: IncarnationName = _NO_UPSTREAM
+    upstream: IncarnationName = NO_UPSTREAM
 
 
 def decide_reason(
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -7,10 +7,12 @@
 
 import testtools
 
+from sedgetide.command._reasons import EXPLANATIONS
 from sedgetide.command.explain import explain_request
 from sedgetide.command.explain import parse_line
 from sedgetide.command.explain import read_lines
 from sedgetide.command.main import main
+from sedgetide.core.requests.refusals import RefusalReason
 
 LEADER = """\
 time="2026-12-02 09:00:00,000" level=WARNING event=upstream-ended host=h-1 \
@@ -93,3 +95,94 @@
         code, said = self.run_command("r-1", "/does/not/exist")
         self.assertEqual(2, code)
         self.assertIn("/does/not/exist", said)
+
+
+def explain_line(fields):
+    """Return the explanation of a request whose line has these fields."""
+    line = parse_line(
+        'time="2026-12-02 10:00:02,250" event=request host=h-2 program=p '
+        f"id=r route=map service=maps key=150 {fields} version=3 "
+        "revision=41 fence=0 age_ms=5\n"
+    )
+    return list(explain_request("r", [line]))
+
+
+class TestReasons(testtools.TestCase):
+    """Refusals say what was awaited, who decided, and what was promised."""
+
+    def test_every_reason_is_explained(self):
+        # Guards against a reason that is logged but not explained.
+        self.assertEqual(set(RefusalReason), set(EXPLANATIONS))
+        self.assertEqual(
+            len(RefusalReason),
+            len({each.cause for each in EXPLANATIONS.values()}),
+        )
+        for reason in RefusalReason:
+            shown = explain_line(
+                "status=503 outcome=not-run failure=none "
+                f'note="{reason.value}" '
+                'upstreams="" ms=250 retry_after=1.25'
+            )
+            expected = EXPLANATIONS[reason]
+            self.assertIn(f"cause: {expected.cause}", shown)
+            self.assertIn(f"decided by: {expected.decider}", shown)
+            self.assertIn(
+                f"waited for: {expected.awaited}; 250 ms, never sent", shown
+            )
+            self.assertIn("request: route map, service maps, key 150", shown)
+            self.assertIn(
+                "told: 503, it has not run and never will, retry after 1.25 s",
+                shown,
+            )
+
+    def test_upstream_without_room_and_earlier_failure(self):
+        shown = explain_line(
+            'status=503 outcome=not-run failure=busy note="no place" '
+            "no_room_at=map-2@7 upstreams=map-1 ms=400 held_ms=90"
+        )
+        text = "\n".join(shown)
+        self.assertIn("upstream map-2@7; 90 ms before its first send", text)
+        self.assertIn("before, the upstream reported that it was full", text)
+
+    def test_line_of_an_earlier_version(self):
+        # Guards against "unknown" for lines with an empty reason.
+        for failure in ("busy", "unreachable", "not-owner"):
+            shown = explain_line(
+                f'status=503 outcome=not-run failure={failure} note="" '
+                "upstreams=map-1,map-1 ms=250"
+            )
+            cause = EXPLANATIONS[RefusalReason(failure)].cause
+            self.assertIn(f"cause: {cause}", shown)
+            self.assertIn("told: 503, it has not run and never will", shown)
+
+    def test_request_that_may_have_run(self):
+        shown = explain_line(
+            "status=502 outcome=unknown failure=broken note=broken "
+            'detail="reset by peer" upstreams=map-1 ms=250'
+        )
+        self.assertIn("told: 502, it may have run", shown)
+        self.assertIn("reset by peer", shown[1])
+
+    def test_events_of_the_upstream_without_room(self):
+        # Guards against events that are missed because they have the
+        # registered name and the request has that of the incarnation.
+        request = parse_line(
+            'time="2026-12-02 10:00:02,250" event=request host=h-2 id=r '
+            "status=503 outcome=not-run note=limited no_room_at=map-2@7 "
+            'upstreams="" ms=1\n'
+        )
+        limited = parse_line(
+            'time="2026-12-02 10:00:01,000" event=upstream-limited host=h-2 '
+            "upstream=map-2 limit=2.2\n"
+        )
+        shown = list(explain_request("r", [limited, request]))
+        self.assertIn("limit=2.2", shown[0])
+
+    def test_host_without_routes(self):
+        line = parse_line(
+            'time="2026-12-02 10:00:02,250" event=denied host=h-2 id=r '
+            "status=503 note=no-routes retry_after=0.5\n"
+        )
+        text = "\n".join(explain_request("r", [line]))
+        self.assertIn("had not read the routes", text)
+        self.assertIn("retry after 0.5 s", text)
