Refusals for lack of body memory are logged and counted

Cause: the server refused uploads with 503 while it read them, without a line or a count; only the sum of held bytes showed it.

Change: the server reports such a request and its Retry-After, and the router logs it as denied with the reason "body memory" and counts it.

--- a/sedgetide/command/_reasons.py
+++ b/sedgetide/command/_reasons.py
@@ -33,6 +33,12 @@
 _TABLE = "the host, by its copy of the range table"
 
 EXPLANATIONS = {
+    RefusalReason.BODY_MEMORY: Explanation(
+        "the bodies of other requests took the memory that the host has for "
+        "them",
+        _NOTHING,
+        "the host, by its memory_mb; the rest of the body was not read",
+    ),
     RefusalReason.NO_ROUTES: Explanation(
         "the host had not read the routes yet",
         _NOTHING,
--- a/sedgetide/core/requests/refusals.py
+++ b/sedgetide/core/requests/refusals.py
@@ -19,8 +19,10 @@
     members of ``Wait`` and, except ``NONE``, of ``Failure``.
     """
 
-    # Nothing to send the request to.
+    # Refused before it was routed.
+    BODY_MEMORY = "body memory"
     NO_ROUTES = "no-routes"
+    # Nothing to send it to.
     NO_OWNER = "no-owner"
     MOVING = "moving"
     OWNER_GONE = "owner-gone"
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -12,7 +12,7 @@
 UNANSWERED_REQUESTS = Counter(
     "sedgetide_unanswered_requests",
     "Final answers that are refusals or failures, by why. Without a route: "
-    "refused before the host had read the routes.",
+    "refused before it was looked up.",
     ["route", "reason"],
 )
 REQUEST_SECONDS = Histogram(
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -123,15 +123,16 @@
             age_ms=int((read_clock() - self._deployment.heard_at) * 1000),
         )
 
-    def log_no_routes(self, request: Request, retry_after: float) -> None:
-        """Log and count a request refused before the routes are known."""
-        reason = RefusalReason.NO_ROUTES.value
-        UNANSWERED_REQUESTS.labels("", reason).inc()
+    def log_unrouted(
+        self, request: Request, reason: RefusalReason, retry_after: float
+    ) -> None:
+        """Log and count a request that was refused before it was routed."""
+        UNANSWERED_REQUESTS.labels("", reason.value).inc()
         log_event(
             Event.DENIED,
             id=self._dialect.read_request_id(request.headers) or "",
             status=503,
-            note=reason,
+            note=reason.value,
             retry_after=f"{retry_after:g}",
             host_header=find_header(request.headers, "host"),
             path=request.path[:80],
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -140,11 +140,17 @@
         host = find_header(request.headers, "host") or ""
         return self._deployment.routes.match(host, request.path)
 
+    def note_body_refusal(self, request: Request, retry_after: float) -> None:
+        """Record that the server had no memory for the body of a request."""
+        self._log.log_unrouted(request, RefusalReason.BODY_MEMORY, retry_after)
+
     def serve(self, request: Request) -> Answer:
         """Serve a request and return its final answer."""
         began = read_clock()
         if self._deployment.routes is None:
-            self._log.log_no_routes(request, STARTUP_RETRY_DELAY)
+            self._log.log_unrouted(
+                request, RefusalReason.NO_ROUTES, STARTUP_RETRY_DELAY
+            )
             return _make_refusal(STARTUP_RETRY_DELAY)
         try:
             fields = self._dialect.read_request(request.headers)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -201,6 +201,7 @@
             self._router.is_idempotent,
             self._router.read_limits,
             BodyBudget(compute_body_limit(settings.memory_mb)),
+            self._router.note_body_refusal,
         )
         self._leader = self._make_leader()
         self._bind_gauges()
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -421,7 +421,8 @@
         "denied",
         logging.INFO,
         "A request was answered without being routed. status=503: the host "
-        "has not read the routes yet; note and retry_after as in request.",
+        "has not read the routes yet, or has no memory for the body; note and "
+        "retry_after as in request.",
         (
             "id",
             "status",
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -29,6 +29,7 @@
 _log = logging.getLogger(__name__)
 
 RequestHandler = Callable[[Request], Answer]
+RefusalObserver = Callable[[Request, float], None]
 
 
 class _Rejected(Exception):
@@ -72,6 +73,9 @@
     bodies : BodyBudget or None
         Limit of the total size of the request bodies in memory; None for no
         limit.
+    note_refusal : callable
+        Called with each request that is refused for lack of memory for its
+        body, and the Retry-After in seconds.
     """
 
     def __init__(
@@ -80,11 +84,13 @@
         is_idempotent: Callable[[Request], bool],
         read_limits: Callable[[], CallerLimits],
         bodies: BodyBudget | None = None,
+        note_refusal: RefusalObserver = lambda request, seconds: None,
     ) -> None:
         self.bodies = bodies or BodyBudget(_UNLIMITED_BYTES)
         self.serve = serve
         self.is_idempotent = is_idempotent
         self.read_limits = read_limits
+        self.note_refusal = note_refusal
         self.close_after_answer = False
         self.connections: set[CallerConnection] = set()
         self.in_hand = 0
@@ -190,8 +196,10 @@
         if not self._pending and not self._partial and self._reader:
             self._reader.kill(block=False)
 
-    def _reserve_body(self, size: int) -> None:
+    def _reserve_body(self, head: h11.Request, size: int) -> None:
         if not self._server.bodies.take(size):
+            request = _make_request(head, b"", self._caller)
+            self._server.note_refusal(request, _BUSY_RETRY_AFTER)
             raise _Rejected(503, _BUSY_RETRY_AFTER)
         self._reserved_bytes += size
 
@@ -291,7 +299,7 @@
                 body += event.data
                 if len(body) > limits.body_bytes:
                     raise _Rejected(413)
-                self._reserve_body(len(event.data))
+                self._reserve_body(head, len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return _make_request(head, bytes(body), self._caller)
             else:
--- a/tests/daemons/test_requestlog.py
+++ b/tests/daemons/test_requestlog.py
@@ -128,7 +128,7 @@
     def test_host_that_has_not_read_the_routes(self):
         headers = [("Host", "h")]
         request = Request("GET", "/x", headers, b"")
-        self.request_log.log_no_routes(request, 0.5)
+        self.request_log.log_unrouted(request, RefusalReason.NO_ROUTES, 0.5)
         line = self.handler.records[-1]
         self.assertEqual(
             ("no-routes", "0.5"), (line["note"], line["retry_after"])
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -68,6 +68,10 @@
         # bodies. Without the limit, a few dozen uploads exhaust the memory
         # and end the process with all its running requests.
         self.server.bodies = BodyBudget(2000)
+        refusals = []
+        self.server.note_refusal = lambda request, seconds: refusals.append(
+            (request.target, seconds)
+        )
         gate = self.hold("/slow")
         upload = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n"
         upload += b"\r\n" + b"x" * 900
@@ -79,6 +83,7 @@
             answer = self.read(client, b"\r\n\r\n")
             self.assertIn(b"HTTP/1.1 503", answer)
             self.assertIn(b"Retry-After: 1\r\n", answer)
+        self.assertEqual([("/slow", 1.0)] * 2, refusals)
         self.assertEqual(["/slow", "/slow"], self.service.began)
         gate.set()
         for client in clients[:2]:
