Test of the final answers that the router gives itself

Cause: no test ran the router through failed attempts to its own answer.

Change: requests that fail twice, an error in the router and a host without routes; each must be logged with a reason, and the logged Retry-After must be the one of the answer.

--- a/tests/daemons/test_requestlog.py
+++ b/tests/daemons/test_requestlog.py
@@ -1,7 +1,5 @@
 """Tests of the log lines and metrics of refused and failed requests."""
 
-import logging
-
 from prometheus_client import REGISTRY
 import testtools
 
@@ -29,6 +27,7 @@
 from sedgetide.platform._requests import PlatformRequests
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.messages import Request
+from tests.daemons.eventcapture import capture_events
 
 ROUTE = RouteRule(
     RouteName("log-test"),
@@ -58,15 +57,6 @@
     )
 
 
-class _Records(logging.Handler):
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(vars(record))
-
-
 class RequestLogTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -74,16 +64,11 @@
         deployment.policy = Policy(Version(1), (), {})
         deployment.heard_at = read_clock()
         self.request_log = RequestLog(deployment, PlatformRequests())
-        self.handler = _Records()
-        log = logging.getLogger("sedgetide")
-        self.addCleanup(log.setLevel, log.level)
-        log.setLevel(logging.INFO)
-        log.addHandler(self.handler)
-        self.addCleanup(log.removeHandler, self.handler)
+        self.events = capture_events(self)
 
     def log(self, context, status):
         self.request_log.log_end(context, status, read_clock())
-        return self.handler.records[-1]
+        return self.events[-1]
 
 
 class TestLogEnd(RequestLogTest):
@@ -129,7 +114,7 @@
         headers = [("Host", "h")]
         request = Request("GET", "/x", headers, b"")
         self.request_log.log_unrouted(request, RefusalReason.NO_ROUTES, 0.5)
-        line = self.handler.records[-1]
+        line = self.events[-1]
         self.assertEqual(
             ("no-routes", "0.5"), (line["note"], line["retry_after"])
         )
--- /dev/null
+++ b/tests/daemons/test_requestrouter.py
@@ -0,0 +1,119 @@
+"""Tests of the final answers of requests that get none from an upstream."""
+
+import contextlib
+import random
+import types
+
+import testtools
+
+from sedgetide.core.configuration.policy import Policy
+from sedgetide.core.configuration.policy import RouteRule
+from sedgetide.core.configuration.policy import ServiceRule
+from sedgetide.core.configuration.policy import Share
+from sedgetide.core.identifiers import RouteName
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import Version
+from sedgetide.core.membership.partitions import PartitionDetector
+from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.retries import RetryPolicy
+from sedgetide.core.requests.routes import RouteTable
+from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._requestrouter import RequestRouter
+from sedgetide.platform._registry import PlatformRegistry
+from sedgetide.platform._requests import PlatformRequests
+from sedgetide.runtime.clock import read_clock
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Request
+from tests.daemons.eventcapture import capture_events
+
+SERVICE = ServiceName("map")
+ROUTE = RouteRule(
+    RouteName("map"), "h", "/", True, 4.0, 0.6, 2, 2, (Share(SERVICE, 1.0),)
+)
+POLICY = Policy(Version(1), (ROUTE,), {SERVICE: ServiceRule(SERVICE)})
+
+
+class _Sender:
+    """Yields one failure after the other."""
+
+    def __init__(self, failures):
+        self._failures = list(failures)
+
+    def attempt(self, context, permit, may_send):
+        failure = self._failures.pop(0)
+        context.progress.sends += 1
+        context.progress.tried.append(f"map-{context.progress.sends}")
+        context.progress.failure = failure
+        context.failures.append(failure)
+        context.refusal = None
+        return True
+
+
+class RequestRouterTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.deployment = DeploymentState(PlatformRegistry())
+        self.deployment.policy = POLICY
+        self.deployment.routes = RouteTable(POLICY)
+        self.deployment.heard_at = read_clock()
+        trial = types.SimpleNamespace(
+            ask=lambda: Verdict.NEEDLESS,
+            mark_sending=lambda: None,
+            note_result=lambda failure: None,
+        )
+        self.router = RequestRouter(
+            self.deployment,
+            PlatformRequests(),
+            None,
+            None,
+            None,
+            "north",
+            PartitionDetector("north"),
+            None,
+            types.SimpleNamespace(
+                find_stay_left=lambda context, now: 0.0,
+                may_retry=lambda context: True,
+            ),
+            types.SimpleNamespace(
+                open=lambda context: contextlib.nullcontext(trial)
+            ),
+            RetryPolicy(1.0, 10.0),
+            random.Random(1),
+        )
+        self.router._selector.acquire = lambda context: types.SimpleNamespace(
+            release=lambda: None
+        )
+        self.events = capture_events(self)
+
+    def serve(self):
+        return self.router.serve(Request("GET", "/x", [("Host", "h")], b""))
+
+
+class TestFinalAnswer(RequestRouterTest):
+    def test_refusal_after_two_failures_has_a_reason_and_a_promise(self):
+        # Guards against refusals with an empty reason, and against a
+        # Retry-After in the log that differs from the one in the answer.
+        for failure in (Failure.BUSY, Failure.DECLINED, Failure.FOREIGN):
+            self.router._sender = _Sender([failure] * 2)
+            answer = self.serve()
+            line = self.events[-1]
+            self.assertEqual(503, answer.status)
+            self.assertEqual(failure.value, line["note"])
+            self.assertEqual(
+                find_header(answer.headers, "retry-after"), line["retry_after"]
+            )
+
+    def test_error_in_the_router_is_logged_as_a_failure(self):
+        # Guards against a 502 without a line of its request.
+        self.router._sender = _Sender([])
+        self.assertRaises(IndexError, self.serve)
+        line = self.events[-1]
+        self.assertEqual(
+            (502, "internal-error"), (line["status"], line["note"])
+        )
+
+    def test_host_without_routes(self):
+        self.deployment.routes = None
+        self.assertEqual(503, self.serve().status)
+        self.assertEqual("no-routes", self.events[-1]["note"])
