Completed moves are announced together, in a short form

Cause: each completed move was sent to each host in a message of its own, with the names of both upstreams: 60 moves to 91 hosts are 5,460 messages, which the leader encodes between its orders.

Moved has a further field with the first key and fence of each range. A host announces in its status that it reads this form; all others get the tenures as before. The field is last and optional, so a host that was replaced by one of the older version reads an empty notice and learns of the moves from the next table; an unknown kind of message would have cost it the whole envelope. The leader's own table changes at once, as before.

A notice may precede the table that shows its moves: moves with a higher fence than that of the known table are kept until a later table comes, where the former set was cut down to the moves of whatever table came next.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -25,6 +25,7 @@
 from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.core.ownership.load import KeyWork
 from sedgetide.core.ownership.load import UpstreamWork
+from sedgetide.core.ownership.ranges import MoveId
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.outcomes import Reason
@@ -283,11 +284,27 @@
 class Moved(Message, tag="moved"):
     """Notice of the leader to hosts that moves of ranges have ended.
 
-    The record in the store is updated with the next change.
+    The record in the store is updated with the next change. A message
+    contains either the long or the short form of each move. Hosts whose
+    status does not announce the short form ignore ``completed``.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service whose ranges have moved.
+    tenures : list of Tenure
+        Long form: tenures of the ranges while they were moving.
+    completed : list of MoveId
+        Short form; hosts know the rest from the range table.
     """
 
     service: ServiceName
     tenures: list[Tenure]
+    completed: list[MoveId] = []
+
+    def list_completed(self) -> list[MoveId]:
+        """Return the ended moves of both forms."""
+        return [*self.completed, *(each.move_id for each in self.tenures)]
 
 
 class Lenders(Message, tag="lenders"):
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -47,6 +47,9 @@
         Version of the host's quarantine.
     link_mbps : float
         Bandwidth of the host's network link, in megabits per second.
+    short_moves : bool
+        Whether the host understands the short form of the notice that moves
+        have ended; hosts of an older version do not.
     """
 
     data_centre: DataCentre = DataCentre("")
@@ -54,6 +57,7 @@
     lenders: int = 0
     quarantine: int = 0
     link_mbps: float = 1000.0
+    short_moves: bool = False
 
     @property
     def capacity(self) -> HostCapacity:
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -45,6 +45,23 @@
 ALL_KEYS = KeyRange(FIRST_KEY, LAST_KEY)
 
 
+class MoveId(msgspec.Struct, frozen=True, array_like=True):
+    """Identifies one move among all moves of a service.
+
+    Each move gets a fence of its own, so no two moves have the same one.
+
+    Parameters
+    ----------
+    low : Key
+        First key of the moving range.
+    fence : Fence
+        Fence of the successor's grant.
+    """
+
+    low: Key
+    fence: Fence
+
+
 class Tenure(msgspec.Struct, frozen=True, array_like=True):
     """Ownership of a key range by one upstream.
 
@@ -77,6 +94,11 @@
         """Key range of the tenure."""
         return KeyRange(self.low, self.high)
 
+    @property
+    def move_id(self) -> MoveId:
+        """Id of the move of the range, if it is or was moving."""
+        return MoveId(self.low, self.fence)
+
     @property
     def moving(self) -> bool:
         """Whether the range is moving.
@@ -232,6 +254,10 @@
         ]
         return RangeTable(self.fence, tuple(tenures))
 
+    def list_identified(self, moves: Collection[MoveId]) -> list[Tenure]:
+        """Return the moving ranges whose moves are among the given ones."""
+        return [each for each in self.list_moving() if each.move_id in moves]
+
     def merge(self) -> "RangeTable":
         """Join adjacent ranges of the same owner, each at a new fence.
 
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -1,5 +1,6 @@
 """State of the deployment as a host has read it from the store."""
 
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -27,6 +28,7 @@
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.move_observations import MoveObservations
+from sedgetide.core.ownership.ranges import MoveId
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.requests.coldstart import compute_cold_send_limit
@@ -115,7 +117,7 @@
         self.policy: Policy | None = None
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
-        self._completed_moves: dict[ServiceName, set[Tenure]] = {}
+        self._completed_moves: dict[ServiceName, set[MoveId]] = {}
         self._move_observations: dict[ServiceName, MoveObservations] = {}
         self.leader: KnownLeader | None = None
         self.changes = ChangeSignal()
@@ -340,10 +342,13 @@
         known = self.tables.get(service)
         if known is not None and known.position >= position:
             return
-        moved = self._completed_moves.get(service, set()).intersection(
-            table.tenures
-        )
-        self._completed_moves[service] = moved
+        completed = self._completed_moves.get(service, set())
+        moved = table.list_identified(completed)
+        # A move with a higher fence than the table's is in a later table.
+        self._completed_moves[service] = {
+            *(each.move_id for each in moved),
+            *(each for each in completed if each.fence > table.fence),
+        }
         observations = self._move_observations.setdefault(
             service, MoveObservations()
         )
@@ -352,7 +357,7 @@
         self.changes.notify_all()
 
     def complete_moves(
-        self, service: ServiceName, moved: list[Tenure]
+        self, service: ServiceName, moves: Collection[MoveId]
     ) -> None:
         """Apply completed moves before the record in the store shows them.
 
@@ -362,7 +367,8 @@
         known = self.tables.get(service)
         if known is None:
             return
-        self._completed_moves.setdefault(service, set()).update(moved)
+        self._completed_moves.setdefault(service, set()).update(moves)
+        moved = known.table.list_identified(moves)
         self.tables[service] = KnownTable(
             known.table.complete(moved), known.position
         )
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -12,7 +12,6 @@
 from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
-from sedgetide.coding.messages import Moved
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
@@ -49,6 +48,7 @@
 from sedgetide.daemons._feed import FeedPublisher
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
+from sedgetide.daemons._movenotifier import MoveNotifier
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.daemons._orderexecutor import OrderExecutor
 from sedgetide.daemons._quarantinerecord import QuarantineWriter
@@ -121,6 +121,9 @@
         self._store = store
         self._send = send
         self._feed = FeedPublisher(deployment, send)
+        self._move_notifier = MoveNotifier(
+            send, lambda: self._feed.list_links(read_clock())
+        )
         self._quarantine_writer = QuarantineWriter(store, deployment)
         self._completions_written_at = float("-inf")
         self._deployment = deployment
@@ -158,6 +161,7 @@
         self._executor.close()
         self._recovery.close()
         self._election.resign()
+        self._move_notifier.flush()
         self._feed.end()
 
     def note_report(
@@ -177,6 +181,7 @@
         """
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.position, now)
+            self._move_notifier.note_status(sender, report.standing)
             self._update_lenders(sender, report.standing, now)
         elif sender is not None:
             self._feed.announce_era(sender, report.position, now)
@@ -574,6 +579,5 @@
         watch. A host that misses the message learns of the move from the
         next version of the table.
         """
-        self._deployment.complete_moves(service, [tenure])
-        for link in self._feed.list_links(read_clock()):
-            self._send(link, Moved(service, [tenure]))
+        self._deployment.complete_moves(service, [tenure.move_id])
+        self._move_notifier.note_completed(service, tenure)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -328,7 +328,9 @@
         elif isinstance(message, StoreFeed):
             self._feed.handle_feed(message, read_clock())
         elif isinstance(message, Moved):
-            self._deployment.complete_moves(message.service, message.tenures)
+            self._deployment.complete_moves(
+                message.service, message.list_completed()
+            )
         elif isinstance(message, Lenders):
             self._deployment.set_lenders(message.named)
         elif isinstance(message, Quarantined):
@@ -375,6 +377,7 @@
             self._deployment.lenders.version,
             self._deployment.quarantine.version,
             capacity.link_mbps,
+            short_moves=True,
         )
 
     # Admin
