Callers wait for planned moves as long as an answer is useful

Cause: callers of a moving key waited for half of their objective, whatever the reason of the move, and were then told to return after 0.25 s, or after 4.2 s less the age of the move once that exceeded 0.6 s.

Change: decide_move_wait decides from the age of the move, whether the previous owner is registered, and how long most planned moves of the last minute took. In a planned move the caller waits up to its useful time; if it can't wait any longer, it is told the rest of the usual duration, 0.25 s at least. A move whose owner is not registered, or that lasts longer than 0.6 s and twice the usual time, ends with the hold of the owner: its callers are told the remaining time at once unless that is within their useful time. For 0.25 s an unregistered owner may still answer the release, as one that stops after removing its entry does. MoveProgress keeps what a host knows of the moves of a service.

The limit of 0.6 s was too short for moves that wait for long requests to end; it now grows with the moves that were seen.

--- a/sedgetide/core/requests/retryafter.py
+++ b/sedgetide/core/requests/retryafter.py
@@ -24,8 +24,6 @@
 # Seconds from the loss of an owner to the grant of its successor: a hold of
 # 3.5 s, its margins, and the next round of the leader.
 _OWNER_LOSS_SECONDS = 4.2
-# Seconds; maximum duration of a planned move.
-_MAX_PLANNED_MOVE = 0.6
 
 
 def retry_after_queue(seconds: float) -> float:
@@ -104,17 +102,3 @@
         Seconds for which this host has been unable to reach an owner.
     """
     return round(max(STARTUP_RETRY_DELAY, _OWNER_LOSS_SECONDS - seconds), 2)
-
-
-def retry_after_move(moving: float) -> float:
-    """Return the retry delay for keys that are being moved.
-
-    Parameters
-    ----------
-    moving : float
-        Seconds since the start of the move. It exceeds the duration of a
-        planned move if the old owner was lost and its hold has to expire.
-    """
-    if moving <= _MAX_PLANNED_MOVE:
-        return SHORT_RETRY_DELAY
-    return retry_after_owner_loss(moving)
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -1,6 +1,7 @@
 """State of the deployment as a host has read it from the store."""
 
 from collections.abc import Collection
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -27,7 +28,8 @@
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.ownership.leadership import LeaderRecord
-from sedgetide.core.ownership.move_observations import MoveObservations
+from sedgetide.core.ownership.moveprogress import MoveProgress
+from sedgetide.core.ownership.moveprogress import MovingRange
 from sedgetide.core.ownership.ranges import MoveId
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
@@ -117,8 +119,7 @@
         self.policy: Policy | None = None
         self.routes: RouteTable | None = None
         self.tables: dict[ServiceName, KnownTable] = {}
-        self._completed_moves: dict[ServiceName, set[MoveId]] = {}
-        self._move_observations: dict[ServiceName, MoveObservations] = {}
+        self._moves: dict[ServiceName, MoveProgress] = {}
         self.leader: KnownLeader | None = None
         self.changes = ChangeSignal()
         self.heard_at = float("-inf")
@@ -342,22 +343,14 @@
         known = self.tables.get(service)
         if known is not None and known.position >= position:
             return
-        completed = self._completed_moves.get(service, set())
-        moved = table.list_identified(completed)
-        # A move with a higher fence than the table's is in a later table.
-        self._completed_moves[service] = {
-            *(each.move_id for each in moved),
-            *(each for each in completed if each.fence > table.fence),
-        }
-        observations = self._move_observations.setdefault(
-            service, MoveObservations()
+        progress = self._moves.setdefault(service, MoveProgress())
+        self.tables[service] = KnownTable(
+            progress.note_table(table, now), position
         )
-        observations.note_table(table, now)
-        self.tables[service] = KnownTable(table.complete(moved), position)
         self.changes.notify_all()
 
     def complete_moves(
-        self, service: ServiceName, moves: Collection[MoveId]
+        self, service: ServiceName, moves: Collection[MoveId], now: float
     ) -> None:
         """Apply completed moves before the record in the store shows them.
 
@@ -367,13 +360,25 @@
         known = self.tables.get(service)
         if known is None:
             return
-        self._completed_moves.setdefault(service, set()).update(moves)
-        moved = known.table.list_identified(moves)
-        self.tables[service] = KnownTable(
-            known.table.complete(moved), known.position
+        table = self._moves[service].complete(
+            known.table, moves, self._is_registered, now
         )
+        self.tables[service] = KnownTable(table, known.position)
         self.changes.notify_all()
 
+    def _is_registered(self, upstream: IncarnationName) -> bool:
+        return self.directory.find(upstream) is not None
+
+    def note_holds(
+        self, service: ServiceName, hold_ends: Mapping[MoveId, float]
+    ) -> None:
+        """Record until when lost owners may hold their moving ranges."""
+        progress = self._moves.get(service)
+        if progress is not None and hold_ends:
+            for move, end in hold_ends.items():
+                progress.note_hold(move, end)
+            self.changes.notify_all()
+
     def _apply_registry_item(
         self, key: str, value: bytes | None, now: float, from_backup: bool
     ) -> None:
@@ -491,22 +496,22 @@
 
     def find_known_since(self, service: ServiceName, tenure: Tenure) -> float:
         """Return since when every leader certainly knows of a move."""
-        observations = self._move_observations.get(service)
-        if observations is None:
+        progress = self._moves.get(service)
+        if progress is None:
             return float("inf")
-        return observations.find_known_since(tenure)
+        return progress.observations.find_known_since(tenure)
 
-    def find_move_age(
+    def find_moving_range(
         self, service: ServiceName, key: Key, now: float
-    ) -> float:
-        """Return for how many seconds a key's range has been moving."""
-        table = self.find_table(service)
-        observations = self._move_observations.get(service)
-        tenure = None if table is None else table.find(key)
-        if tenure is None or observations is None:
-            return 0.0
-        first_seen = observations.find_first_seen(tenure)
-        return 0.0 if first_seen is None else now - first_seen
+    ) -> MovingRange:
+        """Return the progress of the move of a key's range.
+
+        The range must be moving.
+        """
+        tenure = self.tables[service].table.find(key)
+        return self._moves[service].describe(
+            tenure, self._is_registered(tenure.owner), now
+        )
 
     def find_table_in_era(
         self, service: ServiceName, era: Era
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -579,5 +579,7 @@
         watch. A host that misses the message learns of the move from the
         next version of the table.
         """
-        self._deployment.complete_moves(service, [tenure.move_id])
+        self._deployment.complete_moves(
+            service, [tenure.move_id], read_clock()
+        )
         self._move_notifier.note_completed(service, tenure)
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -15,12 +15,13 @@
 from sedgetide.core.requests.loadbalancing import Candidate
 from sedgetide.core.requests.loadbalancing import choose_upstream
 from sedgetide.core.requests.loadbalancing import compute_crossing_cost
+from sedgetide.core.requests.movewaits import decide_move_wait
+from sedgetide.core.requests.movewaits import MoveWait
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import rank_request
 from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.retryafter import retry_after_backoff
 from sedgetide.core.requests.retryafter import retry_after_limit
-from sedgetide.core.requests.retryafter import retry_after_move
 from sedgetide.core.requests.retryafter import retry_after_place
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
@@ -129,12 +130,11 @@
                 # All remaining upstreams are at their limit.
                 return None
             context.note = target.value
-            if now >= hold_deadline or self._is_wait_futile(target, now):
-                context.retry_after = self._estimate_retry_after(
-                    context, target, now
-                )
+            wait = self._decide_wait(context, target, hold_deadline, now)
+            if wait.until <= now:
+                context.retry_after = wait.retry_after
                 return None
-            self._deployment.changes.wait(hold_deadline - now)
+            self._deployment.changes.wait(wait.until - now)
 
     def _acquire_permit(
         self, context: RequestContext, target: Target, hold_deadline: float
@@ -201,6 +201,26 @@
             target.upstream, rank, left, cold_bound, stated_limit
         )
 
+    def _decide_wait(
+        self,
+        context: RequestContext,
+        wait: Wait,
+        hold_deadline: float,
+        now: float,
+    ) -> MoveWait:
+        """Return until when a request without a target waits for one."""
+        if wait is Wait.MOVING:
+            useful_until = now + context.times.find_useful_time(now)
+            return decide_move_wait(
+                self._deployment.find_moving_range(
+                    context.service, context.fields.key, now
+                ),
+                max(useful_until, hold_deadline),
+                now,
+            )
+        until = now if self._is_wait_futile(wait, now) else hold_deadline
+        return MoveWait(until, self._estimate_retry_after(context, wait, now))
+
     def _is_wait_futile(self, wait: Wait, now: float) -> bool:
         """Return whether waiting in this state cannot yield a target."""
         if wait is Wait.OWNER_GONE:
@@ -220,12 +240,7 @@
             return retry_after_backoff(self.find_backoff(context, now))
         if wait is Wait.OWNER_GONE and self._is_store_silent(now):
             return STORE_SILENT_RETRY_DELAY
-        if wait is not Wait.MOVING:
-            return STARTUP_RETRY_DELAY
-        move_age = self._deployment.find_move_age(
-            context.service, context.fields.key, now
-        )
-        return retry_after_move(move_age)
+        return STARTUP_RETRY_DELAY
 
     def find_backoff(self, context: RequestContext, now: float) -> float:
         """Return for how long all eligible upstreams ask for backoff.
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -329,7 +329,7 @@
             self._feed.handle_feed(message, read_clock())
         elif isinstance(message, Moved):
             self._deployment.complete_moves(
-                message.service, message.list_completed()
+                message.service, message.list_completed(), read_clock()
             )
         elif isinstance(message, Lenders):
             self._deployment.set_lenders(message.named)
--- a/tests/core/requests/test_retryafter.py
+++ b/tests/core/requests/test_retryafter.py
@@ -7,7 +7,6 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.requests.health import UpstreamHealth
 from sedgetide.core.requests.retryafter import retry_after_full_upstream
-from sedgetide.core.requests.retryafter import retry_after_move
 from sedgetide.core.requests.retryafter import retry_after_owner_loss
 from sedgetide.core.requests.retryafter import retry_after_place
 from sedgetide.core.requests.retryafter import retry_after_queue
@@ -60,10 +59,6 @@
         self.assertAlmostEqual(1.2, retry_after_owner_loss(3.0))
         self.assertEqual(STARTUP_RETRY_DELAY, retry_after_owner_loss(9.0))
 
-    def test_planned_moves_are_soon_over(self):
-        self.assertEqual(0.25, retry_after_move(0.4))
-        self.assertEqual(retry_after_owner_loss(1.0), retry_after_move(1.0))
-
 
 class TestAbsence(testtools.TestCase):
     """Start times of the absence of an owner and of the move of keys."""
--- a/tests/daemons/test_movenotifier.py
+++ b/tests/daemons/test_movenotifier.py
@@ -90,7 +90,7 @@
         self.assertEqual(SECOND.list_moving(), moved.tenures)
         (moved,) = decode_envelope(new).messages
         host = make_host(SECOND)
-        host.complete_moves(SERVICE, moved.list_completed())
+        host.complete_moves(SERVICE, moved.list_completed(), 2.0)
         self.assertEqual([], host.find_table(SERVICE).list_moving())
 
     def test_notice_of_an_older_leader_is_applied(self):
@@ -98,7 +98,7 @@
         data = msgspec.msgpack.encode(OldEnvelope("leader", [moved]))
         (moved,) = decode_envelope(data).messages
         host = make_host(SECOND)
-        host.complete_moves(SERVICE, moved.list_completed())
+        host.complete_moves(SERVICE, moved.list_completed(), 2.0)
         self.assertEqual([], host.find_table(SERVICE).list_moving())
 
     def test_status_is_understood_by_an_older_leader(self):
@@ -136,7 +136,7 @@
         # shows the move may come later, and another one before it.
         host = make_host(TABLE)
         (tenure,) = [each for each in SECOND.list_moving() if each.low == 200]
-        host.complete_moves(SERVICE, [tenure.move_id])
+        host.complete_moves(SERVICE, [tenure.move_id], 2.0)
         host.update_table(SERVICE, FIRST, Position(0, 6), 2.0)
         host.update_table(SERVICE, SECOND, Position(0, 7), 3.0)
         self.assertEqual("u-3", host.find_table(SERVICE).find(200).owner)
@@ -147,5 +147,5 @@
         (tenure,) = FIRST.list_moving()
         again = FIRST.complete([tenure]).begin([Move(KeyRange(0, 99), "u-3")])
         host = make_host(again)
-        host.complete_moves(SERVICE, [tenure.move_id])
+        host.complete_moves(SERVICE, [tenure.move_id], 2.0)
         self.assertTrue(host.find_table(SERVICE).find(0).moving)
