Hosts learn how long a lost owner may hold its moving ranges

Cause: hosts estimated the wait after the loss of an owner as 4.2 s from the start of its move. The move begins when the registry drops the entry, up to 2.6 s after the loss, and a new leader has to wait for up to 9.8 s, so callers were told to return seconds too late, or several times too early.

Change: the leader knows the end of each hold. It states it with the notices of completed moves, for owners that are not registered, and for others once two releases have failed; one may fail because the owner is at its connection limit. The field is optional: hosts of an older version get no such notice, and with a leader of an older version hosts estimate as before.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -281,8 +281,23 @@
     patches: list[Patch] = []
 
 
+class HeldRange(msgspec.Struct, frozen=True, array_like=True):
+    """A moving range that its previous owner has not released.
+
+    Parameters
+    ----------
+    move : MoveId
+        The move.
+    seconds : float
+        Seconds until the hold of the previous owner has certainly ended.
+    """
+
+    move: MoveId
+    seconds: float
+
+
 class Moved(Message, tag="moved"):
-    """Notice of the leader to hosts that moves of ranges have ended.
+    """Notice of the leader to hosts about moves, most of which have ended.
 
     The record in the store is updated with the next change. A message
     contains either the long or the short form of each move. Hosts whose
@@ -296,11 +311,15 @@
         Long form: tenures of the ranges while they were moving.
     completed : list of MoveId
         Short form; hosts know the rest from the range table.
+    held : list of HeldRange
+        Moves that wait for the hold of a lost owner to end. Only sent with
+        the short form.
     """
 
     service: ServiceName
     tenures: list[Tenure]
     completed: list[MoveId] = []
+    held: list[HeldRange] = []
 
     def list_completed(self) -> list[MoveId]:
         """Return the ended moves of both forms."""
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -282,6 +282,7 @@
             self._clients,
             self._durations,
             self._broadcast_move,
+            self._broadcast_hold,
         )
 
     def _create_recovery(self) -> RecoveryCoordinator:
@@ -583,3 +584,10 @@
             service, [tenure.move_id], read_clock()
         )
         self._move_notifier.note_completed(service, tenure)
+
+    def _broadcast_hold(
+        self, service: ServiceName, tenure: Tenure, end: float
+    ) -> None:
+        """Tell all hosts until when a lost owner may hold a moving range."""
+        self._deployment.note_holds(service, {tenure.move_id: end})
+        self._move_notifier.note_held(service, tenure, end)
--- a/sedgetide/daemons/_movenotifier.py
+++ b/sedgetide/daemons/_movenotifier.py
@@ -1,21 +1,23 @@
-"""Notices of the leader to all hosts that moves have ended."""
+"""Notices of the leader to all hosts about moves."""
 
 from collections.abc import Callable
 import math
 
 import gevent
 
+from sedgetide.coding.messages import HeldRange
 from sedgetide.coding.messages import Moved
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.lenders import HostStatus
+from sedgetide.core.ownership.movebatches import MoveBatch
 from sedgetide.core.ownership.movebatches import MoveBatcher
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.runtime.clock import read_clock
 
 
 class MoveNotifier:
-    """Sends one message for all moves that end at about the same time.
+    """Sends one message for all news about moves at about the same time.
 
     Parameters
     ----------
@@ -47,6 +49,17 @@
         """Add a completed move to the next notice."""
         now = read_clock()
         self._batcher.add(service, tenure, now)
+        self._start_timer(now)
+
+    def note_held(
+        self, service: ServiceName, tenure: Tenure, end: float
+    ) -> None:
+        """Add until when the owner of a moving range may hold it."""
+        now = read_clock()
+        self._batcher.add_hold(service, tenure, end, now)
+        self._start_timer(now)
+
+    def _start_timer(self, now: float) -> None:
         if self._timer is None or self._timer.ready():
             self._timer = gevent.spawn_later(
                 self._batcher.due - now, self._send_due
@@ -55,17 +68,37 @@
     def _send_due(self) -> None:
         while self._batcher.due is not None:
             gevent.sleep(max(0.0, self._batcher.due - read_clock()))
-            self._notify(self._batcher.take(read_clock()))
+            now = read_clock()
+            self._notify(self._batcher.take(now), now)
 
     def flush(self) -> None:
-        """Send all collected moves now."""
-        self._notify(self._batcher.take(math.inf))
+        """Send all collected news now."""
+        self._notify(self._batcher.take(math.inf), read_clock())
 
-    def _notify(self, moves: dict[ServiceName, list[Tenure]]) -> None:
+    def _notify(
+        self, batches: dict[ServiceName, MoveBatch], now: float
+    ) -> None:
         links = self._list_links()
         self._short_form.intersection_update(links)
-        for service, tenures in moves.items():
-            move_ids = [each.move_id for each in tenures]
-            short, long = Moved(service, [], move_ids), Moved(service, tenures)
+        for service, batch in batches.items():
+            short = _make_short_notice(service, batch, now)
+            long = Moved(service, batch.completed)
             for link in links:
-                self._send(link, short if link in self._short_form else long)
+                if link in self._short_form:
+                    self._send(link, short)
+                elif long.tenures:
+                    self._send(link, long)
+
+
+def _make_short_notice(
+    service: ServiceName, batch: MoveBatch, now: float
+) -> Moved:
+    return Moved(
+        service,
+        [],
+        [each.move_id for each in batch.completed],
+        [
+            HeldRange(move, round(max(0.0, end - now), 3))
+            for move, end in batch.hold_ends.items()
+        ],
+    )
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -30,6 +30,8 @@
 _RETRY_DELAY = 0.2
 # Seconds; a timeout of zero would cancel the release before it is sent.
 _MIN_RELEASE_TIMEOUT = 0.01
+# Seconds by which the end of a hold has to change to be stated again.
+_STATED_PRECISION = 0.1
 _GRANT_ATTEMPTS = 3
 # Enough for the grants of two tables with 24 ranges for each of 300 upstreams.
 _MAX_SESSIONS = 16_000
@@ -99,6 +101,10 @@
                 self._clients.pop(name).close()
 
 
+def _ignore(*_: object) -> None:
+    """Accept and ignore any arguments."""
+
+
 class OrderExecutor:
     """Carries out the tables of owners during one term of the leader.
 
@@ -119,6 +125,9 @@
         Timeouts that guarantee a single owner for each range.
     on_moved : callable
         Called when a range has its new owner.
+    on_held : callable
+        Called with the time until which the owner of a moving range may hold
+        it, when the owner has probably ended and won't release the range.
     """
 
     def __init__(
@@ -128,12 +137,14 @@
         clients: OrderClients,
         durations: Durations,
         on_moved: Callable[[ServiceName, Tenure], None],
+        on_held: Callable[[ServiceName, Tenure, float], None] = _ignore,
     ) -> None:
         self.term = term
         self._deployment = deployment
         self._clients = clients
         self._durations = durations
         self._on_moved = on_moved
+        self._on_held = on_held
         self._renewals: dict[IncarnationName, gevent.Greenlet] = {}
         self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
         self._completed: dict[ServiceName, set[Tenure]] = {}
@@ -234,6 +245,8 @@
             this host may send no more orders.
         """
         began = read_clock()
+        stated_end = float("inf")
+        releases = 0
         while True:
             now = read_clock()
             if not self.term.may_order(now):
@@ -242,9 +255,16 @@
                 self._log_owner_stopped(service, tenure, "ended", now - began)
                 return ""
             end = self._find_hold_end(service, tenure)
+            # One release may fail because the owner is at its connection
+            # limit.
+            lost = releases > 1 or not self._is_registered(tenure.owner)
+            if lost and end < stated_end - _STATED_PRECISION:
+                self._on_held(service, tenure, end)
+                stated_end = end
             # Waiting for the answer to a release past the end of the hold
             # would keep the keys unavailable for up to another 0.7 s.
             with gevent.Timeout(max(_MIN_RELEASE_TIMEOUT, end - now), False):
+                releases += 1
                 result = self._release(service, tenure)
                 if result is not None:
                     proof = result.taken.value
@@ -273,6 +293,9 @@
         self.term.note_release(tenure.owner, tenure.keys)
         return result
 
+    def _is_registered(self, upstream: IncarnationName) -> bool:
+        return self._deployment.directory.find(upstream) is not None
+
     def _log_owner_stopped(
         self,
         service: ServiceName,
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -328,9 +328,7 @@
         elif isinstance(message, StoreFeed):
             self._feed.handle_feed(message, read_clock())
         elif isinstance(message, Moved):
-            self._deployment.complete_moves(
-                message.service, message.list_completed(), read_clock()
-            )
+            self._handle_moved(message, read_clock())
         elif isinstance(message, Lenders):
             self._deployment.set_lenders(message.named)
         elif isinstance(message, Quarantined):
@@ -342,6 +340,13 @@
         elif isinstance(message, AskTrial | EndTrial | TrialVerdict):
             self._trials.handle_message(message, LinkAddress(sender))
 
+    def _handle_moved(self, message: Moved, now: float) -> None:
+        hold_ends = {each.move: now + each.seconds for each in message.held}
+        self._deployment.note_holds(message.service, hold_ends)
+        self._deployment.complete_moves(
+            message.service, message.list_completed(), now
+        )
+
     def _handle_report(self, report: LoadReport, link: LinkAddress) -> None:
         now = read_clock()
         self._quarantine.note_report(link, report.standing.quarantine, now)
--- a/tests/core/ownership/test_movebatches.py
+++ b/tests/core/ownership/test_movebatches.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sedgetide.core.ownership.movebatches import MoveBatch
 from sedgetide.core.ownership.movebatches import MoveBatcher
 from sedgetide.core.ownership.ranges import Tenure
 
@@ -19,7 +20,8 @@
         self.batcher.add("maps", FIRST, 5.0)
         self.batcher.add("maps", SECOND, 5.015)
         self.assertEqual({}, self.batcher.take(5.01))
-        self.assertEqual({"maps": [FIRST, SECOND]}, self.batcher.take(5.02))
+        taken = self.batcher.take(5.02)
+        self.assertEqual({"maps": MoveBatch([FIRST, SECOND])}, taken)
 
     def test_first_move_determines_when_the_batch_is_due(self):
         # Guards against moves that are never announced while others end.
@@ -35,6 +37,7 @@
 
     def test_services_are_kept_apart(self):
         self.batcher.add("maps", FIRST, 5.0)
-        self.batcher.add("seats", FIRST, 5.0)
-        moves = self.batcher.take(6.0)
-        self.assertEqual({"maps": [FIRST], "seats": [FIRST]}, moves)
+        self.batcher.add_hold("seats", FIRST, 8.0, 5.0)
+        held = MoveBatch([], {FIRST.move_id: 8.0})
+        taken = self.batcher.take(6.0)
+        self.assertEqual({"maps": MoveBatch([FIRST]), "seats": held}, taken)
--- a/tests/daemons/test_movenotifier.py
+++ b/tests/daemons/test_movenotifier.py
@@ -15,6 +15,7 @@
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._movenotifier import MoveNotifier
+from sedgetide.runtime.clock import read_clock
 from tests.daemons.test_election import FakeRegistry
 
 SERVICE = "maps"
@@ -122,6 +123,15 @@
         self.notifier.flush()
         self.assertEqual(self.sent[OLD], self.sent[NEW])
 
+    def test_holds_are_stated_to_hosts_of_this_version_only(self):
+        (tenure,) = FIRST.list_moving()
+        self.notifier.note_held(SERVICE, tenure, read_clock() + 3.0)
+        self.notifier.flush()
+        self.assertNotIn(OLD, self.sent)
+        (moved,) = decode_envelope(self.sent[NEW][0]).messages
+        self.assertEqual([tenure.move_id], [each.move for each in moved.held])
+        self.assertAlmostEqual(3.0, moved.held[0].seconds, 1)
+
     def test_moves_in_hand_are_sent_when_the_leader_resigns(self):
         self.complete(FIRST)
         self.notifier.flush()
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -214,3 +214,54 @@
         self.open_connection("u-1")
         self.assertEqual([], self.clients.sent["u-1"])
         self.assertIsNone(task.get())
+
+
+class RefusingClient(SlowClient):
+    """Order client of an upstream that refuses all connections."""
+
+    def _send(self, kind, keys, fence, may_send):
+        return OrderResult(OrderOutcome.UNSENT)
+
+
+class TestLostOwner(testtools.TestCase):
+    """The owner of a moving range is gone, and its hold has to expire."""
+
+    def find_stated_holds(self, registered, seconds):
+        """Return the holds stated within some seconds after the move."""
+        durations = Durations()
+        leadership = Leadership(durations)
+        leadership.begin(TERM, read_clock(), read_clock())
+        deployment = DeploymentState(FakeRegistry())
+        if registered:
+            entry = RegisteredUpstream("u-1", SERVICE, "a", "dc")
+            deployment.directory.put(entry, read_clock())
+        clients = SlowClients(("u-1", "u-2"))
+        clients.clients["u-1"] = RefusingClient([])
+        stated = []
+        executor = OrderExecutor(
+            Term(leadership, durations),
+            deployment,
+            clients,
+            durations,
+            lambda *_: None,
+            lambda _, tenure, end: stated.append(end - read_clock()),
+        )
+        self.addCleanup(executor.close)
+        table = RangeTable().assign_first([("u-1", 1)])
+        table = table.begin([Move(KeyRange(0, 99), "u-2")])
+        deployment.update_table(SERVICE, table, Position(0, 9), read_clock())
+        executor.reconcile(SERVICE, table)
+        gevent.sleep(seconds)
+        return stated
+
+    def test_hold_of_an_unregistered_owner_is_stated_at_once(self):
+        # Guards against callers that wait for an owner in vain, or return
+        # long after the key has one again.
+        (left,) = self.find_stated_holds(False, 0.05)
+        self.assertAlmostEqual(Durations().max_inherited_hold(), left, 0)
+
+    def test_registered_owner_is_given_up_after_two_releases(self):
+        # Guards against refusals in a planned move: an upstream at its
+        # connection limit refuses a release and answers the next one.
+        self.assertEqual([], self.find_stated_holds(True, 0.15))
+        self.assertEqual(1, len(self.find_stated_holds(True, 0.7)))
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -2,6 +2,7 @@
 
 import random
 
+import gevent
 import msgspec
 import testtools
 
@@ -19,6 +20,8 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.attempts import Target
@@ -330,3 +333,46 @@
             permit = self.selector.acquire(make_context(False))
             self.assertEqual(other, permit.target.upstream)
             permit.release()
+
+
+class TestMoving(KnownUpstreamTest):
+    """The key of a request is being moved."""
+
+    def setUp(self):
+        super().setUp()
+        other = msgspec.structs.replace(
+            UPSTREAM, registered_name=UpstreamName("map-2")
+        )
+        self.deployment.directory.put(other, read_clock())
+        table = self.deployment.find_table(SERVICE)
+        table = table.begin([Move(KeyRange(0, 99), other.name)])
+        self.move = table.find(1).move_id
+        self.deployment.update_table(
+            SERVICE, table, Position(0, 2), read_clock()
+        )
+
+    def test_caller_waits_for_the_end_of_a_planned_move(self):
+        # Guards against refusals after half of the objective, in a move that
+        # ends soon after.
+        context = make_context(True)
+        gevent.spawn_later(
+            OBJECTIVE * 0.7,
+            lambda: self.deployment.complete_moves(
+                SERVICE, [self.move], read_clock()
+            ),
+        )
+        permit = self.selector.acquire(context)
+        self.assertEqual("map-2", permit.target.upstream.registered_name)
+
+    def test_wait_ends_with_the_useful_time(self):
+        context, began = make_context(True), read_clock()
+        self.assertIsNone(self.selector.acquire(context))
+        self.assertAlmostEqual(0.9 * OBJECTIVE, read_clock() - began, 1)
+        self.assertEqual("moving", context.note)
+
+    def test_caller_is_told_at_once_how_long_the_owner_is_held(self):
+        self.deployment.note_holds(SERVICE, {self.move: read_clock() + 2.0})
+        context, began = make_context(True), read_clock()
+        self.assertIsNone(self.selector.acquire(context))
+        self.assertLess(read_clock() - began, 0.05)
+        self.assertAlmostEqual(2.1, context.retry_after, 1)
