--- /dev/null
+++ b/sedgetide/daemons/_movenotifier.py
@@ -0,0 +1,104 @@
+"""Notices of the leader to all hosts about moves."""
+
+from collections.abc import Callable
+import math
+
+import gevent
+
+from sedgetide.coding.messages import HeldRange
+from sedgetide.coding.messages import Moved
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.membership.lenders import HostStatus
+from sedgetide.core.ownership.movebatches import MoveBatch
+from sedgetide.core.ownership.movebatches import MoveBatcher
+from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.runtime.clock import read_clock
+
+
+class MoveNotifier:
+    """Sends one message for all news about moves at about the same time.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to a host.
+    list_links : callable
+        Returns the addresses of the hosts to notify.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[LinkAddress, Moved], None],
+        list_links: Callable[[], list[LinkAddress]],
+    ) -> None:
+        self._send = send
+        self._list_links = list_links
+        self._batcher = MoveBatcher()
+        self._short_form: set[LinkAddress] = set()
+        self._timer: gevent.Greenlet | None = None
+
+    def note_status(self, link: LinkAddress, status: HostStatus) -> None:
+        """Record which form of the notice a host understands."""
+        if status.short_moves:
+            self._short_form.add(link)
+        else:
+            self._short_form.discard(link)
+
+    def note_completed(self, service: ServiceName, tenure: Tenure) -> None:
+        """Add a completed move to the next notice."""
+        now = read_clock()
+        self._batcher.add(service, tenure, now)
+        self._start_timer(now)
+
+    def note_held(
+        self, service: ServiceName, tenure: Tenure, end: float
+    ) -> None:
+        """Add until when the owner of a moving range may hold it."""
+        now = read_clock()
+        self._batcher.add_hold(service, tenure, end, now)
+        self._start_timer(now)
+
+    def _start_timer(self, now: float) -> None:
+        if self._timer is None or self._timer.ready():
+            self._timer = gevent.spawn_later(
+                self._batcher.due - now, self._send_due
+            )
+
+    def _send_due(self) -> None:
+        while self._batcher.due is not None:
+            gevent.sleep(max(0.0, self._batcher.due - read_clock()))
+            now = read_clock()
+            self._notify(self._batcher.take(now), now)
+
+    def flush(self) -> None:
+        """Send all collected news now."""
+        self._notify(self._batcher.take(math.inf), read_clock())
+
+    def _notify(
+        self, batches: dict[ServiceName, MoveBatch], now: float
+    ) -> None:
+        links = self._list_links()
+        self._short_form.intersection_update(links)
+        for service, batch in batches.items():
+            short = _make_short_notice(service, batch, now)
+            long = Moved(service, batch.completed)
+            for link in links:
+                if link in self._short_form:
+                    self._send(link, short)
+                elif long.tenures:
+                    self._send(link, long)
+
+
+def _make_short_notice(
+    service: ServiceName, batch: MoveBatch, now: float
+) -> Moved:
+    return Moved(
+        service,
+        [],
+        [each.move_id for each in batch.completed],
+        [
+            HeldRange(move, round(max(0.0, end - now), 3))
+            for move, end in batch.hold_ends.items()
+        ],
+    )
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -336,7 +336,7 @@
         elif isinstance(message, LeaderNotice):
             self._handle_leader_notice(message)
         elif isinstance(message, Moved):
-            self._deployment.complete_moves(message.service, message.tenures)
+            self._handle_moved(message, read_clock())
         elif isinstance(message, Lenders):
             self._deployment.set_lenders(message.named)
         elif isinstance(message, Quarantined):
@@ -348,6 +348,13 @@
         elif isinstance(message, AskTrial | EndTrial | TrialVerdict):
             self._trials.handle_message(message, LinkAddress(sender))
 
+    def _handle_moved(self, message: Moved, now: float) -> None:
+        hold_ends = {each.move: now + each.seconds for each in message.held}
+        self._deployment.note_holds(message.service, hold_ends)
+        self._deployment.complete_moves(
+            message.service, message.list_completed(), now
+        )
+
     def _handle_report(self, report: LoadReport, link: LinkAddress) -> None:
         now = read_clock()
         if report.leader is not None:
@@ -414,6 +421,7 @@
             self._deployment.lenders.version,
             self._deployment.quarantine.version,
             capacity.link_mbps,
+            short_moves=True,
         )
 
     # Admin
