Slowness of an upstream counts as changed once it has lasted 0.7 s

Cause: where work takes three times as long for 0.4 s at a time, four slow answers made an upstream count as slow. It lost keys, which arrived at their new owner after the slow period had ended.

--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -52,6 +52,9 @@
 _PRIOR_ANSWERS = 12
 # The mean of four answers varies by a fifth; four times as much is not chance.
 _CHANGE_THRESHOLD = 0.8
+# Seconds for which a change must last. Where work is slow for 0.4 s at a time,
+# keys moved because of it arrive at their new owner when it is over.
+_CHANGE_DURATION = 0.7
 _MAX_SLOWNESS = 8.0
 
 
@@ -197,9 +200,10 @@
         self._short = 1.0
         self._long = 1.0
         self._answers = 0
+        self._changed_at: float | None = None
         self.noted_at = 0.0
 
-    def note_answers(self, count: int, mean: float) -> None:
+    def note_answers(self, count: int, mean: float, now: float) -> None:
         target = min(_MAX_SLOWNESS, mean)
         self._answers += count
         self._short += _compound_gain(_SHORT_GAIN, count) * (
@@ -208,16 +212,27 @@
         min_gain = count / (self._answers + _PRIOR_ANSWERS)
         gain = max(min_gain, _compound_gain(_LONG_GAIN, count))
         self._long += gain * (target - self._long)
+        self._note_change(now)
 
-    def note_failure(self) -> None:
+    def note_failure(self, now: float) -> None:
         # A failed request occupied a slot without producing an answer.
         self._short = min(_MAX_SLOWNESS, self._short * 1.15 + 0.1)
+        self._note_change(now)
+
+    def _note_change(self, now: float) -> None:
+        self.noted_at = now
+        difference = abs(self._short - self._long)
+        if difference <= _CHANGE_THRESHOLD * self._long:
+            self._changed_at = None
+        elif self._changed_at is None:
+            self._changed_at = now
 
     @property
     def value(self) -> float:
-        if abs(self._short - self._long) > _CHANGE_THRESHOLD * self._long:
-            return self._short
-        return self._long
+        if self._changed_at is None:
+            return self._long
+        lasted = self.noted_at - self._changed_at
+        return self._short if lasted >= _CHANGE_DURATION else self._long
 
 
 def _compound_gain(gain: float, count: int) -> float:
@@ -251,11 +266,11 @@
             known = self._slowness.setdefault(
                 each.upstream, _SlownessEstimate()
             )
-            known.noted_at = now
             if each.answers:
-                known.note_answers(each.answers, each.slowness / each.answers)
+                mean = each.slowness / each.answers
+                known.note_answers(each.answers, mean, now)
             for _ in range(min(each.failures, 4)):
-                known.note_failure()
+                known.note_failure(now)
 
     def list_estimates(
         self, service: ServiceName, now: float
--- a/tests/core/ownership/test_loadreplay.py
+++ b/tests/core/ownership/test_loadreplay.py
@@ -10,6 +10,8 @@
 
 import testtools
 
+from sedgetide.core.ownership.load import LoadTracker
+from sedgetide.core.ownership.load import UpstreamWork
 from tests.core.ownership.loadreplay import Deployment
 from tests.core.ownership.loadreplay import LoadReplay
 from tests.core.ownership.loadreplay import SLOW_FACTOR
@@ -192,6 +194,18 @@
         for each in replay.tracker.list_estimates("map", replay.now):
             self.assertLess(abs(sum(each.rates.values()) / asked - 1), 0.08)
 
+    def test_slowness_counts_once_it_lasts(self):
+        # Upstreams that are slow for 0.4 s at a time lost keys each time.
+        tracker = LoadTracker()
+        tracker.note_upstreams([UpstreamWork("a", 40, 40.0)], 100.0)
+        seen = []
+        for step in range(9):
+            now = 100.1 + 0.1 * step
+            tracker.note_upstreams([UpstreamWork("a", 2, 10.0)], now)
+            seen.append(tracker.find_slowness("a", now))
+        self.assertLess(seen[4], 2.0)
+        self.assertGreater(seen[8], 4.0)
+
 
 class TestLoadReplay(testtools.TestCase):
     """The replay itself shows the loads that it names."""
