Ranges of few keys are trusted as their load varies

Cause: the extent to which ranges differ by more than chance was estimated mostly from wide ranges. Narrow ones, cut out of busy runs, differ more, so owners of several of them were estimated at two thirds of their load.

Change: deviations are weighted by load, not by its square.

--- a/sedgetide/core/ownership/smoothing.py
+++ b/sedgetide/core/ownership/smoothing.py
@@ -198,12 +198,14 @@
         if not longest.is_significant(longest.work[index], work)
     ]
     noise = longest.estimate.noise
+    # Weighted by load, as ranges of a few keys differ more than wide ones.
     spread = sum(
-        (longest.work[index] - expected[index]) ** 2 - noise * expected[index]
+        (longest.work[index] - expected[index]) ** 2 / expected[index] - noise
         for index in usual
+        if expected[index] > 0
     )
-    squares = sum(expected[index] ** 2 for index in usual)
-    variance = max(0.0, spread / squares) if squares > 0 else 0.0
+    total = sum(expected[index] for index in usual)
+    variance = max(0.0, spread / total) if total > 0 else 0.0
     credible = dict.fromkeys(range(len(tenures)), 1.0)
     for index in usual:
         signal = variance * expected[index]
