--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -43,10 +43,12 @@
 # after four answers.
 _SHORT_GAIN = 0.25
 # Weight of the last answer in the long-term average. Response times vary by
-# half, so a mean over 40 answers varies by a sixteenth, and the slowest of 200
-# equal upstreams appears a sixth slower than it is. This is less than the
-# difference that balancing tolerates.
-_LONG_GAIN = 0.025
+# half, so a mean over 100 answers varies by a twenty-fifth, and the slowest of
+# 200 equal upstreams appears a ninth slower than it is. This is less than the
+# difference that balancing tolerates. Where work is slow for a fifth of the
+# time, a mean over 40 answers varied by a seventh and keys moved because of
+# it.
+_LONG_GAIN = 0.01
 # Weight, in answers, of the prior that an upstream is as fast as the others.
 # With fewer, upstreams that seemed slow after a few answers lost keys.
 _PRIOR_ANSWERS = 12
