--- a/sedgetide/core/ownership/load.py
+++ b/sedgetide/core/ownership/load.py
@@ -21,9 +21,14 @@
 # busy range, and the third a lasting difference of a third between two of 200
 # upstreams.
 _TIME_CONSTANTS = (1.5, 5.0, 15.0)
-# Occupied slots of a key below which it is dropped. 0.005 corresponds to one
-# request in 40 s.
+# Occupied slots of a key below which it is not kept on its own. 0.005
+# corresponds to one request in 40 s. The work of such keys is kept as that of
+# one key of each 64 neighbours: dropping it took a sixth of all work out of
+# the longest average, and nearly all of it from ranges without busy keys.
 _MIN_RATE = 0.005
+_CELL_KEYS = 64
+# Occupied slots of 64 neighbouring keys below which their work is dropped.
+_MIN_CELL_RATE = 0.0005
 # Age in time constants at which the exponentially growing weights are
 # rescaled, long before they overflow.
 _MAX_SCALED_AGE = 100.0
@@ -38,15 +43,20 @@
 # after four answers.
 _SHORT_GAIN = 0.25
 # Weight of the last answer in the long-term average. Response times vary by
-# half, so a mean over 40 answers varies by a sixteenth, and the slowest of 200
-# equal upstreams appears a sixth slower than it is. This is less than the
-# difference that balancing tolerates.
-_LONG_GAIN = 0.025
+# half, so a mean over 100 answers varies by a twenty-fifth, and the slowest of
+# 200 equal upstreams appears a ninth slower than it is. This is less than the
+# difference that balancing tolerates. Where work is slow for a fifth of the
+# time, a mean over 40 answers varied by a seventh and keys moved because of
+# it.
+_LONG_GAIN = 0.01
 # Weight, in answers, of the prior that an upstream is as fast as the others.
 # With fewer, upstreams that seemed slow after a few answers lost keys.
 _PRIOR_ANSWERS = 12
 # The mean of four answers varies by a fifth; four times as much is not chance.
 _CHANGE_THRESHOLD = 0.8
+# Seconds for which a change must last. Where work is slow for 0.4 s at a time,
+# keys moved because of it arrive at their new owner when it is over.
+_CHANGE_DURATION = 0.7
 _MAX_SLOWNESS = 8.0
 
 
@@ -122,11 +132,19 @@
 
     def _rescale(self, now: float) -> None:
         factor = math.exp(-(now - self._scaled_at) / self._time_constant)
-        self._work = {
-            key: work * factor
-            for key, work in self._work.items()
-            if work * factor > _MIN_RATE * self._time_constant
-        }
+        kept: dict[Key, float] = {}
+        rare: dict[Key, float] = {}
+        for key, work in self._work.items():
+            work *= factor
+            if work > _MIN_RATE * self._time_constant:
+                kept[key] = work
+            else:
+                middle = Key(key - key % _CELL_KEYS + _CELL_KEYS // 2)
+                rare[middle] = rare.get(middle, 0.0) + work
+        for key, work in rare.items():
+            if work > _MIN_CELL_RATE * self._time_constant:
+                kept[key] = kept.get(key, 0.0) + work
+        self._work = kept
         self._scaled_at = now
 
     def estimate(
@@ -184,9 +202,10 @@
         self._short = 1.0
         self._long = 1.0
         self._answers = 0
+        self._changed_at: float | None = None
         self.noted_at = 0.0
 
-    def note_answers(self, count: int, mean: float) -> None:
+    def note_answers(self, count: int, mean: float, now: float) -> None:
         target = min(_MAX_SLOWNESS, mean)
         self._answers += count
         self._short += _compound_gain(_SHORT_GAIN, count) * (
@@ -195,16 +214,27 @@
         min_gain = count / (self._answers + _PRIOR_ANSWERS)
         gain = max(min_gain, _compound_gain(_LONG_GAIN, count))
         self._long += gain * (target - self._long)
+        self._note_change(now)
 
-    def note_failure(self) -> None:
+    def note_failure(self, now: float) -> None:
         # A failed request occupied a slot without producing an answer.
         self._short = min(_MAX_SLOWNESS, self._short * 1.15 + 0.1)
+        self._note_change(now)
+
+    def _note_change(self, now: float) -> None:
+        self.noted_at = now
+        difference = abs(self._short - self._long)
+        if difference <= _CHANGE_THRESHOLD * self._long:
+            self._changed_at = None
+        elif self._changed_at is None:
+            self._changed_at = now
 
     @property
     def value(self) -> float:
-        if abs(self._short - self._long) > _CHANGE_THRESHOLD * self._long:
-            return self._short
-        return self._long
+        if self._changed_at is None:
+            return self._long
+        lasted = self.noted_at - self._changed_at
+        return self._short if lasted >= _CHANGE_DURATION else self._long
 
 
 def _compound_gain(gain: float, count: int) -> float:
@@ -238,11 +268,11 @@
             known = self._slowness.setdefault(
                 each.upstream, _SlownessEstimate()
             )
-            known.noted_at = now
             if each.answers:
-                known.note_answers(each.answers, each.slowness / each.answers)
+                mean = each.slowness / each.answers
+                known.note_answers(each.answers, mean, now)
             for _ in range(min(each.failures, 4)):
-                known.note_failure()
+                known.note_failure(now)
 
     def list_estimates(
         self, service: ServiceName, now: float
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -37,6 +37,7 @@
 from sedgetide.core.ownership.limits import LimitTracker
 from sedgetide.core.ownership.load import LoadTracker
 from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.smoothing import smooth_rates
@@ -46,6 +47,7 @@
 from sedgetide.daemons._election import Election
 from sedgetide.daemons._evacuationcoordinator import EvacuationCoordinator
 from sedgetide.daemons._feed import FeedPublisher
+from sedgetide.daemons._hostmetrics import MOVES_BY_REASON
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
 from sedgetide.daemons._movenotifier import MoveNotifier
@@ -443,14 +445,7 @@
             table = merged
             self._completions_written_at = now
         if moves:
-            log_event(
-                Event.MOVES,
-                service=service,
-                moves=" ".join(
-                    f"{each.keys.low}-{each.keys.high}>{each.successor}"
-                    for each in moves
-                ),
-            )
+            _report_moves(service, moves)
             table = table.begin(moves)
         return table
 
@@ -488,7 +483,7 @@
             # The upstream has seen a higher fence, or may have restarted.
             # The same owner gets the range again at a new fence.
             if tenure in table.tenures and tenure.owner in eligible:
-                moves.append(Move(tenure.keys, tenure.owner))
+                moves.append(Move(tenure.keys, tenure.owner, MoveReason.FENCE))
                 log_event(
                     Event.FENCE_RENEWED,
                     service=service,
@@ -591,3 +586,21 @@
         """Tell all hosts until when a lost owner may hold a moving range."""
         self._deployment.note_holds(service, {tenure.move_id: end})
         self._move_notifier.note_held(service, tenure, end)
+
+
+def _report_moves(service: ServiceName, moves: list[Move]) -> None:
+    """Log and count moves that start, by reason."""
+    by_reason: dict[MoveReason, list[Move]] = {}
+    for move in moves:
+        by_reason.setdefault(move.reason, []).append(move)
+    for reason, some in by_reason.items():
+        MOVES_BY_REASON.labels(service, reason.value).inc(len(some))
+        log_event(
+            Event.MOVES,
+            service=service,
+            reason=reason.value,
+            moves=" ".join(
+                f"{each.keys.low}-{each.keys.high}>{each.successor}"
+                for each in some
+            ),
+        )
