Late requests wait for a place until their final deadline

Change: package core/admission with AdmissionQueue, which the lender uses in place of UpstreamQueue. AskPlace gains final and deadline, PlaceVerdict the typical service time; without them the earlier rule holds. The host waits as long as the request may be queued, asks a new lender, stops when the key moves and does not send with less than a typical service time left. Counter of decisions by verdict, reason and timing; rows of lent places in the state dump. Test stand-ins of Places take the further arguments of acquire.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -339,6 +339,12 @@
     limit : StatedLimit or None
         Newest rate limit of the upstream that the sender has received, with
         times relative to the sending of this message; None without one.
+    final : float or None
+        Seconds until the route timeout or the caller's deadline, whichever is
+        first. None from hosts of an older version, and if the request is to
+        wait only while an answer within ``left`` is expected.
+    deadline : float or None
+        Seconds until the caller's own deadline; None when not stated.
     """
 
     number: int
@@ -348,6 +354,8 @@
     left: float
     cold_bound: int | None = None
     limit: StatedLimit | None = None
+    final: float | None = None
+    deadline: float | None = None
 
 
 class PlaceVerdict(Message, tag="place"):
@@ -361,11 +369,17 @@
         Decision of the lender.
     retry_after : float
         Seconds after which a refused caller should retry.
+    service_time : float or None
+        Typical service time in seconds at the upstream, for a request that
+        waits or has waited and has stated its final deadline. None otherwise,
+        and from hosts of an older version, which let it wait only while it
+        can be in time.
     """
 
     number: int
     verdict: Verdict
     retry_after: float = 0.0
+    service_time: float | None = None
 
 
 class EndPlace(Message, tag="end-place"):
--- /dev/null
+++ b/sedgetide/core/admission/_queue.py
@@ -0,0 +1,404 @@
+"""Queue of the requests of all hosts for one upstream.
+
+Requests are ordered by priority. Within a priority, those that can still
+meet their objective go before those that are late or returning, and then the
+one whose last useful moment comes first. A request whose objective can no
+longer be met waits on, after the others, as long as it can be answered before
+its final deadline: refusing it would cost the caller a retry that is late in
+any case.
+"""
+
+import heapq
+import itertools
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+
+from sedgetide.core.admission._demand import Demand
+from sedgetide.core.admission._demand import ServiceTimes
+from sedgetide.core.admission._terms import Admission
+from sedgetide.core.admission._terms import AdmissionReason
+from sedgetide.core.admission._terms import AdmissionVerdict
+from sedgetide.core.admission._terms import RequestTerms
+
+ItemT = TypeVar("ItemT")
+
+_NEVER = float("inf")
+# Entries of requests that have left, in excess of those that wait.
+_MAX_GONE = 64
+
+
+class _Entry(msgspec.Struct, Generic[ItemT], eq=False):
+    """One waiting request.
+
+    Parameters
+    ----------
+    useful_until : float
+        Last moment at which a short service time meets the objective.
+    final_at : float
+        Final deadline; without one, the end of the useful time.
+    timed : bool
+        Whether the final deadline is known.
+    late : bool
+        Whether it is late or returning, as counted by its lane.
+    gone : bool
+        Whether it has left the queue; its heap entries are dropped later.
+    """
+
+    item: ItemT
+    priority: int
+    useful_until: float
+    final_at: float
+    timed: bool
+    late: bool
+    gone: bool = False
+
+
+class _Lane:
+    """Waiting requests of one priority, with lazy deletion."""
+
+    def __init__(self) -> None:
+        self.in_time: list[tuple[float, int, _Entry]] = []
+        self.late: list[tuple[float, int, _Entry]] = []
+        self.in_time_count = 0
+        self.late_count = 0
+
+    @property
+    def count(self) -> int:
+        return self.in_time_count + self.late_count
+
+    def push(self, entry: _Entry, number: int) -> None:
+        if entry.late:
+            heapq.heappush(self.late, (entry.useful_until, number, entry))
+            self.late_count += 1
+        else:
+            heapq.heappush(self.in_time, (entry.useful_until, number, entry))
+            self.in_time_count += 1
+        # Requests that have expired behind others would stay in the heap for
+        # as long as the others keep the places busy.
+        if len(self.late) > 2 * self.late_count + _MAX_GONE:
+            self.late = [each for each in self.late if not each[2].gone]
+            heapq.heapify(self.late)
+
+    def drop(self, entry: _Entry) -> None:
+        entry.gone = True
+        if entry.late:
+            self.late_count -= 1
+        else:
+            self.in_time_count -= 1
+
+    def advance(self, now: float) -> None:
+        """Move the requests that have become late."""
+        while self.in_time and (
+            self.in_time[0][2].gone or self.in_time[0][0] < now
+        ):
+            useful_until, number, entry = heapq.heappop(self.in_time)
+            if not entry.gone:
+                entry.late = True
+                self.in_time_count -= 1
+                self.late_count += 1
+                heapq.heappush(self.late, (useful_until, number, entry))
+
+    def pop(self, spare: bool) -> _Entry | None:
+        """Remove and return the next request.
+
+        Parameters
+        ----------
+        spare : bool
+            Whether a late request may have the place. One that states no
+            final deadline has it in any case.
+        """
+        for heap in (self.in_time, self.late):
+            while heap:
+                entry = heap[0][2]
+                if entry.late and entry.timed and not (spare or entry.gone):
+                    return None
+                heapq.heappop(heap)
+                if not entry.gone:
+                    self.drop(entry)
+                    return entry
+        return None
+
+
+class AdmissionQueue(Generic[ItemT]):
+    """Decides which requests get a place of an upstream, wait or are refused.
+
+    Parameters
+    ----------
+    slots : int
+        Number of places.
+    bound : int
+        Maximum number of waiting requests.
+    first_estimate : float
+        Service time in seconds assumed before the first answer.
+    extra : int
+        How many of the places exceed the upstream's slots. These are not
+        given to late or returning requests that have waited: queued at the
+        upstream, such a request would delay those that can be in time.
+    """
+
+    def __init__(
+        self, slots: int, bound: int, first_estimate: float, extra: int = 0
+    ) -> None:
+        self.slots = slots
+        self._extra = extra
+        self._bound = bound
+        self._numbers = itertools.count()
+        self._lanes: dict[int, _Lane] = {}
+        self._entries: dict[ItemT, _Entry[ItemT]] = {}
+        # Entries by their final deadline, for those that state one.
+        self._finals: list[tuple[float, int, _Entry[ItemT]]] = []
+        self._running = 0
+        self._times = ServiceTimes(first_estimate)
+        self._demand = Demand()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, item: ItemT) -> bool:
+        return item in self._entries
+
+    @property
+    def running(self) -> int:
+        """Number of places in use."""
+        return self._running
+
+    @property
+    def service_time(self) -> float:
+        """Typical service time in seconds."""
+        return self._times.mean
+
+    @property
+    def in_time_count(self) -> int:
+        """Number of waiting requests that can meet their objective."""
+        return sum(lane.in_time_count for lane in self._lanes.values())
+
+    @property
+    def late_count(self) -> int:
+        """Number of waiting requests that are late or returning."""
+        return sum(lane.late_count for lane in self._lanes.values())
+
+    def find_demand(self, now: float) -> float:
+        """Return the share of the places' time that arrivals ask for."""
+        return self._demand.find_rate(None, True, now) * self._share
+
+    @property
+    def _share(self) -> float:
+        """Seconds of all places that one request takes."""
+        return self.service_time / self.slots
+
+    def count_ahead(self, priority: int, late: bool) -> int:
+        """Return how many waiting requests go before a new one.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of the new request.
+        late : bool
+            Whether it is late or returning.
+        """
+        ahead = 0
+        for other, lane in self._lanes.items():
+            if other < priority:
+                ahead += lane.count
+            elif other == priority:
+                ahead += lane.count if late else lane.in_time_count
+        return ahead
+
+    def offer(
+        self,
+        item: ItemT,
+        terms: RequestTerms,
+        now: float,
+        may_run: bool = True,
+    ) -> Admission:
+        """Decide on a request.
+
+        Parameters
+        ----------
+        item : object
+            Request; hashable, and not waiting yet.
+        terms : RequestTerms
+            What it needs.
+        now : float
+            Current monotonic time in seconds.
+        may_run : bool
+            Whether a free place may be used now; False while a rate limit
+            of the upstream allows no send.
+        """
+        self._demand.note_arrival(terms.priority, terms.returning, now)
+        self._advance(now)
+        ahead = self.count_ahead(terms.priority, terms.returning)
+        free = ahead == 0 and self._running < self.slots
+        if free and may_run:
+            self._running += 1
+            return Admission(AdmissionVerdict.RUN, AdmissionReason.FREE)
+        if len(self._entries) >= self._bound:
+            return Admission(
+                AdmissionVerdict.REFUSE,
+                AdmissionReason.FULL,
+                self._bound * self._share,
+            )
+        wait = 0.0 if free else (ahead + 1) * self._share
+        if terms.final is None:
+            admission = self._decide_untimed(terms, wait)
+        else:
+            admission = self._decide(terms, wait, now)
+        if admission.verdict is not AdmissionVerdict.REFUSE:
+            self._push(item, terms, now)
+        return admission
+
+    def _decide_untimed(self, terms: RequestTerms, wait: float) -> Admission:
+        if wait + self.service_time > terms.useful:
+            return self._refuse(AdmissionReason.TOO_LONG, wait)
+        return Admission(
+            AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
+        )
+
+    def _decide(
+        self, terms: RequestTerms, wait: float, now: float
+    ) -> Admission:
+        """Decide on a request that finds no free place."""
+        typical = self.service_time
+        if not terms.returning:
+            demand = self._find_demand_ahead(terms.priority, False, now)
+            expected = _stretch(wait, demand)
+            if expected + typical <= min(terms.useful, terms.final):
+                return Admission(
+                    AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
+                )
+        late_wait = (self.count_ahead(terms.priority, True) + 1) * self._share
+        if late_wait + typical > terms.final:
+            return self._refuse(AdmissionReason.TOO_LONG, late_wait)
+        demand = self._find_demand_ahead(terms.priority, True, now)
+        expected = _stretch(late_wait, demand)
+        if expected + typical <= terms.final:
+            return Admission(
+                AdmissionVerdict.WAIT_LATE, AdmissionReason.EXPECTED
+            )
+        if self._has_less_urgent(terms.priority):
+            return Admission(
+                AdmissionVerdict.WAIT_LATE, AdmissionReason.PRECEDENCE
+            )
+        return self._refuse(AdmissionReason.DEMAND, late_wait)
+
+    def _find_demand_ahead(
+        self, priority: int, late: bool, now: float
+    ) -> float:
+        """Return the demand of future arrivals that go before a request."""
+        return self._demand.find_rate(priority, late, now) * self._share
+
+    def _has_less_urgent(self, priority: int) -> bool:
+        return any(
+            other > priority and lane.count
+            for other, lane in self._lanes.items()
+        )
+
+    def _refuse(self, reason: AdmissionReason, wait: float) -> Admission:
+        return Admission(
+            AdmissionVerdict.REFUSE, reason, max(wait, self.service_time)
+        )
+
+    def _push(self, item: ItemT, terms: RequestTerms, now: float) -> None:
+        timed = terms.final is not None
+        # Without a final deadline a request is never late: it expires.
+        useful_until = now + terms.useful
+        if timed:
+            useful_until -= self._times.short
+        entry = _Entry(
+            item,
+            terms.priority,
+            useful_until,
+            now + (terms.final if timed else terms.useful),
+            timed,
+            terms.returning or (timed and useful_until < now),
+        )
+        number = next(self._numbers)
+        self._entries[item] = entry
+        lane = self._lanes.get(terms.priority)
+        if lane is None:
+            lane = self._lanes[terms.priority] = _Lane()
+        lane.push(entry, number)
+        if timed:
+            heapq.heappush(self._finals, (entry.final_at, number, entry))
+
+    def _advance(self, now: float) -> None:
+        for lane in self._lanes.values():
+            lane.advance(now)
+
+    def take(self, now: float) -> tuple[ItemT | None, list[ItemT]]:
+        """Take the next request into a free place.
+
+        Returns
+        -------
+        item : object or None
+            Request to run; None when no place is free or none waits.
+        expired : list
+            Requests that can no longer be answered in time.
+        """
+        expired = self.remove_expired(now)
+        if not self._entries or self._running >= self.slots:
+            return None, expired
+        self._advance(now)
+        spare = self._running < max(1, self.slots - self._extra)
+        for priority in sorted(self._lanes):
+            lane = self._lanes[priority]
+            while (entry := lane.pop(spare)) is not None:
+                del self._entries[entry.item]
+                if not entry.timed and entry.final_at <= now:
+                    expired.append(entry.item)
+                    continue
+                self._running += 1
+                return entry.item, expired
+            if lane.count:
+                break
+        return None, expired
+
+    def remove_expired(self, now: float) -> list[ItemT]:
+        """Remove the requests that can't be answered before their deadline.
+
+        These have less than a typical service time left. Requests without a
+        stated final deadline are not among them.
+        """
+        expired = []
+        last = now + self.service_time
+        while self._finals and (
+            self._finals[0][2].gone or self._finals[0][0] <= last
+        ):
+            entry = heapq.heappop(self._finals)[2]
+            if not entry.gone:
+                self._drop(entry)
+                expired.append(entry.item)
+        return expired
+
+    def _drop(self, entry: _Entry[ItemT]) -> None:
+        del self._entries[entry.item]
+        self._lanes[entry.priority].drop(entry)
+
+    def finish(self, seconds: float | None, now: float) -> None:
+        """Free a place.
+
+        Parameters
+        ----------
+        seconds : float or None
+            Service time; None when there was no answer.
+        now : float
+            Current monotonic time in seconds.
+        """
+        self._running -= 1
+        if seconds is not None:
+            self._times.note(seconds)
+
+    def remove(self, item: ItemT) -> bool:
+        """Remove a request; return False when it does not wait."""
+        entry = self._entries.get(item)
+        if entry is None:
+            return False
+        self._drop(entry)
+        return True
+
+
+def _stretch(wait: float, demand: float) -> float:
+    """Return a wait during which arrivals that go first take their share."""
+    return wait / (1.0 - demand) if demand < 1.0 else _NEVER
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -17,14 +17,18 @@
 """
 
 import enum
+from typing import Any
 
 import msgspec
 
+from sedgetide.core.admission import AdmissionQueue
+from sedgetide.core.admission import AdmissionReason
+from sedgetide.core.admission import AdmissionVerdict
+from sedgetide.core.admission import RequestTerms
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.requests.coldstart import RecentSends
 from sedgetide.core.requests.health import DEFAULT_SERVICE_TIME
-from sedgetide.core.requests.queues import UpstreamQueue
 from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.ratelimits import TokenBucket
 
@@ -45,7 +49,10 @@
 # meanwhile. One request queued at the upstream keeps it busy; with more,
 # urgent requests could not go first.
 _EXTRA_PLACES = 1
-_NO_DEADLINE = float("inf")
+# Seconds by which the lender lets a request expire earlier than its final
+# deadline requires: its messages take a millisecond or two between data
+# centres, and longer on a busy host.
+_TRANSIT_SECONDS = 0.01
 # Seconds; a cold upstream that can handle nothing at all is warm by then.
 _MAX_COLD_WAIT = 3.0
 
@@ -67,6 +74,27 @@
     return 2 * priority + int(overdue)
 
 
+def _make_terms(
+    rank: int, left: float, final: float | None, deadline: float | None
+) -> RequestTerms:
+    """Return the terms of a request with a rank of :func:`rank_request`."""
+    if final is not None:
+        final = max(0.0, final - _TRANSIT_SECONDS)
+    return RequestTerms(rank // 2, rank % 2 == 1, left, final, deadline)
+
+
+class Timing(enum.Enum):
+    """Class of a request in the counters of a lender.
+
+    ``unstated`` requests state no final deadline.
+    """
+
+    IN_TIME = "in-time"
+    LATE = "late"
+    RETURNING = "returning"
+    UNSTATED = "unstated"
+
+
 class Verdict(enum.Enum):
     """Response to a host that asks for permission to send a request.
 
@@ -106,11 +134,21 @@
         Response to its holder.
     retry_after : float
         Seconds after which a refused caller should retry.
+    reason : AdmissionReason
+        Why it was decided so.
+    timing : Timing
+        Class of the request at the time of the decision.
+    service_time : float or None
+        Typical service time, for a request that has to wait or has waited and
+        states its final deadline. It is not sent when less than that is left.
     """
 
     ticket: Ticket
     verdict: Verdict
     retry_after: float = 0.0
+    reason: AdmissionReason = AdmissionReason.EXPECTED
+    timing: Timing = Timing.UNSTATED
+    service_time: float | None = None
 
 
 class _UpstreamPlaces:
@@ -121,18 +159,20 @@
         self._recent = RecentSends()
         self._cold_bound: int | None = None
         self._bucket = TokenBucket()
-        self._queue: UpstreamQueue[Ticket] = UpstreamQueue(
-            slots + _EXTRA_PLACES, _MAX_WAITING, DEFAULT_SERVICE_TIME
+        self._queue: AdmissionQueue[Ticket] = AdmissionQueue(
+            slots + _EXTRA_PLACES,
+            _MAX_WAITING,
+            DEFAULT_SERVICE_TIME,
+            _EXTRA_PLACES,
         )
-        self._waiting: dict[Ticket, Ticket] = {}
+        self._terms: dict[Ticket, tuple[RequestTerms, float]] = {}
         self._lent: dict[Ticket, float] = {}
         self.used_at = float("-inf")
 
     def ask(
         self,
         ticket: Ticket,
-        priority: int,
-        left: float,
+        terms: RequestTerms,
         now: float,
         cold_bound: int | None,
         limit: StatedLimit | None,
@@ -141,21 +181,57 @@
         self._cold_bound = cold_bound
         if limit is not None:
             self._bucket.note(limit, now)
-        limit_wait = self._find_limit_wait(
-            self._queue.count_ahead(priority), now
-        )
-        if limit_wait > 0.0 and limit_wait + self._queue.service_time > left:
-            return [Decision(ticket, Verdict.REFUSED, limit_wait)]
-        free = limit_wait <= 0.0 and self._queue.estimate_wait(priority) == 0.0
-        # If a place is free, even a late request delays no other.
-        deadline = _NO_DEADLINE if free else now + left
-        refusal = self._queue.offer(ticket, priority, deadline, now)
-        if refusal is not None:
-            return [Decision(ticket, Verdict.REFUSED, refusal.retry_after)]
-        self._waiting[ticket] = ticket
+        if self._is_limited and terms.final is not None:
+            # A rate limit bounds the wait by itself, so a request that would
+            # be late is told when the limit allows it.
+            terms = msgspec.structs.replace(terms, final=None)
+        ahead = self._queue.count_ahead(terms.priority, terms.returning)
+        limit_wait = self._find_limit_wait(ahead, now)
+        if (
+            limit_wait > 0.0
+            and limit_wait + self._queue.service_time > terms.useful
+        ):
+            return [
+                Decision(
+                    ticket,
+                    Verdict.REFUSED,
+                    limit_wait,
+                    AdmissionReason.LIMIT,
+                    _find_timing(terms, 0.0),
+                )
+            ]
+        admission = self._queue.offer(ticket, terms, now, limit_wait <= 0.0)
+        timing = _find_timing(terms, 0.0)
+        if admission.verdict is AdmissionVerdict.RUN:
+            return [self._grant(ticket, AdmissionReason.FREE, timing, now)]
+        if admission.verdict is AdmissionVerdict.REFUSE:
+            return [
+                Decision(
+                    ticket,
+                    Verdict.REFUSED,
+                    admission.retry_after,
+                    admission.reason,
+                    timing,
+                )
+            ]
+        self._terms[ticket] = (terms, now)
+        if (
+            admission.verdict is AdmissionVerdict.WAIT_LATE
+            and timing is Timing.IN_TIME
+        ):
+            timing = Timing.LATE
         decisions = self._admit(now)
-        if ticket in self._waiting:
-            decisions.append(Decision(ticket, Verdict.QUEUED))
+        if ticket in self._queue:
+            decisions.append(
+                Decision(
+                    ticket,
+                    Verdict.QUEUED,
+                    0.0,
+                    admission.reason,
+                    timing,
+                    None if terms.final is None else self._queue.service_time,
+                )
+            )
         return decisions
 
     def note_limit(self, said: StatedLimit, now: float) -> list[Decision]:
@@ -166,13 +242,12 @@
     def end(
         self, ticket: Ticket, seconds: float | None, waiting: int, now: float
     ) -> list[Decision]:
-        queued = self._waiting.pop(ticket, None)
-        if queued is not None:
-            self._queue.remove(queued)
+        if self._queue.remove(ticket):
+            del self._terms[ticket]
             return []
         if self._lent.pop(ticket, None) is None:
             return []
-        self._queue.finish(seconds)
+        self._queue.finish(seconds, now)
         # Any other request queued at the upstream was sent without a place
         # and takes the slot that has just become free.
         without_place = max(0, waiting - _EXTRA_PLACES)
@@ -183,9 +258,8 @@
         overdue = [each for each, end in self._lent.items() if end <= now]
         for ticket in overdue:
             del self._lent[ticket]
-            self._queue.finish(None)
-        waits_for_limit = self._is_limited and bool(self._waiting)
-        return self._admit(now) if overdue or waits_for_limit else []
+            self._queue.finish(None, now)
+        return self._admit(now) if overdue or self._terms else []
 
     @property
     def _is_limited(self) -> bool:
@@ -212,40 +286,84 @@
         float or None
             None when no request waits for a limit.
         """
-        if not self._waiting or not self._is_limited:
+        if not self._terms or not self._is_limited:
             return None
         limit_wait = self._find_limit_wait(0, now)
         return limit_wait if limit_wait > 0.0 else None
 
     def _admit(self, now: float) -> list[Decision]:
         decisions = []
-        loan = max(_MIN_LOAN, _LOAN_FACTOR * self._queue.service_time)
         while self._find_limit_wait(0, now) <= 0.0:
             ticket, expired = self._queue.take(now)
             for each in expired:
-                del self._waiting[each]
-                wait = self._queue.service_time
-                decisions.append(Decision(each, Verdict.REFUSED, wait))
+                decisions.append(self._expire(each, now))
             if ticket is None:
                 return decisions
-            del self._waiting[ticket]
-            self._lent[ticket] = now + loan
-            self._recent.note(now)
-            self._bucket.take(now)
-            decisions.append(Decision(ticket, Verdict.GRANTED))
+            terms, asked_at = self._terms.pop(ticket)
+            timing = _find_timing(terms, now - asked_at)
+            granted = self._grant(ticket, AdmissionReason.NEXT, timing, now)
+            if terms.final is not None:
+                granted = msgspec.structs.replace(
+                    granted, service_time=self._queue.service_time
+                )
+            decisions.append(granted)
+        decisions += [
+            self._expire(each, now) for each in self._queue.remove_expired(now)
+        ]
         return decisions
 
+    def _grant(
+        self,
+        ticket: Ticket,
+        reason: AdmissionReason,
+        timing: Timing,
+        now: float,
+    ) -> Decision:
+        loan = max(_MIN_LOAN, _LOAN_FACTOR * self._queue.service_time)
+        self._lent[ticket] = now + loan
+        self._recent.note(now)
+        self._bucket.take(now)
+        return Decision(ticket, Verdict.GRANTED, 0.0, reason, timing)
+
+    def _expire(self, ticket: Ticket, now: float) -> Decision:
+        terms, asked_at = self._terms.pop(ticket)
+        return Decision(
+            ticket,
+            Verdict.REFUSED,
+            self._queue.service_time,
+            AdmissionReason.EXPIRED,
+            _find_timing(terms, now - asked_at),
+        )
+
     @property
     def idle(self) -> bool:
-        return not self._lent and not self._waiting
+        return not self._lent and not self._terms
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Return the fields of the state dump."""
+        return {
+            "slots": self._slots,
+            "lent": len(self._lent),
+            "waiting_in_time": self._queue.in_time_count,
+            "waiting_late": self._queue.late_count,
+            "demand": round(self._queue.find_demand(now), 2),
+        }
+
+
+def _find_timing(terms: RequestTerms, waited: float) -> Timing:
+    if terms.final is None:
+        return Timing.UNSTATED
+    if terms.returning:
+        return Timing.RETURNING
+    return Timing.IN_TIME if waited < terms.useful else Timing.LATE
 
 
 class Lender:
     """Queues of the upstreams whose places one host lends.
 
     Requests of all hosts are admitted by priority, then by deadline. A
-    request that would have to wait too long is refused at once, with the
-    time after which a retry makes sense.
+    request that cannot be answered in the time that it has is refused at
+    once, with the time after which a retry makes sense.
     """
 
     def __init__(self) -> None:
@@ -262,6 +380,8 @@
         now: float,
         cold_bound: int | None = None,
         limit: StatedLimit | None = None,
+        final: float | None = None,
+        deadline: float | None = None,
     ) -> list[Decision]:
         """Handle a request for a place.
 
@@ -274,9 +394,9 @@
         slots : int
             Number of requests that the upstream runs concurrently.
         priority : int
-            Lower is more urgent.
+            As returned by :func:`rank_request`.
         left : float
-            Seconds within which the answer is needed.
+            Seconds within which an answer meets the objective.
         now : float
             Current monotonic time in seconds.
         cold_bound : int or None
@@ -285,6 +405,11 @@
         limit : StatedLimit or None
             Limit of the upstream as known to the requesting host, in local
             monotonic time; None when it knows of none.
+        final : float or None
+            Seconds until the route timeout or the caller's deadline,
+            whichever is first; None when not stated.
+        deadline : float or None
+            Seconds until the caller's deadline; None when not stated.
 
         Returns
         -------
@@ -296,7 +421,8 @@
         if places is None:
             places = self._places[upstream] = _UpstreamPlaces(slots)
         self._upstreams[ticket] = upstream
-        decisions += places.ask(ticket, priority, left, now, cold_bound, limit)
+        terms = _make_terms(priority, left, final, deadline)
+        decisions += places.ask(ticket, terms, now, cold_bound, limit)
         return self._drop_refused(decisions)
 
     def end(
@@ -374,6 +500,13 @@
             and now - places.used_at < _ACTIVE_SECONDS
         }
 
+    def dump_state(self, now: float) -> dict[IncarnationName, dict[str, Any]]:
+        """Return the rows of the state dump, by upstream."""
+        return {
+            name: places.dump_state(now)
+            for name, places in self._places.items()
+        }
+
     def _drop_refused(self, decisions: list[Decision]) -> list[Decision]:
         for each in decisions:
             if each.verdict is Verdict.REFUSED:
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -32,6 +32,12 @@
     "Places asked for at upstreams, by what the lender said.",
     ["verdict"],
 )
+DECISIONS = Counter(
+    "sedgetide_place_decisions",
+    "Decisions of this host as a lender of places, by reason, and by whether "
+    "the request can be in time, is late or returns.",
+    ["verdict", "reason", "timing"],
+)
 TRIALS = Counter(
     "sedgetide_trials",
     "Requests under which upstreams have ended that asked to run, by what "
--- a/sedgetide/daemons/_pendingverdict.py
+++ b/sedgetide/daemons/_pendingverdict.py
@@ -28,6 +28,9 @@
         Latest verdict; None before the first.
     retry_after : float
         Seconds after which a refused caller should retry.
+    service_time : float or None
+        For a queued request that waits for a place until its final deadline:
+        typical service time in seconds, as the lender knows it.
     alone : bool
         For a trial: whether no other strong suspect runs at the same time.
     """
@@ -37,6 +40,7 @@
         self.link = link
         self.verdict: Verdict | None = None
         self.retry_after = 0.0
+        self.service_time: float | None = None
         self.alone = False
         self._first_event = Signal()
         self._final_event = Signal()
@@ -54,6 +58,10 @@
         self._first_event.wait(_FIRST_VERDICT_TIMEOUT)
         return self.verdict
 
+    def wait_decided(self, seconds: float) -> bool:
+        """Wait for the final verdict; return whether it has arrived."""
+        return self._final_event.wait(max(0.0, seconds))
+
     def wait_final_verdict(self, left: float) -> Verdict:
         """Return the final verdict on a queued request.
 
@@ -64,7 +72,7 @@
         left : float
             Seconds for which it may wait.
         """
-        self._final_event.wait(left)
+        self._final_event.wait(max(0.0, left))
         if self.verdict is Verdict.QUEUED:
             return Verdict.REFUSED
         return self.verdict
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import itertools
 import random
+from typing import Any
 
 import gevent
 import msgspec
@@ -20,6 +21,7 @@
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._hostmetrics import DECISIONS
 from sedgetide.daemons._hostmetrics import PLACES
 from sedgetide.daemons._pendingverdict import PendingVerdict
 from sedgetide.runtime.clock import read_clock
@@ -27,6 +29,12 @@
 # Seconds for which a lender that did not reply is not asked again. A lost
 # lender is replaced within two, and one probe a second delays few requests.
 _SILENT_PERIOD = 1.0
+# Seconds after which a waiting request checks whether its lender and its
+# upstream are still the same.
+_CHECK_INTERVAL = 0.1
+# Share of the typical service time without which a request that waits is not
+# sent in any case.
+_MIN_SERVICE_SHARE = 0.5
 _MAX_FIRST_NUMBER = 2**30
 
 Send = Callable[[LinkAddress, Message], None]
@@ -44,6 +52,17 @@
     retry_after: float
 
 
+class PlaceUnwanted(msgspec.Struct, frozen=True):
+    """The request is no longer to be sent to the upstream it waited for."""
+
+
+class _LenderChanged(msgspec.Struct, frozen=True):
+    """Another host has become the lender during the wait."""
+
+
+_LENDER_CHANGED = _LenderChanged()
+
+
 class Place:
     """Lease of one of an upstream's slots, held for a single request.
 
@@ -56,13 +75,18 @@
         Called with the service time in seconds (None without an answer), the
         number of requests that waited at the upstream, and the limit that
         the answer stated.
+    send_by : float or None
+        Monotonic time after which the request is not to be sent, since it
+        waited and has too little time left for an answer; None for no limit.
     """
 
     def __init__(
         self,
         on_release: Callable[[float | None, int, StatedLimit | None], None],
+        send_by: float | None = None,
     ) -> None:
         self._on_release = on_release
+        self.send_by = send_by
         self._seconds: float | None = None
         self._waiting = 0
         self._stated_limit: StatedLimit | None = None
@@ -83,6 +107,48 @@
         self._on_release(self._seconds, self._waiting, self._stated_limit)
 
 
+class _PlaceRequest(msgspec.Struct, frozen=True):
+    """Request for a place, with its times by this host's clock."""
+
+    upstream: RegisteredUpstream
+    priority: int
+    useful_at: float
+    final_at: float | None
+    deadline_at: float | None
+    cold_bound: int | None
+    limit: StatedLimit | None
+    is_wanted: Callable[[], bool] | None
+
+    def make_message(self, number: int, now: float) -> AskPlace:
+        return AskPlace(
+            number,
+            self.upstream.name,
+            self.upstream.slots,
+            self.priority,
+            round(max(0.0, self.useful_at - now), 3),
+            self.cold_bound,
+            None if self.limit is None else self.limit.shift(-now),
+            _find_left(self.final_at, now),
+            _find_left(self.deadline_at, now),
+        )
+
+    def find_send_deadline(self, pending: PendingVerdict) -> float | None:
+        """Return until when the request may be sent after a wait.
+
+        Returns
+        -------
+        float or None
+            None when it did not wait, or only for its useful time.
+        """
+        if self.final_at is None or pending.service_time is None:
+            return None
+        return self.final_at - pending.service_time
+
+
+def _find_left(at: float | None, now: float) -> float | None:
+    return None if at is None else round(max(0.0, at - now), 3)
+
+
 class Places:
     """Acquires places for a host's requests, and grants them as a lender.
 
@@ -122,7 +188,10 @@
         left: float,
         cold_bound: int | None = None,
         limit: StatedLimit | None = None,
-    ) -> Place | PlaceRefused | None:
+        final: float | None = None,
+        deadline: float | None = None,
+        is_wanted: Callable[[], bool] | None = None,
+    ) -> Place | PlaceRefused | PlaceUnwanted | None:
         """Ask the lender for a place at an upstream and wait for it.
 
         Parameters
@@ -138,39 +207,58 @@
             None when it is warm.
         limit : StatedLimit or None
             Rate limit that the upstream states; None for none.
+        final : float or None
+            Seconds until the final deadline, for a request that may be
+            answered later than within ``left``; None for others.
+        deadline : float or None
+            Seconds until the caller's deadline; None when not stated.
+        is_wanted : callable or None
+            Returns whether the request is still to be sent to this upstream.
+            Checked during the wait.
 
         Returns
         -------
-        Place, PlaceRefused or None
+        Place, PlaceRefused, PlaceUnwanted or None
             None when there is no lender or it does not reply: the loss of a
             lender must not make its upstreams unreachable.
         """
-        lenders = self._deployment.lenders
-        link = lenders.find(upstream)
-        if link is None or self._is_silent(link):
-            return None
-        bounded = cold_bound is not None or limit is not None
-        if lenders.rate_limited_only and not bounded:
-            return None
-        number = next(self._numbers)
-        pending = self._pending[number] = PendingVerdict(number, link)
-        message = AskPlace(
-            number,
-            upstream.name,
-            upstream.slots,
+        now = read_clock()
+        request = _PlaceRequest(
+            upstream,
             priority,
-            round(left, 3),
+            now + left,
+            None if final is None else now + final,
+            None if deadline is None else now + deadline,
             cold_bound,
-            None if limit is None else limit.shift(-read_clock()),
+            limit,
+            is_wanted,
         )
+        bounded = cold_bound is not None or limit is not None
+        while True:
+            lenders = self._deployment.lenders
+            link = lenders.find(upstream)
+            if link is None or self._is_silent(link):
+                return None
+            if lenders.rate_limited_only and not bounded:
+                return None
+            result = self._ask_lender(request, link)
+            if result is not _LENDER_CHANGED:
+                return result
+
+    def _ask_lender(
+        self, request: "_PlaceRequest", link: LinkAddress
+    ) -> "Place | PlaceRefused | PlaceUnwanted | _LenderChanged | None":
+        number = next(self._numbers)
+        pending = self._pending[number] = PendingVerdict(number, link)
         granted = False
         try:
-            self._deliver(link, message)
+            self._deliver(link, request.make_message(number, read_clock()))
             verdict = pending.wait_first_verdict()
-            if verdict is Verdict.QUEUED:
-                verdict = pending.wait_final_verdict(left)
             if verdict is None:
                 self._silent_until[link] = read_clock() + _SILENT_PERIOD
+            result = None
+            if verdict is Verdict.QUEUED:
+                verdict, result = self._wait_in_queue(request, pending)
             granted = verdict is Verdict.GRANTED
         finally:
             del self._pending[number]
@@ -180,20 +268,73 @@
                 self._deliver(link, EndPlace(number))
         PLACES.labels("silent" if verdict is None else verdict.value).inc()
         if granted:
-            return Place(
-                lambda seconds, waiting, stated_limit: self._deliver(
-                    link,
-                    EndPlace(
-                        number,
-                        seconds,
-                        waiting,
-                        None
-                        if stated_limit is None
-                        else stated_limit.shift(-read_clock()),
-                    ),
-                )
+            return self._make_place(number, link, request, pending)
+        if verdict is Verdict.REFUSED:
+            return PlaceRefused(pending.retry_after)
+        return result
+
+    def _make_place(
+        self,
+        number: int,
+        link: LinkAddress,
+        request: "_PlaceRequest",
+        pending: PendingVerdict,
+    ) -> Place:
+        def release(
+            seconds: float | None,
+            waiting: int,
+            stated_limit: StatedLimit | None,
+        ) -> None:
+            said = (
+                None
+                if stated_limit is None
+                else stated_limit.shift(-read_clock())
             )
-        return None if verdict is None else PlaceRefused(pending.retry_after)
+            self._deliver(link, EndPlace(number, seconds, waiting, said))
+
+        return Place(release, request.find_send_deadline(pending))
+
+    def _wait_in_queue(
+        self, request: "_PlaceRequest", pending: PendingVerdict
+    ) -> "tuple[Verdict | None, PlaceUnwanted | _LenderChanged | None]":
+        """Wait for the final verdict on a queued request.
+
+        Returns
+        -------
+        verdict : Verdict or None
+            None when the wait was abandoned.
+        result : PlaceUnwanted, _LenderChanged or None
+            Why it was abandoned; None if the lender has been lost.
+        """
+        if request.final_at is None or pending.service_time is None:
+            left = request.useful_at - read_clock()
+            return pending.wait_final_verdict(left), None
+        # The lender ends the wait. This host does so only if the lender is
+        # lost or very slow; the service time may have fallen meanwhile.
+        end = request.final_at - _MIN_SERVICE_SHARE * pending.service_time
+        while not pending.wait_decided(
+            min(_CHECK_INTERVAL, end - read_clock())
+        ):
+            now = read_clock()
+            if now >= end:
+                break
+            if request.is_wanted is not None and not request.is_wanted():
+                return None, PlaceUnwanted()
+            if self._deployment.lenders.find(request.upstream) != pending.link:
+                return None, _LENDER_CHANGED
+            if now >= request.useful_at and self._is_silent(pending.link):
+                # A late request has nothing to gain from the order of the
+                # queue, while a lost lender would hold it to the end.
+                return None, None
+        if pending.verdict is Verdict.GRANTED:
+            send_by = request.find_send_deadline(pending)
+            if send_by is None or read_clock() < send_by:
+                return Verdict.GRANTED, None
+        elif pending.verdict is Verdict.REFUSED:
+            return Verdict.REFUSED, None
+        # Undecided, or granted too late: the place is given back.
+        pending.retry_after = pending.service_time
+        return Verdict.REFUSED, None
 
     def _is_silent(self, link: LinkAddress) -> bool:
         return read_clock() < self._silent_until.get(link, float("-inf"))
@@ -214,6 +355,8 @@
         if isinstance(message, PlaceVerdict):
             pending = self._pending.get(message.number)
             if pending is not None:
+                if message.service_time is not None:
+                    pending.service_time = message.service_time
                 pending.set_verdict(message.verdict, message.retry_after)
             return
         ticket = Ticket(sender, message.number)
@@ -227,6 +370,8 @@
                 now,
                 self._find_cold_bound(message, now),
                 None if message.limit is None else message.limit.shift(now),
+                message.final,
+                message.deadline,
             )
         else:
             decisions = self._lender.end(
@@ -263,6 +408,10 @@
         """
         return self._lender.list_limits(now)
 
+    def dump_state(self, now: float) -> dict[IncarnationName, dict[str, Any]]:
+        """Return the upstreams whose places this host lends."""
+        return self._lender.dump_state(now)
+
     def run_periodic(self, now: float) -> None:
         """Reclaim the places that lost hosts hold."""
         self._deliver_decisions(self._lender.expire(now))
@@ -281,8 +430,14 @@
 
     def _deliver_decisions(self, decisions: list[Decision]) -> None:
         for each in decisions:
+            DECISIONS.labels(
+                each.verdict.value, each.reason.value, each.timing.value
+            ).inc()
             verdict = PlaceVerdict(
-                each.ticket.number, each.verdict, round(each.retry_after, 3)
+                each.ticket.number,
+                each.verdict,
+                round(each.retry_after, 3),
+                each.service_time,
             )
             if each.ticket.holder == self._link:
                 self.handle_message(verdict, self._link)
--- a/sedgetide/daemons/_requestcontext.py
+++ b/sedgetide/daemons/_requestcontext.py
@@ -49,6 +49,9 @@
         Failures of its attempts so far, in order.
     alone : bool
         Whether no other strong suspect of its service runs at the same time.
+    send_by : float
+        Monotonic time after which it is not to be sent, as it waited for a
+        place and too little time is left for an answer.
     fingerprint : Fingerprint or None
         Computed on first use; see :meth:`find_fingerprint`.
     """
@@ -70,6 +73,7 @@
     rested: float = 0.0
     failures: list[Failure] = []
     alone: bool = False
+    send_by: float = float("inf")
     fingerprint: Fingerprint | None = None
 
     def find_fingerprint(self) -> Fingerprint:
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -29,6 +29,7 @@
 from sedgetide.daemons._places import Place
 from sedgetide.daemons._places import PlaceRefused
 from sedgetide.daemons._places import Places
+from sedgetide.daemons._places import PlaceUnwanted
 from sedgetide.daemons._requestcontext import RequestContext
 from sedgetide.daemons._upstreamchannels import UpstreamChannel
 from sedgetide.daemons._upstreamchannels import UpstreamChannels
@@ -106,15 +107,19 @@
 
     def acquire(self, context: RequestContext) -> SendPermit | None:
         """Return a permit for a request; None when it cannot be sent."""
-        hold_deadline = context.times.find_hold_deadline()
-        if context.progress.sends:
-            hold_deadline = max(hold_deadline, read_clock() + _RETRY_WAIT)
+        hold_deadline = _find_hold_deadline(context)
         declined: set[IncarnationName] = set()
         while True:
             now = read_clock()
+            if _is_too_late(context, now):
+                # Its permit was acquired in time, but not used in time.
+                context.note = "too late"
+                return None
             target = self._find_target(context, declined, now)
             if isinstance(target, Target):
                 permit = self._acquire_permit(context, target, hold_deadline)
+                if isinstance(permit, PlaceUnwanted):
+                    continue
                 if isinstance(permit, PlaceRefused):
                     if context.keyed:
                         return None
@@ -138,7 +143,7 @@
 
     def _acquire_permit(
         self, context: RequestContext, target: Target, hold_deadline: float
-    ) -> SendPermit | PlaceRefused | None:
+    ) -> SendPermit | PlaceRefused | PlaceUnwanted | None:
         """Wait for permission to send; None when there is no room in time.
 
         Only the owner may run a request with a key, so all hosts share the
@@ -161,7 +166,11 @@
                     context, place.retry_after, cold_bound, stated_limit
                 )
                 return place
+            if isinstance(place, PlaceUnwanted):
+                return place
             if place is not None:
+                if place.send_by is not None:
+                    context.send_by = place.send_by
                 channel.force_acquire()
                 return SendPermit(target, channel, place)
         priority = context.route.priority
@@ -180,7 +189,7 @@
         target: Target,
         cold_bound: int | None,
         stated_limit: StatedLimit | None,
-    ) -> Place | PlaceRefused | None:
+    ) -> Place | PlaceRefused | PlaceUnwanted | None:
         if not context.keyed:
             # Another upstream of the service answers sooner than a wait here.
             return self._places.acquire(
@@ -191,14 +200,29 @@
                 stated_limit,
             )
         now = read_clock()
-        left = context.times.find_useful_time(now)
+        rank = rank_request(context.route.priority, context.overdue)
         if context.progress.outcome is Outcome.UNKNOWN:
             # The request may have run and only an answer can tell, so it waits
             # until its final deadline.
-            left = context.times.final - now
-        rank = rank_request(context.route.priority, context.overdue)
+            return self._places.acquire(
+                target.upstream,
+                rank,
+                context.times.final - now,
+                cold_bound,
+                stated_limit,
+            )
+        deadline = context.fields.deadline
+        if deadline is not None:
+            deadline -= now - context.times.began
         return self._places.acquire(
-            target.upstream, rank, left, cold_bound, stated_limit
+            target.upstream,
+            rank,
+            context.times.find_useful_time(now),
+            cold_bound,
+            stated_limit,
+            context.times.final - now,
+            deadline,
+            lambda: self._is_still_wanted(context, target),
         )
 
     def _is_wait_futile(self, wait: Wait, now: float) -> bool:
@@ -255,14 +279,20 @@
         backoff.
         """
         upstream = permit.target.upstream.name
-        if (
-            self._deployment.backoffs.find_remaining(upstream, read_clock())
-            > 0.0
-        ):
-            return False
         if permit.place is None and self._deployment.limits.find(upstream):
             return False
-        return self._is_still_valid(context, permit.target)
+        if _is_too_late(context, read_clock()):
+            return False
+        return self._is_still_wanted(context, permit.target)
+
+    def _is_still_wanted(
+        self, context: RequestContext, target: Target
+    ) -> bool:
+        """Return whether a target is valid and asks for no backoff."""
+        backoff = self._deployment.backoffs.find_remaining(
+            target.upstream.name, read_clock()
+        )
+        return backoff <= 0.0 and self._is_still_valid(context, target)
 
     def _is_still_valid(self, context: RequestContext, target: Target) -> bool:
         """Return whether a target is still valid after the wait for it."""
@@ -329,6 +359,26 @@
         )
 
 
+def _find_hold_deadline(context: RequestContext) -> float:
+    """Return until when a request may wait for a target or a window."""
+    hold_deadline = context.times.find_hold_deadline()
+    if context.progress.sends:
+        hold_deadline = max(hold_deadline, read_clock() + _RETRY_WAIT)
+    return hold_deadline
+
+
+def _is_too_late(context: RequestContext, now: float) -> bool:
+    """Return whether a request that waited has too little time left.
+
+    A request that may have run is sent nevertheless, since only an answer
+    can tell.
+    """
+    return (
+        now >= context.send_by
+        and context.progress.outcome is not Outcome.UNKNOWN
+    )
+
+
 def _note_refusal(
     context: RequestContext,
     seconds: float,
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -394,6 +394,7 @@
             "store_era": self._eras.newest,
             "knowledge": self._deployment.dump_state(),
             "leader": self._leader.dump_state(),
+            "lent_places": self._places.dump_state(read_clock()),
             "traffic": msgspec.to_builtins(self._transport.traffic),
         }
 
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -3,10 +3,13 @@
 import random
 
 import gevent
+import msgspec
 import testtools
 
 from sedgetide.coding.messages import AskPlace
+from sedgetide.coding.messages import decode_envelope
 from sedgetide.coding.messages import EndPlace
+from sedgetide.coding.messages import PlaceVerdict
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import ServiceName
@@ -14,10 +17,12 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.membership.lenders import LendingHost
+from sedgetide.core.requests.places import Verdict
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._places import Place
 from sedgetide.daemons._places import PlaceRefused
 from sedgetide.daemons._places import Places
+from sedgetide.daemons._places import PlaceUnwanted
 from sedgetide.platform._registry import PlatformRegistry
 
 NORTH = DataCentre("north")
@@ -50,8 +55,8 @@
 
         return Places(link, deployment, send, random.Random(1))
 
-    def acquire(self, link=ASKER, left=0.5, priority=2):
-        return self.hosts[link].acquire(UPSTREAM, priority, left)
+    def acquire(self, link=ASKER, left=0.5, priority=2, **terms):
+        return self.hosts[link].acquire(UPSTREAM, priority, left, **terms)
 
     def fill(self):
         places = [self.acquire(), self.acquire(), self.acquire(LENDER)]
@@ -112,3 +117,98 @@
         self.assertIsInstance(request, AskPlace)
         self.assertIsInstance(end, EndPlace)
         self.assertEqual(request.number, end.number)
+
+    def wait_late(self, **terms):
+        """Return a greenlet that waits for a place beyond its useful time."""
+        waiting = gevent.spawn(self.acquire, left=0.05, final=1.0, **terms)
+        gevent.sleep(0.15)
+        self.assertFalse(waiting.ready())
+        return waiting
+
+    def test_late_request_gets_a_place(self):
+        # Guards against a host that gives up after the useful time.
+        places = self.fill()
+        waiting = self.wait_late()
+        places[0].release()
+        places[1].release()
+        place = waiting.get(timeout=1)
+        self.assertIsInstance(place, Place)
+        left = place.send_by - gevent.get_hub().loop.now()
+        self.assertLess(left, 1.0 - 0.15 - 0.2)
+
+    def test_late_request_is_refused_before_its_final_deadline(self):
+        # Guards against a caller that gets no answer at all.
+        self.fill()
+        began = gevent.get_hub().loop.now()
+        refused = self.wait_late().get(timeout=1)
+        self.assertIsInstance(refused, PlaceRefused)
+        self.assertLess(gevent.get_hub().loop.now() - began, 0.95)
+        self.assertEqual(0, len(self.hosts[LENDER]._lender._upstreams) - 3)
+
+    def test_verdict_that_arrives_too_late_for_a_send(self):
+        # Guards against sending with less than a service time left.
+        places = self.fill()
+        waiting = self.wait_late()
+        self.lost = True
+        places[0].release()
+        places[1].release()
+        number = self.sent[-3].number
+        gevent.sleep(0.65)
+        self.hosts[ASKER].handle_message(
+            PlaceVerdict(number, Verdict.GRANTED, 0.0, 0.25), LENDER
+        )
+        self.assertIsInstance(waiting.get(timeout=1), PlaceRefused)
+        self.assertEqual(EndPlace(number), self.sent[-1])
+
+    def test_waiting_request_asks_the_new_lender(self):
+        # Guards against a wait for a lender that has been replaced.
+        self.fill()
+        waiting = self.wait_late()
+        hosts = (LendingHost(ASKER, NORTH),)
+        self.hosts[ASKER]._deployment.set_lenders(LenderList(hosts))
+        self.assertIsInstance(waiting.get(timeout=0.3), Place)
+
+    def test_wait_ends_when_the_key_moves(self):
+        # Guards against a wait for an upstream that has lost the key.
+        self.fill()
+        wanted = [True]
+        waiting = self.wait_late(is_wanted=lambda: wanted[0])
+        wanted[0] = False
+        self.assertIsInstance(waiting.get(timeout=0.3), PlaceUnwanted)
+
+    def test_host_of_an_older_version(self):
+        """Messages without the new fields are understood in both directions.
+
+        Guards against callers that fail during a rolling update.
+        """
+        old = msgspec.msgpack.encode(
+            ("here", [("ask-place", 7, "map-1", 2, 4, 0.5, None, None)])
+        )
+        message = decode_envelope(old).messages[0]
+        self.assertEqual((None, None), (message.final, message.deadline))
+        verdict = decode_envelope(
+            msgspec.msgpack.encode(("there", [("place", 7, "queued", 0.0)]))
+        ).messages[0]
+        self.assertIsNone(verdict.service_time)
+        # Such a lender refuses only after the useful time has passed.
+        self.fill()
+        self.lost = True
+        self.hosts[ASKER]._silent_until.clear()
+        began = gevent.get_hub().loop.now()
+        waiting = gevent.spawn(self.acquire, left=0.1, final=1.0)
+        gevent.sleep(0.01)
+        verdict.number = self.sent[-1].number
+        self.hosts[ASKER].handle_message(verdict, LENDER)
+        self.assertIsInstance(waiting.get(timeout=1), PlaceRefused)
+        self.assertLess(gevent.get_hub().loop.now() - began, 0.3)
+
+    def test_state_dump(self):
+        self.fill()
+        waiting = self.wait_late()
+        row = self.hosts[LENDER].dump_state(gevent.get_hub().loop.now())[
+            UPSTREAM.name
+        ]
+        found = [row["slots"], row["lent"], row["waiting_in_time"]]
+        self.assertEqual([2, 3, 0], found)
+        self.assertEqual(1, row["waiting_late"])
+        waiting.kill()
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -2,6 +2,7 @@
 
 import random
 
+import gevent
 import msgspec
 import testtools
 
@@ -72,7 +73,7 @@
 class RefusingPlaces:
     """Refuses every place and records the time offered for the wait."""
 
-    def acquire(self, upstream, priority, left, cold_bound=None, limit=None):
+    def acquire(self, upstream, priority, left, *terms):
         self.left = left
         return PlaceRefused(1.0)
 
@@ -119,6 +120,59 @@
         self.assertGreater(left, OBJECTIVE)
 
 
+class TestFinalDeadline(testtools.TestCase):
+    """A request waits for a place beyond its objective."""
+
+    def acquire(self, result, context):
+        self.places = FakePlaces(result)
+        deployment = DeploymentState(PlatformRegistry())
+        deployment.directory.put(UPSTREAM, read_clock())
+        selector = UpstreamSelector(
+            deployment,
+            UpstreamChannels(1000),
+            self.places,
+            AnswerAverages(),
+            "north",
+            random.Random(1),
+        )
+        selector._find_target = lambda context, declined, now: Target(
+            UPSTREAM, 1
+        )
+        selector._is_still_valid = lambda context, target: True
+        return selector, selector.acquire(context)
+
+    def test_lender_learns_the_final_deadline(self):
+        self.acquire(PlaceRefused(1.0), make_context(True))
+        final, deadline, _ = self.places.terms
+        self.assertAlmostEqual(TIMEOUT, final, 1)
+        self.assertAlmostEqual(TIMEOUT, deadline, 1)
+
+    def test_request_that_may_have_run_states_none(self):
+        # Guards against refusing it: only an answer can tell its outcome.
+        context = make_context(True, sends=1, outcome=Outcome.UNKNOWN)
+        self.acquire(PlaceRefused(1.0), context)
+        self.assertEqual((), self.places.terms)
+
+    def test_place_is_not_used_when_too_little_time_is_left(self):
+        """Connecting to the upstream takes long.
+
+        Guards against a send whose answer would come after the deadline, and
+        against asking for another place for the same request.
+        """
+        for outcome, sent in (
+            (Outcome.NOT_RUN, False),
+            (Outcome.UNKNOWN, True),
+        ):
+            context = make_context(True, outcome=outcome)
+            place = Place(lambda *_: None, read_clock() + 0.02)
+            selector, permit = self.acquire(place, context)
+            self.assertTrue(selector.may_send(context, permit))
+            gevent.sleep(0.03)
+            self.assertEqual(sent, selector.may_send(context, permit))
+            found = selector.acquire(context)
+            self.assertEqual(sent, found is not None)
+
+
 class FakePlaces:
     """Gives the same result for every place and records the arguments."""
 
@@ -126,8 +180,11 @@
         self.result = result
         self.asked = []
 
-    def acquire(self, upstream, priority, left, cold_bound=None, limit=None):
+    def acquire(
+        self, upstream, priority, left, cold_bound=None, limit=None, *terms
+    ):
         self.asked.append((upstream.registered_name, cold_bound, left))
+        self.terms = terms
         return self.result
 
 
