Refused callers are promised a time of return

Cause: a lender kept no record of the callers that it refused. Callers of a hot key returned together after 1 to 1.5 s, while it was still hot, and were refused again.

Change: the admission queue promises each refused caller a time, spread as places become free, and counts on the return at a third of the caller's time left if that is earlier. PlaceVerdict gains promised; Retry-After is then the promised time. Less urgent requests are not admitted to the time of expected returns. One late request of a priority waits at a demand of 1 or more. A typical service time is the fourth fifth of the last 30 instead of the mean. The lender's timer also wakes for expiries, so that a refusal after the wait carries a promise.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -374,12 +374,16 @@
         waits or has waited and has stated its final deadline. None otherwise,
         and from hosts of an older version, which let it wait only while it
         can be in time.
+    promised : bool
+        Whether the lender counts on the return of a refused caller after
+        ``retry_after``. False from hosts of an older version.
     """
 
     number: int
     verdict: Verdict
     retry_after: float = 0.0
     service_time: float | None = None
+    promised: bool = False
 
 
 class EndPlace(Message, tag="end-place"):
--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -17,6 +17,7 @@
 
 from sedgetide.core.admission._demand import Demand
 from sedgetide.core.admission._demand import ServiceTimes
+from sedgetide.core.admission._returns import Promises
 from sedgetide.core.admission._terms import Admission
 from sedgetide.core.admission._terms import AdmissionReason
 from sedgetide.core.admission._terms import AdmissionVerdict
@@ -27,6 +28,7 @@
 _NEVER = float("inf")
 # Entries of requests that have left, in excess of those that wait.
 _MAX_GONE = 64
+_MAX_PROMISES = 1000
 
 
 class _Entry(msgspec.Struct, Generic[ItemT], eq=False):
@@ -152,6 +154,7 @@
         self._running = 0
         self._times = ServiceTimes(first_estimate)
         self._demand = Demand()
+        self._promises = Promises(_MAX_PROMISES)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -166,9 +169,14 @@
 
     @property
     def service_time(self) -> float:
-        """Typical service time in seconds."""
+        """Mean service time in seconds."""
         return self._times.mean
 
+    @property
+    def typical_time(self) -> float:
+        """Service time in seconds that most requests do not exceed."""
+        return self._times.typical
+
     @property
     def in_time_count(self) -> int:
         """Number of waiting requests that can meet their objective."""
@@ -183,6 +191,10 @@
         """Return the share of the places' time that arrivals ask for."""
         return self._demand.find_rate(None, True, now) * self._share
 
+    def count_promises(self, now: float) -> int:
+        """Return how many refused callers are expected to return."""
+        return self._promises.count(now)
+
     @property
     def _share(self) -> float:
         """Seconds of all places that one request takes."""
@@ -228,6 +240,8 @@
             of the upstream allows no send.
         """
         self._demand.note_arrival(terms.priority, terms.returning, now)
+        if terms.returning:
+            self._promises.note_return(terms.priority, now)
         self._advance(now)
         ahead = self.count_ahead(terms.priority, terms.returning)
         free = ahead == 0 and self._running < self.slots
@@ -235,23 +249,22 @@
             self._running += 1
             return Admission(AdmissionVerdict.RUN, AdmissionReason.FREE)
         if len(self._entries) >= self._bound:
-            return Admission(
-                AdmissionVerdict.REFUSE,
-                AdmissionReason.FULL,
-                self._bound * self._share,
-            )
+            wait = self._bound * self._share
+            return self.refuse(terms, AdmissionReason.FULL, wait, now)
         wait = 0.0 if free else (ahead + 1) * self._share
         if terms.final is None:
-            admission = self._decide_untimed(terms, wait)
+            admission = self._decide_untimed(terms, wait, now)
         else:
             admission = self._decide(terms, wait, now)
         if admission.verdict is not AdmissionVerdict.REFUSE:
             self._push(item, terms, now)
         return admission
 
-    def _decide_untimed(self, terms: RequestTerms, wait: float) -> Admission:
+    def _decide_untimed(
+        self, terms: RequestTerms, wait: float, now: float
+    ) -> Admission:
         if wait + self.service_time > terms.useful:
-            return self._refuse(AdmissionReason.TOO_LONG, wait)
+            return self.refuse(terms, AdmissionReason.TOO_LONG, wait, now)
         return Admission(
             AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
         )
@@ -260,19 +273,17 @@
         self, terms: RequestTerms, wait: float, now: float
     ) -> Admission:
         """Decide on a request that finds no free place."""
-        typical = self.service_time
+        typical = self.typical_time
         if not terms.returning:
-            demand = self._find_demand_ahead(terms.priority, False, now)
-            expected = _stretch(wait, demand)
+            expected = self._stretch_wait(terms.priority, wait, False, now)
             if expected + typical <= min(terms.useful, terms.final):
                 return Admission(
                     AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
                 )
         late_wait = (self.count_ahead(terms.priority, True) + 1) * self._share
         if late_wait + typical > terms.final:
-            return self._refuse(AdmissionReason.TOO_LONG, late_wait)
-        demand = self._find_demand_ahead(terms.priority, True, now)
-        expected = _stretch(late_wait, demand)
+            return self.refuse(terms, AdmissionReason.TOO_LONG, late_wait, now)
+        expected = self._stretch_wait(terms.priority, late_wait, True, now)
         if expected + typical <= terms.final:
             return Admission(
                 AdmissionVerdict.WAIT_LATE, AdmissionReason.EXPECTED
@@ -281,7 +292,39 @@
             return Admission(
                 AdmissionVerdict.WAIT_LATE, AdmissionReason.PRECEDENCE
             )
-        return self._refuse(AdmissionReason.DEMAND, late_wait)
+        lane = self._lanes.get(terms.priority)
+        expected = self._stretch_wait(terms.priority, late_wait, False, now)
+        if (
+            lane is None or lane.late_count == 0
+        ) and expected + typical <= terms.final:
+            # Many arrivals of its priority are refused and take no place. If
+            # nothing waited, a place that becomes free would go to whichever
+            # request asks next, often a less urgent one.
+            return Admission(
+                AdmissionVerdict.WAIT_LATE, AdmissionReason.FOREMOST
+            )
+        return self.refuse(terms, AdmissionReason.DEMAND, late_wait, now)
+
+    def _stretch_wait(
+        self, priority: int, wait: float, late: bool, now: float
+    ) -> float:
+        """Return a wait with the requests that arrive during it and go first.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of the request that waits.
+        wait : float
+            Seconds until the waiting requests that go first have been served.
+        late : bool
+            Whether it is late or returning.
+        now : float
+            Current monotonic time in seconds.
+        """
+        demand = self._find_demand_ahead(priority, late, now)
+        wait = _stretch(wait, demand)
+        returns = self._promises.count_due(priority - 1, now + wait, now)
+        return wait + returns * self._share
 
     def _find_demand_ahead(
         self, priority: int, late: bool, now: float
@@ -295,10 +338,38 @@
             for other, lane in self._lanes.items()
         )
 
-    def _refuse(self, reason: AdmissionReason, wait: float) -> Admission:
-        return Admission(
-            AdmissionVerdict.REFUSE, reason, max(wait, self.service_time)
+    def refuse(
+        self,
+        terms: RequestTerms,
+        reason: AdmissionReason,
+        wait: float,
+        now: float,
+    ) -> Admission:
+        """Return the refusal of a request, with the time of its return.
+
+        Parameters
+        ----------
+        terms : RequestTerms
+            What the request needs.
+        reason : AdmissionReason
+            Why it is refused.
+        wait : float
+            Seconds until the waiting requests that go first have been served.
+        now : float
+            Current monotonic time in seconds.
+        """
+        if terms.final is None:
+            seconds = max(wait, self.service_time)
+            return Admission(AdmissionVerdict.REFUSE, reason, seconds)
+        demand = self._find_demand_ahead(terms.priority, True, now)
+        seconds = self._promises.promise(
+            terms.priority,
+            _stretch(wait, demand),
+            _stretch(self._share, demand),
+            terms.deadline,
+            now,
         )
+        return Admission(AdmissionVerdict.REFUSE, reason, seconds, True)
 
     def _push(self, item: ItemT, terms: RequestTerms, now: float) -> None:
         timed = terms.final is not None
@@ -362,7 +433,7 @@
         stated final deadline are not among them.
         """
         expired = []
-        last = now + self.service_time
+        last = now + self.typical_time
         while self._finals and (
             self._finals[0][2].gone or self._finals[0][0] <= last
         ):
@@ -372,6 +443,14 @@
                 expired.append(entry.item)
         return expired
 
+    def find_expiry(self) -> float:
+        """Return when the next waiting request expires; may be infinite."""
+        while self._finals and self._finals[0][2].gone:
+            heapq.heappop(self._finals)
+        if not self._finals:
+            return _NEVER
+        return self._finals[0][0] - self.typical_time
+
     def _drop(self, entry: _Entry[ItemT]) -> None:
         del self._entries[entry.item]
         self._lanes[entry.priority].drop(entry)
--- a/sedgetide/core/admission/_terms.py
+++ b/sedgetide/core/admission/_terms.py
@@ -39,6 +39,8 @@
         It is expected to get a place in time for its verdict.
     PRECEDENCE
         A less urgent request waits, which it goes before.
+    FOREMOST
+        No other late request of its priority waits.
     DEMAND
         Requests that go first ask for all of the places' time.
     TOO_LONG
@@ -55,6 +57,7 @@
     NEXT = "next"
     EXPECTED = "expected"
     PRECEDENCE = "precedence"
+    FOREMOST = "foremost"
     DEMAND = "demand"
     TOO_LONG = "too-long"
     EXPIRED = "expired"
@@ -99,8 +102,11 @@
         Why it was taken.
     retry_after : float
         Seconds after which a refused caller should return.
+    promised : bool
+        Whether the lender counts on the caller's return at that time.
     """
 
     verdict: AdmissionVerdict
     reason: AdmissionReason
     retry_after: float = 0.0
+    promised: bool = False
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -49,6 +49,7 @@
 # meanwhile. One request queued at the upstream keeps it busy; with more,
 # urgent requests could not go first.
 _EXTRA_PLACES = 1
+_NEVER = float("inf")
 # Seconds by which the lender lets a request expire earlier than its final
 # deadline requires: its messages take a millisecond or two between data
 # centres, and longer on a busy host.
@@ -141,6 +142,9 @@
     service_time : float or None
         Typical service time, for a request that has to wait or has waited and
         states its final deadline. It is not sent when less than that is left.
+    promised : bool
+        Whether the lender counts on the return of a refused caller after
+        ``retry_after``.
     """
 
     ticket: Ticket
@@ -149,6 +153,7 @@
     reason: AdmissionReason = AdmissionReason.EXPECTED
     timing: Timing = Timing.UNSTATED
     service_time: float | None = None
+    promised: bool = False
 
 
 class _UpstreamPlaces:
@@ -212,6 +217,7 @@
                     admission.retry_after,
                     admission.reason,
                     timing,
+                    promised=admission.promised,
                 )
             ]
         self._terms[ticket] = (terms, now)
@@ -229,7 +235,7 @@
                     0.0,
                     admission.reason,
                     timing,
-                    None if terms.final is None else self._queue.service_time,
+                    None if terms.final is None else self._queue.typical_time,
                 )
             )
         return decisions
@@ -291,6 +297,9 @@
         limit_wait = self._find_limit_wait(0, now)
         return limit_wait if limit_wait > 0.0 else None
 
+    def find_expiry(self) -> float:
+        return self._queue.find_expiry()
+
     def _admit(self, now: float) -> list[Decision]:
         decisions = []
         while self._find_limit_wait(0, now) <= 0.0:
@@ -304,7 +313,7 @@
             granted = self._grant(ticket, AdmissionReason.NEXT, timing, now)
             if terms.final is not None:
                 granted = msgspec.structs.replace(
-                    granted, service_time=self._queue.service_time
+                    granted, service_time=self._queue.typical_time
                 )
             decisions.append(granted)
         decisions += [
@@ -327,12 +336,21 @@
 
     def _expire(self, ticket: Ticket, now: float) -> Decision:
         terms, asked_at = self._terms.pop(ticket)
+        waited = now - asked_at
+        if terms.deadline is not None:
+            terms = msgspec.structs.replace(
+                terms, deadline=terms.deadline - waited
+            )
+        refusal = self._queue.refuse(
+            terms, AdmissionReason.EXPIRED, self._queue.service_time, now
+        )
         return Decision(
             ticket,
             Verdict.REFUSED,
-            self._queue.service_time,
-            AdmissionReason.EXPIRED,
-            _find_timing(terms, now - asked_at),
+            refusal.retry_after,
+            refusal.reason,
+            _find_timing(terms, waited),
+            promised=refusal.promised,
         )
 
     @property
@@ -347,6 +365,7 @@
             "waiting_in_time": self._queue.in_time_count,
             "waiting_late": self._queue.late_count,
             "demand": round(self._queue.find_demand(now), 2),
+            "promises": self._queue.count_promises(now),
         }
 
 
@@ -474,6 +493,22 @@
             (each for each in openings if each is not None), default=None
         )
 
+    def find_wakeup(self, now: float) -> float | None:
+        """Return the seconds until a waiting request is granted or expires.
+
+        Returns
+        -------
+        float or None
+            None when none waits for a limit, or until a final deadline.
+        """
+        expiries = [places.find_expiry() for places in self._places.values()]
+        expiry = min(expiries, default=_NEVER)
+        opening = self.find_opening(now)
+        if expiry == _NEVER:
+            return opening
+        expiry = max(0.0, expiry - now)
+        return expiry if opening is None else min(opening, expiry)
+
     def expire(self, now: float) -> list[Decision]:
         """Reclaim the places of lost holders and remove idle queues."""
         decisions = []
--- a/sedgetide/core/requests/retryafter.py
+++ b/sedgetide/core/requests/retryafter.py
@@ -51,6 +51,17 @@
     return round(max(_MIN_PLACE_DELAY, capped), 2)
 
 
+def retry_after_promise(seconds: float) -> float:
+    """Return the retry delay that a lender promised.
+
+    Parameters
+    ----------
+    seconds : float
+        Time until the lender expects the caller back.
+    """
+    return round(max(SHORT_RETRY_DELAY, seconds), 2)
+
+
 def retry_after_limit(seconds: float) -> float:
     """Return the retry delay for an upstream that has stated a limit.
 
--- a/sedgetide/daemons/_pendingverdict.py
+++ b/sedgetide/daemons/_pendingverdict.py
@@ -31,6 +31,9 @@
     service_time : float or None
         For a queued request that waits for a place until its final deadline:
         typical service time in seconds, as the lender knows it.
+    promised : bool
+        Whether the lender of a place counts on the return of the refused
+        caller after ``retry_after``.
     alone : bool
         For a trial: whether no other strong suspect runs at the same time.
     """
@@ -41,6 +44,7 @@
         self.verdict: Verdict | None = None
         self.retry_after = 0.0
         self.service_time: float | None = None
+        self.promised = False
         self.alone = False
         self._first_event = Signal()
         self._final_event = Signal()
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -34,7 +34,10 @@
 _CHECK_INTERVAL = 0.1
 # Share of the typical service time without which a request that waits is not
 # sent in any case.
-_MIN_SERVICE_SHARE = 0.5
+_MIN_SERVICE_SHARE = 0.25
+# Seconds. The service time, and with it the expiry of waiting requests, may
+# change before the timer fires; it must not fire again at once.
+_MIN_TIMER = 0.005
 _MAX_FIRST_NUMBER = 2**30
 
 Send = Callable[[LinkAddress, Message], None]
@@ -47,9 +50,12 @@
     ----------
     retry_after : float
         Seconds after which to ask again.
+    promised : bool
+        Whether the lender counts on the caller's return at that time.
     """
 
     retry_after: float
+    promised: bool = False
 
 
 class PlaceUnwanted(msgspec.Struct, frozen=True):
@@ -180,6 +186,7 @@
         self._silent_until: dict[LinkAddress, float] = {}
         self._lender = Lender()
         self._timer: gevent.Greenlet | None = None
+        self._wake_at = 0.0
 
     def acquire(
         self,
@@ -270,7 +277,7 @@
         if granted:
             return self._make_place(number, link, request, pending)
         if verdict is Verdict.REFUSED:
-            return PlaceRefused(pending.retry_after)
+            return PlaceRefused(pending.retry_after, pending.promised)
         return result
 
     def _make_place(
@@ -357,6 +364,7 @@
             if pending is not None:
                 if message.service_time is not None:
                     pending.service_time = message.service_time
+                pending.promised = message.promised
                 pending.set_verdict(message.verdict, message.retry_after)
             return
         ticket = Ticket(sender, message.number)
@@ -417,12 +425,18 @@
         self._deliver_decisions(self._lender.expire(now))
 
     def _set_timer(self) -> None:
-        """Schedule the next grant for when the limits allow it."""
-        if self._timer is not None and not self._timer.ready():
+        """Schedule the next grant or expiry that no message brings about."""
+        now = read_clock()
+        seconds = self._lender.find_wakeup(now)
+        if seconds is None:
             return
-        seconds = self._lender.find_opening(read_clock())
-        if seconds is not None:
-            self._timer = gevent.spawn_later(seconds, self._on_timer)
+        wake_at = now + max(_MIN_TIMER, seconds)
+        if self._timer is not None:
+            if self._wake_at <= wake_at:
+                return
+            self._timer.kill(block=False)
+        self._wake_at = wake_at
+        self._timer = gevent.spawn_later(wake_at - now, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -438,6 +452,7 @@
                 each.verdict,
                 round(each.retry_after, 3),
                 each.service_time,
+                each.promised,
             )
             if each.ticket.holder == self._link:
                 self.handle_message(verdict, self._link)
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -22,6 +22,7 @@
 from sedgetide.core.requests.retryafter import retry_after_limit
 from sedgetide.core.requests.retryafter import retry_after_move
 from sedgetide.core.requests.retryafter import retry_after_place
+from sedgetide.core.requests.retryafter import retry_after_promise
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
@@ -162,9 +163,7 @@
             if place is None and bounded:
                 place = PlaceRefused(_NO_LENDER_RETRY_DELAY)
             if isinstance(place, PlaceRefused):
-                _note_refusal(
-                    context, place.retry_after, cold_bound, stated_limit
-                )
+                _note_refusal(context, place, cold_bound, stated_limit)
                 return place
             if isinstance(place, PlaceUnwanted):
                 return place
@@ -381,14 +380,19 @@
 
 def _note_refusal(
     context: RequestContext,
-    seconds: float,
+    refused: PlaceRefused,
     cold_bound: int | None,
     stated_limit: StatedLimit | None,
 ) -> None:
     """Record why the lender refused a request, and its Retry-After."""
+    seconds = refused.retry_after
     if stated_limit is not None:
         context.note = "limited"
         context.retry_after = retry_after_limit(seconds)
         return
     context.note = "no place" if cold_bound is None else "cold"
-    context.retry_after = retry_after_place(seconds)
+    context.retry_after = (
+        retry_after_promise(seconds)
+        if refused.promised
+        else retry_after_place(seconds)
+    )
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -153,6 +153,13 @@
         self.acquire(PlaceRefused(1.0), context)
         self.assertEqual((), self.places.terms)
 
+    def test_caller_is_told_the_promised_time(self):
+        # Guards against rounding a promise to the range of earlier delays.
+        for promised, told in ((True, 0.4), (False, 1.0)):
+            context = make_context(True)
+            self.acquire(PlaceRefused(0.4, promised), context)
+            self.assertEqual(told, context.retry_after)
+
     def test_place_is_not_used_when_too_little_time_is_left(self):
         """Connecting to the upstream takes long.
 
