--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -49,6 +49,12 @@
     "Leaders that this host learnt of from a lender, while the store turned "
     "it away.",
 )
+DECISIONS = Counter(
+    "sedgetide_place_decisions",
+    "Decisions of this host as a lender of places, by reason, and by whether "
+    "the request can be in time, is late or returns.",
+    ["verdict", "reason", "timing"],
+)
 TRIALS = Counter(
     "sedgetide_trials",
     "Requests under which upstreams have ended that asked to run, by what "
