The event moves and a counter name the reason of each move

Cause: the event moves had a field for the reason that was never filled, so moves for balance, for hot keys and of lost owners looked alike.

Change: each planned move has a reason (balance, hot-key, eviction, evacuation, consolidation, fence); the leader logs one event for each reason of a round and counts sedgetide_moves_planned by service and reason.

--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -14,6 +14,7 @@
 from sedgetide.core.ownership.projected_load import ProjectedLoad
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 
@@ -101,7 +102,7 @@
             if tenure.low <= key <= tenure.high
         )
         loads.apply_move(work, None, destination)
-        moves.append(Move(tenure.keys, destination))
+        moves.append(Move(tenure.keys, destination, MoveReason.EVICTION))
     return moves
 
 
@@ -281,7 +282,9 @@
         idle = _sum_work(tenure, busy, rates) <= _NEGLIGIBLE_WORK
         last_moved = settled and foreign and narrow and idle
         if last_moved:
-            moves.append(Move(tenure.keys, left.owner))
+            moves.append(
+                Move(tenure.keys, left.owner, MoveReason.CONSOLIDATION)
+            )
         if len(moves) >= max_moves:
             break
     return moves
--- a/sedgetide/core/ownership/evacuation.py
+++ b/sedgetide/core/ownership/evacuation.py
@@ -16,6 +16,7 @@
 from sedgetide.core.ownership.projected_load import ProjectedLoad
 from sedgetide.core.ownership.ranges import group_keys
 from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 
 # Number of rounds in which the ranges are moved.
@@ -98,5 +99,5 @@
     for work, tenure in leaving[:max_moves]:
         destination = loads.find_idlest()
         loads.apply_move(work, None, destination)
-        moves.append(Move(tenure.keys, destination))
+        moves.append(Move(tenure.keys, destination, MoveReason.EVACUATION))
     return moves
--- a/sedgetide/core/ownership/isolation.py
+++ b/sedgetide/core/ownership/isolation.py
@@ -15,6 +15,7 @@
 from sedgetide.core.ownership.projected_load import ProjectedLoad
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import Tenure
 
 _HOT_KEY_UTILIZATION = 0.9
@@ -49,14 +50,15 @@
         faster = _find_faster_upstream(loads, hot.owner)
         if faster is not None:
             loads.hot_key_owners.add(faster)
-            moves.append(Move(KeyRange(hot.key, hot.key), faster))
+            keys = KeyRange(hot.key, hot.key)
+            moves.append(Move(keys, faster, MoveReason.HOT_KEY))
             loads.apply_move(hot.work, hot.owner, faster)
             continue
         for keys, work in _list_other_ranges(loads, hot):
             destination = loads.find_idlest()
             if destination in loads.hot_key_owners:
                 break
-            moves.append(Move(keys, destination))
+            moves.append(Move(keys, destination, MoveReason.HOT_KEY))
             loads.apply_move(work, hot.owner, destination)
     return moves[: max(0, max_moves)]
 
--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+import enum
 
 import msgspec
 
@@ -86,11 +87,23 @@
         return self.successor != NO_UPSTREAM
 
 
+class MoveReason(enum.Enum):
+    """Why a range moves, as in log lines and metrics."""
+
+    BALANCE = "balance"
+    HOT_KEY = "hot-key"
+    EVICTION = "eviction"
+    EVACUATION = "evacuation"
+    CONSOLIDATION = "consolidation"
+    FENCE = "fence"
+
+
 class Move(msgspec.Struct, frozen=True):
     """A key range and the upstream that is to become its owner."""
 
     keys: KeyRange
     successor: IncarnationName
+    reason: MoveReason = MoveReason.BALANCE
 
 
 class RangeTable(msgspec.Struct, frozen=True):
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -100,6 +100,11 @@
 MOVES = Counter(
     "sedgetide_moves", "Ranges that got another owner.", ["service"]
 )
+MOVES_BY_REASON = Counter(
+    "sedgetide_moves_planned",
+    "Ranges that the leader started to move, by reason.",
+    ["service", "reason"],
+)
 ORDERS = Counter(
     "sedgetide_orders", "Orders to upstreams.", ["order", "taken"]
 )
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -38,6 +38,7 @@
 from sedgetide.core.ownership.limits import LimitTracker
 from sedgetide.core.ownership.load import LoadTracker
 from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.smoothing import smooth_rates
@@ -47,6 +48,7 @@
 from sedgetide.daemons._election import Election
 from sedgetide.daemons._evacuationcoordinator import EvacuationCoordinator
 from sedgetide.daemons._feed import FeedPublisher
+from sedgetide.daemons._hostmetrics import MOVES_BY_REASON
 from sedgetide.daemons._hostmetrics import RANGES
 from sedgetide.daemons._hostmetrics import RANGES_MOVING
 from sedgetide.daemons._orderexecutor import OrderClients
@@ -437,14 +439,7 @@
             table = merged
             self._completions_written_at = now
         if moves:
-            log_event(
-                Event.MOVES,
-                service=service,
-                moves=" ".join(
-                    f"{each.keys.low}-{each.keys.high}>{each.successor}"
-                    for each in moves
-                ),
-            )
+            _report_moves(service, moves)
             table = table.begin(moves)
         return table
 
@@ -482,7 +477,7 @@
             # The upstream has seen a higher fence, or may have restarted.
             # The same owner gets the range again at a new fence.
             if tenure in table.tenures and tenure.owner in eligible:
-                moves.append(Move(tenure.keys, tenure.owner))
+                moves.append(Move(tenure.keys, tenure.owner, MoveReason.FENCE))
                 log_event(
                     Event.FENCE_RENEWED,
                     service=service,
@@ -577,3 +572,21 @@
         self._deployment.complete_moves(service, [tenure])
         for link in self._feed.list_links(read_clock()):
             self._send(link, Moved(service, [tenure]))
+
+
+def _report_moves(service: ServiceName, moves: list[Move]) -> None:
+    """Log and count moves that start, by reason."""
+    by_reason: dict[MoveReason, list[Move]] = {}
+    for move in moves:
+        by_reason.setdefault(move.reason, []).append(move)
+    for reason, some in by_reason.items():
+        MOVES_BY_REASON.labels(service, reason.value).inc(len(some))
+        log_event(
+            Event.MOVES,
+            service=service,
+            reason=reason.value,
+            moves=" ".join(
+                f"{each.keys.low}-{each.keys.high}>{each.successor}"
+                for each in some
+            ),
+        )
--- a/tests/core/ownership/loadreplay.py
+++ b/tests/core/ownership/loadreplay.py
@@ -42,6 +42,7 @@
         # Lost upstreams by time of loss; moving tenures by end of the move.
         self.absent, self._due = {}, {}
         self.rounds, self.moves, self.moved = 0, 0, 0.0
+        self.reasons = collections.Counter()
 
     def _draw_weights(self):
         """Return popularity: a third even, the rest around twelve keys."""
@@ -132,6 +133,7 @@
             moves = balance.plan_balance(*some)
             moves = moves or balance.plan_consolidation(*some)
         self.moves += len(moves)
+        self.reasons.update(each.reason.value for each in moves)
         self.moved += sum(len(move.keys) for move in moves) / KEY_COUNT
         self.table = table.begin(moves) if moves else self.table
         for each in self.table.list_moving():
--- a/tests/core/ownership/test_isolation.py
+++ b/tests/core/ownership/test_isolation.py
@@ -5,6 +5,7 @@
 from sedgetide.core.ownership.balance import EligibleUpstream
 from sedgetide.core.ownership.balance import max_concurrent_moves
 from sedgetide.core.ownership.balance import plan_balance
+from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 
 COUNT = 16
@@ -66,6 +67,18 @@
         self.table = self.balance(12)
         self.assertEqual(self.table, self.balance(1))
 
+    def test_moves_name_their_reason(self):
+        # Operators could not tell moves for a hot key from other ones.
+        eligible = {name: EligibleUpstream(name, 2) for name in self.names}
+        moves = plan_balance(self.table, eligible, self.rates)
+        owner = self.table.find(self.hot).owner
+        reasons = {
+            each.reason
+            for each in moves
+            if self.table.find(each.keys.low).owner == owner
+        }
+        self.assertEqual({MoveReason.HOT_KEY}, reasons)
+
     def test_few_upstreams_keep_what_they_have(self):
         # With three upstreams none can be reserved for a single key.
         names = self.names[:3]
