A late verdict shows that the lender is alive

Cause: hosts on links of 5 Mbit/s wait up to 0.9 s behind a large answer.

Change: any verdict of a lender ends the pause in asking it.

Result: the test failed before (the next request got no place) and passes.

--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -360,6 +360,8 @@
         """Handle a message about a place."""
         now = read_clock()
         if isinstance(message, PlaceVerdict):
+            # Even a verdict that is too late shows that the lender is alive.
+            self._silent_until.pop(sender, None)
             pending = self._pending.get(message.number)
             if pending is not None:
                 if message.service_time is not None:
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -95,6 +95,17 @@
         self.assertIsNone(self.acquire())
         self.assertEqual(asked, len(self.sent))
 
+    def test_lender_whose_verdict_is_late_is_asked_again(self):
+        # A large answer occupied the host's narrow link for longer than it
+        # waits for a verdict. It took the lender for lost and sent requests
+        # for a hot key without places for a second: the upstream was full.
+        self.lost = True
+        self.assertIsNone(self.acquire())
+        self.lost = False
+        verdict = PlaceVerdict(self.sent[0].number, Verdict.REFUSED)
+        self.asker.handle_message(verdict, LENDER)
+        self.assertIsInstance(self.acquire(), Place)
+
     def test_request_of_a_caller_that_left_is_removed_from_the_queue(self):
         """The place of a caller that left goes to the next request.
 
