Tests of late waits that guard against more faults

Cause: trials that removed single rules from the code (the end of a late wait for a silent lender, the replaced timer, the earlier rule at limited upstreams, the order between a late and a less urgent request, the deadline of an expired request) passed all tests.

Change: a test for each. The replays assert that a request granted after a wait has a typical service time left.

--- a/tests/core/admission/replays.py
+++ b/tests/core/admission/replays.py
@@ -180,6 +180,10 @@
                 continue
             del self._pending[each.ticket]
             if each.verdict is Verdict.GRANTED:
+                if each.service_time is not None:
+                    # After a wait, enough time is left for an answer.
+                    left = self.find_final(call) - self.now
+                    assert left >= each.service_time + MESSAGE_DELAY
                 at = self.now + MESSAGE_DELAY
                 self.push(at, self._send, call, each.ticket)
             else:
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -75,6 +75,13 @@
             ["urgent", "hasty", "patient", None, "returning"], found
         )
 
+    def test_less_urgent_request_does_not_pass_a_late_one(self):
+        # Guards against giving the extra place to the less urgent request.
+        self.offer("patient", useful=5.0, final=5.0, priority=2)
+        self.offer("late", useful=0.1)
+        found = [self.take(0.01) for _ in range(3)]
+        self.assertEqual([None, "late", "patient"], found)
+
     def test_request_becomes_late_during_its_wait(self):
         # Guards against serving requests that are late in any case before
         # others that can still be in time.
--- a/tests/core/requests/test_places.py
+++ b/tests/core/requests/test_places.py
@@ -14,6 +14,7 @@
 from sedgetide.core.requests.places import rank_request
 from sedgetide.core.requests.places import Ticket
 from sedgetide.core.requests.places import Verdict
+from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.retryafter import retry_after_place
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.windows import UpstreamLoad
@@ -125,6 +126,39 @@
         self.assertEqual([], self.end(1, waiting=2))
         self.assertEqual([(4, Verdict.GRANTED)], self.end(2, waiting=1))
 
+    def ask_late(self, number, now=0.0, **terms):
+        """Ask for a place that can't be had within the useful time."""
+        return self.lender.ask(
+            make_ticket(number), UPSTREAM, SLOTS, USUAL, 0.1, now, **terms
+        )
+
+    def test_late_request_at_an_upstream_with_a_limit(self):
+        # Guards against holding it for a limit that has its own wait.
+        for number in (1, 2, 3):
+            self.ask(number)
+        found = self.ask_late(4, final=1.5)
+        self.assertIs(Verdict.QUEUED, found[0].verdict)
+        self.lender.end(make_ticket(4), None, 0, 0.0)
+        limit = StatedLimit(50.0, -0.2, -0.1)
+        found = self.ask_late(5, final=1.5, limit=limit)
+        self.assertIs(Verdict.REFUSED, found[0].verdict)
+        self.assertFalse(found[0].promised)
+
+    def test_expired_request_is_promised_a_time_within_its_deadline(self):
+        # Guards against a promise by the deadline as it was at the request.
+        for number in (1, 2, 3):
+            self.ask(number)
+        self.ask_late(4, final=1.5, deadline=1.6)
+        # A service time of 0.2 s and 10 ms for messages are subtracted.
+        self.assertAlmostEqual(1.29, self.lender.find_wakeup(0.0))
+        for number in range(10, 30):
+            refused = self.ask_late(number, 1.28, final=0.1, deadline=30.0)
+        self.assertGreater(refused[0].retry_after, 1.0)
+        found = self.lender.expire(1.3)
+        self.assertIs(Verdict.REFUSED, found[0].verdict)
+        self.assertTrue(found[0].promised)
+        self.assertAlmostEqual(0.3, found[0].retry_after)
+
     def test_idle_queues_are_forgotten(self):
         self.ask(1)
         self.end(1)
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -171,6 +171,25 @@
         self.hosts[ASKER]._deployment.set_lenders(LenderList(hosts))
         self.assertIsInstance(waiting.get(timeout=0.3), Place)
 
+    def test_late_request_does_not_wait_for_a_silent_lender(self):
+        # Guards against holding it to the end while its host's window has
+        # room.
+        self.fill()
+        waiting = self.wait_late()
+        self.lost = True
+        self.assertIsNone(self.acquire())
+        self.assertIsNone(waiting.get(timeout=0.3))
+
+    def test_earlier_expiry_replaces_a_later_one(self):
+        # Guards against a lender that sleeps until the later one.
+        self.fill()
+        later = gevent.spawn(self.acquire, left=0.05, final=3.0)
+        gevent.sleep(0.01)
+        earlier = gevent.spawn(self.acquire, left=0.05, final=0.6)
+        refused = earlier.get(timeout=1)
+        self.assertTrue(refused.promised)
+        later.kill()
+
     def test_wait_ends_when_the_key_moves(self):
         # Guards against a wait for an upstream that has lost the key.
         self.fill()
