Planned moves and notices are measured

Cause: operators saw how many ranges had moved, and not how long planned moves take or whether notices are gathered.

Change: histograms sedgetide_planned_move_seconds (by service, only ranges that their owner released) and sedgetide_moves_per_notice; event `moved` for each notice; the state dump shows, for each moving range, its age, whether the owner is registered, the usual duration and what is left of a stated hold.

--- a/sedgetide/core/ownership/moveprogress.py
+++ b/sedgetide/core/ownership/moveprogress.py
@@ -140,6 +140,28 @@
         """Record until when the previous owner may hold a moving range."""
         self._hold_ends[move] = end
 
+    def list_moving(
+        self,
+        table: RangeTable,
+        is_registered: Callable[[IncarnationName], bool],
+        now: float,
+    ) -> dict[int, MovingRange]:
+        """Return the progress of all moves, by the first keys of the ranges.
+
+        Parameters
+        ----------
+        table : RangeTable
+            Current table.
+        is_registered : callable
+            Returns whether an upstream is registered.
+        now : float
+            Current monotonic time in seconds.
+        """
+        return {
+            each.low: self.describe(each, is_registered(each.owner), now)
+            for each in table.list_moving()
+        }
+
     def describe(
         self, tenure: Tenure, owner_registered: bool, now: float
     ) -> MovingRange:
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -545,6 +545,7 @@
             else msgspec.to_builtins(self.leader),
             "tables": msgspec.to_builtins(self.tables),
             "upstreams": msgspec.to_builtins(self.directory.list_all()),
+            "moving": self._describe_moves(read_clock()),
             "asked": self._describe_pushback(read_clock()),
             "evacuated": self.directory.evacuations.describe(read_clock()),
             "quarantine": msgspec.to_builtins(
@@ -552,6 +553,18 @@
             ),
         }
 
+    def _describe_moves(self, now: float) -> dict[str, Any]:
+        """Return the progress of all moves, by service and first key."""
+        return {
+            service: {
+                str(low): msgspec.to_builtins(moving)
+                for low, moving in progress.list_moving(
+                    self.tables[service].table, self._is_registered, now
+                ).items()
+            }
+            for service, progress in self._moves.items()
+        }
+
     def _describe_pushback(self, now: float) -> dict[str, Any]:
         """Return the limits and backoffs that upstreams asked for."""
         backoffs = self.backoffs.list_active(now)
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -100,6 +100,18 @@
 MOVES = Counter(
     "sedgetide_moves", "Ranges that got another owner.", ["service"]
 )
+PLANNED_MOVE_SECONDS = Histogram(
+    "sedgetide_planned_move_seconds",
+    "Time from the start of a move to the grant of its next owner, for "
+    "ranges that their previous owner has released.",
+    ["service"],
+    buckets=(0.03, 0.06, 0.1, 0.15, 0.2, 0.25, 0.35, 0.5, 0.8, 1.5, 3.0),
+)
+MOVES_PER_NOTICE = Histogram(
+    "sedgetide_moves_per_notice",
+    "Ranges in each notice to the hosts that moves have ended.",
+    buckets=(1, 2, 5, 10, 20, 40, 60, 100),
+)
 ORDERS = Counter(
     "sedgetide_orders", "Orders to upstreams.", ["order", "taken"]
 )
--- a/sedgetide/daemons/_movenotifier.py
+++ b/sedgetide/daemons/_movenotifier.py
@@ -13,7 +13,10 @@
 from sedgetide.core.ownership.movebatches import MoveBatch
 from sedgetide.core.ownership.movebatches import MoveBatcher
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.daemons._hostmetrics import MOVES_PER_NOTICE
 from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import log_event
 
 
 class MoveNotifier:
@@ -83,6 +86,16 @@
         for service, batch in batches.items():
             short = _make_short_notice(service, batch, now)
             long = Moved(service, batch.completed)
+            if batch.completed:
+                MOVES_PER_NOTICE.observe(len(batch.completed))
+            log_event(
+                Event.MOVED,
+                service=service,
+                moves=len(batch.completed),
+                held=len(batch.hold_ends),
+                hosts=len(links),
+                short=len(self._short_form),
+            )
             for link in links:
                 if link in self._short_form:
                     self._send(link, short)
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 
 import gevent
+import msgspec
 
 from sedgetide.backends.dialects import OrderDialect
 from sedgetide.core.identifiers import Fence
@@ -18,6 +19,7 @@
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import MOVES
+from sedgetide.daemons._hostmetrics import PLANNED_MOVE_SECONDS
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderclient import OrderResult
@@ -101,6 +103,22 @@
                 self._clients.pop(name).close()
 
 
+class _StoppedOwner(msgspec.Struct, frozen=True):
+    """How an owner has stopped serving a range.
+
+    Parameters
+    ----------
+    handover : str
+        State handed over with the release, or an empty string.
+    released : bool
+        Whether it answered a release. Otherwise it has ended, or its hold
+        has expired.
+    """
+
+    handover: str = ""
+    released: bool = False
+
+
 def _ignore(*_: object) -> None:
     """Accept and ignore any arguments."""
 
@@ -218,14 +236,17 @@
 
     def _move(self, service: ServiceName, tenure: Tenure) -> None:
         """Move a range from its owner to its successor."""
-        handover = self._stop_owner(service, tenure)
-        if handover is None:
+        began = read_clock()
+        stopped = self._stop_owner(service, tenure)
+        if stopped is None:
             return
         for _ in range(_GRANT_ATTEMPTS):
             now = read_clock()
             if not self.term.may_order(now):
                 return
-            taken = self._grant(service, tenure.successor, tenure, handover)
+            taken = self._grant(
+                service, tenure.successor, tenure, stopped.handover
+            )
             if taken is OrderOutcome.DONE:
                 break
             gevent.sleep(_RETRY_DELAY)
@@ -233,16 +254,20 @@
         # is renewed, and if it is lost the range moves again.
         self._completed.setdefault(service, set()).add(tenure)
         MOVES.labels(service).inc()
+        if stopped.released:
+            seconds = read_clock() - began
+            PLANNED_MOVE_SECONDS.labels(service).observe(seconds)
         self._on_moved(service, tenure)
 
-    def _stop_owner(self, service: ServiceName, tenure: Tenure) -> str | None:
+    def _stop_owner(
+        self, service: ServiceName, tenure: Tenure
+    ) -> _StoppedOwner | None:
         """Wait until the owner has certainly stopped serving a range.
 
         Returns
         -------
-        str or None
-            State handed over with the release, or an empty string; None when
-            this host may send no more orders.
+        _StoppedOwner or None
+            None when this host may send no more orders.
         """
         began = read_clock()
         stated_end = float("inf")
@@ -253,7 +278,7 @@
                 return None
             if self._is_hold_over(service, tenure, now):
                 self._log_owner_stopped(service, tenure, "ended", now - began)
-                return ""
+                return _StoppedOwner()
             end = self._find_hold_end(service, tenure)
             # One release may fail because the owner is at its connection
             # limit.
@@ -271,7 +296,8 @@
                     self._log_owner_stopped(
                         service, tenure, proof, read_clock() - began
                     )
-                    return result.handover
+                    released = result.taken is OrderOutcome.DONE
+                    return _StoppedOwner(result.handover, released)
                 gevent.sleep(_RETRY_DELAY)
 
     def _release(
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -357,6 +357,14 @@
         "Ranges start to move, in the form from-to>successor.",
         ("service", "reason", "moves"),
     )
+    MOVED = Definition(
+        "moved",
+        logging.INFO,
+        "Hosts were told in one message that ranges have new owners. held: "
+        "number of ranges that wait until the hold of a lost owner ends; "
+        "short: number of hosts that got the short form.",
+        ("service", "moves", "held", "hosts", "short"),
+    )
     ORDER = Definition(
         "order",
         logging.INFO,
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -2,6 +2,7 @@
 
 import gevent
 from gevent.event import Event
+from prometheus_client import REGISTRY
 import testtools
 
 from sedgetide.core.history import Position
@@ -177,6 +178,23 @@
         self.open_connection("u-1")
         self.assertNotIn(("grant", 0, 1), self.clients.sent["u-1"])
 
+    def count_planned(self):
+        name = "sedgetide_planned_move_seconds_count"
+        return REGISTRY.get_sample_value(name, {"service": SERVICE}) or 0
+
+    def test_only_released_ranges_count_as_planned_moves(self):
+        # Guards against a histogram that shows holds of lost owners.
+        before = self.count_planned()
+        self.reconcile(self.move("u-2"))
+        self.open_connection("u-2")
+        self.assertEqual(before, self.count_planned())
+        (granted,) = self.moved
+        self.write_table(self.table.complete([granted]))
+        # The hold of the new owner has to be released.
+        self.reconcile(self.move("u-3"))
+        self.open_connection("u-3")
+        self.assertEqual(before + 1, self.count_planned())
+
     def test_owners_of_a_later_era_get_no_orders_of_this_term(self):
         # Guards against two owners: the next leader assumes that an upstream
         # which has released all keys holds only its own grants.
