Benchmark of planned moves with 100, 200 and 300 fed hosts

Cause: the goal of 0.25 s (95th percentile) for a key in a planned move, with 60 moves at a time and 100 upstreams, was not measured.

RangeUpstream tells whether it holds a key, and its command line can be parsed by others.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo faults soak slopes losses logcost lint clean
+.PHONY: test demo faults soak slopes losses movetimes logcost lint clean
 
 test: lint
 	$(BIN)/python -m pytest -q
@@ -28,6 +28,9 @@
 losses: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.losses --output build/losses.json
 
+movetimes: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.movetimes --output build/movetimes.json
+
 logcost: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.logcost --output build/logcost.json
 
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -129,6 +129,10 @@
         """Return the time of a clock that may run slow."""
         return time.monotonic() * self._options.clock_rate
 
+    def holds(self, key: Key) -> bool:
+        """Return whether the upstream holds a grant of a key."""
+        return self._holder.find_fence(key, self._read_clock()) is not None
+
     def serve(self, request: Request) -> Answer:
         """Apply an order of a leader, or run a request."""
         expected = find_header(request.headers, _names.EXPECT_INSTANCE.lower())
@@ -332,8 +336,8 @@
 }
 
 
-def main() -> int:
-    """Run the upstream until SIGTERM."""
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line of an upstream."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--name", required=True)
     parser.add_argument("--service", required=True)
@@ -377,7 +381,12 @@
         default=[],
         help="value in answers from this time after the start on",
     )
-    options = parser.parse_args()
+    return parser
+
+
+def main() -> int:
+    """Run the upstream until SIGTERM."""
+    options = make_parser().parse_args()
     upstream = RangeUpstream(options)
     for number, how in _LEAVING_SIGNALS.items():
         gevent.signal_handler(number, upstream.leave, how)
