Hosts hear of moves also while the leader does not feed them

Cause: notices went to the subscribers of the feed, which ends when the leader's proof is not recent. Moves that ended then were told to nobody, and if the store doesn't answer no table can show them: callers waited for keys that had an owner.

Change: MoveNotifier notifies every host that has reported in the last three seconds. Its moves have been carried out with a valid proof, so the notice is true whatever the age of the proof is by then.

--- a/sedgetide/daemons/_feed.py
+++ b/sedgetide/daemons/_feed.py
@@ -208,14 +208,6 @@
         as_of = self._deployment.as_of
         self._send(link, StoreFeed(as_of, as_of, FEED_ENDED_AGE, 0.0, []))
 
-    def list_links(self, now: float) -> list[LinkAddress]:
-        """Return the addresses of hosts that reported recently."""
-        return [
-            link
-            for link, subscriber in self._subscribers.items()
-            if now - subscriber.heard_at <= _SUBSCRIBER_TIMEOUT
-        ]
-
     def end(self) -> None:
         """End the feed, so that all hosts watch the store themselves."""
         for link in self._subscribers:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -121,9 +121,7 @@
         self._store = store
         self._send = send
         self._feed = FeedPublisher(deployment, send)
-        self._move_notifier = MoveNotifier(
-            send, lambda: self._feed.list_links(read_clock())
-        )
+        self._move_notifier = MoveNotifier(send)
         self._quarantine_writer = QuarantineWriter(store, deployment)
         self._completions_written_at = float("-inf")
         self._deployment = deployment
@@ -179,9 +177,10 @@
         now : float
             Own clock.
         """
+        if sender is not None:
+            self._move_notifier.note_status(sender, report.standing, now)
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.position, now)
-            self._move_notifier.note_status(sender, report.standing)
             self._update_lenders(sender, report.standing, now)
         elif sender is not None:
             self._feed.announce_era(sender, report.position, now)
--- a/sedgetide/daemons/_movenotifier.py
+++ b/sedgetide/daemons/_movenotifier.py
@@ -4,6 +4,7 @@
 import math
 
 import gevent
+import msgspec
 
 from sedgetide.coding.messages import HeldRange
 from sedgetide.coding.messages import Moved
@@ -18,6 +19,14 @@
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
 
+# Seconds; hosts report every 0.4 s.
+_LISTENER_TIMEOUT = 3.0
+
+
+class _Listener(msgspec.Struct, frozen=True):
+    heard_at: float
+    short_form: bool
+
 
 class MoveNotifier:
     """Sends one message for all news about moves at about the same time.
@@ -26,27 +35,38 @@
     ----------
     send : callable
         Sends a message to a host.
-    list_links : callable
-        Returns the addresses of the hosts to notify.
+
+    Notes
+    -----
+    All hosts that report are notified, also while the leader doesn't feed
+    them because its proof of leadership is not recent. If the store doesn't
+    answer, no table can tell them of the moves that end meanwhile.
     """
 
     def __init__(
         self,
         send: Callable[[LinkAddress, Moved], None],
-        list_links: Callable[[], list[LinkAddress]],
     ) -> None:
         self._send = send
-        self._list_links = list_links
         self._batcher = MoveBatcher()
-        self._short_form: set[LinkAddress] = set()
+        self._listeners: dict[LinkAddress, _Listener] = {}
         self._timer: gevent.Greenlet | None = None
 
-    def note_status(self, link: LinkAddress, status: HostStatus) -> None:
+    def note_status(
+        self, link: LinkAddress, status: HostStatus, now: float
+    ) -> None:
         """Record which form of the notice a host understands."""
-        if status.short_moves:
-            self._short_form.add(link)
-        else:
-            self._short_form.discard(link)
+        if link not in self._listeners:
+            self._prune(now)
+        self._listeners[link] = _Listener(now, status.short_moves)
+
+    def _prune(self, now: float) -> None:
+        """Forget hosts that don't report any more."""
+        self._listeners = {
+            link: listener
+            for link, listener in self._listeners.items()
+            if now - listener.heard_at <= _LISTENER_TIMEOUT
+        }
 
     def note_completed(self, service: ServiceName, tenure: Tenure) -> None:
         """Add a completed move to the next notice."""
@@ -81,8 +101,9 @@
     def _notify(
         self, batches: dict[ServiceName, MoveBatch], now: float
     ) -> None:
-        links = self._list_links()
-        self._short_form.intersection_update(links)
+        self._prune(now)
+        listeners = self._listeners.items()
+        short_forms = sum(each.short_form for _, each in listeners)
         for service, batch in batches.items():
             short = _make_short_notice(service, batch, now)
             long = Moved(service, batch.completed)
@@ -93,11 +114,11 @@
                 service=service,
                 moves=len(batch.completed),
                 held=len(batch.hold_ends),
-                hosts=len(links),
-                short=len(self._short_form),
+                hosts=len(listeners),
+                short=short_forms,
             )
-            for link in links:
-                if link in self._short_form:
+            for link, listener in listeners:
+                if listener.short_form:
                     self._send(link, short)
                 elif long.tenures:
                     self._send(link, long)
--- a/tests/daemons/test_movenotifier.py
+++ b/tests/daemons/test_movenotifier.py
@@ -65,13 +65,13 @@
     def setUp(self):
         super().setUp()
         self.sent = {}
-        self.links = [OLD, NEW]
-        self.notifier = MoveNotifier(self.note_sent, lambda: self.links)
+        self.notifier = MoveNotifier(self.note_sent)
         old = msgspec.msgpack.encode(OldStatus())
-        self.notifier.note_status(
-            OLD, msgspec.msgpack.decode(old, type=HostStatus)
-        )
-        self.notifier.note_status(NEW, HostStatus(short_moves=True))
+        self.report(OLD, msgspec.msgpack.decode(old, type=HostStatus))
+        self.report(NEW, HostStatus(short_moves=True))
+
+    def report(self, link, status, age=0.0):
+        self.notifier.note_status(link, status, read_clock() - age)
 
     def note_sent(self, link, message):
         data = encode_envelope(Envelope("leader", [message]))
@@ -110,7 +110,7 @@
     def test_short_form_does_no_harm_at_an_older_host(self):
         # Guards against a lost envelope: a host that was replaced by one of
         # the older version gets the short form until its first report.
-        self.notifier.note_status(OLD, HostStatus(short_moves=True))
+        self.report(OLD, HostStatus(short_moves=True))
         self.complete(FIRST)
         self.notifier.flush()
         (data,) = self.sent[OLD]
@@ -118,7 +118,7 @@
         self.assertEqual([], moved.tenures)
 
     def test_host_that_goes_back_to_the_older_version(self):
-        self.notifier.note_status(NEW, HostStatus())
+        self.report(NEW, HostStatus())
         self.complete(FIRST)
         self.notifier.flush()
         self.assertEqual(self.sent[OLD], self.sent[NEW])
@@ -132,6 +132,13 @@
         self.assertEqual([tenure.move_id], [each.move for each in moved.held])
         self.assertAlmostEqual(3.0, moved.held[0].seconds, 1)
 
+    def test_host_that_does_not_report_gets_no_notice(self):
+        # Guards against ever more links to hosts that are gone.
+        self.report(OLD, HostStatus(), age=3.5)
+        self.complete(FIRST)
+        self.notifier.flush()
+        self.assertEqual({NEW}, set(self.sent))
+
     def test_moves_in_hand_are_sent_when_the_leader_resigns(self):
         self.complete(FIRST)
         self.notifier.flush()
