--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # more workers than cores; more than six start too many processes at once.
 TEST_WORKERS ?= 6
 
-.PHONY: test demo faults soak slopes losses logcost lint clean
+.PHONY: test demo faults soak slopes losses movetimes logcost lint clean
 
 test: lint
 	$(BIN)/python -m pytest -q -n $(TEST_WORKERS)
@@ -32,6 +32,9 @@
 losses: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.losses --output build/losses.json
 
+movetimes: $(STAMP)
+	$(BIN)/python -m sedgetide.testing.movetimes --output build/movetimes.json
+
 logcost: $(STAMP)
 	$(BIN)/python -m sedgetide.testing.logcost --output build/logcost.json
 
