--- a/sedgetide/testing/movestandins.py
+++ b/sedgetide/testing/movestandins.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import os
 import random
 import time
 
@@ -30,6 +31,7 @@
 
 _REPORT_INTERVAL = 0.4
 _WORK = 0.19
+_PARENT_CHECK_INTERVAL = 1.0
 # The leader remembers 15,000 busy keys of a deployment with 91 hosts.
 _KEY_STEP = 4
 
@@ -90,8 +92,15 @@
                 gevent.spawn(upstream.serve, request)
 
 
+def _exit_with_parent(parent: int) -> None:
+    """End this process if the benchmark is killed, which can't stop it."""
+    while os.getppid() == parent:
+        gevent.sleep(_PARENT_CHECK_INTERVAL)
+    os._exit(1)
+
+
 def main() -> None:
-    """Run hosts or upstreams until the process is killed."""
+    """Run hosts or upstreams until the process or its parent is killed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--leader", help="run hosts that report to it")
     parser.add_argument("--store", help="run upstreams that register there")
@@ -112,6 +121,7 @@
             _start_upstream(port, options.store) for port in options.ports
         ]
         gevent.spawn(_run_requests, upstreams, options.rate)
+    gevent.spawn(_exit_with_parent, os.getppid())
     gevent.get_hub().join()
 
 
