Drop old counts of arrivals also while nothing waits

The buckets of arrivals were dropped only when a rate was asked for: never for returning callers, and not while every request found a free place. 8,640 s with ten arrivals per second kept 86,400 buckets (9.7 MB).

--- a/sedgetide/core/admission/_demand.py
+++ b/sedgetide/core/admission/_demand.py
@@ -29,15 +29,19 @@
     def note(self, now: float) -> None:
         bucket = math.floor(now / _BUCKET_SECONDS)
         if not self._buckets or self._buckets[-1][0] != bucket:
+            self._expire(now)
             self._buckets.append([bucket, 0])
         self._buckets[-1][1] += 1
         self._total += 1
 
     def count(self, now: float) -> int:
+        self._expire(now)
+        return self._total
+
+    def _expire(self, now: float) -> None:
         oldest = math.floor((now - _WINDOW_SECONDS) / _BUCKET_SECONDS)
         while self._buckets and self._buckets[0][0] <= oldest:
             self._total -= self._buckets.popleft()[1]
-        return self._total
 
 
 class Demand:
--- a/tests/core/admission/test_returns.py
+++ b/tests/core/admission/test_returns.py
@@ -81,3 +81,11 @@
         demand.note_arrival(0, True, 0.0)
         self.assertEqual(0.0, demand.find_rate(1, True, 0.0))
         self.assertGreater(demand.find_rate(None, True, 0.0), 0.0)
+
+    def test_counts_do_not_accumulate(self):
+        # Guards against memory that grows by 4 MB per hour while no request
+        # has to wait, so that nothing asks for the rate.
+        demand = Demand()
+        for number in range(1000):
+            demand.note_arrival(0, True, number / 10)
+        self.assertLess(len(demand._arrivals[0, True]._buckets), 40)
