--- a/sedgetide/core/admission/_returns.py
+++ b/sedgetide/core/admission/_returns.py
@@ -86,6 +86,7 @@
 
     def note_return(self, priority: int, now: float) -> None:
         """Drop the promise of a caller that returns."""
+        self._expire(now)
         times = self._times.get(priority)
         if times and times[0] <= now + _EARLY:
             del times[0]
--- a/tests/core/admission/test_returns.py
+++ b/tests/core/admission/test_returns.py
@@ -49,6 +49,13 @@
         self.assertEqual(1, self.promises.count(1.55))
         self.assertEqual(0, self.promises.count(1.65))
 
+    def test_expired_promise_does_not_end_with_a_return(self):
+        # Guards against a caller that has returned and is still expected.
+        self.promise(wait=0.5)
+        self.promise(wait=2.0)
+        self.promises.note_return(1, 1.9)
+        self.assertEqual(0, self.promises.count(1.9))
+
     def test_number_is_bounded(self):
         for number in range(10):
             self.promise(priority=number % 3)
