The lender drops tickets whose loan has ended

The ticket of a holder that never returned its place was kept until its upstream had been without a request for 30 s, which a busy one never is.

--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -174,6 +174,9 @@
         self._lent: dict[Ticket, float] = {}
         self.used_at = float("-inf")
 
+    def __contains__(self, ticket: Ticket) -> bool:
+        return ticket in self._lent or ticket in self._terms
+
     def ask(
         self,
         ticket: Ticket,
@@ -519,7 +522,7 @@
         self._upstreams = {
             ticket: name
             for ticket, name in self._upstreams.items()
-            if name in self._places
+            if name in self._places and ticket in self._places[name]
         }
         return self._drop_refused(decisions)
 
--- a/tests/core/requests/test_places.py
+++ b/tests/core/requests/test_places.py
@@ -107,6 +107,14 @@
         self.assertEqual([(4, Verdict.GRANTED)], found)
         self.assertEqual([], self.end(1, now=2.2))
 
+    def test_ticket_of_a_lost_host_is_dropped(self):
+        # Guards against tickets that accumulate while others ask for places
+        # of the same upstream.
+        self.ask(1)
+        self.lender.expire(2.1)
+        self.ask(2, now=2.1)
+        self.assertEqual([make_ticket(2)], list(self.lender._upstreams))
+
     def test_restarted_host_uses_a_number_again(self):
         self.ask(1)
         self.assertEqual([(1, Verdict.GRANTED)], self.ask(1))
