Entries of requests that left do not accumulate in any heap

Only the heap of late requests was compacted. Behind a request that waits for long, those by useful time and by final deadline grew with each request that left, for as long as the route timeout allows.

--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -77,11 +77,8 @@
         else:
             heapq.heappush(self.in_time, (entry.useful_until, number, entry))
             self.in_time_count += 1
-        # Requests that have expired behind others would stay in the heap for
-        # as long as the others keep the places busy.
-        if len(self.late) > 2 * self.late_count + _MAX_GONE:
-            self.late = [each for each in self.late if not each[2].gone]
-            heapq.heapify(self.late)
+        _compact(self.in_time, self.in_time_count)
+        _compact(self.late, self.late_count)
 
     def drop(self, entry: _Entry) -> None:
         entry.gone = True
@@ -393,6 +390,7 @@
         lane.push(entry, number)
         if timed:
             heapq.heappush(self._finals, (entry.final_at, number, entry))
+            _compact(self._finals, len(self._entries))
 
     def _advance(self, now: float) -> None:
         for lane in self._lanes.values():
@@ -478,6 +476,23 @@
         return True
 
 
+def _compact(heap: list[tuple[float, int, _Entry]], count: int) -> None:
+    """Remove the entries of requests that have left if they are too many.
+
+    Otherwise, they would stay for as long as an entry before them waits.
+
+    Parameters
+    ----------
+    heap : list
+        Entries by time.
+    count : int
+        Maximum number of entries of requests that wait.
+    """
+    if len(heap) > 2 * count + _MAX_GONE:
+        heap[:] = [each for each in heap if not each[2].gone]
+        heapq.heapify(heap)
+
+
 def _stretch(wait: float, demand: float) -> float:
     """Return a wait during which arrivals that go first take their share."""
     return wait / (1.0 - demand) if demand < 1.0 else _NEVER
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -130,6 +130,19 @@
         late = self.queue._lanes[1].late
         self.assertLess(len(late), 70)
 
+    def test_requests_that_left_are_dropped_behind_one_that_waits(self):
+        # Guards against entries that accumulate for hours if the route timeout
+        # is that long.
+        for useful in (0.0, 50.0):
+            self.offer("first", useful=useful, final=100.0)
+            for number in range(500):
+                self.offer(number, useful=useful + 1.0, final=200.0)
+                self.queue.remove(number)
+            self.assertEqual([], self.queue.remove_expired(1.0))
+            self.queue.remove("first")
+        self.assertLess(len(self.queue._finals), 70)
+        self.assertLess(len(self.queue._lanes[1].in_time), 70)
+
     def test_less_urgent_request_waits_for_expected_returns(self):
         # Guards against admitting it to a place that was promised.
         for number in range(10, 14):
