The wait for a lender's first reply ends at the final deadline

A request with less than 0.12 s left was answered after its caller's deadline when the lender was lost. A lender with less time to reply than usual is not taken for lost.

--- a/sedgetide/daemons/_pendingverdict.py
+++ b/sedgetide/daemons/_pendingverdict.py
@@ -7,7 +7,7 @@
 
 # Seconds. The first verdict arrives within a round trip, 2 ms between data
 # centres; a busy host needs some 20 ms more.
-_FIRST_VERDICT_TIMEOUT = 0.12
+FIRST_VERDICT_TIMEOUT = 0.12
 
 
 class PendingVerdict:
@@ -57,9 +57,11 @@
         if verdict is not Verdict.QUEUED:
             self._final_event.set()
 
-    def wait_first_verdict(self) -> Verdict | None:
+    def wait_first_verdict(
+        self, seconds: float = FIRST_VERDICT_TIMEOUT
+    ) -> Verdict | None:
         """Return the first verdict; None when none arrived in time."""
-        self._first_event.wait(_FIRST_VERDICT_TIMEOUT)
+        self._first_event.wait(max(0.0, seconds))
         return self.verdict
 
     def wait_decided(self, seconds: float) -> bool:
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -23,6 +23,7 @@
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import DECISIONS
 from sedgetide.daemons._hostmetrics import PLACES
+from sedgetide.daemons._pendingverdict import FIRST_VERDICT_TIMEOUT
 from sedgetide.daemons._pendingverdict import PendingVerdict
 from sedgetide.runtime.clock import read_clock
 
@@ -138,6 +139,12 @@
             _find_left(self.deadline_at, now),
         )
 
+    def find_first_timeout(self, now: float) -> float:
+        """Return for how many seconds to wait for the first verdict."""
+        if self.final_at is None:
+            return FIRST_VERDICT_TIMEOUT
+        return min(FIRST_VERDICT_TIMEOUT, self.final_at - now)
+
     def find_send_deadline(self, pending: PendingVerdict) -> float | None:
         """Return until when the request may be sent after a wait.
 
@@ -259,9 +266,11 @@
         pending = self._pending[number] = PendingVerdict(number, link)
         granted = False
         try:
-            self._deliver(link, request.make_message(number, read_clock()))
-            verdict = pending.wait_first_verdict()
-            if verdict is None:
+            now = read_clock()
+            self._deliver(link, request.make_message(number, now))
+            timeout = request.find_first_timeout(now)
+            verdict = pending.wait_first_verdict(timeout)
+            if verdict is None and timeout >= FIRST_VERDICT_TIMEOUT:
                 self._silent_until[link] = read_clock() + _SILENT_PERIOD
             result = None
             if verdict is Verdict.QUEUED:
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -122,6 +122,16 @@
         first.release()
         self.assertIsInstance(next_waiting.get(timeout=1), Place)
 
+    def test_wait_for_a_lost_lender_ends_at_the_final_deadline(self):
+        # Guards against an answer after the caller's deadline, and against
+        # taking a lender for lost that had less time to reply than usual.
+        self.lost = True
+        began = read_clock()
+        self.assertIsNone(self.acquire(left=0.01, final=0.03))
+        self.assertLess(read_clock() - began, 0.1)
+        self.lost = False
+        self.assertIsInstance(self.acquire(), Place)
+
     def test_late_verdict_releases_the_place(self):
         self.lost = True
         self.acquire()
