Waits that this host ends are not counted as a lender's silence

Operators look for lost lenders by sedgetide_places_total{verdict="silent"}, which also counted waits ended by a move of the key, a backoff or another lender.

--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -41,7 +41,8 @@
 )
 PLACES = Counter(
     "sedgetide_places",
-    "Places asked for at upstreams, by what the lender said.",
+    "Places asked for at upstreams, by what the lender said; withdrawn if "
+    "the lender or the upstream changed during the wait.",
     ["verdict"],
 )
 LEADERS_FOUND = Counter(
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -162,6 +162,14 @@
     return None if at is None else round(max(0.0, at - now), 3)
 
 
+def _find_label(
+    verdict: Verdict | None, result: PlaceUnwanted | _LenderChanged | None
+) -> str:
+    if verdict is not None:
+        return verdict.value
+    return "silent" if result is None else "withdrawn"
+
+
 class Places:
     """Acquires places for a host's requests, and grants them as a lender.
 
@@ -282,7 +290,7 @@
             # an unused place is lost until its lease expires.
             if not granted and pending.verdict is not Verdict.REFUSED:
                 self._deliver(link, EndPlace(number))
-        PLACES.labels("silent" if verdict is None else verdict.value).inc()
+        PLACES.labels(_find_label(verdict, result)).inc()
         if granted:
             return self._make_place(number, link, request, pending)
         if verdict is Verdict.REFUSED:
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+from prometheus_client import REGISTRY
 import testtools
 
 from sedgetide.coding.messages import AskPlace
@@ -219,6 +220,25 @@
         wanted[0] = False
         self.assertIsInstance(waiting.get(timeout=0.3), PlaceUnwanted)
 
+    def test_withdrawn_requests_are_not_counted_as_silence(self):
+        # Guards against moves that look like lost lenders to operators.
+        def count():
+            labels = {"verdict": "silent"}
+            found = REGISTRY.get_sample_value("sedgetide_places_total", labels)
+            return found or 0.0
+
+        self.fill()
+        before = count()
+        moved = gevent.spawn(
+            self.acquire, left=0.05, final=1.0, is_wanted=lambda: False
+        )
+        self.assertIsInstance(moved.get(timeout=0.3), PlaceUnwanted)
+        waiting = self.wait_late()
+        hosts = (LendingHost(ASKER, NORTH),)
+        self.asker._deployment.set_lenders(LenderList(hosts))
+        self.assertIsInstance(waiting.get(timeout=0.3), Place)
+        self.assertEqual(before, count())
+
     def test_host_of_an_older_version(self):
         """Messages without the new fields are understood in both directions.
 
