--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -186,15 +186,15 @@
 
     def find_demand(self, now: float) -> float:
         """Return the share of the places' time that arrivals ask for."""
-        return self._demand.find_rate(None, True, now) * self._share
+        return self._demand.find_rate(None, True, now) * self._place_interval
 
     def count_promises(self, now: float) -> int:
         """Return how many refused callers are expected to return."""
         return self._promises.count(now)
 
     @property
-    def _share(self) -> float:
-        """Seconds of all places that one request takes."""
+    def _place_interval(self) -> float:
+        """Mean seconds between two places that become free under full use."""
         return self.service_time / self.slots
 
     def count_ahead(self, priority: int, late: bool) -> int:
@@ -246,9 +246,9 @@
             self._running += 1
             return Admission(AdmissionVerdict.RUN, AdmissionReason.FREE)
         if len(self._entries) >= self._bound:
-            wait = self._bound * self._share
+            wait = self._bound * self._place_interval
             return self.refuse(terms, AdmissionReason.FULL, wait, now)
-        wait = 0.0 if free else (ahead + 1) * self._share
+        wait = 0.0 if free else (ahead + 1) * self._place_interval
         if terms.final is None:
             admission = self._decide_untimed(terms, wait, now)
         else:
@@ -277,7 +277,9 @@
                 return Admission(
                     AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
                 )
-        late_wait = (self.count_ahead(terms.priority, True) + 1) * self._share
+        late_wait = (
+            self.count_ahead(terms.priority, True) + 1
+        ) * self._place_interval
         if late_wait + typical > terms.final:
             return self.refuse(terms, AdmissionReason.TOO_LONG, late_wait, now)
         expected = self._stretch_wait(terms.priority, late_wait, True, now)
@@ -321,13 +323,15 @@
         demand = self._find_demand_ahead(priority, late, now)
         wait = _stretch(wait, demand)
         returns = self._promises.count_due(priority - 1, now + wait, now)
-        return wait + returns * self._share
+        return wait + returns * self._place_interval
 
     def _find_demand_ahead(
         self, priority: int, late: bool, now: float
     ) -> float:
         """Return the demand of future arrivals that go before a request."""
-        return self._demand.find_rate(priority, late, now) * self._share
+        return (
+            self._demand.find_rate(priority, late, now) * self._place_interval
+        )
 
     def _has_less_urgent(self, priority: int) -> bool:
         return any(
@@ -362,7 +366,7 @@
         seconds = self._promises.promise(
             terms.priority,
             _stretch(wait, demand),
-            _stretch(self._share, demand),
+            _stretch(self._place_interval, demand),
             terms.deadline,
             now,
         )
