--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -26,7 +26,8 @@
 ItemT = TypeVar("ItemT")
 
 _NEVER = float("inf")
-# Entries of requests that have left, in excess of those that wait.
+# A heap is compacted when the entries of requests that have left outnumber
+# the others by more than this.
 _MAX_GONE = 64
 _MAX_PROMISES = 1000
 
@@ -45,7 +46,7 @@
     late : bool
         Whether it is late or returning, as counted by its lane.
     gone : bool
-        Whether it has left the queue; its heap entries are dropped later.
+        Whether it has left the queue; its heap entries are removed later.
     """
 
     item: ItemT
@@ -307,7 +308,7 @@
     def _stretch_wait(
         self, priority: int, wait: float, late: bool, now: float
     ) -> float:
-        """Return a wait with the requests that arrive during it and go first.
+        """Return a wait, extended by requests that arrive and go first.
 
         Parameters
         ----------
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -87,7 +87,7 @@
 class Timing(enum.Enum):
     """Class of a request in the counters of a lender.
 
-    ``unstated`` requests state no final deadline.
+    ``unstated`` is the class of requests without a stated final deadline.
     """
 
     IN_TIME = "in-time"
@@ -140,8 +140,9 @@
     timing : Timing
         Class of the request at the time of the decision.
     service_time : float or None
-        Typical service time, for a request that has to wait or has waited and
-        states its final deadline. It is not sent when less than that is left.
+        Typical service time in seconds, if the request states its final
+        deadline and has to wait or has waited. Its host does not send it when
+        less time than that is left.
     promised : bool
         Whether the lender counts on the return of a refused caller after
         ``retry_after``.
@@ -502,7 +503,8 @@
         Returns
         -------
         float or None
-            None when none waits for a limit, or until a final deadline.
+            None when no request waits for a limit or until its final
+            deadline.
         """
         expiries = [places.find_expiry() for places in self._places.values()]
         expiry = min(expiries, default=_NEVER)
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -33,8 +33,8 @@
 # Seconds after which a waiting request checks whether its lender and its
 # upstream are still the same.
 _CHECK_INTERVAL = 0.1
-# Share of the typical service time without which a request that waits is not
-# sent in any case.
+# Share of the typical service time that a waiting request must have left. It
+# is less than 1, since the lender may report a shorter time with the grant.
 _MIN_SERVICE_SHARE = 0.25
 # Seconds. The service time, and with it the expiry of waiting requests, may
 # change before the timer fires; it must not fire again at once.
@@ -45,7 +45,7 @@
 
 
 class PlaceRefused(msgspec.Struct, frozen=True):
-    """A lender's refusal: no place becomes free in time.
+    """No place becomes free in time, or no lender has granted one in time.
 
     Parameters
     ----------
@@ -71,9 +71,9 @@
 
 
 class Place:
-    """Lease of one of an upstream's slots, held for a single request.
+    """Permit to send one request to an upstream, on loan from its lender.
 
-    One host, the lender, leases the slots of an upstream to all hosts, which
+    One host, the lender, lends the places of an upstream to all hosts, which
     do not know of each other's requests.
 
     Parameters
@@ -287,7 +287,7 @@
         finally:
             del self._pending[number]
             # Also when the caller has left or the verdict arrives too late:
-            # an unused place is lost until its lease expires.
+            # an unused place is not available until its loan ends.
             if not granted and pending.verdict is not Verdict.REFUSED:
                 self._deliver(link, EndPlace(number))
         PLACES.labels(_find_label(verdict, result)).inc()
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -112,7 +112,7 @@
 
         A caller closes its connection while its request is queued. If the
         lender were not told, it would grant a place that nobody uses until
-        the lease expires.
+        the loan ends.
         """
         first, _, _ = self.fill()
         departed = gevent.spawn(self.acquire)
