A late request with too little time is not sent when its lender is lost

When a late request learned that its lender was lost, it was sent by its host's window although less than a typical service time was left, so that its caller got no answer in time.

--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -349,7 +349,8 @@
             if now >= request.useful_at and self._is_silent(pending.link):
                 # A late request has nothing to gain from the order of the
                 # queue, while a lost lender would hold it to the end.
-                return None, None
+                in_time = now < request.find_send_deadline(pending)
+                return None if in_time else Verdict.REFUSED, None
         if pending.verdict is Verdict.GRANTED:
             send_by = request.find_send_deadline(pending)
             if send_by is None or read_clock() < send_by:
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -202,6 +202,18 @@
         self.assertIsNone(self.acquire())
         self.assertIsNone(waiting.get(timeout=0.3))
 
+    def test_request_without_time_for_an_answer_is_not_sent_by_the_window(
+        self,
+    ):
+        # Guards against a send with less than a service time left when the
+        # lender turns out to be lost.
+        self.fill()
+        waiting = self.wait_late()
+        self.lost = True
+        gevent.sleep(0.67)
+        self.asker._silent_until[LENDER] = read_clock() + 1.0
+        self.assertIsInstance(waiting.get(timeout=0.3), PlaceRefused)
+
     def test_earlier_expiry_replaces_a_later_one(self):
         # Guards against a lender that sleeps until the later one.
         self.fill()
