--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -168,7 +168,7 @@
         self.assertIsInstance(refused, PlaceRefused)
         self.assertTrue(refused.promised)
         self.assertLess(gevent.get_hub().loop.now() - began, 0.95)
-        self.assertEqual(0, len(self.hosts[LENDER]._lender._upstreams) - 3)
+        self.assertEqual(3, len(self.hosts[LENDER]._lender._upstreams))
 
     def test_verdict_that_arrives_too_late_for_a_send(self):
         # Guards against sending with less than a service time left.
