--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -26,7 +26,8 @@
 ItemT = TypeVar("ItemT")
 
 _NEVER = float("inf")
-# Entries of requests that have left, in excess of those that wait.
+# A heap is compacted when the entries of requests that have left outnumber
+# the others by more than this.
 _MAX_GONE = 64
 _MAX_PROMISES = 1000
 
@@ -45,7 +46,7 @@
     late : bool
         Whether it is late or returning, as counted by its lane.
     gone : bool
-        Whether it has left the queue; its heap entries are dropped later.
+        Whether it has left the queue; its heap entries are removed later.
     """
 
     item: ItemT
@@ -77,11 +78,8 @@
         else:
             heapq.heappush(self.in_time, (entry.useful_until, number, entry))
             self.in_time_count += 1
-        # Requests that have expired behind others would stay in the heap for
-        # as long as the others keep the places busy.
-        if len(self.late) > 2 * self.late_count + _MAX_GONE:
-            self.late = [each for each in self.late if not each[2].gone]
-            heapq.heapify(self.late)
+        _compact(self.in_time, self.in_time_count)
+        _compact(self.late, self.late_count)
 
     def drop(self, entry: _Entry) -> None:
         entry.gone = True
@@ -189,15 +187,15 @@
 
     def find_demand(self, now: float) -> float:
         """Return the share of the places' time that arrivals ask for."""
-        return self._demand.find_rate(None, True, now) * self._share
+        return self._demand.find_rate(None, True, now) * self._place_interval
 
     def count_promises(self, now: float) -> int:
         """Return how many refused callers are expected to return."""
         return self._promises.count(now)
 
     @property
-    def _share(self) -> float:
-        """Seconds of all places that one request takes."""
+    def _place_interval(self) -> float:
+        """Mean seconds between two places that become free under full use."""
         return self.service_time / self.slots
 
     def count_ahead(self, priority: int, late: bool) -> int:
@@ -249,9 +247,9 @@
             self._running += 1
             return Admission(AdmissionVerdict.RUN, AdmissionReason.FREE)
         if len(self._entries) >= self._bound:
-            wait = self._bound * self._share
+            wait = self._bound * self._place_interval
             return self.refuse(terms, AdmissionReason.FULL, wait, now)
-        wait = 0.0 if free else (ahead + 1) * self._share
+        wait = 0.0 if free else (ahead + 1) * self._place_interval
         if terms.final is None:
             admission = self._decide_untimed(terms, wait, now)
         else:
@@ -280,7 +278,9 @@
                 return Admission(
                     AdmissionVerdict.WAIT_IN_TIME, AdmissionReason.EXPECTED
                 )
-        late_wait = (self.count_ahead(terms.priority, True) + 1) * self._share
+        late_wait = (
+            self.count_ahead(terms.priority, True) + 1
+        ) * self._place_interval
         if late_wait + typical > terms.final:
             return self.refuse(terms, AdmissionReason.TOO_LONG, late_wait, now)
         expected = self._stretch_wait(terms.priority, late_wait, True, now)
@@ -308,7 +308,7 @@
     def _stretch_wait(
         self, priority: int, wait: float, late: bool, now: float
     ) -> float:
-        """Return a wait with the requests that arrive during it and go first.
+        """Return a wait, extended by requests that arrive and go first.
 
         Parameters
         ----------
@@ -324,13 +324,15 @@
         demand = self._find_demand_ahead(priority, late, now)
         wait = _stretch(wait, demand)
         returns = self._promises.count_due(priority - 1, now + wait, now)
-        return wait + returns * self._share
+        return wait + returns * self._place_interval
 
     def _find_demand_ahead(
         self, priority: int, late: bool, now: float
     ) -> float:
         """Return the demand of future arrivals that go before a request."""
-        return self._demand.find_rate(priority, late, now) * self._share
+        return (
+            self._demand.find_rate(priority, late, now) * self._place_interval
+        )
 
     def _has_less_urgent(self, priority: int) -> bool:
         return any(
@@ -365,7 +367,7 @@
         seconds = self._promises.promise(
             terms.priority,
             _stretch(wait, demand),
-            _stretch(self._share, demand),
+            _stretch(self._place_interval, demand),
             terms.deadline,
             now,
         )
@@ -393,6 +395,7 @@
         lane.push(entry, number)
         if timed:
             heapq.heappush(self._finals, (entry.final_at, number, entry))
+            _compact(self._finals, len(self._entries))
 
     def _advance(self, now: float) -> None:
         for lane in self._lanes.values():
@@ -478,6 +481,23 @@
         return True
 
 
+def _compact(heap: list[tuple[float, int, _Entry]], count: int) -> None:
+    """Remove the entries of requests that have left if they are too many.
+
+    Otherwise, they would stay for as long as an entry before them waits.
+
+    Parameters
+    ----------
+    heap : list
+        Entries by time.
+    count : int
+        Maximum number of entries of requests that wait.
+    """
+    if len(heap) > 2 * count + _MAX_GONE:
+        heap[:] = [each for each in heap if not each[2].gone]
+        heapq.heapify(heap)
+
+
 def _stretch(wait: float, demand: float) -> float:
     """Return a wait during which arrivals that go first take their share."""
     return wait / (1.0 - demand) if demand < 1.0 else _NEVER
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -23,6 +23,7 @@
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import DECISIONS
 from sedgetide.daemons._hostmetrics import PLACES
+from sedgetide.daemons._pendingverdict import FIRST_VERDICT_TIMEOUT
 from sedgetide.daemons._pendingverdict import PendingVerdict
 from sedgetide.runtime.clock import read_clock
 
@@ -32,8 +33,8 @@
 # Seconds after which a waiting request checks whether its lender and its
 # upstream are still the same.
 _CHECK_INTERVAL = 0.1
-# Share of the typical service time without which a request that waits is not
-# sent in any case.
+# Share of the typical service time that a waiting request must have left. It
+# is less than 1, since the lender may report a shorter time with the grant.
 _MIN_SERVICE_SHARE = 0.25
 # Seconds. The service time, and with it the expiry of waiting requests, may
 # change before the timer fires; it must not fire again at once.
@@ -44,7 +45,7 @@
 
 
 class PlaceRefused(msgspec.Struct, frozen=True):
-    """A lender's refusal: no place becomes free in time.
+    """No place becomes free in time, or no lender has granted one in time.
 
     Parameters
     ----------
@@ -70,9 +71,9 @@
 
 
 class Place:
-    """Lease of one of an upstream's slots, held for a single request.
+    """Permit to send one request to an upstream, on loan from its lender.
 
-    One host, the lender, leases the slots of an upstream to all hosts, which
+    One host, the lender, lends the places of an upstream to all hosts, which
     do not know of each other's requests.
 
     Parameters
@@ -138,6 +139,12 @@
             _find_left(self.deadline_at, now),
         )
 
+    def find_first_timeout(self, now: float) -> float:
+        """Return for how many seconds to wait for the first verdict."""
+        if self.final_at is None:
+            return FIRST_VERDICT_TIMEOUT
+        return min(FIRST_VERDICT_TIMEOUT, self.final_at - now)
+
     def find_send_deadline(self, pending: PendingVerdict) -> float | None:
         """Return until when the request may be sent after a wait.
 
@@ -155,6 +162,14 @@
     return None if at is None else round(max(0.0, at - now), 3)
 
 
+def _find_label(
+    verdict: Verdict | None, result: PlaceUnwanted | _LenderChanged | None
+) -> str:
+    if verdict is not None:
+        return verdict.value
+    return "silent" if result is None else "withdrawn"
+
+
 class Places:
     """Acquires places for a host's requests, and grants them as a lender.
 
@@ -259,9 +274,11 @@
         pending = self._pending[number] = PendingVerdict(number, link)
         granted = False
         try:
-            self._deliver(link, request.make_message(number, read_clock()))
-            verdict = pending.wait_first_verdict()
-            if verdict is None:
+            now = read_clock()
+            self._deliver(link, request.make_message(number, now))
+            timeout = request.find_first_timeout(now)
+            verdict = pending.wait_first_verdict(timeout)
+            if verdict is None and timeout >= FIRST_VERDICT_TIMEOUT:
                 self._silent_until[link] = read_clock() + _SILENT_PERIOD
             result = None
             if verdict is Verdict.QUEUED:
@@ -270,10 +287,10 @@
         finally:
             del self._pending[number]
             # Also when the caller has left or the verdict arrives too late:
-            # an unused place is lost until its lease expires.
+            # an unused place is not available until its loan ends.
             if not granted and pending.verdict is not Verdict.REFUSED:
                 self._deliver(link, EndPlace(number))
-        PLACES.labels("silent" if verdict is None else verdict.value).inc()
+        PLACES.labels(_find_label(verdict, result)).inc()
         if granted:
             return self._make_place(number, link, request, pending)
         if verdict is Verdict.REFUSED:
@@ -332,7 +349,8 @@
             if now >= request.useful_at and self._is_silent(pending.link):
                 # A late request has nothing to gain from the order of the
                 # queue, while a lost lender would hold it to the end.
-                return None, None
+                in_time = now < request.find_send_deadline(pending)
+                return None if in_time else Verdict.REFUSED, None
         if pending.verdict is Verdict.GRANTED:
             send_by = request.find_send_deadline(pending)
             if send_by is None or read_clock() < send_by:
--- a/tests/core/admission/test_returns.py
+++ b/tests/core/admission/test_returns.py
@@ -49,6 +49,13 @@
         self.assertEqual(1, self.promises.count(1.55))
         self.assertEqual(0, self.promises.count(1.65))
 
+    def test_expired_promise_does_not_end_with_a_return(self):
+        # Guards against a caller that has returned and is still expected.
+        self.promise(wait=0.5)
+        self.promise(wait=2.0)
+        self.promises.note_return(1, 1.9)
+        self.assertEqual(0, self.promises.count(1.9))
+
     def test_number_is_bounded(self):
         for number in range(10):
             self.promise(priority=number % 3)
@@ -81,3 +88,11 @@
         demand.note_arrival(0, True, 0.0)
         self.assertEqual(0.0, demand.find_rate(1, True, 0.0))
         self.assertGreater(demand.find_rate(None, True, 0.0), 0.0)
+
+    def test_counts_do_not_accumulate(self):
+        # Guards against memory that grows by 4 MB per hour while no request
+        # has to wait, so that nothing asks for the rate.
+        demand = Demand()
+        for number in range(1000):
+            demand.note_arrival(0, True, number / 10)
+        self.assertLess(len(demand._arrivals[0, True]._buckets), 40)
--- a/tests/daemons/test_places.py
+++ b/tests/daemons/test_places.py
@@ -4,6 +4,7 @@
 
 import gevent
 import msgspec
+from prometheus_client import REGISTRY
 import testtools
 
 from sedgetide.coding.messages import AskPlace
@@ -111,7 +112,7 @@
 
         A caller closes its connection while its request is queued. If the
         lender were not told, it would grant a place that nobody uses until
-        the lease expires.
+        the loan ends.
         """
         first, _, _ = self.fill()
         departed = gevent.spawn(self.acquire)
@@ -122,6 +123,16 @@
         first.release()
         self.assertIsInstance(next_waiting.get(timeout=1), Place)
 
+    def test_wait_for_a_lost_lender_ends_at_the_final_deadline(self):
+        # Guards against an answer after the caller's deadline, and against
+        # taking a lender for lost that had less time to reply than usual.
+        self.lost = True
+        began = read_clock()
+        self.assertIsNone(self.acquire(left=0.01, final=0.03))
+        self.assertLess(read_clock() - began, 0.1)
+        self.lost = False
+        self.assertIsInstance(self.acquire(), Place)
+
     def test_late_verdict_releases_the_place(self):
         self.lost = True
         self.acquire()
@@ -157,7 +168,7 @@
         self.assertIsInstance(refused, PlaceRefused)
         self.assertTrue(refused.promised)
         self.assertLess(gevent.get_hub().loop.now() - began, 0.95)
-        self.assertEqual(0, len(self.hosts[LENDER]._lender._upstreams) - 3)
+        self.assertEqual(3, len(self.hosts[LENDER]._lender._upstreams))
 
     def test_verdict_that_arrives_too_late_for_a_send(self):
         # Guards against sending with less than a service time left.
@@ -191,6 +202,18 @@
         self.assertIsNone(self.acquire())
         self.assertIsNone(waiting.get(timeout=0.3))
 
+    def test_request_without_time_for_an_answer_is_not_sent_by_the_window(
+        self,
+    ):
+        # Guards against a send with less than a service time left when the
+        # lender turns out to be lost.
+        self.fill()
+        waiting = self.wait_late()
+        self.lost = True
+        gevent.sleep(0.67)
+        self.asker._silent_until[LENDER] = read_clock() + 1.0
+        self.assertIsInstance(waiting.get(timeout=0.3), PlaceRefused)
+
     def test_earlier_expiry_replaces_a_later_one(self):
         # Guards against a lender that sleeps until the later one.
         self.fill()
@@ -209,8 +232,27 @@
         wanted[0] = False
         self.assertIsInstance(waiting.get(timeout=0.3), PlaceUnwanted)
 
+    def test_withdrawn_requests_are_not_counted_as_silence(self):
+        # Guards against moves that look like lost lenders to operators.
+        def count():
+            labels = {"verdict": "silent"}
+            found = REGISTRY.get_sample_value("sedgetide_places_total", labels)
+            return found or 0.0
+
+        self.fill()
+        before = count()
+        moved = gevent.spawn(
+            self.acquire, left=0.05, final=1.0, is_wanted=lambda: False
+        )
+        self.assertIsInstance(moved.get(timeout=0.3), PlaceUnwanted)
+        waiting = self.wait_late()
+        hosts = (LendingHost(ASKER, NORTH),)
+        self.asker._deployment.set_lenders(LenderList(hosts))
+        self.assertIsInstance(waiting.get(timeout=0.3), Place)
+        self.assertEqual(before, count())
+
     def test_host_of_an_older_version(self):
-        """Messages without the new fields are understood in both directions.
+        """Messages without the new fields are understood.
 
         Guards against callers that fail during a rolling update.
         """
@@ -236,6 +278,31 @@
         self.assertIsInstance(waiting.get(timeout=1), PlaceRefused)
         self.assertLess(gevent.get_hub().loop.now() - began, 0.3)
 
+    def test_new_messages_for_a_host_of_an_older_version(self):
+        # Guards against fields that an older decoder does not skip.
+        class OldVerdict(msgspec.Struct, tag="place", array_like=True):
+            number: int
+            verdict: Verdict
+            retry_after: float = 0.0
+
+        class OldRequest(msgspec.Struct, tag="ask-place", array_like=True):
+            number: int
+            upstream: str
+            slots: int
+            priority: int
+            left: float
+            cold_bound: int | None = None
+            limit: list | None = None
+
+        ask = AskPlace(7, UPSTREAM.name, 2, 4, 0.5, final=1.5, deadline=3.0)
+        verdict = PlaceVerdict(7, Verdict.QUEUED, 0.5, 0.2, True)
+        for message, old in (
+            (ask, OldRequest(7, "map-1", 2, 4, 0.5)),
+            (verdict, OldVerdict(7, Verdict.QUEUED, 0.5)),
+        ):
+            sent = msgspec.msgpack.encode(message)
+            self.assertEqual(old, msgspec.msgpack.decode(sent, type=type(old)))
+
     def test_state_dump(self):
         self.fill()
         waiting = self.wait_late()
