Leader records moves that its predecessor completed

A new leader that knows of such moves from a notice did not write the table until the next move began. Hosts that missed the notice, or started since, refused callers of these ranges meanwhile.

--- a/sedgetide/core/ownership/move_observations.py
+++ b/sedgetide/core/ownership/move_observations.py
@@ -35,6 +35,11 @@
         }
         self._table = table
 
+    @property
+    def table(self) -> RangeTable:
+        """Newest version of the table, as it was stored."""
+        return self._table
+
     def find_first_seen(self, tenure: Tenure) -> float | None:
         """Return when a move was first observed, or None."""
         return self._first_seen.get(tenure)
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -388,6 +388,13 @@
         self.tables[service] = KnownTable(table, known.position)
         self.changes.notify_all()
 
+    def has_unrecorded_moves(self, service: ServiceName) -> bool:
+        """Return whether moves have ended that the store shows as moving."""
+        known = self.tables.get(service)
+        if known is None:
+            return False
+        return self._moves[service].observations.table != known.table
+
     def _is_registered(self, upstream: IncarnationName) -> bool:
         return self.directory.find(upstream) is not None
 
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -436,8 +436,10 @@
         completed = self._executor.list_completed(service)
         merged = table.complete(completed).merge()
         moves = self._plan_moves(service, merged, active, balance, now)
+        # Includes moves that a former leader has completed but not recorded.
+        unrecorded = self._deployment.has_unrecorded_moves(service)
         overdue = (
-            completed
+            unrecorded
             and now - self._completions_written_at > _MAX_RECORD_DELAY
         )
         if moves or overdue:
