--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -386,7 +386,7 @@
     hold_deadline = context.times.find_hold_deadline()
     if context.progress.sends:
         hold_deadline = max(hold_deadline, read_clock() + _RETRY_WAIT)
-    return hold_deadline
+    return min(hold_deadline, context.times.final)
 
 
 def _is_too_late(context: RequestContext, now: float) -> bool:
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -441,6 +441,14 @@
         self.assertAlmostEqual(0.9 * OBJECTIVE, read_clock() - began, 1)
         self.assertIs(RefusalReason.MOVING, context.refusal.reason)
 
+    def test_wait_after_a_send_ends_with_the_final_deadline(self):
+        # Guards against answers after the route timeout: the owner declined
+        # the request shortly before it.
+        context, began = make_context(True, sends=1), read_clock()
+        context.times = RequestTimes(began - 1.0, began + 0.02, began + 0.02)
+        self.assertIsNone(self.selector.acquire(context))
+        self.assertLess(read_clock() - began, 0.06)
+
     def test_caller_is_told_at_once_how_long_the_owner_is_held(self):
         self.deployment.note_holds(SERVICE, {self.move: read_clock() + 2.0})
         context, began = make_context(True), read_clock()
