Records older than a notice of the leader don't replace it

A host that had learnt of the leader from another host fell back to no leader or a former one when it read older records. A listing without the leader's record didn't end a leader known from a notice, so that the host would never have stood for election.

--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -39,6 +39,7 @@
 from sedgetide.core.requests.quarantine import QuarantineRecord
 from sedgetide.core.requests.ratelimits import KnownLimits
 from sedgetide.core.requests.routes import RouteTable
+from sedgetide.daemons._recordkeys import make_leader_key
 from sedgetide.daemons._recordkeys import parse_key
 from sedgetide.daemons._recordkeys import RecordKey
 from sedgetide.runtime.clock import read_clock
@@ -210,6 +211,10 @@
             if key not in present and item.value is not None
         ]
         self.apply_items([*gone, *listing.items], now, from_backup)
+        key = make_leader_key(listing.position.era)
+        if self.leader is not None and key not in present:
+            # The leader may be known from a notice only.
+            self._apply_leader(None, listing.position)
 
     def apply_items(
         self, items: list[Item], now: float, from_backup: bool = False
@@ -310,6 +315,9 @@
             self.update_table(key.service, table, written_at, now)
 
     def _apply_leader(self, value: bytes | None, position: Position) -> None:
+        if self.leader is not None and position < self.leader.position:
+            # Older than the record that another host has read.
+            return
         if value is None:
             self.leader = None
         else:
--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -135,6 +135,29 @@
             )
         self.assertEqual("h-1", self.find_leader())
 
+    def test_older_record_does_not_replace_the_leader_of_a_notice(self):
+        # Guards against reports to a former leader: the host reads late that
+        # the record before the one in the notice was removed, or written.
+        self.deployment.note_leader(self.successor, Position(0, 12))
+        for revision, value in ((10, None), (11, LEADER)):
+            item = Item(make_leader_key(0), Position(0, revision), value)
+            self.deployment.apply_items([item], 2.0)
+            self.assertEqual("h-2", self.find_leader())
+        gone = Item(make_leader_key(0), Position(0, 13), None)
+        self.deployment.apply_items([gone], 2.0)
+        self.assertIsNone(self.deployment.leader)
+
+    def test_leader_of_a_notice_ends_with_a_listing_without_it(self):
+        # Guards against a host that never stands for election, because it
+        # did not read the record that a later listing lacks.
+        gone = Item(make_leader_key(0), Position(0, 10), None)
+        self.deployment.apply_items([gone], 2.0)
+        self.deployment.note_leader(self.successor, Position(0, 12))
+        self.deployment.apply_listing(Listing([], Position(0, 11)), 3.0)
+        self.assertEqual("h-2", self.find_leader())
+        self.deployment.apply_listing(Listing([], Position(0, 20)), 3.0)
+        self.assertIsNone(self.deployment.leader)
+
     def test_notice_of_another_era_is_ignored(self):
         # A record of an earlier era proves nothing, and a later era is
         # learnt from the store or from the feed.
