Questions about the leader carry the position and status of the host

Hosts of an earlier version ignore the question and treat the message as a report. Without a position, a host seemed to be of the store's first era, and was sent the whole state at each question after a restore.

--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -402,7 +402,11 @@
     def ask_leader(self, contact: LinkAddress) -> None:
         leader = self._deployment.leader
         known = NO_POSITION if leader is None else leader.position
-        self._transport.send(contact, LoadReport([], [], leader=known))
+        # Hosts of an earlier version treat the question as a report.
+        question = LoadReport(
+            [], [], self.find_position(), self._make_status(), leader=known
+        )
+        self._transport.send(contact, question)
 
     def send_report(self, link: LinkAddress, report: LoadReport) -> None:
         report.standing = self._make_status()
--- /dev/null
+++ b/tests/daemons/test_host.py
@@ -0,0 +1,64 @@
+"""Tests of the questions that a host asks about the leader."""
+
+import testtools
+
+from sedgetide.coding.messages import LoadReport
+from sedgetide.coding.settings import HostSettings
+from sedgetide.core.history import Position
+from sedgetide.core.identifiers import LinkAddress
+from sedgetide.daemons.host import DeploymentAdapter
+from sedgetide.daemons.host import Host
+from sedgetide.platform._orders import PlatformOrders
+from sedgetide.platform._requests import PlatformRequests
+from sedgetide.platform._store import PlatformStore
+from tests.daemons.test_election import FakeRegistry
+
+CONTACT = LinkAddress("10.0.0.2:7")
+
+
+class FakeTransport:
+    """Records the messages that are sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, link, message):
+        self.sent.append((link, message))
+
+
+def make_host():
+    settings = HostSettings(
+        host="h-1",
+        data_centre="dc-1",
+        listen="127.0.0.1:1",
+        ready="127.0.0.1:2",
+        admin="127.0.0.1:3",
+        link="127.0.0.1:4",
+        stores=("127.0.0.1:5",),
+        processors=0.4,
+        link_mbps=5.0,
+    )
+    adapter = DeploymentAdapter(
+        PlatformRequests(),
+        PlatformOrders(),
+        FakeRegistry(),
+        lambda address, eras: PlatformStore(address, 0.9, eras),
+        "/",
+    )
+    return Host(settings, adapter)
+
+
+class TestLeaderQuestion(testtools.TestCase):
+    def test_older_version_takes_the_question_for_a_report(self):
+        # Guards against hosts of an older version that send the whole state
+        # at each question: after a restore of the store, a host that reports
+        # no position counts as one of an earlier era.
+        host = make_host()
+        host._transport = FakeTransport()
+        host._deployment.record_sync(Position(0, 9), 1.0)
+        host.ask_leader(CONTACT)
+        host.send_report(CONTACT, LoadReport([], [], host.find_position()))
+        (_, question), (_, report) = host._transport.sent
+        self.assertIsNotNone(question.leader)
+        self.assertEqual(report.position, question.position)
+        self.assertEqual(report.standing, question.standing)
