--- a/sedgetide/daemons/_loadreporter.py
+++ b/sedgetide/daemons/_loadreporter.py
@@ -148,12 +148,16 @@
     def _loop(self) -> None:
         while True:
             gevent.sleep(_INTERVAL)
-            contact = self._transport.find_contact()
-            if contact is not None:
-                self._transport.ask_leader(contact)
-            link = self._transport.find_leader_link()
-            if link is None:
-                continue
-            position = self._transport.find_position()
-            report = self._meter.collect_report(position)
+            self.send_report()
+
+    def send_report(self) -> None:
+        """Send a report, and a question if this host looks for the leader."""
+        contact = self._transport.find_contact()
+        if contact is not None:
+            self._transport.ask_leader(contact)
+        # Without a leader the report is dropped: the next leader takes the
+        # work in a report for that of one interval.
+        report = self._meter.collect_report(self._transport.find_position())
+        link = self._transport.find_leader_link()
+        if link is not None:
             self._transport.send_report(link, report)
