--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -318,7 +318,7 @@
 
 
 class Moved(Message, tag="moved"):
-    """Notice of the leader to hosts about moves, most of which have ended.
+    """Notice of the leader to hosts about moves that have ended or are held.
 
     The record in the store is updated with the next change. A message
     contains either the long or the short form of each move. Hosts whose
--- a/sedgetide/core/membership/leadercontacts.py
+++ b/sedgetide/core/membership/leadercontacts.py
@@ -17,8 +17,9 @@
 # Seconds without news from the store or from the leader. The feed is sent
 # several times a second, and a watch of the store is answered sooner.
 _MAX_SILENCE = 1.2
-# Seconds between two questions. A contact that knows the leader answers within
-# a few milliseconds; one that does not never answers.
+# Shortest time between two questions, in seconds. It is less than the interval
+# of load reports (0.4 s), with which the questions are sent. A contact that
+# knows the leader answers within milliseconds; one that doesn't never answers.
 _ASK_INTERVAL = 0.3
 
 
--- a/sedgetide/core/ownership/movebatches.py
+++ b/sedgetide/core/ownership/movebatches.py
@@ -6,8 +6,8 @@
 from sedgetide.core.ownership.ranges import MoveId
 from sedgetide.core.ownership.ranges import Tenure
 
-# Seconds for which hosts learn later of a completed move. Moves that begin
-# together end a few milliseconds apart.
+# Seconds by which a notice is delayed to include further moves: those that
+# begin together end a few milliseconds apart.
 _DELAY = 0.02
 
 
--- a/sedgetide/core/ownership/moveprogress.py
+++ b/sedgetide/core/ownership/moveprogress.py
@@ -17,7 +17,8 @@
 # Seconds for which the duration of a move is remembered.
 _DURATION_LIFE = 60.0
 _MAX_DURATIONS = 64
-# Most callers that are told this share's duration return after the move.
+# Share of the recent planned moves that took no longer than the usual time.
+# Callers are told to return after it, and most then find the move completed.
 _USUAL_SHARE = 0.9
 
 
--- a/sedgetide/core/ownership/smoothing.py
+++ b/sedgetide/core/ownership/smoothing.py
@@ -144,7 +144,7 @@
     indices: Sequence[int],
     work: float,
 ) -> int | None:
-    """Return the shortest time constant that shows a change of load.
+    """Return the index of the shortest time constant that shows a change.
 
     Parameters
     ----------
--- a/sedgetide/testing/movestandins.py
+++ b/sedgetide/testing/movestandins.py
@@ -32,7 +32,8 @@
 _REPORT_INTERVAL = 0.4
 _WORK = 0.19
 _PARENT_CHECK_INTERVAL = 1.0
-# The leader remembers 15,000 busy keys of a deployment with 91 hosts.
+# Requests use every fourth key: 16,384 keys, about as many as the leader of a
+# deployment with 91 hosts remembers (15,000).
 _KEY_STEP = 4
 
 
@@ -93,7 +94,7 @@
 
 
 def _exit_with_parent(parent: int) -> None:
-    """End this process if the benchmark is killed, which can't stop it."""
+    """End this process with its parent; a killed benchmark can't stop it."""
     while os.getppid() == parent:
         gevent.sleep(_PARENT_CHECK_INTERVAL)
     os._exit(1)
--- a/tests/daemons/test_leader_contact.py
+++ b/tests/daemons/test_leader_contact.py
@@ -16,7 +16,7 @@
 # Seconds; the lease of a leader that the store turns away ends within two,
 # and the election takes up to one.
 ELECTED_WITHIN = 8.0
-# Seconds; a silent host asks three times in each second.
+# Seconds; a silent host asks one lender every 0.4 s.
 FOUND_WITHIN = 4.0
 
 
