Losses finds the upstream of an event by its name

Cause: events of simulated upstreams name a start as name@born, and the tool compared this with the label of the process, name-born.

--- a/sedgetide/testing/losses.py
+++ b/sedgetide/testing/losses.py
@@ -69,7 +69,7 @@
 
     def _find_upstream(self, name: str) -> SoakUpstream:
         for upstream in self._fleet.upstreams:
-            if upstream.program.name == name:
+            if upstream.name == name.partition("@")[0]:
                 return upstream
         raise LookupError(f"{name} is not a running upstream")
 
