--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -182,11 +182,13 @@
         """
         whole = False
         try:
-            with gevent.Timeout(timeout):
+            with gevent.Timeout(timeout) as timer:
                 answer = self._exchange(request, is_own_answer)
             whole = True
             return answer
         except gevent.Timeout as error:
+            if error is not timer:
+                raise
             raise self._make_error(
                 ErrorCode.UPSTREAM_SILENT, f"no response in {timeout:.3f} s"
             ) from error
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -160,6 +160,18 @@
         gevent.sleep(0.05)
         self.assertEqual(["reset"], server.ends)
 
+    def test_timeout_of_the_caller_is_not_its_own(self):
+        # Guards against a move that goes on as if its release had failed,
+        # 0.2 s after the hold of a frozen owner has ended.
+        server, connection = self.serve()
+        with gevent.Timeout(0.05) as outer:
+            try:
+                connection.exchange(make_request(), 5.0)
+            except gevent.Timeout as error:
+                self.assertIs(outer, error)
+        gevent.sleep(0.05)
+        self.assertEqual(["reset"], server.ends)
+
     def test_caller_that_leaves_frees_the_upstream(self):
         server, connection = self.serve()
         task = gevent.spawn(connection.exchange, make_request(), 5.0)
