--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -90,6 +90,8 @@
 _MAX_LINK_BYTES = 1024 * 1024
 _HOUSEKEEPING_INTERVAL = 0.2
 _PRUNE_PERIOD = 10
+# Seconds; hosts in contact exchange reports and feeds every second.
+_IDLE_LINK_TIMEOUT = 30.0
 _STOP_POLL_INTERVAL = 0.05
 _EXIT_RESERVE = 0.25
 # Hosts don't know of each other's retries. Each is limited to a share of its
@@ -311,8 +313,13 @@
             if self._deployment.directory.expire(now):
                 self._deployment.changes.notify_all()
             if iteration % _PRUNE_PERIOD == 0:
-                entries = self._deployment.directory.list_all()
-                self._channels.prune({entry.name for entry in entries})
+                self._prune_connections()
+
+    def _prune_connections(self) -> None:
+        """Close connections to upstreams and hosts that have ended."""
+        entries = self._deployment.directory.list_all()
+        self._channels.prune({entry.name for entry in entries})
+        self._transport.close_unused(_IDLE_LINK_TIMEOUT)
 
     def _update_partition(self, now: float) -> None:
         """Withdraw from the load balancer while this host is partitioned."""
--- a/tests/daemons/test_host.py
+++ b/tests/daemons/test_host.py
@@ -1,5 +1,6 @@
-"""Tests of the questions that a host asks about the leader."""
+"""Tests of a host's links, and of its questions about the leader."""
 
+import gevent
 import testtools
 
 from sedgetide.coding.messages import LoadReport
@@ -62,3 +63,18 @@
         self.assertIsNotNone(question.leader)
         self.assertEqual(report.position, question.position)
         self.assertEqual(report.standing, question.standing)
+
+
+class TestLinks(testtools.TestCase):
+    def test_links_to_hosts_that_have_ended_are_closed(self):
+        # Guards against ever more sockets that dial twenty times a second:
+        # hosts are replaced under new addresses.
+        host = make_host()
+        self.addCleanup(host._transport.close)
+        ended, running = "127.0.0.1:6", "127.0.0.1:7"
+        for link in (ended, running):
+            host._transport.send(link, LoadReport([], []))
+        gevent.sleep(0.01)
+        host._transport._outboxes[ended].used_at -= 60.0
+        host._prune_connections()
+        self.assertEqual([running], host._transport.list_peers())
