Balance moves the narrower of ranges with about as much work

Change: of the ranges with at least 0.7 of the most work, those wider than twice the narrowest are left out.

--- a/sedgetide/core/ownership/balance.py
+++ b/sedgetide/core/ownership/balance.py
@@ -30,6 +30,9 @@
 # Above this utilization requests wait longer than they run.
 _FULL_UTILIZATION = 0.85
 _MIN_SHARE_OF_WANTED = 0.25
+# Share of the work of the best range with which a narrower one is preferred.
+_SHARE_OF_MOST_WORK = 0.7
+_WIDTH_FACTOR = 2.0
 _MAX_RANGES_PER_UPSTREAM = 24
 _MAX_UNJOINED_RANGES_PER_UPSTREAM = 7
 _NARROW_RANGE_KEYS = 512
@@ -207,13 +210,21 @@
 def _select_range(
     loads: ProjectedLoad, source: IncarnationName, wanted: float
 ) -> tuple[KeyRange, float] | None:
-    best: tuple[KeyRange, float] | None = None
-    for keys, work in _list_candidate_ranges(loads, source, wanted):
-        if best is None or work > best[1]:
-            best = (keys, work)
-    if best is None or best[1] < _MIN_SHARE_OF_WANTED * wanted:
+    """Return a narrow range with about as much work as wanted.
+
+    The cost of a move depends on the share of all keys that change their
+    owner. Where all ranges are about as narrow, the most work is moved.
+    """
+    found = list(_list_candidate_ranges(loads, source, wanted))
+    most = max((work for _, work in found), default=0.0)
+    if not found or most < _MIN_SHARE_OF_WANTED * wanted:
         return None
-    return best
+    found = [each for each in found if each[1] >= _SHARE_OF_MOST_WORK * most]
+    widest = _WIDTH_FACTOR * min(len(keys) for keys, _ in found)
+    return max(
+        (each for each in found if len(each[0]) <= widest),
+        key=lambda each: each[1],
+    )
 
 
 def _list_candidate_ranges(
