A hot key's new owner is emptied in the round in which the key moves

Cause: a hot key moved to a faster upstream in one round and shared its queue with that upstream's other keys until the next.

Change: the other ranges of the new owner leave in the same round, the busiest first; idle ones stay. Of upstreams that are as fast as can be told, the one with the least work takes the key. An upstream with 0.68 of the time is fast enough instead of 0.65. An owner of another hot key is not chosen: in a trial its key was moved twice, which the table refuses.

--- a/sedgetide/core/ownership/isolation.py
+++ b/sedgetide/core/ownership/isolation.py
@@ -6,8 +6,6 @@
 requests as possible are served.
 """
 
-from collections.abc import Iterator
-
 import msgspec
 
 from sedgetide.core.identifiers import IncarnationName
@@ -23,8 +21,13 @@
 _HOT_KEY_MEAN_FACTOR = 1.5
 # A faster upstream must make up for two moves and for the interruption of its
 # own keys.
-_FASTER_TIME_RATIO = 0.65
+_FASTER_TIME_RATIO = 0.68
 _UPSTREAMS_PER_HOT_KEY = 8
+# Pace is known to a twenty-fifth; of upstreams as fast as can be told, the
+# one with the least work has the fewest keys to give away.
+_SIMILAR_TIME = 1.08
+# Slots; a twentieth of what the slowest upstream can do.
+_IDLE_WORK = 0.05
 
 
 class _HotKey(msgspec.Struct, frozen=True):
@@ -45,21 +48,23 @@
         Maximum number of moves.
     """
     moves: list[Move] = []
-    for hot in _list_hot_keys(loads):
-        loads.hot_key_owners.add(hot.owner)
-        faster = _find_faster_upstream(loads, hot.owner)
+    hot_keys = _list_hot_keys(loads)
+    loads.hot_key_owners.update(hot.owner for hot in hot_keys)
+    for hot in hot_keys:
+        owner = hot.owner
+        faster = _find_faster_upstream(loads, owner)
         if faster is not None:
-            loads.hot_key_owners.add(faster)
             keys = KeyRange(hot.key, hot.key)
             moves.append(Move(keys, faster, MoveReason.HOT_KEY))
-            loads.apply_move(hot.work, hot.owner, faster)
-            continue
-        for keys, work in _list_other_ranges(loads, hot):
+            loads.apply_move(hot.work, owner, faster)
+            loads.hot_key_owners.add(faster)
+            owner = faster
+        for keys, work in _list_other_ranges(loads, owner, hot):
             destination = loads.find_idlest()
             if destination in loads.hot_key_owners:
                 break
             moves.append(Move(keys, destination, MoveReason.HOT_KEY))
-            loads.apply_move(work, hot.owner, destination)
+            loads.apply_move(work, owner, destination)
     return moves[: max(0, max_moves)]
 
 
@@ -105,25 +110,34 @@
     others = loads.eligible.keys() - loads.hot_key_owners
     if not others:
         return None
-    best = min(
-        others, key=lambda name: (_find_utilization(loads, name, 1.0), name)
-    )
-    if _find_utilization(loads, best, 1.0) > _FASTER_TIME_RATIO * own:
+    best = min(_find_utilization(loads, name, 1.0) for name in others)
+    if best > _FASTER_TIME_RATIO * own:
         return None
-    return best
+    return min(
+        (
+            name
+            for name in others
+            if _find_utilization(loads, name, 1.0) <= _SIMILAR_TIME * best
+        ),
+        key=lambda name: (loads.work[name], name),
+    )
 
 
 def _list_other_ranges(
-    loads: ProjectedLoad, hot: _HotKey
-) -> Iterator[tuple[KeyRange, float]]:
-    """Yield the owner's ranges without the hot key, with their work."""
-    for tenure, keys in loads.keys[hot.owner]:
-        if tenure != hot.tenure:
-            yield tenure.keys, sum(loads.rates[key] for key in keys)
-            continue
-        if tenure.low < hot.key:
-            left = KeyRange(tenure.low, Key(hot.key - 1))
-            yield left, sum(loads.rates[key] for key in keys if key < hot.key)
-        if hot.key < tenure.high:
-            right = KeyRange(Key(hot.key + 1), tenure.high)
-            yield right, sum(loads.rates[key] for key in keys if key > hot.key)
+    loads: ProjectedLoad, owner: IncarnationName, hot: _HotKey
+) -> list[tuple[KeyRange, float]]:
+    """Return an upstream's ranges without the hot key, the busiest first.
+
+    Idle ranges stay: moving them costs as much and frees no capacity.
+    """
+    found: list[tuple[KeyRange, float]] = []
+    for tenure, keys in loads.keys[owner]:
+        parts = [(tenure.low, tenure.high)]
+        if tenure == hot.tenure:
+            parts = [(tenure.low, hot.key - 1), (hot.key + 1, tenure.high)]
+        for low, high in parts:
+            work = sum(loads.rates[key] for key in keys if low <= key <= high)
+            if low <= high and work > _IDLE_WORK:
+                found.append((KeyRange(Key(low), Key(high)), work))
+    found.sort(key=lambda each: -each[1])
+    return found
--- a/tests/core/ownership/test_isolation.py
+++ b/tests/core/ownership/test_isolation.py
@@ -67,6 +67,25 @@
         self.table = self.balance(12)
         self.assertEqual(self.table, self.balance(1))
 
+    def test_the_fastest_is_emptied_in_the_same_round(self):
+        # The hot key shared the queue of the fastest upstream's other keys
+        # until the next round.
+        owner = self.table.find(self.hot).owner
+        table = self.balance(1, **{owner: 1.6, "u09": 0.7})
+        self.assertEqual("u09", table.find(self.hot).owner)
+        self.assertEqual(1, len(table.list_owned("u09")))
+
+    def test_hot_keys_of_the_fastest_are_not_moved_twice(self):
+        # Emptying the owner of another hot key planned two moves of it, which
+        # the table refuses.
+        fastest = self.table.list_owned("u09")[0]
+        self.rates[fastest.low + 64] = 15.0
+        table = self.balance(u01=1.6, u09=0.7)
+        owners = {
+            table.find(key).owner for key in (self.hot, fastest.low + 64)
+        }
+        self.assertEqual(2, len(owners))
+
     def test_moves_name_their_reason(self):
         # Operators could not tell moves for a hot key from other ones.
         eligible = {name: EligibleUpstream(name, 2) for name in self.names}
