--- a/tests/core/ownership/test_loadreplay.py
+++ b/tests/core/ownership/test_loadreplay.py
@@ -207,6 +207,24 @@
         self.assertGreater(seen[8], 4.0)
 
 
+class TestGoals(testtools.TestCase):
+    """Goals of docs/hard-load.md that the second deployment meets."""
+
+    def test_calm_load_moves_next_to_nothing(self):
+        # Half of all keys moved in a calm minute.
+        self.assertLess(run_calm("second")["keys"], 0.1)
+
+    def test_hot_keys_are_alone_after_two_rounds(self):
+        found = run_hot_keys("second")
+        self.assertLessEqual(found["rounds hot"], 2)
+        self.assertLessEqual(found["rounds second hot"], 2)
+        self.assertLess(found["keys"], 0.2)
+
+    def test_rest_takes_over_after_losses(self):
+        # The busiest upstream had half as much load again as the mean.
+        self.assertLess(run_loss("second")["cut+4"], 1.45)
+
+
 class TestLoadReplay(testtools.TestCase):
     """The replay itself shows the loads that it names."""
 
