A free place is given when a late request before it leaves

A late request is not given the extra place and keeps less urgent ones from it. When its caller left, the place stayed idle until the next one was returned.

--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -254,7 +254,8 @@
     ) -> list[Decision]:
         if self._queue.remove(ticket):
             del self._terms[ticket]
-            return []
+            # A late request keeps less urgent ones from the extra place.
+            return self._admit(now)
         if self._lent.pop(ticket, None) is None:
             return []
         self._queue.finish(seconds, now)
--- a/tests/core/requests/test_places.py
+++ b/tests/core/requests/test_places.py
@@ -152,6 +152,16 @@
         self.assertIs(Verdict.REFUSED, found[0].verdict)
         self.assertFalse(found[0].promised)
 
+    def test_place_is_given_when_a_late_request_leaves(self):
+        # Guards against an idle place: the late request is not given the
+        # extra one, and the less urgent request does not go before it.
+        for number in (1, 2, 3):
+            self.ask(number)
+        self.ask_late(4, final=1.5)
+        self.ask(5, priority=2 * USUAL, left=5.0)
+        self.assertEqual([], self.end(1))
+        self.assertEqual([(5, Verdict.GRANTED)], self.end(4, None))
+
     def test_expired_request_is_promised_a_time_within_its_deadline(self):
         # Guards against a promise by the deadline as it was at the request.
         for number in (1, 2, 3):
