Names of the admission queue that need no second reading

Timing is also the name of the durations of keepers, so the class of a request in a lender's counters is RequestClass; the waiting requests of one priority are a _PriorityQueue. Behaviour and names on the wire and in metrics are as before.

--- a/sedgetide/core/admission/_queue.py
+++ b/sedgetide/core/admission/_queue.py
@@ -44,7 +44,7 @@
     timed : bool
         Whether the final deadline is known.
     late : bool
-        Whether it is late or returning, as counted by its lane.
+        Whether it is late or returning, as counted by its queue.
     gone : bool
         Whether it has left the queue; its heap entries are removed later.
     """
@@ -58,7 +58,7 @@
     gone: bool = False
 
 
-class _Lane:
+class _PriorityQueue:
     """Waiting requests of one priority, with lazy deletion."""
 
     def __init__(self) -> None:
@@ -145,7 +145,7 @@
         self._extra = extra
         self._bound = bound
         self._numbers = itertools.count()
-        self._lanes: dict[int, _Lane] = {}
+        self._by_priority: dict[int, _PriorityQueue] = {}
         self._entries: dict[ItemT, _Entry[ItemT]] = {}
         # Entries by their final deadline, for those that state one.
         self._finals: list[tuple[float, int, _Entry[ItemT]]] = []
@@ -178,12 +178,12 @@
     @property
     def in_time_count(self) -> int:
         """Number of waiting requests that can meet their objective."""
-        return sum(lane.in_time_count for lane in self._lanes.values())
+        return sum(queue.in_time_count for queue in self._by_priority.values())
 
     @property
     def late_count(self) -> int:
         """Number of waiting requests that are late or returning."""
-        return sum(lane.late_count for lane in self._lanes.values())
+        return sum(queue.late_count for queue in self._by_priority.values())
 
     def find_demand(self, now: float) -> float:
         """Return the share of the places' time that arrivals ask for."""
@@ -209,11 +209,11 @@
             Whether it is late or returning.
         """
         ahead = 0
-        for other, lane in self._lanes.items():
+        for other, queue in self._by_priority.items():
             if other < priority:
-                ahead += lane.count
+                ahead += queue.count
             elif other == priority:
-                ahead += lane.count if late else lane.in_time_count
+                ahead += queue.count if late else queue.in_time_count
         return ahead
 
     def offer(
@@ -292,10 +292,10 @@
             return Admission(
                 AdmissionVerdict.WAIT_LATE, AdmissionReason.PRECEDENCE
             )
-        lane = self._lanes.get(terms.priority)
+        queue = self._by_priority.get(terms.priority)
         expected = self._stretch_wait(terms.priority, late_wait, False, now)
         if (
-            lane is None or lane.late_count == 0
+            queue is None or queue.late_count == 0
         ) and expected + typical <= terms.final:
             # Many arrivals of its priority are refused and take no place. If
             # nothing waited, a place that becomes free would go to whichever
@@ -336,8 +336,8 @@
 
     def _has_less_urgent(self, priority: int) -> bool:
         return any(
-            other > priority and lane.count
-            for other, lane in self._lanes.items()
+            other > priority and queue.count
+            for other, queue in self._by_priority.items()
         )
 
     def refuse(
@@ -389,17 +389,17 @@
         )
         number = next(self._numbers)
         self._entries[item] = entry
-        lane = self._lanes.get(terms.priority)
-        if lane is None:
-            lane = self._lanes[terms.priority] = _Lane()
-        lane.push(entry, number)
+        queue = self._by_priority.get(terms.priority)
+        if queue is None:
+            queue = self._by_priority[terms.priority] = _PriorityQueue()
+        queue.push(entry, number)
         if timed:
             heapq.heappush(self._finals, (entry.final_at, number, entry))
             _compact(self._finals, len(self._entries))
 
     def _advance(self, now: float) -> None:
-        for lane in self._lanes.values():
-            lane.advance(now)
+        for queue in self._by_priority.values():
+            queue.advance(now)
 
     def take(self, now: float) -> tuple[ItemT | None, list[ItemT]]:
         """Take the next request into a free place.
@@ -416,16 +416,16 @@
             return None, expired
         self._advance(now)
         spare = self._running < max(1, self.slots - self._extra)
-        for priority in sorted(self._lanes):
-            lane = self._lanes[priority]
-            while (entry := lane.pop(spare)) is not None:
+        for priority in sorted(self._by_priority):
+            queue = self._by_priority[priority]
+            while (entry := queue.pop(spare)) is not None:
                 del self._entries[entry.item]
                 if not entry.timed and entry.final_at <= now:
                     expired.append(entry.item)
                     continue
                 self._running += 1
                 return entry.item, expired
-            if lane.count:
+            if queue.count:
                 break
         return None, expired
 
@@ -456,7 +456,7 @@
 
     def _drop(self, entry: _Entry[ItemT]) -> None:
         del self._entries[entry.item]
-        self._lanes[entry.priority].drop(entry)
+        self._by_priority[entry.priority].drop(entry)
 
     def finish(self, seconds: float | None, now: float) -> None:
         """Free a place.
--- a/sedgetide/core/requests/places.py
+++ b/sedgetide/core/requests/places.py
@@ -84,7 +84,7 @@
     return RequestTerms(rank // 2, rank % 2 == 1, left, final, deadline)
 
 
-class Timing(enum.Enum):
+class RequestClass(enum.Enum):
     """Class of a request in the counters of a lender.
 
     ``unstated`` is the class of requests without a stated final deadline.
@@ -137,7 +137,7 @@
         Seconds after which a refused caller should retry.
     reason : AdmissionReason
         Why it was decided so.
-    timing : Timing
+    request_class : RequestClass
         Class of the request at the time of the decision.
     service_time : float or None
         Typical service time in seconds, if the request states its final
@@ -152,7 +152,7 @@
     verdict: Verdict
     retry_after: float = 0.0
     reason: AdmissionReason = AdmissionReason.EXPECTED
-    timing: Timing = Timing.UNSTATED
+    request_class: RequestClass = RequestClass.UNSTATED
     service_time: float | None = None
     promised: bool = False
 
@@ -206,13 +206,15 @@
                     Verdict.REFUSED,
                     limit_wait,
                     AdmissionReason.LIMIT,
-                    _find_timing(terms, 0.0),
+                    _classify(terms, 0.0),
                 )
             ]
         admission = self._queue.offer(ticket, terms, now, limit_wait <= 0.0)
-        timing = _find_timing(terms, 0.0)
+        request_class = _classify(terms, 0.0)
         if admission.verdict is AdmissionVerdict.RUN:
-            return [self._grant(ticket, AdmissionReason.FREE, timing, now)]
+            return [
+                self._grant(ticket, AdmissionReason.FREE, request_class, now)
+            ]
         if admission.verdict is AdmissionVerdict.REFUSE:
             return [
                 Decision(
@@ -220,16 +222,16 @@
                     Verdict.REFUSED,
                     admission.retry_after,
                     admission.reason,
-                    timing,
+                    request_class,
                     promised=admission.promised,
                 )
             ]
         self._terms[ticket] = (terms, now)
         if (
             admission.verdict is AdmissionVerdict.WAIT_LATE
-            and timing is Timing.IN_TIME
+            and request_class is RequestClass.IN_TIME
         ):
-            timing = Timing.LATE
+            request_class = RequestClass.LATE
         decisions = self._admit(now)
         if ticket in self._queue:
             decisions.append(
@@ -238,7 +240,7 @@
                     Verdict.QUEUED,
                     0.0,
                     admission.reason,
-                    timing,
+                    request_class,
                     None if terms.final is None else self._queue.typical_time,
                 )
             )
@@ -314,8 +316,10 @@
             if ticket is None:
                 return decisions
             terms, asked_at = self._terms.pop(ticket)
-            timing = _find_timing(terms, now - asked_at)
-            granted = self._grant(ticket, AdmissionReason.NEXT, timing, now)
+            request_class = _classify(terms, now - asked_at)
+            granted = self._grant(
+                ticket, AdmissionReason.NEXT, request_class, now
+            )
             if terms.final is not None:
                 granted = msgspec.structs.replace(
                     granted, service_time=self._queue.typical_time
@@ -330,14 +334,14 @@
         self,
         ticket: Ticket,
         reason: AdmissionReason,
-        timing: Timing,
+        request_class: RequestClass,
         now: float,
     ) -> Decision:
         loan = max(_MIN_LOAN, _LOAN_FACTOR * self._queue.service_time)
         self._lent[ticket] = now + loan
         self._recent.note(now)
         self._bucket.take(now)
-        return Decision(ticket, Verdict.GRANTED, 0.0, reason, timing)
+        return Decision(ticket, Verdict.GRANTED, 0.0, reason, request_class)
 
     def _expire(self, ticket: Ticket, now: float) -> Decision:
         terms, asked_at = self._terms.pop(ticket)
@@ -354,7 +358,7 @@
             Verdict.REFUSED,
             refusal.retry_after,
             refusal.reason,
-            _find_timing(terms, waited),
+            _classify(terms, waited),
             promised=refusal.promised,
         )
 
@@ -374,12 +378,12 @@
         }
 
 
-def _find_timing(terms: RequestTerms, waited: float) -> Timing:
+def _classify(terms: RequestTerms, waited: float) -> RequestClass:
     if terms.final is None:
-        return Timing.UNSTATED
+        return RequestClass.UNSTATED
     if terms.returning:
-        return Timing.RETURNING
-    return Timing.IN_TIME if waited < terms.useful else Timing.LATE
+        return RequestClass.RETURNING
+    return RequestClass.IN_TIME if waited < terms.useful else RequestClass.LATE
 
 
 class Lender:
--- a/sedgetide/daemons/_places.py
+++ b/sedgetide/daemons/_places.py
@@ -465,7 +465,7 @@
     def _deliver_decisions(self, decisions: list[Decision]) -> None:
         for each in decisions:
             DECISIONS.labels(
-                each.verdict.value, each.reason.value, each.timing.value
+                each.verdict.value, each.reason.value, each.request_class.value
             ).inc()
             verdict = PlaceVerdict(
                 each.ticket.number,
--- a/tests/core/admission/test_queue.py
+++ b/tests/core/admission/test_queue.py
@@ -127,7 +127,7 @@
         for number in range(500):
             self.offer(number, useful=0.0, now=0.0)
             self.queue.remove(number)
-        late = self.queue._lanes[1].late
+        late = self.queue._by_priority[1].late
         self.assertLess(len(late), 70)
 
     def test_requests_that_left_are_dropped_behind_one_that_waits(self):
@@ -141,7 +141,7 @@
             self.assertEqual([], self.queue.remove_expired(1.0))
             self.queue.remove("first")
         self.assertLess(len(self.queue._finals), 70)
-        self.assertLess(len(self.queue._lanes[1].in_time), 70)
+        self.assertLess(len(self.queue._by_priority[1].in_time), 70)
 
     def test_less_urgent_request_waits_for_expected_returns(self):
         # Guards against admitting it to a place that was promised.
