Logs, metrics and state tell which upstreams a host itself reaches

Callers of hosts that were partitioned from all upstreams got refusals ("unreachable") that read the same as those for a lost upstream, and neither state nor metrics held a host's sight of its paths, so that the hypotheses on the incident could not be told apart.

A PathTracker records failed and successful attempts to open connections. Upstreams that were missed, and data centres of which none seems to be reached, are logged when that changes (upstream-missed, path-lost), counted (sedgetide_missed_upstreams) and shown in the state dump (paths). Those in doubt are probed, at most eight at a time and each twice a second; the connection of a successful probe is kept for a request. If no upstream has answered for 0.5 s and several owe an answer, two or more of them are probed: without that, requests on kept connections hide the loss until they time out.

No request is routed otherwise yet.

--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -85,6 +85,10 @@
     "Answers by what they asked of those who send to their upstream.",
     ["service", "kind"],
 )
+MISSED_UPSTREAMS = Gauge(
+    "sedgetide_missed_upstreams",
+    "Upstreams to which this host could not open its last connection.",
+)
 REQUESTS_IN_HAND = Gauge(
     "sedgetide_requests_in_hand", "Requests without a final answer."
 )
--- /dev/null
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -0,0 +1,154 @@
+"""Watches this host's paths to the upstreams, and probes those in doubt."""
+
+import collections
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+
+import gevent
+
+from sedgetide.core.errors import ErrorCode
+from sedgetide.core.errors import UpstreamError
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import UpstreamDirectory
+from sedgetide.core.membership.paths import list_silent
+from sedgetide.core.membership.paths import PathTracker
+from sedgetide.core.membership.paths import Sending
+from sedgetide.daemons._hostmetrics import MISSED_UPSTREAMS
+from sedgetide.daemons._upstreamchannels import UpstreamChannels
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.events import Event
+from sedgetide.runtime.events import log_event
+
+# Seconds; a handshake between data centres takes two milliseconds.
+_PROBE_TIMEOUT = 0.25
+
+
+class PathMonitor:
+    """Records which upstreams this host reaches, and looks after the others.
+
+    Parameters
+    ----------
+    directory : UpstreamDirectory
+        Registered upstreams.
+    channels : UpstreamChannels
+        Connections to the upstreams. A successful probe leaves one there.
+    """
+
+    def __init__(
+        self, directory: UpstreamDirectory, channels: UpstreamChannels
+    ) -> None:
+        self._directory = directory
+        self._channels = channels
+        self.tracker = PathTracker()
+        self._sendings: set[Sending] = set()
+        self._answered_at = float("-inf")
+        self._probing: set[IncarnationName] = set()
+        self._logged_missed: set[IncarnationName] = set()
+        self._logged_lost: dict[DataCentre, float] = {}
+
+    # Observations
+
+    def note_connected(self, upstream: RegisteredUpstream) -> None:
+        """Record that a connection to an upstream was opened."""
+        self.tracker.note_connected(upstream, read_clock())
+
+    def note_missed(self, upstream: RegisteredUpstream) -> None:
+        """Record that no connection to an upstream could be opened."""
+        self.tracker.note_missed(upstream, read_clock())
+
+    def note_answer(self, upstream: RegisteredUpstream) -> None:
+        """Record that an upstream answered on an open connection."""
+        now = read_clock()
+        self._answered_at = now
+        self.tracker.note_answer(upstream, now)
+
+    def suspect(self, upstream: RegisteredUpstream) -> None:
+        """Probe an upstream that has not answered in time."""
+        if upstream.name not in self._probing:
+            self._probing.add(upstream.name)
+            gevent.spawn(self._probe, upstream)
+
+    @contextlib.contextmanager
+    def watch_sending(self, upstream: RegisteredUpstream) -> Iterator[None]:
+        """Return a context manager for the time a request waits for one."""
+        sending = Sending(upstream, read_clock())
+        self._sendings.add(sending)
+        try:
+            yield
+        finally:
+            self._sendings.discard(sending)
+
+    # Decisions
+
+    def is_doubtful(self, upstream: RegisteredUpstream) -> bool:
+        """Return whether a new connection to an upstream would likely fail."""
+        return self.tracker.is_doubtful(upstream)
+
+    def list_lost(self) -> tuple[DataCentre, ...]:
+        """Return the data centres of which no upstream can be reached."""
+        centres = {each.data_centre for each in self._directory.list_all()}
+        return tuple(sorted(filter(self.tracker.is_lost, centres)))
+
+    # Periodic work
+
+    def run_periodic(self, now: float) -> None:
+        """Start the probes that are due, and log what has changed."""
+        upstreams = self._directory.list_all()
+        self.tracker.retain({each.name for each in upstreams})
+        for each in self.tracker.take_due_probes(upstreams, now):
+            self.suspect(each)
+        for each in list_silent(self._sendings, self._answered_at, now):
+            self.suspect(each)
+        self._log_changes(now)
+
+    def _probe(self, upstream: RegisteredUpstream) -> None:
+        try:
+            self._channels.find(upstream).pool.open_spare(_PROBE_TIMEOUT)
+        except UpstreamError as error:
+            if error.code is ErrorCode.UPSTREAM_FULL:
+                # It accepted the connection before it reset it.
+                self.note_connected(upstream)
+            else:
+                self.note_missed(upstream)
+        else:
+            self.note_connected(upstream)
+        finally:
+            self._probing.discard(upstream.name)
+
+    def _log_changes(self, now: float) -> None:
+        missed = {each.name for each in self.tracker.list_missed()}
+        for name in sorted(missed - self._logged_missed):
+            log_event(Event.UPSTREAM_MISSED, upstream=name)
+        for name in sorted(self._logged_missed - missed):
+            log_event(Event.UPSTREAM_REACHED, upstream=name)
+        self._logged_missed = missed
+        MISSED_UPSTREAMS.set(len(missed))
+        lost = set(self.list_lost())
+        for data_centre in sorted(lost - self._logged_lost.keys()):
+            self._logged_lost[data_centre] = now
+            log_event(
+                Event.PATH_LOST, data_centre=data_centre, missed=len(missed)
+            )
+        for data_centre in sorted(self._logged_lost.keys() - lost):
+            seconds = now - self._logged_lost.pop(data_centre)
+            log_event(
+                Event.PATH_REGAINED,
+                data_centre=data_centre,
+                seconds=f"{seconds:.1f}",
+            )
+
+    def dump_state(self) -> dict[str, Any]:
+        """Return the paths in doubt for the admin endpoint."""
+        return {
+            "cut_off": self.tracker.is_cut_off,
+            "lost": list(self.list_lost()),
+            "missed": sorted(each.name for each in self.tracker.list_missed()),
+            "waiting": dict(
+                collections.Counter(
+                    each.upstream.data_centre for each in self._sendings
+                )
+            ),
+        }
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -31,6 +31,7 @@
 from sedgetide.daemons._hostmetrics import QUARANTINE_REFUSALS
 from sedgetide.daemons._hostmetrics import RETRIES
 from sedgetide.daemons._loadreporter import LoadMeter
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._places import Places
 from sedgetide.daemons._quarantine import SharedQuarantine
 from sedgetide.daemons._requestcontext import RequestContext
@@ -76,6 +77,8 @@
         Records which data centres answer.
     crash_detector : CrashDetector
         Determines whether a broken connection means a crashed upstream.
+    paths : PathMonitor
+        Records which upstreams this host reaches.
     quarantine : SharedQuarantine
         Refuses requests that crash the upstreams that run them.
     trials : Trials
@@ -96,6 +99,7 @@
         data_centre: str,
         partitions: PartitionDetector,
         crash_detector: CrashDetector,
+        paths: PathMonitor,
         quarantine: SharedQuarantine,
         trials: Trials,
         retry_policy: RetryPolicy,
@@ -121,6 +125,7 @@
             partitions,
             answer_averages,
             crash_detector,
+            paths,
         )
         self._log = RequestLog(deployment, dialect)
 
--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -27,12 +27,14 @@
 from sedgetide.daemons._hostmetrics import PUSHBACKS
 from sedgetide.daemons._hostmetrics import UNREADABLE_LOADS
 from sedgetide.daemons._loadreporter import LoadMeter
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._requestcontext import RequestContext
 from sedgetide.daemons._upstreamchannels import UpstreamChannel
 from sedgetide.daemons._upstreamselector import SendPermit
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
+from sedgetide.wire.client import Connection
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import drop_hop_headers
 from sedgetide.wire.messages import Request
@@ -60,6 +62,8 @@
         Averages service times and answer sizes.
     crash_detector : CrashDetector
         Determines whether a broken connection means a crashed upstream.
+    paths : PathMonitor
+        Records which upstreams this host reaches.
     """
 
     def __init__(
@@ -70,6 +74,7 @@
         partitions: PartitionDetector,
         answer_averages: AnswerAverages,
         crash_detector: CrashDetector,
+        paths: PathMonitor,
     ) -> None:
         self._deployment = deployment
         self._dialect = dialect
@@ -77,6 +82,7 @@
         self._partitions = partitions
         self._averages = answer_averages
         self._crash_detector = crash_detector
+        self._paths = paths
 
     def attempt(
         self,
@@ -109,21 +115,8 @@
             context.refuse(RefusalReason.TOO_LATE)
             progress.failure = Failure.UNREACHABLE
             return True
-        try:
-            connection = channel.pool.take(
-                min(_CONNECT_TIMEOUT, context.times.final - now),
-                _choose_max_idle(context, channel, now),
-            )
-        except UpstreamError as error:
-            if error.code is ErrorCode.UPSTREAM_UNREACHABLE:
-                channel.health.note_unreached(now)
-                if context.keyed:
-                    absence = channel.health.find_unreachable_time(
-                        read_clock()
-                    )
-                    context.retry_after = retry_after_owner_loss(absence)
-            self._note_failure(context, permit, Failure.UNREACHABLE)
-            context.detail = error.detail[:_MAX_DETAIL_LENGTH]
+        connection = self._connect(context, permit, now)
+        if connection is None:
             return True
         if not may_send():
             channel.pool.give_back(connection)
@@ -138,11 +131,12 @@
         # Until an answer arrives, the upstream may have run the request.
         earlier_outcome, progress.outcome = progress.outcome, Outcome.UNKNOWN
         try:
-            answer = connection.exchange(
-                self._build_request(context, target, began),
-                max(0.001, context.times.final - began),
-                self._make_response_check(context),
-            )
+            with self._paths.watch_sending(target.upstream):
+                answer = connection.exchange(
+                    self._build_request(context, target, began),
+                    max(0.001, context.times.final - began),
+                    self._make_response_check(context),
+                )
         except UpstreamError as error:
             silent = error.code is ErrorCode.UPSTREAM_SILENT
             if not silent:
@@ -153,6 +147,7 @@
             if not silent:
                 self._crash_detector.note_broken(context, target.upstream)
             return True
+        self._paths.note_answer(target.upstream)
         self._crash_detector.note_answer(target.upstream.name, began)
         channel.pool.give_back(connection)
         self._partitions.note_reached(
@@ -161,6 +156,38 @@
         self._handle_answer(context, permit, answer, earlier_outcome, began)
         return True
 
+    def _connect(
+        self, context: RequestContext, permit: SendPermit, now: float
+    ) -> Connection | None:
+        """Return a connection to the upstream, or None after a failure."""
+        upstream, channel = permit.target.upstream, permit.channel
+        try:
+            connection = channel.pool.take(
+                min(_CONNECT_TIMEOUT, context.times.final - now),
+                _choose_max_idle(context, channel, now),
+            )
+        except UpstreamError as error:
+            if error.code is ErrorCode.UPSTREAM_FULL:
+                self._paths.note_connected(upstream)
+            else:
+                self._note_unreached(context, permit, now)
+            self._note_failure(context, permit, Failure.UNREACHABLE)
+            context.detail = error.detail[:_MAX_DETAIL_LENGTH]
+            return None
+        if connection.is_new:
+            self._paths.note_connected(upstream)
+        return connection
+
+    def _note_unreached(
+        self, context: RequestContext, permit: SendPermit, now: float
+    ) -> None:
+        health = permit.channel.health
+        self._paths.note_missed(permit.target.upstream)
+        health.note_unreached(now)
+        if context.keyed:
+            absence = health.find_unreachable_time(read_clock())
+            context.retry_after = retry_after_owner_loss(absence)
+
     def _build_request(
         self, context: RequestContext, target: Target, now: float
     ) -> Request:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -71,6 +71,7 @@
 from sedgetide.daemons._leader import Leader
 from sedgetide.daemons._loadreporter import LoadMeter
 from sedgetide.daemons._loadreporter import LoadReporter
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._places import Places
 from sedgetide.daemons._process import make_incarnation
 from sedgetide.daemons._process import read_settings
@@ -155,6 +156,7 @@
         )
         self._feed = FeedReceiver(self._deployment, self._eras)
         self._channels = UpstreamChannels(settings.limits.body_bytes)
+        self._paths = PathMonitor(self._deployment.directory, self._channels)
         self._meter = LoadMeter()
         self._partitions = PartitionDetector(settings.data_centre)
         self._withdrawn = False
@@ -196,6 +198,7 @@
             settings.data_centre,
             self._partitions,
             self._crash_detector,
+            self._paths,
             self._quarantine,
             self._trials,
             RetryPolicy(
@@ -305,6 +308,7 @@
             gevent.sleep(_HOUSEKEEPING_INTERVAL)
             now = read_clock()
             self._update_partition(now)
+            self._paths.run_periodic(now)
             self._places.run_periodic(now)
             self._crash_detector.run_periodic(now)
             self._quarantine.run_periodic(now)
@@ -452,6 +456,7 @@
             "store_era": self._eras.newest,
             "knowledge": self._deployment.dump_state(),
             "leader": self._leader.dump_state(),
+            "paths": self._paths.dump_state(),
             "lent_places": self._places.dump_state(read_clock()),
             "traffic": msgspec.to_builtins(self._transport.traffic),
         }
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -128,6 +128,34 @@
         "This host is ready again after a cut-off.",
         ("silence",),
     )
+    UPSTREAM_MISSED = Definition(
+        "upstream-missed",
+        logging.INFO,
+        "This host could not open a connection to an upstream. Either it has "
+        "ended, or only this host's path to it is lost; other hosts' lines "
+        "tell which.",
+        ("upstream",),
+    )
+    UPSTREAM_REACHED = Definition(
+        "upstream-reached",
+        logging.INFO,
+        "This host can open connections to an upstream again, or its entry "
+        "was removed.",
+        ("upstream",),
+    )
+    PATH_LOST = Definition(
+        "path-lost",
+        logging.WARNING,
+        "This host seems to reach no upstream of a data centre. missed: "
+        "upstreams that it could not reach, in any data centre.",
+        ("data_centre", "missed"),
+    )
+    PATH_REGAINED = Definition(
+        "path-regained",
+        logging.WARNING,
+        "This host reaches upstreams of a data centre again.",
+        ("data_centre", "seconds"),
+    )
     ENTRY_REFUSED = Definition(
         "entry-refused",
         logging.ERROR,
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -266,6 +266,11 @@
             _MAX_IDLE_TIMEOUT, seconds * _IDLE_TIMEOUT_FRACTION
         )
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it has not been taken from a pool before."""
+        return self.rested == 0.0
+
     @property
     def is_open(self) -> bool:
         """Whether the connection has a socket."""
@@ -364,14 +369,25 @@
             With ``sent`` false, if no connection can be opened.
         """
         connection = self._take_idle(max_idle)
-        if connection is not None:
-            return connection
+        return self._open(timeout) if connection is None else connection
+
+    def _open(self, timeout: float) -> Connection:
         connection = Connection(self.address, self._body_limit)
         connection.open(timeout)
         if self._reset_wait:
             connection.wait_for_reset(self._reset_wait)
         return connection
 
+    def open_spare(self, timeout: float) -> None:
+        """Open a connection and keep it for a later request.
+
+        Raises
+        ------
+        UpstreamError
+            With ``sent`` false, if no connection can be opened.
+        """
+        self.give_back(self._open(timeout))
+
     def _take_idle(self, max_idle: float) -> Connection | None:
         while self._idle:
             connection = self._idle[-1]
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -71,6 +71,7 @@
             "north",
             PartitionDetector("north"),
             None,
+            None,
             types.SimpleNamespace(
                 find_stay_left=lambda context, now: 0.0,
                 may_retry=lambda context: True,
--- a/tests/daemons/test_sender.py
+++ b/tests/daemons/test_sender.py
@@ -11,12 +11,14 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.health import UpstreamHealth
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.refusals import RefusalReason
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._sender import Sender
 from tests.daemons.test_requestlog import make_context
 
@@ -39,7 +41,13 @@
     def setUp(self):
         super().setUp()
         self.sender = Sender(
-            None, None, None, PartitionDetector("north"), None, None
+            None,
+            None,
+            None,
+            PartitionDetector("north"),
+            None,
+            None,
+            PathMonitor(UpstreamDirectory(), None),
         )
         channel = types.SimpleNamespace(
             pool=_UnreachablePool(), health=UpstreamHealth()
