Failing tests of hosts that are partitioned from all upstreams

Stand-in: each host of a fleet can have a gateway of its own, through which its process opens every connection to an upstream. Its path can hang, reset, refuse new connections while open ones live on, or pass data one way only; held connections end after 1.5 s, as TCP_USER_TIMEOUT alone decides.

Eight hosts, three of them cut off for 7 s.

--- /dev/null
+++ b/sedgetide/testing/gateways.py
@@ -0,0 +1,242 @@
+"""Gateway that carries one host's connections to the upstreams.
+
+A host that is partitioned from the upstreams still reaches callers, the store
+and other hosts. Proxies before the upstreams cannot show that, since all hosts
+share them. Each host of a fleet therefore gets a gateway of its own, which
+its process uses for every upstream (see :mod:`sedgetide.testing.gatewayhost`).
+
+The host sends the address of the upstream in one line. The gateway answers
+with one byte once it is connected, so a connection that is never opened looks
+to the host like a handshake without a reply.
+"""
+
+from collections.abc import Callable
+import contextlib
+import enum
+import struct
+import time
+
+import gevent
+from gevent import socket
+
+from sedgetide.coding.addresses import split_address
+from sedgetide.runtime.sockets import open_listener
+
+CONNECTED = b"+"
+_BUFFER_SIZE = 65536
+_POLL_INTERVAL = 0.02
+_MAX_LINE = 64
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Seconds after which the kernel of a host ends a connection whose data, or
+# whose keepalive probes, were not acknowledged.
+_USER_TIMEOUT = 1.5
+
+
+class Path(enum.Enum):
+    """State of the path from a host to upstreams.
+
+    Attributes
+    ----------
+    OPEN
+        Connections are opened, and data is forwarded.
+    HANGING
+        New connections get no reply. Data of open ones is held back until
+        the path is open again, or until the host gives them up.
+    RESETTING
+        Open connections are reset, and new ones refused.
+    REFUSING
+        New connections are refused, while open ones live on.
+    ONE_WAY
+        Data reaches the upstreams, but nothing comes back.
+    """
+
+    OPEN = "open"
+    HANGING = "hanging"
+    RESETTING = "resetting"
+    REFUSING = "refusing"
+    ONE_WAY = "one-way"
+
+
+_SILENT = frozenset({Path.HANGING, Path.ONE_WAY})
+_REFUSED = frozenset({Path.RESETTING, Path.REFUSING})
+
+
+class _Connection:
+    """Both sockets of one connection through a gateway."""
+
+    def __init__(self, client: socket.socket, address: str) -> None:
+        self.client = client
+        self.address = address
+        self.server: socket.socket | None = None
+
+    def reset(self) -> None:
+        for end in (self.client, self.server):
+            if end is None:
+                continue
+            with contextlib.suppress(OSError):
+                end.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            with contextlib.suppress(OSError):
+                end.close()
+
+
+class Gateway:
+    """Path of one host to all upstreams."""
+
+    def __init__(self) -> None:
+        self._path = Path.OPEN
+        self._is_affected: Callable[[str], bool] = lambda address: True
+        self._connections: set[_Connection] = set()
+        self._listener = open_listener("127.0.0.1", 0)
+        port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self._task = gevent.spawn(self._accept)
+
+    def set_path(
+        self,
+        path: Path,
+        is_affected: Callable[[str], bool] = lambda address: True,
+    ) -> None:
+        """Change the path to some upstreams; it is open to all others.
+
+        Parameters
+        ----------
+        path : Path
+            New state.
+        is_affected : callable
+            Returns whether it applies to the upstream at an address.
+        """
+        self._path = path
+        self._is_affected = is_affected
+        if path is Path.RESETTING:
+            self._reset_affected(self._connections)
+        elif path in _SILENT:
+            gevent.spawn_later(
+                _USER_TIMEOUT, self._give_up, path, set(self._connections)
+            )
+
+    def _give_up(self, path: Path, connections: set[_Connection]) -> None:
+        """End connections whose keepalive probes got no reply."""
+        if self._path is path:
+            self._reset_affected(connections & self._connections)
+
+    def _reset_affected(self, connections: set[_Connection]) -> None:
+        for each in list(connections):
+            if self._is_affected(each.address):
+                each.reset()
+
+    def _find_path(self, address: str) -> Path:
+        return self._path if self._is_affected(address) else Path.OPEN
+
+    def _accept(self) -> None:
+        while True:
+            client, _ = self._listener.accept()
+            gevent.spawn(self._connect, client)
+
+    def _connect(self, client: socket.socket) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            address = _read_line(client)
+        except OSError:
+            client.close()
+            return
+        connection = _Connection(client, address)
+        while self._find_path(address) in _SILENT:
+            gevent.sleep(_POLL_INTERVAL)
+        if self._find_path(address) in _REFUSED:
+            connection.reset()
+            return
+        try:
+            connection.server = socket.create_connection(
+                split_address(address), 1.0
+            )
+            connection.server.settimeout(None)
+            client.sendall(CONNECTED)
+        except OSError:
+            connection.reset()
+            return
+        self._connections.add(connection)
+        gevent.spawn(self._pump, connection, client, connection.server, True)
+        gevent.spawn(self._pump, connection, connection.server, client, False)
+
+    def _pump(
+        self,
+        connection: _Connection,
+        source: socket.socket,
+        sink: socket.socket,
+        to_server: bool,
+    ) -> None:
+        try:
+            while True:
+                data = source.recv(_BUFFER_SIZE)
+                self._hold_back(connection.address, to_server)
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except OSError:
+            connection.reset()
+        finally:
+            self._connections.discard(connection)
+
+    def _hold_back(self, address: str, to_server: bool) -> None:
+        began = time.monotonic()
+        while True:
+            path = self._find_path(address)
+            if path not in _SILENT or (path is Path.ONE_WAY and to_server):
+                return
+            if time.monotonic() - began >= _USER_TIMEOUT:
+                raise TimeoutError("the host has given up the connection")
+            gevent.sleep(_POLL_INTERVAL)
+
+    def close(self) -> None:
+        """Stop listening and reset all open connections."""
+        self._task.kill()
+        self._listener.close()
+        for each in list(self._connections):
+            each.reset()
+
+
+def _read_line(client: socket.socket) -> str:
+    line = b""
+    while not line.endswith(b"\n"):
+        data = client.recv(1)
+        if not data or len(line) > _MAX_LINE:
+            raise ConnectionError("no address of an upstream")
+        line += data
+    return line.decode().strip()
+
+
+def connect_through(
+    gateway: str, address: tuple[str, int], timeout: float | None
+) -> socket.socket:
+    """Open a connection to an upstream through a gateway.
+
+    Raises
+    ------
+    TimeoutError
+        If the gateway doesn't connect in time.
+    ConnectionRefusedError
+        If the path, or the upstream, refuses the connection.
+    """
+    began = time.monotonic()
+    connection = socket.create_connection(
+        split_address(gateway), timeout=timeout
+    )
+    try:
+        connection.sendall(f"{address[0]}:{address[1]}\n".encode())
+        if timeout is not None:
+            left = timeout - (time.monotonic() - began)
+            connection.settimeout(max(0.001, left))
+        answer = connection.recv(1)
+    except ConnectionResetError as error:
+        connection.close()
+        raise ConnectionRefusedError("refused by the gateway") from error
+    except OSError:
+        connection.close()
+        raise
+    if answer != CONNECTED:
+        connection.close()
+        raise ConnectionRefusedError("refused by the gateway")
+    return connection
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -17,6 +17,7 @@
 from sedgetide.coding.settings import HostSettings
 from sedgetide.core.errors import UpstreamError
 from sedgetide.platform import _names
+from sedgetide.testing.gateways import Gateway
 from sedgetide.testing.ports import find_port
 from sedgetide.testing.proxies import Proxy
 from sedgetide.testing.rangeupstream import CRASHED
@@ -118,7 +119,22 @@
 
 
 class SoakHost:
-    """Host process with proxies before it and between it and the store."""
+    """Host process with proxies before it and between it and the store.
+
+    Parameters
+    ----------
+    number : int
+        Number of the host.
+    folder : pathlib.Path
+        Folder for its settings and output.
+    store_port : int
+        Port of the store.
+    options : mapping
+        Settings besides its name and addresses.
+    upstreams : sequence of str
+        Addresses of the upstreams that it reaches through a gateway of its
+        own; without any it has none.
+    """
 
     def __init__(
         self,
@@ -126,14 +142,16 @@
         folder: pathlib.Path,
         store_port: int,
         options: Mapping[str, Any],
+        upstreams: Sequence[str] = (),
     ) -> None:
         self.name = f"host-{number}"
+        self.data_centre = f"dc-{number % 2}"
         ports = [find_port() for _ in range(4)]
         self.store = Proxy(store_port)
         self.front = Proxy(ports[0])
         settings = HostSettings(
             host=self.name,
-            data_centre=f"dc-{number % 2}",
+            data_centre=self.data_centre,
             listen=f"127.0.0.1:{ports[0]}",
             ready=f"127.0.0.1:{ports[1]}",
             admin=f"127.0.0.1:{ports[2]}",
@@ -145,18 +163,33 @@
         self.port, self.ready_port, self.admin_port = ports[:3]
         path = folder / f"{self.name}.json"
         path.write_bytes(msgspec.json.encode(settings))
-        self.program = Program(
-            self.name, folder, ["-m", "sedgetide.platform", str(path)]
-        )
+        self.gateway = Gateway()
+        arguments = ["-m", "sedgetide.platform", str(path)]
+        if upstreams:
+            arguments = [
+                "-m",
+                "sedgetide.testing.gatewayhost",
+                self.gateway.address,
+                ",".join(upstreams),
+                str(path),
+            ]
+        self.program = Program(self.name, folder, arguments)
 
     def is_ready(self) -> bool:
         """Return whether the host reports ready to the load balancer."""
         answer = call(self.ready_port, "GET", _names.READINESS_PATH)
         return answer is not None and answer.status == 200
 
+    def read_leader(self) -> str | None:
+        """Return the name of the leader that the host knows, or None."""
+        answer = call(self.admin_port, "GET", "/state")
+        leader = msgspec.json.decode(answer.body)["knowledge"]["leader"]
+        return None if leader is None else leader["record"]["host"]
+
     def close(self) -> None:
         """Kill the process and close its proxies."""
         self.program.close()
+        self.gateway.close()
         self.store.close()
         self.front.close()
 
@@ -319,6 +352,8 @@
         :mod:`sedgetide.testing.pushbackscript`.
     era : int
         First era of the store; answers name no era while it is 0.
+    with_gateways : bool
+        Whether each host reaches the upstreams through its own gateway.
     """
 
     def __init__(
@@ -331,6 +366,7 @@
         cold: ColdStartLimits | None = None,
         says: Mapping[int, Sequence[str]] | None = None,
         era: int = 0,
+        with_gateways: bool = False,
     ) -> None:
         self._cold = cold
         if cold is not None:
@@ -348,10 +384,6 @@
                 f"--era={era}",
             ],
         )
-        self.hosts = [
-            SoakHost(number, folder, self.store_port, each)
-            for number, each in enumerate(options)
-        ]
         services = [KEYED] * 4 + [PLAIN] * 2
         self.upstreams = [
             SoakUpstream(
@@ -368,6 +400,11 @@
             )
             for number, service in enumerate(services)
         ]
+        routed = [each.address for each in self.upstreams if with_gateways]
+        self.hosts = [
+            SoakHost(number, folder, self.store_port, each, routed)
+            for number, each in enumerate(options)
+        ]
         for each in (self.store, *self.hosts, *self.upstreams):
             self._stack.callback(each.close)
 
--- a/tests/daemons/test_leader_contact.py
+++ b/tests/daemons/test_leader_contact.py
@@ -5,11 +5,9 @@
 import time
 
 import gevent
-import msgspec
 import testtools
 
 from sedgetide.testing.proxies import Mode
-from sedgetide.testing.soakfleet import call
 from sedgetide.testing.soakfleet import Fleet
 
 HOSTS = 5
@@ -20,13 +18,6 @@
 FOUND_WITHIN = 4.0
 
 
-def read_leader(host):
-    """Return the name of the leader that a host knows."""
-    answer = call(host.admin_port, "GET", "/state")
-    leader = msgspec.json.decode(answer.body)["knowledge"]["leader"]
-    return None if leader is None else leader["record"]["host"]
-
-
 class TestLeaderContact(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -38,12 +29,12 @@
     def wait_for_leader(self, host, accepted, seconds):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            leader = read_leader(host)
+            leader = host.read_leader()
             if leader is not None and accepted(leader):
                 return leader
             gevent.sleep(0.1)
         raise AssertionError(
-            f"{host.name} knows {read_leader(host)} as the leader"
+            f"{host.name} knows {host.read_leader()} as the leader"
         )
 
     def turn_away(self, host):
--- /dev/null
+++ b/tests/daemons/test_unreached_upstreams.py
@@ -0,0 +1,149 @@
+"""Tests of hosts that are partitioned from upstreams, with real processes."""
+
+import pathlib
+import shutil
+import tempfile
+import time
+
+import gevent
+import testtools
+
+from sedgetide.testing.gateways import Path
+from sedgetide.testing.soakcallers import Caller
+from sedgetide.testing.soakfleet import Fleet
+from sedgetide.wire.client import Connection
+
+HOSTS = 8
+CALLERS_PER_HOST = 2
+# Seconds. The path is lost for longer than any grant is held.
+SETTLED = 2.5
+CUT_FOR = 7.0
+# Seconds after the cut, from which on hosts serve by other ways.
+NOTICED = 1.0
+# Seconds after the cut, from which on a new leader has renewed all grants.
+LED_AGAIN = 3.0
+# Least share of served requests, compared with hosts or times without a cut.
+MIN_RATIO = 0.95
+# Answers by which a request may have run, though no upstream saw it.
+UNKNOWN = frozenset({0, 502, 504})
+_SAVED_OUTPUT = pathlib.Path("build")
+
+
+class PinnedCaller(Caller):
+    """Caller that stays with one host."""
+
+    def __init__(self, number, fleet, host):
+        super().__init__(number, fleet, 1)
+        self._host = host
+
+    def _connect(self):
+        proxy = self._fleet.hosts[self._host].front
+        self._connection = Connection(proxy.address, 1 << 20)
+        self._connection.open(0.5)
+
+
+def find_served_share(records):
+    """Return the share of requests that were served."""
+    served = sum(1 for each in records if each.status == 200)
+    return served / max(1, len(records))
+
+
+class UnreachedUpstreamsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.addOnException(lambda _: self.save_output(folder))
+        self.fleet = Fleet(
+            folder, 0.0, ({},) * HOSTS, slots=4, with_gateways=True
+        )
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+
+    def save_output(self, folder):
+        """Save the output of all processes of a failed test."""
+        shutil.copytree(folder, _SAVED_OUTPUT / self.id(), dirs_exist_ok=True)
+
+    def list_hosts(self, with_leader):
+        """Return the numbers of all hosts, the leader first or last."""
+        leader = self.fleet.hosts[0].read_leader()
+        return sorted(
+            range(HOSTS),
+            key=lambda number: (
+                (self.fleet.hosts[number].name == leader) != with_leader
+            ),
+        )
+
+    def run_cut(self, hosts, path, is_affected=lambda address: True):
+        """Run callers of all hosts while some lose their paths."""
+        self.hosts = hosts
+        self.callers = [
+            PinnedCaller(number, self.fleet, number % HOSTS)
+            for number in range(HOSTS * CALLERS_PER_HOST)
+        ]
+        tasks = [gevent.spawn(each.run) for each in self.callers]
+        gevent.sleep(SETTLED)
+        self.cut_at = time.monotonic()
+        for number in hosts:
+            self.fleet.hosts[number].gateway.set_path(path, is_affected)
+        gevent.sleep(CUT_FOR)
+        for number in hosts:
+            self.fleet.hosts[number].gateway.set_path(Path.OPEN)
+        self.healed_at = time.monotonic()
+        gevent.sleep(SETTLED)
+        gevent.killall(tasks)
+
+    def list_records(self, began, ended, is_wanted=lambda host: True):
+        """Return the requests that were sent in a time."""
+        return [
+            record
+            for caller in self.callers
+            for record in caller.records
+            if began <= record.at < ended and is_wanted(record.host)
+        ]
+
+    def list_cut_records(self):
+        return self.list_records(
+            self.cut_at + NOTICED,
+            self.healed_at,
+            lambda host: host in self.hosts,
+        )
+
+    def check_cut_hosts_serve(self):
+        others = self.list_records(
+            self.cut_at + NOTICED,
+            self.healed_at,
+            lambda host: host not in self.hosts,
+        )
+        share = find_served_share(self.list_cut_records())
+        self.assertGreaterEqual(share, MIN_RATIO * find_served_share(others))
+        self.assertGreaterEqual(find_served_share(others), MIN_RATIO)
+
+    def check_nothing_is_unknown(self):
+        self.assertEqual(
+            [],
+            [
+                record
+                for record in self.list_cut_records()
+                if record.status in UNKNOWN
+            ],
+        )
+
+    def check_all_are_served_as_before(self):
+        calm = self.list_records(0.0, self.cut_at)
+        cut = self.list_records(self.cut_at + LED_AGAIN, self.healed_at)
+        self.assertGreaterEqual(
+            find_served_share(cut), find_served_share(calm) - (1 - MIN_RATIO)
+        )
+
+
+class TestCutHosts(UnreachedUpstreamsTest):
+    def test_callers_of_cut_hosts_are_served(self):
+        # Guards against hosts that refuse what other hosts could serve.
+        self.run_cut(self.list_hosts(with_leader=False)[:3], Path.HANGING)
+        self.check_cut_hosts_serve()
+        self.check_nothing_is_unknown()
+
+    def test_callers_are_served_while_the_leader_is_cut_off(self):
+        # Guards against a leader that can renew no grant and goes on leading.
+        self.run_cut(self.list_hosts(with_leader=True)[:3], Path.HANGING)
+        self.check_all_are_served_as_before()
