Hosts pass requests on to others where only their own path is lost

Cause: a host took its own sight of an upstream for the upstream's state. The logs ruled out that kept connections or withdrawals are the loss: refusals are not-run, on new connections, and end with the cut.

A host that doubts its path passes the request on to a peer over a port of its own, once at most. The peer serves it like a caller's, with its own places, retries, quarantine and trials, and says what came of it; the sender asks another only where nothing was sent. "Not run" is said where the peer says so or was not reached; a broken connection leaves the outcome open. The time left shrinks by the hop; a caller that leaves ends the peer's work; bodies count against the peer's memory, 100 requests at a time. A peer with an older policy, or one that stops, declines. The leader selects six peers a host, half of them in its data centre, from rings of those that reach everything, and names them like lenders: by version, when they change. Hosts of earlier versions get no list and are in none.

To be early, silence is probed: no answer for 0.5 s while one is owed.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -21,6 +21,7 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.lenders import HostStatus
 from sedgetide.core.membership.lenders import LenderList
+from sedgetide.core.membership.peers import PeerList
 from sedgetide.core.ownership.assignment import Member
 from sedgetide.core.ownership.assignment import ShardKey
 from sedgetide.core.ownership.leadership import LeaderRecord
@@ -357,6 +358,15 @@
     named: LenderList
 
 
+class Peers(Message, tag="peers"):
+    """Notice of the leader that names the peers of the receiver.
+
+    A peer takes requests for upstreams to which the receiver has no path.
+    """
+
+    named: PeerList
+
+
 class Quarantined(Message, tag="quarantine"):
     """Quarantine of the sender, synchronized between hosts.
 
@@ -543,6 +553,7 @@
     | Moved
     | StoreFeed
     | Lenders
+    | Peers
     | Quarantined
     | AskPlace
     | PlaceVerdict
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -12,6 +12,7 @@
 from sedgetide.core.constraints import HoldMilliseconds
 from sedgetide.core.constraints import Name
 from sedgetide.core.constraints import NonNegativeFloat
+from sedgetide.core.constraints import Port
 from sedgetide.core.constraints import PositiveFloat
 from sedgetide.core.constraints import PositiveInt
 from sedgetide.core.constraints import Seconds
@@ -149,6 +150,10 @@
         ``IP:port`` for metrics and the state dump.
     link : str
         ``IP:port`` to listen on for other sedgetide processes.
+    forward_port : int
+        Port, at the IP of ``link``, to listen on for requests of other hosts
+        that have lost their path to an upstream. Without it, the host neither
+        takes such requests nor passes any on.
     stores : tuple of str
         ``IP:port`` of the servers of the store.
     grace : float
@@ -192,6 +197,7 @@
     admin: str
     link: str
     stores: tuple[str, ...]
+    forward_port: Port | None = None
     grace: NonNegativeFloat = 16.0
     max_hold_ms: HoldMilliseconds = 10_000.0
     retry_ratio: NonNegativeFloat = 0.2
@@ -212,6 +218,13 @@
         """Host as a typed identifier."""
         return HostName(self.host)
 
+    @property
+    def forward_address(self) -> str | None:
+        """Address to listen on for requests of other hosts, or None."""
+        if self.forward_port is None:
+            return None
+        return f"{self.link.rpartition(':')[0]}:{self.forward_port}"
+
     @property
     def available_cores(self) -> float:
         """Number of cores that the host may use, possibly a fraction."""
--- a/sedgetide/core/constraints.py
+++ b/sedgetide/core/constraints.py
@@ -8,6 +8,7 @@
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]*$", max_length=63)
 ]
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 # For values that may be zero, such as a share or a number of retries.
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
--- a/sedgetide/core/membership/capacity.py
+++ b/sedgetide/core/membership/capacity.py
@@ -9,6 +9,11 @@
 _SUFFICIENT_LINK_MBPS = 50.0
 
 
+def has_broad_link(mbps: float) -> bool:
+    """Return whether a link can carry large bodies beside other traffic."""
+    return mbps >= _SUFFICIENT_LINK_MBPS
+
+
 class HostCapacity(msgspec.Struct, frozen=True, array_like=True):
     """Processor time and network bandwidth of a host.
 
--- a/sedgetide/core/membership/lenders.py
+++ b/sedgetide/core/membership/lenders.py
@@ -50,6 +50,13 @@
     short_moves : bool
         Whether the host understands the short form of the notice that moves
         have ended; hosts of an older version do not.
+    forward_port : int
+        Port, at the IP of the link, at which the host takes requests of hosts
+        without a path to the upstreams; zero if it takes none.
+    peers : int
+        Version of the peer list that the host knows.
+    lost : tuple of DataCentre
+        Data centres of which the host reaches no upstream.
     """
 
     data_centre: DataCentre = DataCentre("")
@@ -58,6 +65,9 @@
     quarantine: int = 0
     link_mbps: float = 1000.0
     short_moves: bool = False
+    forward_port: int = 0
+    peers: int = 0
+    lost: tuple[DataCentre, ...] = ()
 
     @property
     def capacity(self) -> HostCapacity:
--- a/sedgetide/core/membership/paths.py
+++ b/sedgetide/core/membership/paths.py
@@ -27,15 +27,15 @@
 _MAX_PROBES = 8
 _MAX_SAMPLES = 2
 
-# Seconds without any answer, for which several upstreams owe one, after which
-# the paths to them are probed.
+# Seconds without any answer, and times the usual service time, after which an
+# upstream that owes an answer is probed.
 _MAX_SILENCE = 0.5
-_MIN_SILENT = 2
+_MAX_SERVICE_TIMES = 2.5
 
 NEVER = float("-inf")
 
 
-class Sending(msgspec.Struct, frozen=True, eq=False):
+class Sending(msgspec.Struct, eq=False):
     """A request that an upstream has not answered yet.
 
     Parameters
@@ -44,19 +44,26 @@
         The upstream.
     began : float
         Monotonic time at which it was sent.
+    usual : float
+        Usual service time of the upstream, in seconds.
+    probed : bool
+        Whether the upstream was probed because of it.
     """
 
     upstream: RegisteredUpstream
     began: float
+    usual: float
+    probed: bool = False
 
 
-def list_silent(
+def take_silent(
     sendings: Collection[Sending], answered_at: float, now: float
 ) -> list[RegisteredUpstream]:
     """Return the upstreams to probe because none has answered for long.
 
     After the loss of a path, requests on kept connections wait until their
     deadline, and no new connection is opened as long as there are kept ones.
+    Each request leads to one probe.
 
     Parameters
     ----------
@@ -69,14 +76,13 @@
     """
     if now - answered_at < _MAX_SILENCE:
         return []
-    owing = {
-        each.upstream.name: each.upstream
-        for each in sendings
-        if now - each.began >= _MAX_SILENCE
-    }
-    if len(owing) < _MIN_SILENT:
-        return []
-    return list(owing.values())[:_MAX_PROBES]
+    silent: dict[IncarnationName, RegisteredUpstream] = {}
+    for each in sendings:
+        limit = max(_MAX_SILENCE, _MAX_SERVICE_TIMES * each.usual)
+        if not each.probed and now - each.began >= limit:
+            each.probed = True
+            silent[each.upstream.name] = each.upstream
+    return list(silent.values())[:_MAX_PROBES]
 
 
 class _Missed(msgspec.Struct):
@@ -229,6 +235,20 @@
             self._probed_at[each.name] = now
         return due
 
+    def choose_samples(
+        self, upstreams: Collection[RegisteredUpstream], now: float
+    ) -> list[RegisteredUpstream]:
+        """Return some upstreams to probe beside one that is silent.
+
+        They tell at once whether this host reaches any. They are counted as
+        probed.
+        """
+        others = [each for each in upstreams if each.name not in self._missed]
+        others.sort(key=self._find_probed_at)
+        for each in others[:_MAX_SAMPLES]:
+            self._probed_at[each.name] = now
+        return others[:_MAX_SAMPLES]
+
     def _take_samples(
         self, upstreams: Collection[RegisteredUpstream], now: float
     ) -> list[RegisteredUpstream]:
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -27,6 +27,7 @@
 from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LenderList
+from sedgetide.core.membership.peers import PeerList
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.moveprogress import MoveProgress
 from sedgetide.core.ownership.moveprogress import MovingRange
@@ -126,6 +127,7 @@
         self.heard_at = float("-inf")
         self.hosts: int | None = None
         self.lenders = LenderList()
+        self.peers = PeerList()
         self.limits = KnownLimits()
         self.backoffs = Backoffs()
         self.quarantine = Quarantine()
@@ -188,6 +190,17 @@
             version=lenders.version,
         )
 
+    def set_peers(self, peers: PeerList) -> None:
+        """Set the peers of this host, named by the leader."""
+        if peers == self.peers:
+            return
+        self.peers = peers
+        log_event(
+            Event.PEERS,
+            peers=",".join(each.address for each in peers.peers),
+            version=peers.version,
+        )
+
     def record_sync(self, as_of: Position, heard_at: float) -> None:
         """Record that all items up to a position were known at a time."""
         self.as_of = max(self.as_of, as_of)
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -85,6 +85,12 @@
     "Answers by what they asked of those who send to their upstream.",
     ["service", "kind"],
 )
+FORWARDED = Counter(
+    "sedgetide_forwarded_requests",
+    "Requests passed on by hosts without a path to their upstream: sent to "
+    "peers and received from them, by what came of each.",
+    ["direction", "result"],
+)
 MISSED_UPSTREAMS = Gauge(
     "sedgetide_missed_upstreams",
     "Upstreams to which this host could not open its last connection.",
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -12,6 +12,7 @@
 from sedgetide.coding.messages import Lenders
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
+from sedgetide.coding.messages import Peers
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import StoreConflict
 from sedgetide.core.errors import StoreError
@@ -25,6 +26,7 @@
 from sedgetide.core.membership.lenders import HostStatus
 from sedgetide.core.membership.lenders import LenderSelector
 from sedgetide.core.membership.lenders import LendingHost
+from sedgetide.core.membership.peers import PeerSelector
 from sedgetide.core.ownership.balance import count_empty
 from sedgetide.core.ownership.balance import EligibleUpstream
 from sedgetide.core.ownership.balance import max_concurrent_moves
@@ -141,6 +143,7 @@
         self._lender_selector = LenderSelector(
             deployment.lenders, float("-inf"), own_host
         )
+        self._peer_selector = PeerSelector()
         self._balanced_at = float("-inf")
         self._tables_loaded = False
         self._resigned = False
@@ -186,6 +189,8 @@
             self._update_lenders(sender, report.standing, now)
         elif sender is not None:
             self._feed.announce_era(sender, report.position, now)
+        if self._leadership.is_fresh(now):
+            self._update_peers(sender, report.standing, now)
         for upstream in report.leaving:
             self._deployment.note_leaving(upstream)
         self._limit_tracker.note(report.limits, now)
@@ -200,6 +205,19 @@
         if status.lenders != lenders.version:
             self._send(sender, Lenders(lenders))
 
+    def _update_peers(
+        self, sender: LinkAddress | None, status: HostStatus, now: float
+    ) -> None:
+        link = self._own_host.link if sender is None else sender
+        self._peer_selector.note(link, status, now)
+        if not status.forward_port:
+            return
+        peers = self._peer_selector.find(link)
+        if sender is None:
+            self._deployment.set_peers(peers)
+        elif status.peers != peers.version:
+            self._send(sender, Peers(peers))
+
     @property
     def leading(self) -> bool:
         """Whether this host holds the leader's record."""
@@ -300,6 +318,7 @@
         self._lender_selector = LenderSelector(
             self._deployment.lenders, read_clock(), self._own_host
         )
+        self._peer_selector = PeerSelector()
         # Hosts have reported to other leaders since the last term.
         self._load_tracker.forget_keys()
         self._tables_loaded = False
@@ -343,6 +362,7 @@
             self._balanced_at = now
             self._forget_departed(now)
             self._choose_lenders(now)
+            self._peer_selector.expire(now)
         for service in self._deployment.policy.list_keyed():
             self._update_service(service, balance, now)
 
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -13,9 +13,9 @@
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.directory import UpstreamDirectory
-from sedgetide.core.membership.paths import list_silent
 from sedgetide.core.membership.paths import PathTracker
 from sedgetide.core.membership.paths import Sending
+from sedgetide.core.membership.paths import take_silent
 from sedgetide.daemons._hostmetrics import MISSED_UPSTREAMS
 from sedgetide.daemons._upstreamchannels import UpstreamChannels
 from sedgetide.runtime.clock import read_clock
@@ -74,7 +74,8 @@
     @contextlib.contextmanager
     def watch_sending(self, upstream: RegisteredUpstream) -> Iterator[None]:
         """Return a context manager for the time a request waits for one."""
-        sending = Sending(upstream, read_clock())
+        health = self._channels.find(upstream).health
+        sending = Sending(upstream, read_clock(), health.estimate_seconds())
         self._sendings.add(sending)
         try:
             yield
@@ -87,6 +88,18 @@
         """Return whether a new connection to an upstream would likely fail."""
         return self.tracker.is_doubtful(upstream)
 
+    def find_doubtful_time(self, upstream: RegisteredUpstream) -> float:
+        """Return for how many seconds the path has been in doubt."""
+        return self.tracker.find_doubtful_time(upstream, read_clock())
+
+    def prefer_reached(
+        self, upstreams: list[RegisteredUpstream]
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams without those in doubt, or all if all are."""
+        return [each for each in upstreams if not self.is_doubtful(each)] or (
+            upstreams
+        )
+
     def list_lost(self) -> tuple[DataCentre, ...]:
         """Return the data centres of which no upstream can be reached."""
         centres = {each.data_centre for each in self._directory.list_all()}
@@ -100,7 +113,11 @@
         self.tracker.retain({each.name for each in upstreams})
         for each in self.tracker.take_due_probes(upstreams, now):
             self.suspect(each)
-        for each in list_silent(self._sendings, self._answered_at, now):
+        silent = take_silent(self._sendings, self._answered_at, now)
+        if silent:
+            others = [each for each in upstreams if each not in silent]
+            silent += self.tracker.choose_samples(others, now)
+        for each in silent:
             self.suspect(each)
         self._log_changes(now)
 
--- a/sedgetide/daemons/_requestcontext.py
+++ b/sedgetide/daemons/_requestcontext.py
@@ -5,6 +5,7 @@
 from sedgetide.backends.dialects import CallerFields
 from sedgetide.core.configuration.policy import RouteRule
 from sedgetide.core.identifiers import Fingerprint
+from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Progress
@@ -58,6 +59,13 @@
     send_by : float
         Monotonic time after which it is not to be sent, as it waited for a
         place and too little time is left for an answer.
+    received_from : HostName or None
+        Host that has passed it on to this one; None if it came from a caller.
+    detour : str or None
+        Upstream or service to which this host's path is in doubt, so that
+        another host has to send it; None while its path seems open.
+    via : str
+        Address of the peer that it was last passed on to; empty for none.
     fingerprint : Fingerprint or None
         Computed on first use; see :meth:`find_fingerprint`.
     """
@@ -81,6 +89,9 @@
     failures: list[Failure] = []
     alone: bool = False
     send_by: float = float("inf")
+    received_from: HostName | None = None
+    detour: str | None = None
+    via: str = ""
     fingerprint: Fingerprint | None = None
 
     def refuse(self, reason: RefusalReason) -> None:
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -61,6 +61,16 @@
     return details
 
 
+def _list_hops(context: RequestContext) -> dict[str, str]:
+    """Return the fields that only lines of passed on requests have."""
+    hops = {}
+    if context.via:
+        hops["via"] = context.via
+    if context.received_from is not None:
+        hops["received_from"] = context.received_from
+    return hops
+
+
 class RequestLog:
     """Logs each request with the state by which it was routed.
 
@@ -100,6 +110,7 @@
             note=_choose_note(context, status),
             **_list_details(context, status),
             caller=context.request.caller,
+            **_list_hops(context),
             fingerprint=context.fingerprint or "",
             upstreams=",".join(context.progress.tried),
             ms=int((now - began) * 1000),
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -1,5 +1,6 @@
 """Routes a caller's request to an upstream and returns its final answer."""
 
+import logging
 import random
 
 import gevent
@@ -14,6 +15,8 @@
 from sedgetide.core.requests.attempts import may_send_again
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.averages import AnswerAverages
+from sedgetide.core.requests.forwarding import ForwardedRequest
+from sedgetide.core.requests.forwarding import ForwardedResult
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.overdue import OverdueDetector
 from sedgetide.core.requests.places import Verdict
@@ -28,6 +31,12 @@
 from sedgetide.core.requests.routes import compute_times
 from sedgetide.daemons._crashdetector import CrashDetector
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._forwardedrequests import DECLINED
+from sedgetide.daemons._forwardedrequests import make_context
+from sedgetide.daemons._forwardedrequests import make_result
+from sedgetide.daemons._forwardedrequests import read_request
+from sedgetide.daemons._forwarder import Detour
+from sedgetide.daemons._forwarder import Forwarder
 from sedgetide.daemons._hostmetrics import QUARANTINE_REFUSALS
 from sedgetide.daemons._hostmetrics import RETRIES
 from sedgetide.daemons._loadreporter import LoadMeter
@@ -55,6 +64,8 @@
 _BUSY_PAUSE = 0.04
 _MAX_UNREACHED = 3
 
+_log = logging.getLogger(__name__)
+
 
 class RequestRouter:
     """Serves all requests that callers send to one host.
@@ -79,6 +90,8 @@
         Determines whether a broken connection means a crashed upstream.
     paths : PathMonitor
         Records which upstreams this host reaches.
+    forwarder : Forwarder
+        Passes requests on to hosts that reach other upstreams.
     quarantine : SharedQuarantine
         Refuses requests that crash the upstreams that run them.
     trials : Trials
@@ -100,6 +113,7 @@
         partitions: PartitionDetector,
         crash_detector: CrashDetector,
         paths: PathMonitor,
+        forwarder: Forwarder,
         quarantine: SharedQuarantine,
         trials: Trials,
         retry_policy: RetryPolicy,
@@ -116,8 +130,17 @@
         self._overdue_detector = OverdueDetector()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._selector = UpstreamSelector(
-            deployment, channels, places, answer_averages, data_centre, rng
+            deployment,
+            channels,
+            places,
+            answer_averages,
+            data_centre,
+            rng,
+            paths,
+            forwarder,
         )
+        self._paths = paths
+        self._forwarder = forwarder
         self._sender = Sender(
             deployment,
             dialect,
@@ -185,6 +208,27 @@
         self._partitions.note_end(context.progress.outcome is Outcome.ANSWERED)
         return answer
 
+    def serve_forwarded(self, forwarded: ForwardedRequest) -> ForwardedResult:
+        """Serve a request that another host has passed on to this one."""
+        began = read_clock()
+        policy = self._deployment.policy
+        if policy is None or policy.version < forwarded.version:
+            return DECLINED
+        route = self._match(read_request(forwarded))
+        if route is None:
+            return DECLINED
+        context = make_context(forwarded, route, policy, self._dialect, began)
+        status = 0
+        try:
+            status = self._run_attempts(context).status
+        except Exception:
+            _log.exception("passed on request failed")
+            _note_internal_error(context)
+            status = 502
+        finally:
+            self._log.log_end(context, status, began)
+        return make_result(context, forwarded, self._paths.tracker.is_cut_off)
+
     def _make_context(
         self,
         request: Request,
@@ -235,7 +279,7 @@
         while not self._is_quarantined(context):
             with self._trials.open(context) as trial:
                 sent = self._attempt(context, trial)
-            if not sent:
+            if not sent and not self._take_detour(context):
                 break
             if context.progress.failure is Failure.NONE:
                 # The upstream survived the run, whatever the answer says.
@@ -245,6 +289,18 @@
                 break
         return self._make_final_answer(context)
 
+    def _take_detour(self, context: RequestContext) -> bool:
+        """Pass a request on; return whether to judge its failure or answer.
+
+        A request that another host has passed on is left to that host.
+        """
+        if context.detour is None or context.received_from is not None:
+            return False
+        detour = self._forwarder.forward(context, context.detour)
+        if detour is Detour.FINAL:
+            return context.progress.outcome is Outcome.ANSWERED
+        return True
+
     def _attempt(self, context: RequestContext, trial: Trial) -> bool:
         """Send a request once; return False if it may not be sent."""
         while True:
@@ -327,6 +383,9 @@
         since only the owner of the key may run it.
         """
         context.unreached += 1
+        if context.received_from is not None and context.keyed:
+            # The host that has passed it on asks another one.
+            return False
         if (
             context.unreached > _MAX_UNREACHED
             or now >= context.times.find_hold_deadline()
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -24,12 +24,15 @@
 from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import retry_after_backoff
 from sedgetide.core.requests.retryafter import retry_after_limit
+from sedgetide.core.requests.retryafter import retry_after_owner_loss
 from sedgetide.core.requests.retryafter import retry_after_place
 from sedgetide.core.requests.retryafter import retry_after_promise
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._forwarder import Forwarder
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._places import Place
 from sedgetide.daemons._places import PlaceRefused
 from sedgetide.daemons._places import Places
@@ -91,6 +94,10 @@
         Data centre of this host.
     rng : random.Random
         Randomizes the choice of upstreams; seeded differently on each host.
+    paths : PathMonitor
+        Tells which upstreams this host reaches.
+    forwarder : Forwarder
+        Tells whether other hosts can send requests in place of this one.
     """
 
     def __init__(
@@ -101,6 +108,8 @@
         answer_averages: AnswerAverages,
         data_centre: str,
         rng: random.Random,
+        paths: PathMonitor,
+        forwarder: Forwarder,
     ) -> None:
         self._deployment = deployment
         self._channels = channels
@@ -108,9 +117,15 @@
         self._averages = answer_averages
         self._data_centre = data_centre
         self._rng = rng
+        self._paths = paths
+        self._forwarder = forwarder
 
     def acquire(self, context: RequestContext) -> SendPermit | None:
-        """Return a permit for a request; None when it cannot be sent."""
+        """Return a permit for a request; None when it cannot be sent.
+
+        If only this host's path is in the way, the request gets a detour.
+        """
+        context.detour = None
         hold_deadline = _find_hold_deadline(context)
         declined: set[IncarnationName] = set()
         while True:
@@ -144,16 +159,33 @@
                 return None
             self._deployment.changes.wait(wait.until - now)
 
+    def _needs_detour(self, context: RequestContext, target: Target) -> bool:
+        """Return whether another host has to send a request."""
+        upstream = target.upstream
+        if not self._paths.is_doubtful(upstream):
+            return False
+        if context.received_from is None and not self._forwarder.can_forward:
+            return False
+        context.detour = upstream.name if context.keyed else context.service
+        context.refuse(RefusalReason.UNREACHABLE)
+        if context.keyed:
+            context.retry_after = retry_after_owner_loss(
+                self._paths.find_doubtful_time(upstream)
+            )
+        return True
+
     def _acquire_permit(
         self, context: RequestContext, target: Target, hold_deadline: float
     ) -> SendPermit | PlaceRefused | PlaceUnwanted | None:
-        """Wait for permission to send; None when there is no room in time.
+        """Wait for permission to send; None when there is none in time.
 
         Only the owner may run a request with a key, so all hosts share the
         queue that its lender keeps. Requests without a key may go to any
         upstream of the service, for which the host's own window suffices
         unless the upstream is cold or states a limit.
         """
+        if self._needs_detour(context, target):
+            return None
         channel = self._channels.find(target.upstream)
         cold_bound = self._deployment.find_cold_send_limit(
             target.upstream, read_clock()
@@ -338,12 +370,14 @@
             table = self._deployment.find_table(context.service)
             return find_owner(table, context.fields.key, directory, now)
         avoided = self._deployment.backoffs.list_active(now)
-        upstreams = list_candidates(
-            directory,
-            context.service,
-            context.progress.tried,
-            now,
-            avoided.union(declined),
+        upstreams = self._paths.prefer_reached(
+            list_candidates(
+                directory,
+                context.service,
+                context.progress.tried,
+                now,
+                avoided.union(declined),
+            )
         )
         if not upstreams:
             if not declined and self.find_backoff(context, now) > 0.0:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -28,6 +28,7 @@
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Moved
+from sedgetide.coding.messages import Peers
 from sedgetide.coding.messages import PlaceVerdict
 from sedgetide.coding.messages import Quarantined
 from sedgetide.coding.messages import StoreFeed
@@ -48,6 +49,7 @@
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.bodylimits import compute_body_limit
+from sedgetide.core.requests.forwarding import PeerPool
 from sedgetide.core.requests.retries import RetryPolicy
 from sedgetide.daemons._admin import make_application
 from sedgetide.daemons._crashdetector import CrashDetector
@@ -55,6 +57,8 @@
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._election import Election
 from sedgetide.daemons._feed import FeedReceiver
+from sedgetide.daemons._forwarder import Forwarder
+from sedgetide.daemons._forwardserver import ForwardServer
 from sedgetide.daemons._hostmetrics import BODY_BYTES_IN_HAND
 from sedgetide.daemons._hostmetrics import CALLER_CONNECTIONS
 from sedgetide.daemons._hostmetrics import EVACUATED
@@ -186,6 +190,15 @@
             self._transport.send,
             random.Random(self.incarnation),
         )
+        self._forwarder = Forwarder(
+            settings.host_name,
+            self._deployment,
+            PeerPool(
+                DataCentre(settings.data_centre),
+                random.Random(self.incarnation),
+            ),
+            settings.limits.body_bytes,
+        )
         self._crash_detector = CrashDetector(
             self._deployment.directory, self._quarantine.note_upstream_end
         )
@@ -199,6 +212,7 @@
             self._partitions,
             self._crash_detector,
             self._paths,
+            self._forwarder,
             self._quarantine,
             self._trials,
             RetryPolicy(
@@ -206,13 +220,17 @@
             ),
             random.Random(settings.host),
         )
+        bodies = BodyBudget(compute_body_limit(settings.memory_mb))
         self._server = Server(
             self._router.serve,
             self._router.is_idempotent,
             self._router.read_limits,
-            BodyBudget(compute_body_limit(settings.memory_mb)),
+            bodies,
             self._router.note_body_refusal,
         )
+        self._forward_server = ForwardServer(
+            self._router.serve_forwarded, self._router.read_limits, bodies
+        )
         self._leader = self._make_leader()
         self._bind_gauges()
 
@@ -274,6 +292,7 @@
         """Start the listeners and all tasks; the stack stops them."""
         self._start_admin(stack)
         stack.callback(self._channels.close)
+        stack.callback(self._forwarder.close)
         stack.callback(self._transport.close)
         self._transport.start()
         for prefix in self._adapter.registry.list_prefixes():
@@ -288,6 +307,8 @@
         self._leader.start(stack)
         LoadReporter(self._meter, self).start(stack)
         spawn_vital(self._housekeeping_loop, stack)
+        if self._settings.forward_address is not None:
+            self._forward_server.start(self._settings.forward_address, stack)
         stack.callback(self._server.stop_accepting)
         self._server.start(
             open_listener(*split_address(self._settings.listen))
@@ -324,6 +345,7 @@
         entries = self._deployment.directory.list_all()
         self._channels.prune({entry.name for entry in entries})
         self._transport.close_unused(_IDLE_LINK_TIMEOUT)
+        self._forwarder.prune()
 
     def _update_partition(self, now: float) -> None:
         """Withdraw from the load balancer while this host is partitioned."""
@@ -350,6 +372,8 @@
             self._handle_moved(message, read_clock())
         elif isinstance(message, Lenders):
             self._deployment.set_lenders(message.named)
+        elif isinstance(message, Peers):
+            self._deployment.set_peers(message.named)
         elif isinstance(message, Quarantined):
             self._quarantine.handle_message(
                 message, LinkAddress(sender), read_clock()
@@ -437,6 +461,9 @@
             self._deployment.quarantine.version,
             capacity.link_mbps,
             short_moves=True,
+            forward_port=self._settings.forward_port or 0,
+            peers=self._deployment.peers.version,
+            lost=self._paths.list_lost(),
         )
 
     # Admin
@@ -457,6 +484,8 @@
             "knowledge": self._deployment.dump_state(),
             "leader": self._leader.dump_state(),
             "paths": self._paths.dump_state(),
+            "peers": msgspec.to_builtins(self._deployment.peers.peers),
+            "received": self._forward_server.in_progress,
             "lent_places": self._places.dump_state(read_clock()),
             "traffic": msgspec.to_builtins(self._transport.traffic),
         }
@@ -479,6 +508,7 @@
         )
         self._leader.resign()
         self._server.begin_stop()
+        self._forward_server.begin_stop()
         began = read_clock()
         longest = self._settings.grace * _MAX_NOTICE_SHARE
         notice = min(self._settings.limits.drain_notice, longest)
@@ -486,7 +516,7 @@
         self._server.stop_accepting()
         self._server.close_idle()
         last = began + self._settings.grace - _EXIT_RESERVE
-        while read_clock() < last and self._server.connections:
+        while read_clock() < last and self._has_work():
             self._server.close_idle()
             gevent.sleep(_STOP_POLL_INTERVAL)
         log_event(
@@ -495,6 +525,11 @@
             seconds=f"{read_clock() - began:.1f}",
         )
 
+    def _has_work(self) -> bool:
+        """Return whether callers or other hosts still wait for answers."""
+        in_progress = self._forward_server.in_progress
+        return bool(self._server.connections) or in_progress > 0
+
     def _wait_until(self, end: float) -> None:
         while read_clock() < end:
             gevent.sleep(_STOP_POLL_INTERVAL)
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -317,6 +317,13 @@
         "lenders, each host limits its requests by its own windows.",
         ("lenders", "version"),
     )
+    PEERS = Definition(
+        "peers",
+        logging.INFO,
+        "The hosts that send requests for upstreams to which this host has no "
+        "path have changed.",
+        ("peers", "version"),
+    )
     NOT_ELECTED = Definition(
         "not-elected",
         logging.WARNING,
@@ -427,7 +434,10 @@
         "with status 0, what kept it from being sent before. detail: error "
         "text of the last attempt without a response. no_room_at: upstream "
         "that had no room for it. retry_after: seconds that the caller of a "
-        "refused request was told. Lines without them omit these three.",
+        "refused request was told. via: address of the peer that sent it in "
+        "place of this host. received_from: host that passed it on to this "
+        "one, whose own line has the same id. Lines without them omit these "
+        "five.",
         (
             "id",
             "route",
@@ -442,6 +452,8 @@
             "no_room_at",
             "retry_after",
             "caller",
+            "via",
+            "received_from",
             "fingerprint",
             "upstreams",
             "ms",
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -146,7 +146,7 @@
     ) -> None:
         self.name = f"host-{number}"
         self.data_centre = f"dc-{number % 2}"
-        ports = [find_port() for _ in range(4)]
+        ports = [find_port() for _ in range(5)]
         self.store = Proxy(store_port)
         self.front = Proxy(ports[0])
         settings = HostSettings(
@@ -156,6 +156,7 @@
             ready=f"127.0.0.1:{ports[1]}",
             admin=f"127.0.0.1:{ports[2]}",
             link=f"127.0.0.1:{ports[3]}",
+            forward_port=ports[4],
             stores=(self.store.address,),
             grace=GRACE,
             **options,
--- a/tests/coding/test_settings.py
+++ b/tests/coding/test_settings.py
@@ -26,6 +26,7 @@
     "listen.ready": "10.1.0.1:81",
     "ip": "10.1.0.1",
     "internal-ports.0": 7720,
+    "internal-ports.1": 7735,
     "platform.address": "10.1.0.2:90",
 }
 MINIMUMS = {
--- a/tests/core/membership/test_paths.py
+++ b/tests/core/membership/test_paths.py
@@ -6,9 +6,9 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.membership.directory import RegisteredUpstream
-from sedgetide.core.membership.paths import list_silent
 from sedgetide.core.membership.paths import PathTracker
 from sedgetide.core.membership.paths import Sending
+from sedgetide.core.membership.paths import take_silent
 
 
 def make_upstream(number, data_centre="north"):
@@ -114,16 +114,23 @@
 
 
 class TestSilence(testtools.TestCase):
-    def test_several_upstreams_owe_an_answer_and_none_answers(self):
+    def setUp(self):
+        super().setUp()
+        self.sendings = [Sending(each, 100.0, 0.1) for each in NORTH]
+
+    def test_upstreams_owe_an_answer_and_none_answers(self):
         # Guards against a lost path that is noticed only when the deadlines
         # of requests on kept connections have passed.
-        sendings = [Sending(each, 100.0) for each in NORTH]
-        self.assertEqual(NORTH, list_silent(sendings, 99.9, 100.5))
+        self.assertEqual(NORTH, take_silent(self.sendings, 99.9, 100.5))
 
     def test_answer_of_another_upstream_shows_that_the_path_is_open(self):
-        sendings = [Sending(each, 100.0) for each in NORTH]
-        self.assertEqual([], list_silent(sendings, 100.2, 100.6))
+        self.assertEqual([], take_silent(self.sendings, 100.2, 100.6))
+
+    def test_each_request_leads_to_one_probe(self):
+        take_silent(self.sendings, 99.9, 100.5)
+        self.assertEqual([], take_silent(self.sendings, 99.9, 100.7))
 
-    def test_slow_answer_of_one_upstream_is_no_reason(self):
-        sendings = [Sending(NORTH[0], 100.0)] * 5
-        self.assertEqual([], list_silent(sendings, 99.0, 103.0))
+    def test_slow_upstream_has_longer_time(self):
+        slow = [Sending(NORTH[0], 100.0, 0.4)]
+        self.assertEqual([], take_silent(slow, 99.0, 100.9))
+        self.assertEqual(NORTH[:1], take_silent(slow, 99.0, 101.0))
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -72,6 +72,7 @@
             PartitionDetector("north"),
             None,
             None,
+            None,
             types.SimpleNamespace(
                 find_stay_left=lambda context, now: 0.0,
                 may_retry=lambda context: True,
--- a/tests/daemons/test_unreached_upstreams.py
+++ b/tests/daemons/test_unreached_upstreams.py
@@ -147,3 +147,33 @@
         # Guards against a leader that can renew no grant and goes on leading.
         self.run_cut(self.list_hosts(with_leader=True)[:3], Path.HANGING)
         self.check_all_are_served_as_before()
+
+    def test_callers_of_a_cut_data_centre_are_served(self):
+        # Guards against peers that are sought only near by.
+        hosts = [
+            number
+            for number in self.list_hosts(with_leader=False)[:-1]
+            if self.fleet.hosts[number].data_centre == "dc-0"
+        ]
+        self.run_cut(hosts, Path.HANGING)
+        self.check_cut_hosts_serve()
+
+    def test_callers_are_served_while_new_connections_are_refused(self):
+        self.run_cut(self.list_hosts(with_leader=False)[:3], Path.REFUSING)
+        self.check_cut_hosts_serve()
+        self.check_nothing_is_unknown()
+
+    def test_callers_are_served_while_nothing_comes_back(self):
+        self.run_cut(self.list_hosts(with_leader=False)[:3], Path.ONE_WAY)
+        self.check_cut_hosts_serve()
+
+    def test_callers_are_served_without_a_path_to_one_data_centre(self):
+        # Guards against hosts that pass requests on only if all is lost.
+        lost = {
+            each.address
+            for each in self.fleet.upstreams
+            if each.data_centre == "dc-1"
+        }
+        hosts = self.list_hosts(with_leader=False)[:3]
+        self.run_cut(hosts, Path.HANGING, lost.__contains__)
+        self.check_cut_hosts_serve()
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -20,6 +20,7 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
@@ -34,6 +35,7 @@
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._deployment import ColdTolerance
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._places import Place
 from sedgetide.daemons._places import PlaceRefused
 from sedgetide.daemons._requestcontext import RequestContext
@@ -95,6 +97,8 @@
             AnswerAverages(),
             "north",
             random.Random(1),
+            PathMonitor(UpstreamDirectory(), None),
+            None,
         )
         self.selector._find_target = lambda context, declined, now: Target(
             UPSTREAM, 1
@@ -138,6 +142,8 @@
             AnswerAverages(),
             "north",
             random.Random(1),
+            PathMonitor(UpstreamDirectory(), None),
+            None,
         )
         selector._find_target = lambda context, declined, now: Target(
             UPSTREAM, 1
@@ -227,6 +233,8 @@
             AnswerAverages(),
             "north",
             random.Random(1),
+            PathMonitor(UpstreamDirectory(), None),
+            None,
         )
         self.context = make_context(keyed)
         if keyed:
@@ -295,6 +303,8 @@
             AnswerAverages(),
             "north",
             random.Random(1),
+            PathMonitor(UpstreamDirectory(), None),
+            None,
         )
 
 
