A leader that does not reach the upstreams resigns if others do

The leader now compares its paths with the load reports: if two upstreams or a twentieth of all, which it does not reach, have answered others since, it ends its lease. Nobody reaches the upstreams: nothing changes, they are lost. A leader stays for 1.5 s, so that paths that come and go bring no election each second. Meanwhile it starts no move on its own sight: none while it is cut off, and no new fence for an owner that it does not reach, because connections that a lost path has ended look like a restart. Orders tell the path monitor what they reach; one without an answer leads to a probe.

--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -23,6 +23,7 @@
 _RENEWALS_PER_HOLD = 3
 _FRESH_VERIFY_INTERVALS = 2
 _MAX_ELECTION_DELAY = 0.6
+_MAX_PATH_DELAY = 3.0
 
 
 def find_election_delay(capacity: HostCapacity) -> float:
@@ -42,6 +43,21 @@
     return _MAX_ELECTION_DELAY * capacity.find_shortfall()
 
 
+def find_path_delay(lost_share: float) -> float:
+    """Return by how many seconds a host without paths delays its candidacy.
+
+    A host that reaches all upstreams goes first. If there is none, one that
+    reaches some, or none, leads nevertheless: hosts get changes of the store
+    from it.
+
+    Parameters
+    ----------
+    lost_share : float
+        Share of the upstreams that the host does not reach.
+    """
+    return _MAX_PATH_DELAY * lost_share
+
+
 class LeaderRecord(msgspec.Struct, frozen=True):
     """The leader's record in the store.
 
@@ -159,6 +175,11 @@
         """Position of this host's leader record; zero if it does not lead."""
         return self._term
 
+    @property
+    def term_began_at(self) -> float:
+        """Monotonic time at which the term began."""
+        return self._term_began_at
+
     def begin(self, position: Position, asked_at: float, now: float) -> None:
         """Begin a term after this host's leader record was written.
 
--- /dev/null
+++ b/sedgetide/core/ownership/sight.py
@@ -0,0 +1,95 @@
+"""Whether the leader reaches the upstreams as well as the other hosts do.
+
+The leader's lease is at the store, so a leader that has lost its path to the
+upstreams would go on leading while it can neither renew a grant nor move a
+range. The load reports of the other hosts show which upstreams have answered
+them. If several that the leader does not reach have, another host can lead
+better. If none has, the upstreams themselves are lost, and a change of
+leaders gains nothing.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.ownership.load import UpstreamWork
+
+# Seconds between the loss of a path and the arrival of a report, after which
+# the answers in the report came later than the loss: hosts report every 0.4 s.
+_REPORT_LAG = 0.5
+# Seconds after which a report no longer counts.
+_REPORT_LIFE = 1.5
+# Upstreams out of reach, and their share of all, for which a leader resigns.
+# A single one may refuse connections of one host.
+_MIN_BLIND = 2
+_MIN_BLIND_SHARE = 0.05
+# Seconds for which a leader leads at least, as the grants that it renews last
+# longer. Paths that come and go must not lead to one election after another.
+_MIN_TERM = 1.5
+
+NEVER = float("-inf")
+
+
+class LeaderSight:
+    """Compares the leader's paths with what other hosts report."""
+
+    def __init__(self) -> None:
+        self._answered_at: dict[IncarnationName, float] = {}
+
+    def note_report(self, seen: Iterable[UpstreamWork], now: float) -> None:
+        """Record which upstreams have answered another host."""
+        for each in seen:
+            if each.answers:
+                self._answered_at[each.upstream] = now
+
+    def list_blind(
+        self, doubtful: Mapping[IncarnationName, float], now: float
+    ) -> list[IncarnationName]:
+        """Return the upstreams that others reach and the leader doesn't.
+
+        Parameters
+        ----------
+        doubtful : mapping of IncarnationName to float
+            Upstreams to which the leader's path is in doubt, and the
+            monotonic time since when it is.
+        now : float
+            Current monotonic time in seconds.
+        """
+        return [
+            name
+            for name, since in doubtful.items()
+            if self._answered_at.get(name, NEVER)
+            >= max(since + _REPORT_LAG, now - _REPORT_LIFE)
+        ]
+
+    def should_resign(
+        self,
+        doubtful: Mapping[IncarnationName, float],
+        upstreams: int,
+        began: float,
+        now: float,
+    ) -> bool:
+        """Return whether another host can lead better.
+
+        Parameters
+        ----------
+        doubtful : mapping of IncarnationName to float
+            See :meth:`list_blind`.
+        upstreams : int
+            Number of registered upstreams.
+        began : float
+            Monotonic time at which this host's term began.
+        now : float
+            Current monotonic time in seconds.
+        """
+        if not doubtful or now - began < _MIN_TERM:
+            return False
+        blind = len(self.list_blind(doubtful, now))
+        return blind >= max(_MIN_BLIND, _MIN_BLIND_SHARE * upstreams)
+
+    def forget(self, known: Collection[IncarnationName]) -> None:
+        """Remove all upstreams but the known ones."""
+        for name in list(self._answered_at):
+            if name not in known:
+                del self._answered_at[name]
--- a/sedgetide/daemons/_election.py
+++ b/sedgetide/daemons/_election.py
@@ -1,5 +1,6 @@
 """Leader election by a record under a lease in the store."""
 
+from collections.abc import Callable
 import contextlib
 import random
 
@@ -17,6 +18,7 @@
 from sedgetide.core.membership.capacity import SUFFICIENT_CAPACITY
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_election_delay
+from sedgetide.core.ownership.leadership import find_path_delay
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._deployment import DeploymentState
@@ -49,6 +51,8 @@
         Time to live of the lease and interval of verification.
     capacity : HostCapacity
         Processor time and bandwidth of the host.
+    find_lost_share : callable
+        Returns the share of the upstreams that the host does not reach.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         deployment: DeploymentState,
         durations: Durations,
         capacity: HostCapacity = SUFFICIENT_CAPACITY,
+        find_lost_share: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._election_delay = find_election_delay(capacity)
@@ -69,6 +74,8 @@
         self._lease: LeaseId = NO_LEASE
         self._verified_at = float("-inf")
         self._next_try_at: float | None = None
+        self._leaderless_since = float("-inf")
+        self._find_lost_share = find_lost_share
         self._random = random.Random(record.incarnation)
 
     @property
@@ -108,8 +115,11 @@
             return False
         if self._next_try_at is None:
             delay = self._random.uniform(0.0, _MAX_JITTER)
+            self._leaderless_since = now
             self._next_try_at = now + self._election_delay + delay
-        return now >= self._next_try_at
+        # The path may be lost, or be back, during the wait.
+        patience = find_path_delay(self._find_lost_share())
+        return now >= max(self._next_try_at, self._leaderless_since + patience)
 
     def _is_own_stale_record(self) -> bool:
         """Return whether the record is of an ended process of this host.
@@ -193,12 +203,14 @@
         self._lease = NO_LEASE
         log_event(Event.LEADING_NO_MORE, reason=reason)
 
-    def resign(self) -> None:
+    def resign(self, reason: str = "resigned") -> None:
         """Step down and end the lease, so that no host waits for it."""
         if self._leadership.term == NO_POSITION:
             return
         lease = NO_LEASE if self._leadership.era_ended else self._lease
-        self._step_down("resigned")
+        self._step_down(reason)
+        # If it stands again, it waits like any other host.
+        self._next_try_at = None
         if lease != NO_LEASE:
             self._end_lease(lease)
 
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -42,6 +42,7 @@
 from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.sight import LeaderSight
 from sedgetide.core.ownership.smoothing import smooth_rates
 from sedgetide.core.ownership.terms import Term
 from sedgetide.core.requests.health import DEFAULT_SERVICE_TIME
@@ -55,6 +56,7 @@
 from sedgetide.daemons._movenotifier import MoveNotifier
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.daemons._orderexecutor import OrderExecutor
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._quarantinerecord import QuarantineWriter
 from sedgetide.daemons._recordkeys import make_leader_key
 from sedgetide.daemons._recordkeys import make_ranges_key
@@ -109,6 +111,8 @@
         Sends a message to a host.
     own_host : LendingHost
         This host, as a candidate lender of places.
+    paths : PathMonitor
+        Tells which upstreams this host reaches.
     """
 
     def __init__(
@@ -121,6 +125,7 @@
         durations: Durations,
         send: Callable[[LinkAddress, Message], None],
         own_host: LendingHost,
+        paths: PathMonitor,
     ) -> None:
         self._store = store
         self._send = send
@@ -133,7 +138,9 @@
         self._leadership = leadership
         self._durations = durations
         self._position = NO_POSITION
-        self._clients = OrderClients(dialect, durations.order_timeout)
+        self._paths = paths
+        self._sight = LeaderSight()
+        self._clients = OrderClients(dialect, durations.order_timeout, paths)
         self._executor = self._create_executor()
         self._recovery = self._create_recovery()
         self._load_tracker = LoadTracker()
@@ -191,6 +198,8 @@
             self._feed.announce_era(sender, report.position, now)
         if self._leadership.is_fresh(now):
             self._update_peers(sender, report.standing, now)
+        if sender is not None:
+            self._sight.note_report(report.upstreams, now)
         for upstream in report.leaving:
             self._deployment.note_leaving(upstream)
         self._limit_tracker.note(report.limits, now)
@@ -238,12 +247,28 @@
         while not self._resigned:
             term = self._leadership.term
             self._election.step(read_clock())
+            self._resign_if_blind(read_clock())
             if self._leadership.term != term:
                 # Wakes the lead loop, which waits for changes.
                 self._deployment.changes.notify_all()
             busy = self.leading or self._election.is_candidate
             self._deployment.changes.wait(_TICK if busy else _IDLE_TICK)
 
+    def _resign_if_blind(self, now: float) -> None:
+        """Let another host lead that reaches upstreams this one does not."""
+        if not self.leading or self._leadership.era_ended:
+            return
+        doubts = self._paths.find_doubts()
+        upstreams = len(self._deployment.directory.list_all())
+        began = self._leadership.term_began_at
+        if self._sight.should_resign(doubts, upstreams, began, now):
+            # No task may send an order after the record is gone.
+            self._executor.close()
+            self._recovery.close()
+            self._election.resign(
+                f"reaches {upstreams - len(doubts)} of {upstreams} upstreams"
+            )
+
     def _lead_loop(self) -> None:
         while True:
             self._clients.update_entries(
@@ -391,6 +416,7 @@
         for each in self._deployment.tables.values():
             known.update(tenure.owner for tenure in each.table.tenures)
         self._load_tracker.forget(known)
+        self._sight.forget(known)
         self._clients.retain(known)
         self._limit_tracker.prune(now)
 
@@ -480,6 +506,9 @@
         balance: bool,
         now: float,
     ) -> list[Move]:
+        if self._paths.tracker.is_cut_off:
+            # No order would arrive, and a moving range has no owner.
+            return []
         eligible = {
             each.name: EligibleUpstream(
                 each.name,
@@ -503,7 +532,10 @@
             rates = smooth_rates(estimates, table.tenures)
         moves = plan_evictions(table, eligible, rates, evacuated)
         moves += plan_evacuation(table, eligible, rates, evacuated, leaving)
-        for tenure in self._executor.pop_fenced(service):
+        doubts = self._paths.find_doubts()
+        for tenure in self._executor.pop_fenced(
+            service, lambda owner: owner not in doubts
+        ):
             # The upstream has seen a higher fence, or may have restarted.
             # The same owner gets the range again at a new fence.
             if tenure in table.tenures and tenure.owner in eligible:
--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -14,6 +14,8 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.daemons._hostmetrics import ORDERS
+from sedgetide.daemons._upstreampath import IgnoredPath
+from sedgetide.daemons._upstreampath import PathObserver
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
@@ -29,6 +31,7 @@
 # Seconds; no upstream process restarts within this time.
 _MIN_RESTART_TIME = 0.1
 _OK = 200
+IGNORED_PATH = IgnoredPath()
 
 
 class OrderOutcome(enum.Enum):
@@ -105,6 +108,8 @@
         Seconds after which an unanswered grant is aborted.
     reset_wait : float
         Seconds to wait on a new connection for a reset.
+    path : PathObserver
+        Records whether the upstream is reached.
     """
 
     def __init__(
@@ -114,11 +119,13 @@
         dialect: OrderDialect,
         grant_timeout: float,
         reset_wait: float = _RESET_WAIT,
+        path: PathObserver = IGNORED_PATH,
     ) -> None:
         self.upstream = upstream
         self.address = address
         self._dialect = dialect
         self._grant_timeout = grant_timeout
+        self._path = path
         # An upstream that is at its connection limit, or lost behind a proxy
         # that accepts for it, resets new connections. If the reset is seen
         # before the send, the order certainly wasn't sent. After the send the
@@ -242,10 +249,16 @@
         except UpstreamError as error:
             # An accepted connection that is reset only shows that the
             # upstream is at its connection limit.
-            if kept or error.code is not ErrorCode.UPSTREAM_FULL:
+            full = error.code is ErrorCode.UPSTREAM_FULL
+            if full:
+                self._path.note_connected()
+            else:
+                self._path.note_missed()
+            if kept or not full:
                 self._note_closed()
             raise
         if connection not in self._opened:
+            self._path.note_connected()
             if kept:
                 self._note_closed()
             # Another order may hold a connection that has been closed, and
@@ -324,9 +337,12 @@
                 request, timeout or self._grant_timeout
             )
         except UpstreamError as error:
-            if error.code is not ErrorCode.UPSTREAM_SILENT:
+            if error.code is ErrorCode.UPSTREAM_SILENT:
+                self._path.note_silence()
+            else:
                 self._note_closed(connection)
             return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
+        self._path.note_answer()
         self._pool.give_back(connection)
         if not connection.is_open:
             self._reconnect(connection, sent_at)
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -23,7 +23,9 @@
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderclient import OrderResult
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._renewal import renew_grants
+from sedgetide.daemons._upstreampath import UpstreamPath
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
@@ -48,10 +50,18 @@
         Encodes orders for the upstreams.
     grant_timeout : float
         Seconds after which an unanswered grant is aborted.
+    paths : PathMonitor
+        Records which upstreams are reached.
     """
 
-    def __init__(self, dialect: OrderDialect, grant_timeout: float) -> None:
+    def __init__(
+        self,
+        dialect: OrderDialect,
+        grant_timeout: float,
+        paths: PathMonitor,
+    ) -> None:
         self._dialect = dialect
+        self._paths = paths
         self._grant_timeout = grant_timeout
         self._clients: dict[IncarnationName, OrderClient] = {}
         self._entries: dict[IncarnationName, RegisteredUpstream] = {}
@@ -88,6 +98,7 @@
                 entry.address,
                 self._dialect,
                 self._grant_timeout,
+                path=UpstreamPath(self._paths, entry),
             )
             self._clients[upstream] = client
         return client
@@ -207,9 +218,22 @@
         for grant in self._sessions.keys() - current:
             del self._sessions[grant]
 
-    def pop_fenced(self, service: ServiceName) -> set[Tenure]:
-        """Return and clear the ranges that need a higher fence."""
-        return self._fenced.pop(service, set())
+    def pop_fenced(
+        self,
+        service: ServiceName,
+        is_reached: Callable[[IncarnationName], bool],
+    ) -> set[Tenure]:
+        """Return and clear the ranges that need a higher fence.
+
+        Those of owners that are not reached are kept: connections that a
+        lost path has ended look like a restart, and a range that moves waits
+        until its owner has answered, or its hold is over.
+        """
+        fenced = self._fenced.pop(service, set())
+        kept = {each for each in fenced if not is_reached(each.owner)}
+        if kept:
+            self._fenced[service] = kept
+        return fenced - kept
 
     def reconcile(self, service: ServiceName, table: RangeTable) -> None:
         """Start the tasks that a table requires and cancel the others."""
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -92,6 +92,21 @@
         """Return for how many seconds the path has been in doubt."""
         return self.tracker.find_doubtful_time(upstream, read_clock())
 
+    def find_doubts(self) -> dict[IncarnationName, float]:
+        """Return since when each path that is in doubt has been so."""
+        now = read_clock()
+        return {
+            each.name: now - self.tracker.find_doubtful_time(each, now)
+            for each in self._directory.list_all()
+            if self.is_doubtful(each)
+        }
+
+    def find_lost_share(self) -> float:
+        """Return the share of upstreams to which the path is in doubt."""
+        upstreams = self._directory.list_all()
+        doubtful = sum(1 for each in upstreams if self.is_doubtful(each))
+        return doubtful / max(1, len(upstreams))
+
     def prefer_reached(
         self, upstreams: list[RegisteredUpstream]
     ) -> list[RegisteredUpstream]:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -276,6 +276,7 @@
             self._deployment,
             durations,
             self._settings.capacity,
+            self._paths.find_lost_share,
         )
         return Leader(
             self._open_store(),
@@ -286,6 +287,7 @@
             durations,
             self._transport.send,
             LendingHost(record.link, DataCentre(self._settings.data_centre)),
+            self._paths,
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
--- a/tests/daemons/test_election.py
+++ b/tests/daemons/test_election.py
@@ -15,6 +15,7 @@
 from sedgetide.core.membership.capacity import HostCapacity
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import find_election_delay
+from sedgetide.core.ownership.leadership import find_path_delay
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.daemons._deployment import DeploymentState
@@ -129,6 +130,35 @@
         # answer to a caller: grants timed out and its lease expired.
         self.check_lets_stronger_ones_run_first(HostCapacity(2.0, 5.0))
 
+    def test_host_without_paths_lets_others_run_first(self):
+        # Guards against a leader that resigns because it reaches no upstream
+        # and is elected again at once, or followed by one like it.
+        lost_share = 0.0
+        blind = Election(
+            self.store,
+            LeaderRecord("h-2", "y", "1.1.1.2:1"),
+            Leadership(self.durations),
+            self.deployment,
+            self.durations,
+            find_lost_share=lambda: lost_share,
+        )
+        now = read_clock()
+        self.deployment.record_sync(AS_OF, now)
+        blind.step(now)
+        lost_share = 1.0
+        for later in (0.5, 1.5, find_path_delay(1.0) - 0.1):
+            blind.step(now + later)
+        self.assertIsNone(self.model.find(LEADER_KEY))
+        blind.step(now + find_path_delay(1.0))
+        self.assertIsNotNone(self.model.find(LEADER_KEY))
+
+    def test_host_that_resigns_waits_like_any_other(self):
+        self.become_leader()
+        self.election.resign("reaches no upstream")
+        self.sync_deployment()
+        self.step(2.0)
+        self.assertEqual(NO_POSITION, self.leadership.term)
+
     def check_lets_stronger_ones_run_first(self, capacity):
         latest_strong_delay = find_election_delay(STRONG) + 0.4
         weak = Election(
--- a/tests/daemons/test_leader.py
+++ b/tests/daemons/test_leader.py
@@ -23,6 +23,7 @@
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._election import Election
 from sedgetide.daemons._leader import Leader
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._recordkeys import make_leader_key
 from sedgetide.daemons._recordkeys import make_ranges_key
 from sedgetide.platform._orders import PlatformOrders
@@ -72,6 +73,7 @@
             Durations(),
             lambda *_: None,
             LendingHost(LINK, DataCentre("dc")),
+            PathMonitor(self.deployment.directory, None),
         )
         self.leader._begin_term(term)
         self.addCleanup(lambda: self.leader._executor.close())
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -18,6 +18,8 @@
 from sedgetide.daemons._orderclient import OrderResult
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.daemons._orderexecutor import OrderExecutor
+from sedgetide.daemons._pathmonitor import PathMonitor
+from sedgetide.daemons._upstreamchannels import UpstreamChannels
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.runtime.clock import read_clock
 from tests.daemons.test_election import FakeRegistry
@@ -46,7 +48,11 @@
         self.deployment.update_table(
             SERVICE, self.table, Position(0, 8), read_clock()
         )
-        clients = OrderClients(PlatformOrders(), durations.order_timeout)
+        clients = OrderClients(
+            PlatformOrders(),
+            durations.order_timeout,
+            PathMonitor(self.deployment.directory, UpstreamChannels(1000)),
+        )
         clients.update_entries(self.deployment.directory, read_clock())
         self.addCleanup(clients.retain, ())
         self.executor = OrderExecutor(
@@ -76,7 +82,9 @@
         fenced = set()
 
         def has_fenced():
-            fenced.update(self.executor.pop_fenced(SERVICE))
+            fenced.update(
+                self.executor.pop_fenced(SERVICE, lambda owner: True)
+            )
             return bool(fenced)
 
         self.wait_for(has_fenced)
--- a/tests/daemons/test_unreached_upstreams.py
+++ b/tests/daemons/test_unreached_upstreams.py
@@ -89,7 +89,7 @@
         for number in hosts:
             self.fleet.hosts[number].gateway.set_path(Path.OPEN)
         self.healed_at = time.monotonic()
-        gevent.sleep(SETTLED)
+        gevent.sleep(LED_AGAIN + SETTLED)
         gevent.killall(tasks)
 
     def list_records(self, began, ended, is_wanted=lambda host: True):
@@ -143,11 +143,6 @@
         self.check_cut_hosts_serve()
         self.check_nothing_is_unknown()
 
-    def test_callers_are_served_while_the_leader_is_cut_off(self):
-        # Guards against a leader that can renew no grant and goes on leading.
-        self.run_cut(self.list_hosts(with_leader=True)[:3], Path.HANGING)
-        self.check_all_are_served_as_before()
-
     def test_callers_of_a_cut_data_centre_are_served(self):
         # Guards against peers that are sought only near by.
         hosts = [
@@ -177,3 +172,52 @@
         hosts = self.list_hosts(with_leader=False)[:3]
         self.run_cut(hosts, Path.HANGING, lost.__contains__)
         self.check_cut_hosts_serve()
+
+
+class TestCutLeader(UnreachedUpstreamsTest):
+    def find_terms(self):
+        """Return how often a host has become the leader."""
+        return sum(
+            each.program.output.read_text().count("event=leading ")
+            for each in self.fleet.hosts
+        )
+
+    def test_callers_are_served_while_the_leader_is_cut_off(self):
+        # Guards against a leader that can renew no grant and goes on leading.
+        self.run_cut(self.list_hosts(with_leader=True)[:3], Path.HANGING)
+        self.check_all_are_served_as_before()
+
+    def test_callers_are_served_after_the_leader_was_reset(self):
+        self.run_cut(self.list_hosts(with_leader=True)[:3], Path.RESETTING)
+        self.check_all_are_served_as_before()
+
+    def test_two_thirds_of_the_hosts_are_cut_off(self):
+        # Guards against successors of the leader that are cut off as well.
+        self.run_cut(self.list_hosts(with_leader=True)[:5], Path.HANGING)
+        self.check_all_are_served_as_before()
+        self.assertEqual(2, self.find_terms())
+
+    def test_leader_has_no_path_to_one_data_centre(self):
+        # Guards against keys that nobody serves, though others reach their
+        # owners.
+        lost = {
+            each.address
+            for each in self.fleet.upstreams
+            if each.data_centre == "dc-1"
+        }
+        hosts = self.list_hosts(with_leader=True)[:3]
+        self.run_cut(hosts, Path.HANGING, lost.__contains__)
+        self.check_all_are_served_as_before()
+
+    def test_all_hosts_are_cut_off(self):
+        # Guards against elections without a winner that could do better, and
+        # against refusals that a caller has to wait for.
+        self.run_cut(range(HOSTS), Path.HANGING)
+        self.assertEqual(1, self.find_terms())
+        self.assertEqual(
+            0.0, find_served_share(self.list_cut_records()[:-100])
+        )
+        back = self.list_records(
+            self.healed_at + LED_AGAIN, self.healed_at + LED_AGAIN + 1.0
+        )
+        self.assertGreaterEqual(find_served_share(back), MIN_RATIO)
