A refused probe counts as a crash only if another upstream accepts one

Cause: the crash detector took the refusal of its probe for the end of the process. A path that resets connections refuses them to all upstreams. It now compares with up to three others, those of the same data centre first, and takes a refusal for a crash only if one of them accepts a connection; while the path to a data centre is lost, a broken connection tells nothing. The registry's word stays a proof. The cost is one connection more for a crash.

The test with real processes fails without the change (upstream-ended in the output of the hosts) and passes with it; deadly requests are recognized as before (tests of crashes and of deadly requests pass).

--- a/sedgetide/daemons/_crashdetector.py
+++ b/sedgetide/daemons/_crashdetector.py
@@ -12,6 +12,7 @@
 from sedgetide.core.requests.brokenruns import EndedUpstream
 from sedgetide.core.requests.brokenruns import LossProof
 from sedgetide.daemons._hostmetrics import UPSTREAM_ENDS
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._requestcontext import RequestContext
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
@@ -26,6 +27,9 @@
 # Seconds; a full upstream resets many requests at once, and each probe is one
 # more connection that it has to reject.
 _PROBE_INTERVAL = 0.1
+# Upstreams to which a connection is opened after one has refused it. Several
+# may crash at the same time.
+_MAX_CONTROLS = 3
 # Characters of a request target in a log line.
 _MAX_TARGET_LENGTH = 200
 
@@ -44,14 +48,18 @@
         Upstreams by their registry entries.
     note_upstream_end : callable
         Called with each upstream that ended, and the current time.
+    paths : PathMonitor
+        Tells which upstreams this host reaches.
     """
 
     def __init__(
         self,
         directory: UpstreamDirectory,
         note_upstream_end: Callable[[EndedUpstream, float], None],
+        paths: PathMonitor,
     ) -> None:
         self._directory = directory
+        self._paths = paths
         self._note_upstream_end = note_upstream_end
         self._runs = BrokenRuns()
         self._probe_results: dict[IncarnationName, _ProbeResult] = {}
@@ -61,11 +69,14 @@
     ) -> None:
         """Probe an upstream after a connection to it broke.
 
-        The end of an upstream that has announced it is not a crash.
+        The end of an upstream that has announced it is not a crash. A
+        connection that breaks while the path is lost tells nothing.
         """
         now = read_clock()
         if self._directory.is_leaving(upstream.name):
             return
+        if self._paths.tracker.is_lost(upstream.data_centre):
+            return
         self._runs.note(upstream.name, _describe_run(context, now))
         if self._probe(upstream, now) is Presence.ENDED:
             self._report_end(
@@ -77,9 +88,45 @@
         if last is not None and now - last.at < _PROBE_INTERVAL:
             return last.presence
         presence = probe(upstream.address, _PROBE_TIMEOUT)
+        if presence is Presence.ENDED:
+            self._paths.note_missed(upstream)
+            if not self._is_path_open(upstream):
+                presence = Presence.UNKNOWN
         self._probe_results[upstream.name] = _ProbeResult(now, presence)
         return presence
 
+    def _is_path_open(self, refusing: RegisteredUpstream) -> bool:
+        """Return whether another upstream accepts connections of this host.
+
+        A path that resets connections refuses new ones to all upstreams. Each
+        of them would look crashed, and every request in progress suspect.
+        """
+        for other in self._choose_controls(refusing):
+            presence = probe(other.address, _PROBE_TIMEOUT)
+            if presence is Presence.LISTENING:
+                self._paths.note_connected(other)
+                return True
+            self._paths.note_missed(other)
+        return len(self._directory.list_all()) == 1
+
+    def _choose_controls(
+        self, refusing: RegisteredUpstream
+    ) -> list[RegisteredUpstream]:
+        """Return some upstreams to compare with, near the refusing one."""
+        others = [
+            each
+            for each in self._directory.list_all()
+            if each.name != refusing.name
+            and not self._directory.is_leaving(each.name)
+        ]
+        others.sort(
+            key=lambda each: (
+                each.data_centre != refusing.data_centre,
+                self._paths.is_doubtful(each),
+            )
+        )
+        return others[:_MAX_CONTROLS]
+
     def note_answer(self, upstream: IncarnationName, began: float) -> None:
         """Record that an upstream answered a request sent at ``began``."""
         self._runs.note_answer(upstream, began)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -200,7 +200,9 @@
             settings.limits.body_bytes,
         )
         self._crash_detector = CrashDetector(
-            self._deployment.directory, self._quarantine.note_upstream_end
+            self._deployment.directory,
+            self._quarantine.note_upstream_end,
+            self._paths,
         )
         self._router = RequestRouter(
             self._deployment,
--- a/tests/daemons/test_crashdetector.py
+++ b/tests/daemons/test_crashdetector.py
@@ -16,6 +16,7 @@
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.brokenruns import LossProof
 from sedgetide.daemons._crashdetector import CrashDetector
+from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._requestcontext import RequestContext
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.sockets import open_listener
@@ -43,12 +44,14 @@
         self.directory = UpstreamDirectory()
         self.ended = []
         self.detector = CrashDetector(
-            self.directory, lambda ended, now: self.ended.append(ended)
+            self.directory,
+            lambda ended, now: self.ended.append(ended),
+            PathMonitor(self.directory, None),
         )
 
-    def put(self, address, leaving=False):
+    def put(self, address, leaving=False, name="map-1"):
         upstream = RegisteredUpstream(
-            UpstreamName("map-1"),
+            UpstreamName(name),
             ServiceName("map"),
             address,
             DataCentre("north"),
@@ -78,6 +81,27 @@
         self.assertEqual(LossProof.REFUSED, self.ended[0].proof)
         self.assertEqual(["r1"], [run.request for run in self.ended[0].runs])
 
+    def test_one_of_several_processes_has_ended(self):
+        listener = open_listener("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        running = f"127.0.0.1:{listener.getsockname()[1]}"
+        for number in range(2, 5):
+            self.put(running, name=f"map-{number}")
+        upstream = self.put(f"127.0.0.1:{find_port()}")
+        self.detector.note_broken(make_context(), upstream)
+        self.assertEqual(["map-1"], [each.upstream for each in self.ended])
+
+    def test_path_that_refuses_connections_to_all_upstreams(self):
+        # Guards against sound upstreams that are declared ended, and sound
+        # requests that become suspect, at a host whose connections are reset.
+        upstreams = [
+            self.put(f"127.0.0.1:{find_port()}", name=f"map-{number}")
+            for number in range(8)
+        ]
+        for number, upstream in enumerate(upstreams):
+            self.detector.note_broken(make_context(number), upstream)
+        self.assertEqual([], self.ended)
+
     def test_full_upstream_that_resets_new_connections(self):
         """A full upstream resets a request and each new connection.
 
--- a/tests/daemons/test_unreached_upstreams.py
+++ b/tests/daemons/test_unreached_upstreams.py
@@ -158,6 +158,15 @@
         self.check_cut_hosts_serve()
         self.check_nothing_is_unknown()
 
+    def test_no_upstream_counts_as_crashed_after_a_reset(self):
+        # Guards against sound upstreams that are declared ended by hosts
+        # whose connections were reset, and requests that become suspect.
+        self.run_cut(self.list_hosts(with_leader=False)[:3], Path.RESETTING)
+        self.check_cut_hosts_serve()
+        for host in self.fleet.hosts:
+            output = host.program.output.read_text()
+            self.assertNotIn("event=upstream-ended", output)
+
     def test_callers_are_served_while_nothing_comes_back(self):
         self.run_cut(self.list_hosts(with_leader=False)[:3], Path.ONE_WAY)
         self.check_cut_hosts_serve()
