Silence on a lost path does not count against the upstream

A host that had lost its path reported the silence of sound upstreams to the leader, whose estimate of their slowness rises with each failure, and shrank its own windows to them, so that it sent them less for seconds after the path was back. A failure that a lost path causes as well counts only while the path is not in doubt. The test of the report fails without the change.

--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -43,6 +43,9 @@
 # handshake packet is retransmitted after 0.2 s.
 _CONNECT_TIMEOUT = 0.4
 _MAX_DETAIL_LENGTH = 80
+# Failures that a lost path causes as well. While the path is in doubt, they
+# don't count against the upstream, which other hosts may reach.
+_PATH_FAILURES = frozenset({Failure.BROKEN, Failure.SILENT})
 
 
 class Sender:
@@ -359,7 +362,10 @@
         context.failures.append(failure)
         context.refusal = None
         context.detail = ""
-        if failure in (Failure.BUSY, Failure.BROKEN):
+        unseen = failure in _PATH_FAILURES and self._paths.is_doubtful(
+            target.upstream
+        )
+        if failure in (Failure.BUSY, Failure.BROKEN) and not unseen:
             channel.window.note_refusal(load)
         if failure in NO_RESPONSE_FAILURES:
             self._partitions.note_unreached(target.upstream.data_centre)
@@ -367,7 +373,7 @@
             unreached = failure is Failure.UNREACHABLE
             weight = UNREACHABLE_WEIGHT if unreached else 1.0
             channel.health.note_failure(read_clock(), weight)
-        if failure in UPSTREAM_FAULTS:
+        if failure in UPSTREAM_FAULTS and not unseen:
             self._meter.note_failure(target.upstream.name)
 
 
--- a/tests/daemons/test_sender.py
+++ b/tests/daemons/test_sender.py
@@ -7,6 +7,7 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
+from sedgetide.core.history import NO_POSITION
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
@@ -16,10 +17,15 @@
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Target
 from sedgetide.core.requests.health import UpstreamHealth
+from sedgetide.core.requests.idleconnections import IdleLimit
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.refusals import RefusalReason
+from sedgetide.daemons._loadreporter import LoadMeter
 from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._sender import Sender
+from sedgetide.daemons._upstreamchannels import UpstreamChannels
+from sedgetide.platform._requests import PlatformRequests
+from sedgetide.runtime.clock import read_clock
 from tests.daemons.test_requestlog import make_context
 
 UPSTREAM = RegisteredUpstream(
@@ -37,17 +43,31 @@
         )
 
 
+class _SilentConnection:
+    """Open connection whose requests get no answer."""
+
+    is_new = False
+    rested = 0.4
+
+    def exchange(self, request, timeout, is_own_answer):
+        raise UpstreamError(
+            ErrorCode.UPSTREAM_SILENT, Step.ANSWER, "", "no response", True
+        )
+
+
 class TestSender(testtools.TestCase):
     def setUp(self):
         super().setUp()
+        self.meter = LoadMeter()
+        self.paths = PathMonitor(UpstreamDirectory(), UpstreamChannels(1000))
         self.sender = Sender(
             None,
-            None,
-            None,
+            PlatformRequests(),
+            self.meter,
             PartitionDetector("north"),
             None,
             None,
-            PathMonitor(UpstreamDirectory(), None),
+            self.paths,
         )
         channel = types.SimpleNamespace(
             pool=_UnreachablePool(), health=UpstreamHealth()
@@ -72,3 +92,25 @@
         context.times = type(times)(times.began - 9.0, times.began, 0.0)
         self.sender.attempt(context, self.permit, lambda: True)
         self.assertIs(RefusalReason.TOO_LATE, context.find_reason())
+
+    def send_without_answer(self):
+        """Send a request that gets no answer; return the failures reported."""
+        pool = types.SimpleNamespace(take=lambda *_: _SilentConnection())
+        self.permit.channel.pool = pool
+        self.permit.channel.idle_limit = IdleLimit()
+        context = make_context(Outcome.NOT_RUN)
+        now = read_clock()
+        context.times = type(context.times)(now, now + 1.0, now + 0.5)
+        self.sender.attempt(context, self.permit, lambda: True)
+        self.assertEqual([Failure.SILENT], context.failures)
+        report = self.meter.collect_report(NO_POSITION)
+        return [each.failures for each in report.upstreams]
+
+    def test_silent_upstream_is_reported_to_the_leader(self):
+        self.assertEqual([1], self.send_without_answer())
+
+    def test_silence_on_a_lost_path_is_not_the_upstreams(self):
+        # Guards against keys that leave a sound upstream because a host that
+        # has lost its path reports failures of it.
+        self.paths.note_missed(UPSTREAM)
+        self.assertEqual([], self.send_without_answer())
