Connections from before a lost path was regained are closed

A kept connection whose upstream ended it while the path was lost looks open: neither the end nor a reset has arrived. What is sent on it after the path is back has an unknown outcome, and callers of non-idempotent requests get 502 though no upstream has seen them. When an upstream, or its data centre, is reached again, idle connections that are older than the loss are closed; the connection that has just been opened is the evidence and is kept. The test finds the old connections in the pool without the change.

--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -52,8 +52,25 @@
     # Observations
 
     def note_connected(self, upstream: RegisteredUpstream) -> None:
-        """Record that a connection to an upstream was opened."""
-        self.tracker.note_connected(upstream, read_clock())
+        """Record that a connection to an upstream was opened.
+
+        Connections from before a lost path was regained are closed. The
+        upstream may have ended them without this host's notice, and what is
+        sent on such a connection has an unknown outcome.
+        """
+        now = read_clock()
+        lost_for = self.tracker.find_doubtful_time(upstream, now)
+        regained = self.tracker.is_lost(upstream.data_centre)
+        self.tracker.note_connected(upstream, now)
+        if lost_for:
+            self._drop_older(upstream, now - lost_for)
+        if regained:
+            for each in self._directory.list_all():
+                if each.data_centre == upstream.data_centre:
+                    self._drop_older(each, now - lost_for)
+
+    def _drop_older(self, upstream: RegisteredUpstream, at: float) -> None:
+        self._channels.find(upstream).pool.drop_older(at)
 
     def note_missed(self, upstream: RegisteredUpstream) -> None:
         """Record that no connection to an upstream could be opened."""
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -71,6 +71,8 @@
     rested : float
         Seconds for which it had been idle when it was last taken from the
         pool; 0 for a new connection.
+    opened_at : float
+        Monotonic time at which it was opened; 0 before.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -80,6 +82,7 @@
         self._used_at = 0.0
         self._idle_timeout = _DEFAULT_IDLE_TIMEOUT
         self.rested = 0.0
+        self.opened_at = 0.0
 
     def open(self, timeout: float) -> None:
         """Connect to the server.
@@ -104,7 +107,7 @@
                 str(error),
                 sent=False,
             ) from error
-        self._used_at = time.monotonic()
+        self._used_at = self.opened_at = time.monotonic()
 
     def wait_for_reset(self, seconds: float) -> None:
         """Give a server without a free slot time to reset the connection.
@@ -420,6 +423,13 @@
                 self._idle.remove(connection)
                 connection.close()
 
+    def drop_older(self, opened_at: float) -> None:
+        """Close idle connections that were opened before a time."""
+        for connection in list(self._idle):
+            if connection.opened_at < opened_at:
+                self._idle.remove(connection)
+                connection.close()
+
     def close(self) -> None:
         """Close all idle connections, and those that are returned later."""
         self._closed = True
--- /dev/null
+++ b/tests/daemons/test_pathmonitor.py
@@ -0,0 +1,85 @@
+"""Tests of probes and connections of lost paths, with real sockets."""
+
+import gevent
+import testtools
+
+from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import UpstreamDirectory
+from sedgetide.daemons._pathmonitor import PathMonitor
+from sedgetide.daemons._upstreamchannels import UpstreamChannels
+from sedgetide.runtime.clock import read_clock
+from sedgetide.runtime.sockets import open_listener
+from tests.daemons.eventcapture import capture_events
+
+
+class TestPathMonitor(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.events = capture_events(self)
+        self.directory = UpstreamDirectory()
+        self.channels = UpstreamChannels(1000)
+        self.addCleanup(self.channels.close)
+        self.monitor = PathMonitor(self.directory, self.channels)
+        self.upstreams = [self.start_upstream(each) for each in range(3)]
+
+    def start_upstream(self, number):
+        listener = open_listener("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        upstream = RegisteredUpstream(
+            UpstreamName(f"u-{number}"),
+            ServiceName("map"),
+            f"127.0.0.1:{listener.getsockname()[1]}",
+            DataCentre("north"),
+        )
+        self.directory.put(upstream, read_clock())
+        return upstream
+
+    def list_idle(self):
+        return [
+            each
+            for each in self.upstreams
+            if self.channels.find(each).pool.has_idle
+        ]
+
+    def lose_paths(self):
+        for each in self.upstreams:
+            self.channels.find(each).pool.open_spare(1.0)
+        for each in self.upstreams[:2]:
+            self.monitor.note_missed(each)
+
+    def test_connections_from_before_the_loss_are_not_used_again(self):
+        # Guards against an unknown outcome of requests that are sent on
+        # connections which ended while the path was lost.
+        self.lose_paths()
+        self.monitor.note_connected(self.upstreams[0])
+        self.assertEqual([], self.list_idle())
+
+    def test_connections_of_probes_are_kept(self):
+        # Guards against a new connection for each probe.
+        self.lose_paths()
+        self.monitor.run_periodic(read_clock())
+        gevent.sleep(0.05)
+        self.assertEqual(self.upstreams[2:], self.list_idle())
+        self.assertFalse(self.monitor.is_doubtful(self.upstreams[0]))
+
+    def test_loss_and_return_are_logged_once(self):
+        self.lose_paths()
+        for _ in range(2):
+            self.monitor.run_periodic(read_clock())
+        gevent.sleep(0.05)
+        for _ in range(2):
+            self.monitor.run_periodic(read_clock())
+        self.assertEqual(
+            [
+                "upstream-missed",
+                "upstream-missed",
+                "path-lost",
+                "upstream-reached",
+                "upstream-reached",
+                "path-regained",
+            ],
+            [each["msg"] for each in self.events],
+        )
