A single lost probe no longer ends a caller's connection

TCP_USER_TIMEOUT, where it is set, decides when keepalive probes are given up, whatever their count. With 1.5 s, and a first probe after 1 s, the second look at an unanswered probe ended the connection: a caller that waited over two seconds for its answer lost it with one packet (TCP_KEEPCNT 3 had no effect and is gone). Callers' connections now bear two lost probes in a row (3.5 s). Those to upstreams keep 1.5 s: they are replaced, and an upstream that is lost without a reset is noticed by it. The test of the options fails with the former ones (1.5 s against 3 s).

--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -24,9 +24,12 @@
 
 _RECV_BYTES = 64 * 1024
 _MAX_HEADER_BYTES = 64 * 1024
-_USER_TIMEOUT_MS = 1500
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 3
+# Milliseconds until unacknowledged data, or unanswered keepalive probes, end a
+# connection. An upstream's is replaced by a new one; a caller's is not, so two
+# probes in a row may be lost on it.
+_UPSTREAM_TIMEOUT_MS = 1500
+CALLER_TIMEOUT_MS = 3500
+KEEPALIVE_INTERVAL_S = 1
 _DEFAULT_IDLE_TIMEOUT = 8.0
 _MAX_IDLE_TIMEOUT = 30.0
 _IDLE_TIMEOUT_FRACTION = 0.9
@@ -41,19 +44,26 @@
     return True
 
 
-def enable_keepalive_probes(connection: socket.socket) -> None:
+def enable_keepalive_probes(connection: socket.socket, limit_ms: int) -> None:
     """Enable TCP keepalive probes and a limit for unacknowledged data.
 
     A middlebox that drops a connection without a reset leaves it open at
     both ends. Without probes, a request on it would wait until its deadline.
+
+    Parameters
+    ----------
+    connection : socket
+        Connected socket.
+    limit_ms : int
+        Milliseconds without an acknowledgement that end the connection. The
+        limit also decides when probes are given up, whatever their number.
     """
     option = connection.setsockopt
     option(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     option(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S)
-    option(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    option(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-    option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+    option(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
+    option(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
 class Connection:
@@ -96,7 +106,7 @@
             self._socket = socket.create_connection(
                 split_address(self.address), timeout=timeout
             )
-            enable_keepalive_probes(self._socket)
+            enable_keepalive_probes(self._socket, _UPSTREAM_TIMEOUT_MS)
             self._socket.settimeout(None)
         except OSError as error:
             self.close()
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -13,6 +13,7 @@
 
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.requests.bodylimits import BodyBudget
+from sedgetide.wire.client import CALLER_TIMEOUT_MS
 from sedgetide.wire.client import enable_keepalive_probes
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import decode_headers
@@ -169,7 +170,7 @@
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
-            enable_keepalive_probes(self._socket)
+            enable_keepalive_probes(self._socket, CALLER_TIMEOUT_MS)
             self._reader = gevent.getcurrent()
             self._writer = gevent.spawn(self._write)
             self._read()
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 from gevent.socket import create_connection
 from gevent.socket import SHUT_WR
@@ -16,6 +17,9 @@
 
 LIMITS = CallerLimits(2000, 1000, 0.3, 0.5)
 
+# Keepalive probes in a row that may be lost.
+LOST_PROBES = 2
+
 
 class Service:
     """Answers with the target; some targets wait for a gate."""
@@ -132,6 +136,20 @@
             self.assertIn(b"200", answer)
             self.assertNotIn(b"Connection: close", answer)
 
+    def test_lost_keepalive_probes_leave_a_waiting_caller_connected(self):
+        # Guards against callers that lose their answer to a single lost
+        # packet: the user timeout decides when probes are given up, whatever
+        # their number, and the first probe is sent after one interval.
+        client = self.connect()
+        self.ask(client, "/1")
+        self.read(client, b"/1")
+        (connection,) = self.server.connections
+        read = connection._socket.getsockopt
+        limit = read(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) / 1000.0
+        idle = read(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+        interval = read(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
+        self.assertGreater(limit, idle + LOST_PROBES * interval)
+
     def test_pipelined_requests_run_together_and_answer_in_order(self):
         first = self.hold("/1")
         client = self.connect()
