--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -1,9 +1,9 @@
 """Tests of the HTTP server, with real sockets."""
 
 import contextlib
+import socket
 
 import gevent
-from gevent import socket
 from gevent.event import Event
 from gevent.socket import create_connection
 from gevent.socket import SHUT_WR
