Soak: hosts that lose their paths to upstreams

Seeds from 10000 on: fleets of three, five or eight hosts, each with a gateway of its own, some hosts without peers; one host, half of them, a data centre or all lose the paths to all upstreams or to those of a data centre, in four kinds of loss, once or in series, beside the other faults.

--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -90,6 +90,8 @@
 
     def _make_fleet(self, folder: pathlib.Path, late_grants: float) -> Fleet:
         match self._fault_set:
+            case FaultSet.PATHS:
+                return self._make_routed_fleet(folder, late_grants)
             case FaultSet.RESTORES:
                 era = self._random.choice((0, 0, 6))
                 options = ({},) * self._random.choice((3, 3, 8))
@@ -117,6 +119,15 @@
                 )
         return Fleet(folder, late_grants)
 
+    def _make_routed_fleet(
+        self, folder: pathlib.Path, late_grants: float
+    ) -> Fleet:
+        """Return a fleet whose hosts have gateways, and some no peers."""
+        count = self._random.choice((3, 5, 8))
+        alone = self._random.choice((0, 0, 1, 2))
+        options = [{}] * (count - alone) + [{"forward_port": None}] * alone
+        return Fleet(folder, late_grants, options, slots=3, with_gateways=True)
+
     def run(self) -> None:
         """Run the soak and check the guarantees."""
         try:
--- a/sedgetide/testing/soakfaults.py
+++ b/sedgetide/testing/soakfaults.py
@@ -17,6 +17,7 @@
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import GRACE
 from sedgetide.testing.soakfleet import Program
+from sedgetide.testing.soakpaths import draw_path_cut
 
 FAULT_WINDOW = 9.0
 RECOVERY_TIME = 12.0
@@ -91,6 +92,8 @@
     PUSHBACK = 7000
     # The store is restored from older copies, and upstreams leave.
     RESTORES = 8000
+    # Hosts lose their paths to upstreams, and some of them have no peers.
+    PATHS = 10_000
 
 
 def find_fault_set(seed: int) -> FaultSet:
@@ -153,6 +156,9 @@
             factories += [self._draw_restore] * 4
             factories += [self._draw_leaving] * 3
             factories += [self._draw_loss_of_all_hosts, self._draw_evacuation]
+        elif self._fault_set is FaultSet.PATHS:
+            factories += [self._draw_path_cut] * 6
+            factories += [self._draw_restart, self._draw_loss_of_all_hosts]
         elif self._fault_set is FaultSet.DEADLY:
             # Deadly requests crash upstreams already, and the fleet restarts
             # them.
@@ -278,6 +284,10 @@
 
         return Fault(at, 0.0, f"{upstream.name} leaves", begin)
 
+    def _draw_path_cut(self, at: float) -> Fault:
+        cut = draw_path_cut(self._random, self._fleet)
+        return Fault(at, cut.seconds, cut.name, cut.begin, cut.end, cut.hosts)
+
     def _draw_evacuation(self, at: float) -> Fault:
         name = draw_data_centre(self._random)
         seconds = self._random.choice(_EVACUATION_TIMES)
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -149,6 +149,7 @@
         ports = [find_port() for _ in range(5)]
         self.store = Proxy(store_port)
         self.front = Proxy(ports[0])
+        forwarding = {"forward_port": ports[4]}
         settings = HostSettings(
             host=self.name,
             data_centre=self.data_centre,
@@ -156,10 +157,9 @@
             ready=f"127.0.0.1:{ports[1]}",
             admin=f"127.0.0.1:{ports[2]}",
             link=f"127.0.0.1:{ports[3]}",
-            forward_port=ports[4],
             stores=(self.store.address,),
             grace=GRACE,
-            **options,
+            **{**forwarding, **options},
         )
         self.port, self.ready_port, self.admin_port = ports[:3]
         path = folder / f"{self.name}.json"
--- a/tests/testing/test_soak.py
+++ b/tests/testing/test_soak.py
@@ -30,6 +30,7 @@
 COPIES_AND_ALL_HOSTS_LOST = 6004
 PUSHBACK_AND_RESTARTS = 7001
 RESTORES_IN_SERIES = 8019
+LOST_PATHS = 10_001
 
 
 class TestProgram(testtools.TestCase):
@@ -80,3 +81,8 @@
         # Guards against live upstreams that are treated as leaving after a
         # restore.
         self.check_seed(RESTORES_IN_SERIES)
+
+    def test_paths_to_upstreams_that_are_lost(self):
+        # Guards against second runs, false refusals and two owners of a key
+        # while requests are passed on and leaders resign.
+        self.check_seed(LOST_PATHS)
