A cut off data centre withdraws also when nothing is sent to lost paths

In a data centre that is partitioned from the others and from the store, hosts withdraw from the balancer after three failed requests. The detector now also takes the tracker's word that the paths to all other data centres are lost.

Two dark upstreams of a data centre made it seem lost for up to 0.2 s, and ended its kept connections when it was back. The others are now probed at once, and connections are closed only after a second without a path.

--- a/sedgetide/core/membership/partitions.py
+++ b/sedgetide/core/membership/partitions.py
@@ -63,15 +63,19 @@
         """Record whether a request got its answer."""
         self._served_share += _GAIN * (float(served) - self._served_share)
 
-    def _is_cut_off(self, heard_at: float, now: float) -> bool:
+    def _is_cut_off(
+        self, heard_at: float, now: float, paths_lost: bool
+    ) -> bool:
         return (
             now - heard_at >= _STORE_TIMEOUT
             and now - self._remote_reached_at >= _REMOTE_TIMEOUT
-            and self._remote_failures >= _MIN_FAILURES
+            and (paths_lost or self._remote_failures >= _MIN_FAILURES)
             and self._served_share < _MIN_SERVED_SHARE
         )
 
-    def should_withdraw(self, heard_at: float, now: float) -> bool:
+    def should_withdraw(
+        self, heard_at: float, now: float, paths_lost: bool = False
+    ) -> bool:
         """Return whether callers should be sent to other data centres.
 
         Parameters
@@ -80,6 +84,9 @@
             Local time of the last update from the store.
         now : float
             Current monotonic time in seconds.
+        paths_lost : bool
+            Whether the paths to all other data centres are lost. Then no
+            request is sent there that could fail.
         """
         if self._withdrawn_at is not None:
             if now - heard_at < _STORE_TIMEOUT:
@@ -89,7 +96,7 @@
                 self._withdrawn_at = None
                 self._returned_at = now
         elif (
-            self._is_cut_off(heard_at, now)
+            self._is_cut_off(heard_at, now, paths_lost)
             and now - self._returned_at >= _MIN_TIME_BETWEEN_WITHDRAWALS
         ):
             self._withdrawn_at = now
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -24,6 +24,9 @@
 
 # Seconds; a handshake between data centres takes two milliseconds.
 _PROBE_TIMEOUT = 0.25
+# Seconds without a path, after which connections from before are closed. A
+# shorter doubt is mostly due to upstreams that ended at the same time.
+_MIN_STALE = 1.0
 
 
 class PathMonitor:
@@ -62,8 +65,9 @@
         lost_for = self.tracker.find_doubtful_time(upstream, now)
         regained = self.tracker.is_lost(upstream.data_centre)
         self.tracker.note_connected(upstream, now)
-        if lost_for:
-            self._drop_older(upstream, now - lost_for)
+        if lost_for < _MIN_STALE:
+            return
+        self._drop_older(upstream, now - lost_for)
         if regained:
             for each in self._directory.list_all():
                 if each.data_centre == upstream.data_centre:
@@ -73,8 +77,15 @@
         self._channels.find(upstream).pool.drop_older(at)
 
     def note_missed(self, upstream: RegisteredUpstream) -> None:
-        """Record that no connection to an upstream could be opened."""
-        self.tracker.note_missed(upstream, read_clock())
+        """Record that no connection to an upstream could be opened.
+
+        If its data centre seems lost by that, others are probed at once.
+        """
+        now = read_clock()
+        was_lost = self.tracker.is_lost(upstream.data_centre)
+        self.tracker.note_missed(upstream, now)
+        if not was_lost and self.tracker.is_lost(upstream.data_centre):
+            self._start_due_probes(self._directory.list_all(), now)
 
     def note_answer(self, upstream: RegisteredUpstream) -> None:
         """Record that an upstream answered on an open connection."""
@@ -137,14 +148,20 @@
         centres = {each.data_centre for each in self._directory.list_all()}
         return tuple(sorted(filter(self.tracker.is_lost, centres)))
 
+    def is_cut_off_from_others(self, own: DataCentre) -> bool:
+        """Return whether no upstream of any other data centre is reached."""
+        centres = {each.data_centre for each in self._directory.list_all()}
+        return bool(centres - {own}) and all(
+            self.tracker.is_lost(each) for each in centres - {own}
+        )
+
     # Periodic work
 
     def run_periodic(self, now: float) -> None:
         """Start the probes that are due, and log what has changed."""
         upstreams = self._directory.list_all()
         self.tracker.retain({each.name for each in upstreams})
-        for each in self.tracker.take_due_probes(upstreams, now):
-            self.suspect(each)
+        self._start_due_probes(upstreams, now)
         silent = take_silent(self._sendings, self._answered_at, now)
         if silent:
             others = [each for each in upstreams if each not in silent]
@@ -153,6 +170,12 @@
             self.suspect(each)
         self._log_changes(now)
 
+    def _start_due_probes(
+        self, upstreams: list[RegisteredUpstream], now: float
+    ) -> None:
+        for each in self.tracker.take_due_probes(upstreams, now):
+            self.suspect(each)
+
     def _probe(self, upstream: RegisteredUpstream) -> None:
         try:
             self._channels.find(upstream).pool.open_spare(_PROBE_TIMEOUT)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -354,7 +354,11 @@
     def _update_partition(self, now: float) -> None:
         """Withdraw from the load balancer while this host is partitioned."""
         withdrawn = self._partitions.should_withdraw(
-            self._deployment.heard_at, now
+            self._deployment.heard_at,
+            now,
+            self._paths.is_cut_off_from_others(
+                DataCentre(self._settings.data_centre)
+            ),
         )
         if withdrawn != self._withdrawn:
             self._withdrawn = withdrawn
--- a/tests/core/membership/test_partitions.py
+++ b/tests/core/membership/test_partitions.py
@@ -27,6 +27,14 @@
         self.assertFalse(self.detector.should_withdraw(100.0, 101.0))
         self.assertTrue(self.detector.should_withdraw(100.0, 101.6))
 
+    def test_host_without_paths_sends_its_callers_away(self):
+        # Guards against a cut off data centre whose hosts stay ready, because
+        # requests for others are refused at once and no attempt fails.
+        for _ in range(30):
+            self.detector.note_end(False)
+        self.assertFalse(self.detector.should_withdraw(100.0, 101.6, False))
+        self.assertTrue(self.detector.should_withdraw(100.0, 101.6, True))
+
     def test_it_is_back_as_soon_as_it_hears_the_store(self):
         self.fail()
         self.detector.should_withdraw(100.0, 102.0)
