--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -237,7 +237,9 @@
         crash_on: str,
         cold: ColdStartLimits | None,
         says: Sequence[str],
+        work: float,
     ) -> None:
+        self._work = work
         self._slots = slots
         self._says = says
         self._cold = cold
@@ -291,6 +293,7 @@
             f"--late={self._late_grants}",
             f"--clock-rate={self._clock_rate}",
             f"--slots={self._slots}",
+            f"--work={self._work}",
         ]
         if self._service == KEYED:
             arguments.append("--keyed")
@@ -355,6 +358,8 @@
         First era of the store; answers name no era while it is 0.
     with_gateways : bool
         Whether each host reaches the upstreams through its own gateway.
+    work : float
+        Mean seconds for which an upstream works on a request.
     """
 
     def __init__(
@@ -368,6 +373,7 @@
         says: Mapping[int, Sequence[str]] | None = None,
         era: int = 0,
         with_gateways: bool = False,
+        work: float = 0.03,
     ) -> None:
         self._cold = cold
         if cold is not None:
@@ -398,6 +404,7 @@
                 crash_on,
                 cold,
                 (says or {}).get(number, ()),
+                work,
             )
             for number, service in enumerate(services)
         ]
