Answers that peers get show that a data centre is reached

An answer that a peer got from an upstream of another data centre now counts as contact with it, so that a host whose callers are served stays. The test fails without the change.

--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -297,9 +297,19 @@
         if context.detour is None or context.received_from is not None:
             return False
         detour = self._forwarder.forward(context, context.detour)
-        if detour is Detour.FINAL:
-            return context.progress.outcome is Outcome.ANSWERED
-        return True
+        if detour is not Detour.FINAL:
+            return True
+        answered = context.progress.outcome is Outcome.ANSWERED
+        if answered:
+            self._note_reached_by_peer(context)
+        return answered
+
+    def _note_reached_by_peer(self, context: RequestContext) -> None:
+        """Record that a data centre is reached, if not by this host itself."""
+        name = context.progress.tried[-1]
+        upstream = self._deployment.directory.find(name)
+        if upstream is not None:
+            self._partitions.note_reached(upstream.data_centre, read_clock())
 
     def _attempt(self, context: RequestContext, trial: Trial) -> bool:
         """Send a request once; return False if it may not be sent."""
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -10,19 +10,25 @@
 from sedgetide.core.configuration.policy import RouteRule
 from sedgetide.core.configuration.policy import ServiceRule
 from sedgetide.core.configuration.policy import Share
+from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.identifiers import Version
+from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.retries import RetryPolicy
 from sedgetide.core.requests.routes import RouteTable
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._forwarder import Detour
 from sedgetide.daemons._requestrouter import RequestRouter
 from sedgetide.platform._registry import PlatformRegistry
 from sedgetide.platform._requests import PlatformRequests
 from sedgetide.runtime.clock import read_clock
+from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import find_header
 from sedgetide.wire.messages import Request
 from tests.daemons.eventcapture import capture_events
@@ -31,6 +37,9 @@
 ROUTE = RouteRule(
     RouteName("map"), "h", "/", True, 4.0, 0.6, 2, 2, (Share(SERVICE, 1.0),)
 )
+FAR_UPSTREAM = RegisteredUpstream(
+    UpstreamName("map-1"), SERVICE, "10.0.0.9:80", DataCentre("south")
+)
 POLICY = Policy(Version(1), (ROUTE,), {SERVICE: ServiceRule(SERVICE)})
 
 
@@ -76,6 +85,7 @@
             types.SimpleNamespace(
                 find_stay_left=lambda context, now: 0.0,
                 may_retry=lambda context: True,
+                note_end=lambda context, now: None,
             ),
             types.SimpleNamespace(
                 open=lambda context: contextlib.nullcontext(trial)
@@ -119,3 +129,27 @@
         self.deployment.routes = None
         self.assertEqual(503, self.serve().status)
         self.assertEqual("no-routes", self.events[-1]["note"])
+
+    def test_answer_by_a_peer_shows_that_its_data_centre_is_reached(self):
+        # Guards against hosts that withdraw from the balancer as cut off,
+        # though peers serve all of their requests.
+        self.deployment.directory.put(FAR_UPSTREAM, read_clock())
+        reached = []
+        self.router._partitions = types.SimpleNamespace(
+            note_reached=lambda name, now: reached.append(name),
+            note_end=lambda answered: None,
+        )
+
+        def forward(context, destination):
+            context.progress.outcome = Outcome.ANSWERED
+            context.progress.tried = [FAR_UPSTREAM.name]
+            context.answer = Answer(200, [])
+            return Detour.FINAL
+
+        self.router._forwarder = types.SimpleNamespace(forward=forward)
+        self.router._selector.acquire = self.take_detour
+        self.assertEqual(200, self.serve().status)
+        self.assertEqual(["south"], reached)
+
+    def take_detour(self, context):
+        context.detour = context.service
