--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -44,6 +44,9 @@
         "store-restored",
         "history-lost",
         "lenders",
+        "path-lost",
+        "path-regained",
+        "peers",
         "policy",
         "stopping",
     }
@@ -244,6 +247,18 @@
     yield f"told: {_describe_answer(request)}"
 
 
+def _describe_hops(request: Line) -> Iterator[str]:
+    """Yield by which host a request was passed on, and to which."""
+    sender, peer = request.find("received_from"), request.find("via")
+    if sender:
+        yield f"passed on by {sender}, whose path to the upstream is lost"
+    if peer:
+        yield (
+            f"passed on to the host that listens at {peer}, because the path "
+            f"of {request.find('host')} to the upstream is lost"
+        )
+
+
 def _format_line(line: Line, since: datetime.datetime) -> str:
     seconds = (line.at - since).total_seconds()
     fields = " ".join(
@@ -298,6 +313,7 @@
         for line in near:
             yield _format_line(line, began)
         yield f"cause: {describe_cause(request)}"
+        yield from _describe_hops(request)
         yield from _describe_refusal(request)
         if not request.find("version"):
             continue
--- a/tests/command/test_explain.py
+++ b/tests/command/test_explain.py
@@ -186,3 +186,19 @@
         text = "\n".join(explain_request("r", [line]))
         self.assertIn("had not read the routes", text)
         self.assertIn("retry after 0.5 s", text)
+
+
+class TestHops(testtools.TestCase):
+    def test_request_that_was_passed_on(self):
+        # Guards against two lines with one id that seem to be two attempts.
+        answered = "status=200 outcome=answered failure=none ms=9"
+        sender = explain_line(f"{answered} via=10.0.0.2:7735")
+        peer = explain_line(f"{answered} received_from=h-1")
+        self.assertIn(
+            "passed on to the host that listens at 10.0.0.2:7735, because the "
+            "path of h-2 to the upstream is lost",
+            sender,
+        )
+        self.assertIn(
+            "passed on by h-1, whose path to the upstream is lost", peer
+        )
