Tests of peers that end, and of paths that come and go

A peer gets SIGTERM while it sends requests for cut hosts: nothing is broken off, callers there are served 0.95 and more. A peer is killed: nothing runs twice, nothing that was refused runs, and others take over.

--- a/tests/daemons/test_unreached_upstreams.py
+++ b/tests/daemons/test_unreached_upstreams.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import shutil
+import signal
 import tempfile
 import time
 
@@ -10,6 +11,7 @@
 
 from sedgetide.testing.gateways import Path
 from sedgetide.testing.soakcallers import Caller
+from sedgetide.testing.soakchecks import SoakChecks
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.wire.client import Connection
 
@@ -22,6 +24,8 @@
 NOTICED = 1.0
 # Seconds after the cut, from which on a new leader has renewed all grants.
 LED_AGAIN = 3.0
+# Seconds of a path that comes and goes.
+COMING_AND_GOING = 1.0
 # Least share of served requests, compared with hosts or times without a cut.
 MIN_RATIO = 0.95
 # Answers by which a request may have run, though no upstream saw it.
@@ -183,6 +187,42 @@
         self.check_cut_hosts_serve()
 
 
+class TestLossOfPeers(UnreachedUpstreamsTest):
+    """Hosts end while they send requests for others."""
+
+    def run_with_end(self, number):
+        """Cut three hosts off, and end another one while it serves them."""
+        hosts = self.list_hosts(with_leader=False)
+        self.ended = self.fleet.hosts[hosts[3]]
+        task = gevent.spawn_later(
+            SETTLED + CUT_FOR / 2, lambda: self.ended.program.signal(number)
+        )
+        self.addCleanup(task.kill)
+        self.run_cut(hosts[:3], Path.HANGING)
+        self.assertFalse(self.ended.program.running)
+        self.assertIn("received_from=", self.ended.program.output.read_text())
+        checks = SoakChecks(self.fleet, 0.0)
+        records = [each for caller in self.callers for each in caller.records]
+        checks.check_runs(records, self.fleet.read_events())
+        checks.check_answers(records)
+        self.assertEqual([], checks.problems)
+
+    def test_planned_stop_breaks_nothing_off(self):
+        # Guards against requests of cut hosts that a stopping peer breaks
+        # off, or refuses though others would serve them.
+        self.run_with_end(signal.SIGTERM)
+        self.check_nothing_is_unknown()
+        share = find_served_share(self.list_cut_records())
+        self.assertGreaterEqual(share, MIN_RATIO)
+
+    def test_lost_peer_is_replaced(self):
+        # Guards against second runs of what a lost peer may have sent, and
+        # against requests that go on being passed on to it.
+        self.run_with_end(signal.SIGKILL)
+        share = find_served_share(self.list_cut_records())
+        self.assertGreaterEqual(share, MIN_RATIO)
+
+
 class TestCutLeader(UnreachedUpstreamsTest):
     def find_terms(self):
         """Return how often a host has become the leader."""
@@ -218,6 +258,23 @@
         self.run_cut(hosts, Path.HANGING, lost.__contains__)
         self.check_all_are_served_as_before()
 
+    def test_paths_that_come_and_go(self):
+        # Guards against one election after the other.
+        hosts = self.list_hosts(with_leader=True)[:3]
+        task = gevent.spawn(self.change_paths, hosts)
+        self.addCleanup(task.kill)
+        self.run_cut((), Path.OPEN)
+        self.assertLessEqual(self.find_terms(), 2)
+        task.get()
+
+    def change_paths(self, hosts):
+        """Cut some hosts off for a second, again and again."""
+        gevent.sleep(SETTLED)
+        for path in (Path.HANGING, Path.OPEN) * 3:
+            for number in hosts:
+                self.fleet.hosts[number].gateway.set_path(path)
+            gevent.sleep(COMING_AND_GOING)
+
     def test_all_hosts_are_cut_off(self):
         # Guards against elections without a winner that could do better, and
         # against refusals that a caller has to wait for.
