A single port between hosts leaves a host without peers, not without a start

A deployment whose ports for daemons are a single one would have given the port of the links to requests of other hosts as well, and no host could have started. The reset of a socket stands once in the stand-ins.

--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -152,8 +152,9 @@
         ``IP:port`` to listen on for other sedgetide processes.
     forward_port : int
         Port, at the IP of ``link``, to listen on for requests of other hosts
-        that have lost their path to an upstream. Without it, the host neither
-        takes such requests nor passes any on.
+        that have lost their path to an upstream. Without it, or if it is the
+        port of ``link``, the host neither takes such requests nor passes any
+        on: a deployment may have a single port between hosts.
     stores : tuple of str
         ``IP:port`` of the servers of the store.
     grace : float
@@ -223,7 +224,8 @@
         """Address to listen on for requests of other hosts, or None."""
         if self.forward_port is None:
             return None
-        return f"{self.link.rpartition(':')[0]}:{self.forward_port}"
+        address = f"{self.link.rpartition(':')[0]}:{self.forward_port}"
+        return None if address == self.link else address
 
     @property
     def available_cores(self) -> float:
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -469,11 +469,16 @@
             self._deployment.quarantine.version,
             capacity.link_mbps,
             short_moves=True,
-            forward_port=self._settings.forward_port or 0,
+            forward_port=self._find_forward_port(),
             peers=self._deployment.peers.version,
             lost=self._paths.list_lost(),
         )
 
+    def _find_forward_port(self) -> int:
+        """Return the port for requests of other hosts; 0 for none."""
+        address = self._settings.forward_address
+        return 0 if address is None else split_address(address)[1]
+
     # Admin
 
     def is_ready(self) -> bool:
--- a/sedgetide/testing/gateways.py
+++ b/sedgetide/testing/gateways.py
@@ -11,9 +11,7 @@
 """
 
 from collections.abc import Callable
-import contextlib
 import enum
-import struct
 import time
 
 import gevent
@@ -21,12 +19,12 @@
 
 from sedgetide.coding.addresses import split_address
 from sedgetide.runtime.sockets import open_listener
+from sedgetide.testing.proxies import reset_socket
 
 CONNECTED = b"+"
 _BUFFER_SIZE = 65536
 _POLL_INTERVAL = 0.02
 _MAX_LINE = 64
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Seconds after which the kernel of a host ends a connection whose data, or
 # whose keepalive probes, were not acknowledged.
 _USER_TIMEOUT = 1.5
@@ -71,14 +69,8 @@
 
     def reset(self) -> None:
         for end in (self.client, self.server):
-            if end is None:
-                continue
-            with contextlib.suppress(OSError):
-                end.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-            with contextlib.suppress(OSError):
-                end.close()
+            if end is not None:
+                reset_socket(end)
 
 
 class Gateway:
--- a/sedgetide/testing/proxies.py
+++ b/sedgetide/testing/proxies.py
@@ -43,6 +43,14 @@
     FORGET = "forget"
 
 
+def reset_socket(end: socket.socket) -> None:
+    """Close a socket with a reset, which discards what was not delivered."""
+    with contextlib.suppress(OSError):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    with contextlib.suppress(OSError):
+        end.close()
+
+
 class _Pair:
     """Both sockets of one connection through the proxy."""
 
@@ -60,12 +68,7 @@
 
     def reset(self) -> None:
         for end in (self.client, self.server):
-            with contextlib.suppress(OSError):
-                end.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-            with contextlib.suppress(OSError):
-                end.close()
+            reset_socket(end)
 
 
 class Proxy:
--- a/tests/coding/test_settings.py
+++ b/tests/coding/test_settings.py
@@ -124,8 +124,21 @@
         self.assertEqual(1.5, found.cold_overrun)
         self.assertEqual(8.0, found.cold_slack)
 
+    def test_port_for_requests_of_other_hosts(self):
+        # Guards against hosts that do not start in a deployment with a single
+        # port between hosts.
+        for port, address in (
+            (7735, "10.1.0.1:7735"),
+            (7720, None),
+            (None, None),
+        ):
+            found = load({**TYPICAL, "internal-ports.1": port})
+            self.assertEqual(address, found.forward_address)
+
     def test_unusable_number_is_reported(self):
         wrong = (
+            ("internal-ports.1", 0, "$.forward_port: 0"),
+            ("internal-ports.1", 70_000, "$.forward_port: 70000"),
             ("bounds.retry-budget-slack", True, "$.retry_slack: true"),
             ("bounds.retry-budget-ratio", -0.1, "$.retry_ratio: -0.1"),
             ("bounds.evacuate-ms", -1, "$.evacuate_ms: -1"),
