Hosts that have lost a path are peers where no host reaches everything

While a data centre is cut off, every host outside has lost the path to it, so that no host counted as a peer, and one that is cut off from all upstreams beside that would have had none, though others reach the rest. Such hosts are now selected where there are no others; they decline what they don't reach. The test has an empty list of peers without the change.

--- a/sedgetide/core/membership/peers.py
+++ b/sedgetide/core/membership/peers.py
@@ -21,6 +21,9 @@
 # Seconds; hosts report every 0.4 s, so three reports were missed.
 _REPORT_TIMEOUT = 1.3
 
+# Hosts by the hashes of their addresses, for each data centre.
+_Rings = dict[DataCentre, list[tuple[int, LinkAddress]]]
+
 
 class Peer(msgspec.Struct, frozen=True, array_like=True):
     """A host that takes requests of other hosts.
@@ -60,23 +63,24 @@
     return Peer(f"{ip}:{status.forward_port}", status.data_centre)
 
 
-def _can_help(status: HostStatus) -> bool:
-    """Return whether a host reaches all upstreams and is not stopping."""
-    running = status.processors > 0
-    return bool(status.forward_port) and running and not status.lost
+def _takes_requests(status: HostStatus) -> bool:
+    return bool(status.forward_port) and status.processors > 0
 
 
 class PeerSelector:
     """Selects the peers of each host among those that report to the leader.
 
-    The hosts that can help form a ring for each data centre, by the hashes of
-    their addresses. A host's peers are those that follow it. So each host is
-    the peer of as many others, and the loss of one changes few lists.
+    The hosts of a data centre that reach all upstreams form a ring, by the
+    hashes of their addresses. A host's peers are those that follow it. So each
+    host is the peer of as many others, and the loss of one changes few lists.
+    Hosts that have lost a path are peers only if there are no others: if no
+    host reaches one of the data centres, some still reach the rest.
     """
 
     def __init__(self) -> None:
         self._reported: dict[LinkAddress, _ReportedStatus] = {}
-        self._rings: dict[DataCentre, list[tuple[int, LinkAddress]]] = {}
+        self._whole: _Rings = {}
+        self._partial: _Rings = {}
 
     def note(self, link: LinkAddress, status: HostStatus, now: float) -> None:
         """Record the status of a host."""
@@ -84,8 +88,9 @@
         if known is not None:
             self._remove(link, known.status)
         self._reported[link] = _ReportedStatus(status, now)
-        if _can_help(status):
-            ring = self._rings.setdefault(status.data_centre, [])
+        if _takes_requests(status):
+            rings = self._partial if status.lost else self._whole
+            ring = rings.setdefault(status.data_centre, [])
             bisect.insort(ring, (_hash_link(link), link))
 
     def expire(self, now: float) -> None:
@@ -96,7 +101,8 @@
                 del self._reported[link]
 
     def _remove(self, link: LinkAddress, status: HostStatus) -> None:
-        ring = self._rings.get(status.data_centre, [])
+        rings = self._partial if status.lost else self._whole
+        ring = rings.get(status.data_centre, [])
         entry = (_hash_link(link), link)
         index = bisect.bisect_left(ring, entry)
         if index < len(ring) and ring[index] == entry:
@@ -108,19 +114,33 @@
         if known is None:
             return PeerList()
         own = known.status.data_centre
-        near = self._follow_ring(own, link)
-        far = self._follow(
-            [each for each in sorted(self._rings) if each != own], link
-        )
-        ranked = near[:_MAX_NEAR_PEERS] + far + near[_MAX_NEAR_PEERS:]
-        ranked.sort(key=self._has_narrow_link)
+        found = self._rank(self._whole, own, link)
+        found = found or self._rank(self._partial, own, link)
         return PeerList(
             tuple(
-                _make_peer(each, self._reported[each].status)
-                for each in ranked[:_MAX_PEERS]
+                _make_peer(each, self._reported[each].status) for each in found
             )
         )
 
+    def _rank(
+        self, rings: _Rings, own: DataCentre, link: LinkAddress
+    ) -> list[LinkAddress]:
+        near = _follow_ring(rings.get(own, []), link)
+        runs = [
+            _follow_ring(rings[each], link)
+            for each in sorted(rings)
+            if each != own
+        ]
+        far = [
+            run[index]
+            for index in range(_MAX_PEERS)
+            for run in runs
+            if index < len(run)
+        ]
+        ranked = near[:_MAX_NEAR_PEERS] + far + near[_MAX_NEAR_PEERS:]
+        ranked.sort(key=self._has_narrow_link)
+        return ranked[:_MAX_PEERS]
+
     def _has_narrow_link(self, link: LinkAddress) -> bool:
         """Return whether a host's link is narrow.
 
@@ -128,26 +148,15 @@
         """
         return not has_broad_link(self._reported[link].status.link_mbps)
 
-    def _follow(
-        self, data_centres: list[DataCentre], link: LinkAddress
-    ) -> list[LinkAddress]:
-        """Return the hosts that follow one, of each data centre in turn."""
-        runs = [self._follow_ring(each, link) for each in data_centres]
-        return [
-            run[index]
-            for index in range(_MAX_PEERS)
-            for run in runs
-            if index < len(run)
-        ]
 
-    def _follow_ring(
-        self, data_centre: DataCentre, link: LinkAddress
-    ) -> list[LinkAddress]:
-        ring = self._rings.get(data_centre, [])
-        start = bisect.bisect_left(ring, (_hash_link(link), link))
-        count = min(len(ring), _MAX_PEERS + 1)
-        run = [ring[(start + step) % len(ring)][1] for step in range(count)]
-        return [each for each in run if each != link][:_MAX_PEERS]
+def _follow_ring(
+    ring: list[tuple[int, LinkAddress]], link: LinkAddress
+) -> list[LinkAddress]:
+    """Return the hosts of a ring that follow a host, without itself."""
+    start = bisect.bisect_left(ring, (_hash_link(link), link))
+    count = min(len(ring), _MAX_PEERS + 1)
+    run = [ring[(start + step) % len(ring)][1] for step in range(count)]
+    return [each for each in run if each != link][:_MAX_PEERS]
 
 
 def _hash_link(link: LinkAddress) -> int:
--- a/tests/core/membership/test_peers.py
+++ b/tests/core/membership/test_peers.py
@@ -67,6 +67,14 @@
             self.assertNotIn("10.0.0.1", self.find_ips(number))
             self.assertNotIn("10.0.0.2", self.find_ips(number))
 
+    def test_nobody_reaches_one_of_the_data_centres(self):
+        # Guards against hosts without any path that have no peers, because a
+        # whole data centre is cut off or its upstreams have ended.
+        status = {f"h{number}": {"lost": (WEST,)} for number in range(1, 8)}
+        self.report(8, h0={"lost": CENTRES}, **status)
+        self.assertEqual(6, len(self.find(0)))
+        self.assertNotIn("10.0.0.0", self.find_ips(0))
+
     def test_lost_data_centre_has_its_peers_elsewhere(self):
         lost = {f"h{number}": {"lost": CENTRES} for number in range(0, 30, 3)}
         self.report(30, **lost)
