Nothing is looked through while all upstreams are reached

The monitor of paths listed the directory of upstreams five times a second, and the leader ten times, whether or not any path was in doubt: with 16,000 upstreams that alone would be a hundredth of a core and more by arithmetic. It now looks at them only while an upstream is missed.

--- a/sedgetide/core/membership/paths.py
+++ b/sedgetide/core/membership/paths.py
@@ -174,7 +174,7 @@
 
     def is_doubtful(self, upstream: RegisteredUpstream) -> bool:
         """Return whether a new connection to an upstream would likely fail."""
-        if not self._missed:
+        if not self.has_missed:
             return False
         return upstream.name in self._missed or self.is_lost(
             upstream.data_centre
@@ -203,6 +203,11 @@
             (each for each in starts if each is not None), default=now
         )
 
+    @property
+    def has_missed(self) -> bool:
+        """Whether the path to any upstream is in doubt."""
+        return bool(self._missed)
+
     def list_missed(self) -> list[RegisteredUpstream]:
         """Return the upstreams that this host has failed to reach."""
         return [each.upstream for each in self._missed.values()]
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -125,15 +125,19 @@
         now = read_clock()
         return {
             each.name: now - self.tracker.find_doubtful_time(each, now)
-            for each in self._directory.list_all()
-            if self.is_doubtful(each)
+            for each in self._list_doubtful()
         }
 
     def find_lost_share(self) -> float:
         """Return the share of upstreams to which the path is in doubt."""
+        upstreams = len(self._directory.list_all())
+        return len(self._list_doubtful()) / max(1, upstreams)
+
+    def _list_doubtful(self) -> list[RegisteredUpstream]:
+        if not self.tracker.has_missed:
+            return []
         upstreams = self._directory.list_all()
-        doubtful = sum(1 for each in upstreams if self.is_doubtful(each))
-        return doubtful / max(1, len(upstreams))
+        return [each for each in upstreams if self.is_doubtful(each)]
 
     def prefer_reached(
         self, upstreams: list[RegisteredUpstream]
@@ -145,6 +149,8 @@
 
     def list_lost(self) -> tuple[DataCentre, ...]:
         """Return the data centres of which no upstream can be reached."""
+        if not self.tracker.has_missed:
+            return ()
         centres = {each.data_centre for each in self._directory.list_all()}
         return tuple(sorted(filter(self.tracker.is_lost, centres)))
 
@@ -159,16 +165,25 @@
 
     def run_periodic(self, now: float) -> None:
         """Start the probes that are due, and log what has changed."""
-        upstreams = self._directory.list_all()
-        self.tracker.retain({each.name for each in upstreams})
-        self._start_due_probes(upstreams, now)
+        if self.tracker.has_missed:
+            upstreams = self._directory.list_all()
+            self.tracker.retain({each.name for each in upstreams})
+            self._start_due_probes(upstreams, now)
         silent = take_silent(self._sendings, self._answered_at, now)
         if silent:
-            others = [each for each in upstreams if each not in silent]
-            silent += self.tracker.choose_samples(others, now)
-        for each in silent:
+            self._probe_silent(silent, now)
+        if self.tracker.has_missed or self._logged_missed or self._logged_lost:
+            self._log_changes(now)
+
+    def _probe_silent(
+        self, silent: list[RegisteredUpstream], now: float
+    ) -> None:
+        """Probe upstreams that owe an answer, and some to compare with."""
+        others = [
+            each for each in self._directory.list_all() if each not in silent
+        ]
+        for each in [*silent, *self.tracker.choose_samples(others, now)]:
             self.suspect(each)
-        self._log_changes(now)
 
     def _start_due_probes(
         self, upstreams: list[RegisteredUpstream], now: float
