Tests of requests that a peer serves

Never two hops, no older policy, upstreams tried by the sender count, errors leave the outcome open, an unreached upstream is declined. They hold on the code as it is.

--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -11,6 +11,7 @@
 from sedgetide.core.configuration.policy import ServiceRule
 from sedgetide.core.configuration.policy import Share
 from sedgetide.core.identifiers import DataCentre
+from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import RouteName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.identifiers import UpstreamName
@@ -18,6 +19,7 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.forwarding import ForwardedRequest
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.retries import RetryPolicy
@@ -98,6 +100,9 @@
         )
         self.events = capture_events(self)
 
+    def take_detour(self, context):
+        context.detour = context.service
+
     def serve(self):
         return self.router.serve(Request("GET", "/x", [("Host", "h")], b""))
 
@@ -151,5 +156,69 @@
         self.assertEqual(200, self.serve().status)
         self.assertEqual(["south"], reached)
 
-    def take_detour(self, context):
-        context.detour = context.service
+
+class TestForwarded(RequestRouterTest):
+    """Requests that another host has passed on."""
+
+    def setUp(self):
+        super().setUp()
+        self.router._paths = types.SimpleNamespace(
+            tracker=types.SimpleNamespace(is_cut_off=True)
+        )
+
+    def serve_forwarded(self, version=1, target="/x", **fields):
+        return self.router.serve_forwarded(
+            ForwardedRequest(
+                HostName("h-2"),
+                "GET",
+                target,
+                [("Host", "h")],
+                b"",
+                "",
+                Version(version),
+                0.1,
+                1.0,
+                **fields,
+            )
+        )
+
+    def test_request_is_not_passed_on_twice(self):
+        # Guards against requests that circle among hosts without paths.
+        self.router._selector.acquire = self.take_detour
+        self.router._forwarder = None
+        result = self.serve_forwarded()
+        self.assertTrue(result.declined)
+        self.assertTrue(result.cut_off)
+        self.assertEqual("h-2", self.events[-1]["received_from"])
+
+    def test_older_policy_serves_no_newer_request(self):
+        # Guards against callers who see a newer version of the routes, and
+        # an older one again, because their requests are passed on.
+        self.assertTrue(self.serve_forwarded(version=2).declined)
+        self.assertTrue(self.serve_forwarded(target="x").declined)
+
+    def test_sends_and_upstreams_of_the_sender_count(self):
+        # Guards against more upstreams for a request than its route allows.
+        self.router._sender = _Sender([Failure.BUSY])
+        result = self.serve_forwarded(sends=1, tried=["map-9"])
+        self.assertEqual([Failure.BUSY], result.failures)
+        self.assertEqual(["map-2"], result.tried)
+        self.assertFalse(result.declined)
+
+    def test_error_in_the_router_leaves_the_outcome_open(self):
+        # Guards against "not run" after an error that came behind a send.
+        self.router._sender = _Sender([])
+        self.assertIs(Outcome.UNKNOWN, self.serve_forwarded().outcome)
+
+    def test_unreached_upstream_is_declined(self):
+        # Guards against a refusal as final by a peer that has found out that
+        # it does not reach the upstream either.
+        self.router._sender = types.SimpleNamespace(
+            attempt=self.fail_to_connect
+        )
+        self.assertTrue(self.serve_forwarded().declined)
+
+    def fail_to_connect(self, context, permit, may_send):
+        context.progress.failure = Failure.UNREACHABLE
+        context.failures.append(Failure.UNREACHABLE)
+        return True
