--- a/tests/core/membership/test_paths.py
+++ b/tests/core/membership/test_paths.py
@@ -73,6 +73,13 @@
         doubtful = [each for each in NORTH if self.tracker.is_doubtful(each)]
         self.assertEqual([], doubtful)
 
+    def test_new_connection_ends_the_doubt_of_its_upstream(self):
+        # Guards against requests that are passed on for good after a single
+        # failed attempt.
+        self.miss(NORTH[:1])
+        self.tracker.note_connected(NORTH[0], 101.0)
+        self.assertFalse(self.tracker.is_doubtful(NORTH[0]))
+
     def test_new_connection_leaves_ended_upstreams_in_doubt(self):
         self.miss(NORTH[:1])
         self.tracker.note_connected(NORTH[1], 101.0)
