--- a/sedgetide/core/ownership/sight.py
+++ b/sedgetide/core/ownership/reachability.py
@@ -22,8 +22,8 @@
 _REPORT_LIFE = 1.5
 # Upstreams out of reach, and their share of all, for which a leader resigns.
 # A single one may refuse connections of one host.
-_MIN_BLIND = 2
-_MIN_BLIND_SHARE = 0.05
+_MIN_UNREACHED = 2
+_MIN_UNREACHED_SHARE = 0.05
 # Seconds for which a leader leads at least, as the grants that it renews last
 # longer. Paths that come and go must not lead to one election after another.
 _MIN_TERM = 1.5
@@ -31,7 +31,7 @@
 NEVER = float("-inf")
 
 
-class LeaderSight:
+class LeaderReachability:
     """Compares the leader's paths with what other hosts report."""
 
     def __init__(self) -> None:
@@ -43,7 +43,7 @@
             if each.answers:
                 self._answered_at[each.upstream] = now
 
-    def list_blind(
+    def list_reached_by_others(
         self, doubtful: Mapping[IncarnationName, float], now: float
     ) -> list[IncarnationName]:
         """Return the upstreams that others reach and the leader doesn't.
@@ -75,7 +75,7 @@
         Parameters
         ----------
         doubtful : mapping of IncarnationName to float
-            See :meth:`list_blind`.
+            See :meth:`list_reached_by_others`.
         upstreams : int
             Number of registered upstreams.
         began : float
@@ -85,8 +85,10 @@
         """
         if not doubtful or now - began < _MIN_TERM:
             return False
-        blind = len(self.list_blind(doubtful, now))
-        return blind >= max(_MIN_BLIND, _MIN_BLIND_SHARE * upstreams)
+        others_reach = len(self.list_reached_by_others(doubtful, now))
+        return others_reach >= max(
+            _MIN_UNREACHED, _MIN_UNREACHED_SHARE * upstreams
+        )
 
     def forget(self, known: Collection[IncarnationName]) -> None:
         """Remove all upstreams but the known ones."""
--- a/sedgetide/daemons/_election.py
+++ b/sedgetide/daemons/_election.py
@@ -118,8 +118,10 @@
             self._leaderless_since = now
             self._next_try_at = now + self._election_delay + delay
         # The path may be lost, or be back, during the wait.
-        patience = find_path_delay(self._find_lost_share())
-        return now >= max(self._next_try_at, self._leaderless_since + patience)
+        path_delay = find_path_delay(self._find_lost_share())
+        return now >= max(
+            self._next_try_at, self._leaderless_since + path_delay
+        )
 
     def _is_own_stale_record(self) -> bool:
         """Return whether the record is of an ended process of this host.
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -42,7 +42,7 @@
 from sedgetide.core.ownership.ranges import MoveReason
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
-from sedgetide.core.ownership.sight import LeaderSight
+from sedgetide.core.ownership.reachability import LeaderReachability
 from sedgetide.core.ownership.smoothing import smooth_rates
 from sedgetide.core.ownership.terms import Term
 from sedgetide.core.requests.health import DEFAULT_SERVICE_TIME
@@ -139,7 +139,7 @@
         self._durations = durations
         self._position = NO_POSITION
         self._paths = paths
-        self._sight = LeaderSight()
+        self._reachability = LeaderReachability()
         self._clients = OrderClients(dialect, durations.order_timeout, paths)
         self._executor = self._create_executor()
         self._recovery = self._create_recovery()
@@ -199,7 +199,7 @@
         if self._leadership.is_fresh(now):
             self._update_peers(sender, report.standing, now)
         if sender is not None:
-            self._sight.note_report(report.upstreams, now)
+            self._reachability.note_report(report.upstreams, now)
         for upstream in report.leaving:
             self._deployment.note_leaving(upstream)
         self._limit_tracker.note(report.limits, now)
@@ -247,21 +247,21 @@
         while not self._resigned:
             term = self._leadership.term
             self._election.step(read_clock())
-            self._resign_if_blind(read_clock())
+            self._resign_if_others_reach_more(read_clock())
             if self._leadership.term != term:
                 # Wakes the lead loop, which waits for changes.
                 self._deployment.changes.notify_all()
             busy = self.leading or self._election.is_candidate
             self._deployment.changes.wait(_TICK if busy else _IDLE_TICK)
 
-    def _resign_if_blind(self, now: float) -> None:
+    def _resign_if_others_reach_more(self, now: float) -> None:
         """Let another host lead that reaches upstreams this one does not."""
         if not self.leading or self._leadership.era_ended:
             return
         doubts = self._paths.find_doubts()
         upstreams = len(self._deployment.directory.list_all())
         began = self._leadership.term_began_at
-        if self._sight.should_resign(doubts, upstreams, began, now):
+        if self._reachability.should_resign(doubts, upstreams, began, now):
             # No task may send an order after the record is gone.
             self._executor.close()
             self._recovery.close()
@@ -416,7 +416,7 @@
         for each in self._deployment.tables.values():
             known.update(tenure.owner for tenure in each.table.tenures)
         self._load_tracker.forget(known)
-        self._sight.forget(known)
+        self._reachability.forget(known)
         self._clients.retain(known)
         self._limit_tracker.prune(now)
 
--- a/tests/core/ownership/test_sight.py
+++ b/tests/core/ownership/test_reachability.py
@@ -4,25 +4,25 @@
 
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.ownership.load import UpstreamWork
-from sedgetide.core.ownership.sight import LeaderSight
+from sedgetide.core.ownership.reachability import LeaderReachability
 
 NAMES = [IncarnationName(f"u-{number}") for number in range(20)]
 BEGAN = 50.0
 LOST_AT = 100.0
 
 
-class TestLeaderSight(testtools.TestCase):
+class TestLeaderReachability(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.sight = LeaderSight()
+        self.reachability = LeaderReachability()
 
     def report(self, names, now, answers=1):
         work = [UpstreamWork(name, answers, 1.0, 1) for name in names]
-        self.sight.note_report(work, now)
+        self.reachability.note_report(work, now)
 
     def should_resign(self, lost, now, upstreams=20, began=BEGAN):
         doubtful = {name: LOST_AT for name in lost}
-        return self.sight.should_resign(doubtful, upstreams, began, now)
+        return self.reachability.should_resign(doubtful, upstreams, began, now)
 
     def test_others_are_answered_by_what_the_leader_does_not_reach(self):
         # Guards against a leader that can renew no grant and goes on leading.
--- a/tests/daemons/test_election.py
+++ b/tests/daemons/test_election.py
@@ -134,7 +134,7 @@
         # Guards against a leader that resigns because it reaches no upstream
         # and is elected again at once, or followed by one like it.
         lost_share = 0.0
-        blind = Election(
+        cut_off = Election(
             self.store,
             LeaderRecord("h-2", "y", "1.1.1.2:1"),
             Leadership(self.durations),
@@ -144,12 +144,12 @@
         )
         now = read_clock()
         self.deployment.record_sync(AS_OF, now)
-        blind.step(now)
+        cut_off.step(now)
         lost_share = 1.0
         for later in (0.5, 1.5, find_path_delay(1.0) - 0.1):
-            blind.step(now + later)
+            cut_off.step(now + later)
         self.assertIsNone(self.model.find(LEADER_KEY))
-        blind.step(now + find_path_delay(1.0))
+        cut_off.step(now + find_path_delay(1.0))
         self.assertIsNotNone(self.model.find(LEADER_KEY))
 
     def test_host_that_resigns_waits_like_any_other(self):
