The count of probes to a full upstream is tested at one moment

All 50 are now noted at the same time of the detector's clock, so that the count says what it is meant to; the bound, one probe, is the same.

--- a/tests/daemons/test_crashdetector.py
+++ b/tests/daemons/test_crashdetector.py
@@ -1,6 +1,7 @@
 """Tests of distinguishing a crash from a full upstream, with real sockets."""
 
 import struct
+from unittest import mock
 
 import gevent
 from gevent import socket
@@ -123,8 +124,10 @@
 
     def test_full_upstream_is_not_probed_for_each_request(self):
         upstream = self.serve(lambda connection: connection.close())
-        for number in range(50):
-            self.detector.note_broken(make_context(number), upstream)
+        clock = "sedgetide.daemons._crashdetector.read_clock"
+        with mock.patch(clock, autospec=True, return_value=read_clock()):
+            for number in range(50):
+                self.detector.note_broken(make_context(number), upstream)
         gevent.sleep(0.01)
         self.assertEqual(1, self.accepted)
 
