A recovery logs how each upstream counts as released

Users saw two upstreams hold the same keys.

No decision changes. `upstream-released` names the upstream, its address, the proof (answered, other-instance, refused) and the time since the recovery began; `recovered` counts them by proof, the upstreams that were not asked as another has their address (left_out), and those without proof (unreleased). sedgetide_stop_proofs counts by occasion and proof. /state of the leader shows for each running recovery the pending, reachable and released upstreams and for how long earlier grants may be held.

--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -154,6 +154,12 @@
 ORDERS = Counter(
     "sedgetide_orders", "Orders to upstreams.", ["order", "taken"]
 )
+STOP_PROOFS = Counter(
+    "sedgetide_stop_proofs",
+    "How it was known that an upstream no longer held keys: of a range that "
+    "moves, or all its keys after a restore of the store.",
+    ["service", "occasion", "proof"],
+)
 LOG_LINES_OMITTED = Gauge(
     "sedgetide_log_lines_omitted", "Lines left out since the start."
 )
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -239,6 +239,7 @@
             "term": self._leadership.term,
             "may_order": self._leadership.may_order(now),
             "moving": self._executor.moving,
+            "recoveries": self._recovery.dump_state(now),
         }
 
     # Loops
--- a/sedgetide/daemons/_recoverycoordinator.py
+++ b/sedgetide/daemons/_recoverycoordinator.py
@@ -3,18 +3,23 @@
 In a new era all upstreams release their keys before the first grant.
 """
 
+import collections
+from typing import Any
+
 import gevent
 
 from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
+from sedgetide.core.ownership.proofs import StopProof
 from sedgetide.core.ownership.ranges import ALL_KEYS
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.recovery import find_first_fence
 from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._hostmetrics import STOP_PROOFS
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.runtime.clock import read_clock
@@ -30,9 +35,20 @@
 class _ServiceRecovery:
     """Recovery of one service and the tasks that contact its upstreams."""
 
-    def __init__(self, recovery: Recovery, fence: Fence) -> None:
+    def __init__(
+        self,
+        service: ServiceName,
+        recovery: Recovery,
+        fence: Fence,
+        began: float,
+    ) -> None:
+        self.service = service
         self.recovery = recovery
         self.fence = fence
+        self.began = began
+        self.proofs: dict[IncarnationName, StopProof] = {}
+        self.pending: set[IncarnationName] = set()
+        self.left_out: set[IncarnationName] = set()
         self.reachable: set[IncarnationName] = set()
         self.tasks: dict[IncarnationName, gevent.Greenlet] = {}
 
@@ -97,7 +113,7 @@
             grants_expire_at = self._term.inherited_until
             settled_at = self._deployment.find_reregistration_end()
             state = _ServiceRecovery(
-                Recovery(settled_at, grants_expire_at), fence
+                service, Recovery(settled_at, grants_expire_at), fence, now
             )
             self._recoveries[service] = state
             log_event(
@@ -106,7 +122,8 @@
                 era=self._term.era,
                 most_seconds=f"{max(0.0, grants_expire_at - now):.1f}",
             )
-        upstreams = self._list_upstreams(service, known, now)
+        upstreams = self._list_upstreams(service, known, now, state)
+        state.pending = upstreams - state.proofs.keys()
         if state.recovery.is_over(upstreams, now):
             self._complete_recovery(service, state)
             return True
@@ -123,16 +140,72 @@
         released = state.recovery.list_released()
         for upstream in released:
             self._term.note_release(upstream, ALL_KEYS)
+        proofs = collections.Counter(state.proofs.values())
+        for proof, count in (
+            (StopProof.EXPIRED, len(state.pending)),
+            (StopProof.ADDRESS_REUSED, len(state.left_out)),
+        ):
+            STOP_PROOFS.labels(service, "restore", proof.value).inc(count)
         log_event(
             Event.RECOVERED,
             service=service,
             era=self._term.era,
             released=len(released),
+            answered=proofs[StopProof.ANSWERED],
+            other_instance=proofs[StopProof.OTHER_INSTANCE],
+            refused=proofs[StopProof.REFUSED],
+            left_out=len(state.left_out),
+            unreleased=len(state.pending),
+            seconds=f"{read_clock() - state.began:.2f}",
         )
         self._stop_tasks(service)
 
+    def _note_released(
+        self,
+        state: _ServiceRecovery,
+        name: IncarnationName,
+        proof: StopProof,
+    ) -> None:
+        state.recovery.note_released(name)
+        state.proofs[name] = proof
+        STOP_PROOFS.labels(state.service, "restore", proof.value).inc()
+        log_event(
+            Event.UPSTREAM_RELEASED,
+            service=state.service,
+            era=self._term.era,
+            upstream=name,
+            address=self._clients.find_address(name),
+            proof=proof.value,
+            seconds=f"{read_clock() - state.began:.2f}",
+        )
+        self._deployment.changes.notify_all()
+
+    def dump_state(self, now: float) -> dict[str, Any]:
+        """Return the state of the running recoveries, by service.
+
+        ``earlier_grants_s`` is the time in seconds for which grants of
+        earlier eras may still be held.
+        """
+        return {
+            service: {
+                "pending": sorted(state.pending),
+                "reachable": sorted(state.reachable),
+                "released": {
+                    name: proof.value for name, proof in state.proofs.items()
+                },
+                "left_out": sorted(state.left_out),
+                "seconds": round(now - state.began, 2),
+                "earlier_grants_s": round(self._term.inherited_until - now, 2),
+            }
+            for service, state in self._recoveries.items()
+        }
+
     def _list_upstreams(
-        self, service: ServiceName, known: RangeTable, now: float
+        self,
+        service: ServiceName,
+        known: RangeTable,
+        now: float,
+        state: _ServiceRecovery,
     ) -> set[IncarnationName]:
         """Return the upstreams that may hold keys of the service.
 
@@ -146,13 +219,15 @@
             upstreams.add(tenure.successor or tenure.owner)
             upstreams.add(tenure.owner)
         directory = self._deployment.directory
-        return {
+        state.left_out = {
             each
             for each in upstreams
-            if not directory.is_address_reused(
+            if directory.is_address_reused(
                 each, self._clients.find_address(each)
             )
         }
+        state.left_out -= state.proofs.keys()
+        return upstreams - state.left_out
 
     def _request_releases(
         self,
@@ -191,8 +266,7 @@
         if address and probe(address, _PROBE_TIMEOUT) is Presence.ENDED:
             # Nothing listens at the address: the process has ended, so its
             # grants are no longer held.
-            state.recovery.note_released(name)
-            self._deployment.changes.notify_all()
+            self._note_released(state, name, StopProof.REFUSED)
             return
         gevent.sleep(_RETRY_DELAY)
 
@@ -206,8 +280,10 @@
             state.fence,
             lambda: self._term.may_order(read_clock()),
         )
-        if result.taken in (OrderOutcome.DONE, OrderOutcome.FOREIGN):
-            state.recovery.note_released(name)
-            self._deployment.changes.notify_all()
+        if result.taken is OrderOutcome.DONE:
+            self._note_released(state, name, StopProof.ANSWERED)
+            return
+        if result.taken is OrderOutcome.FOREIGN:
+            self._note_released(state, name, StopProof.OTHER_INSTANCE)
             return
         gevent.sleep(_RETRY_DELAY)
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -369,8 +369,22 @@
         "recovered",
         logging.INFO,
         "Keys of a service are granted again. released: number of upstreams "
-        "that have released theirs.",
-        ("service", "era", "released"),
+        "that have released theirs, of which answered, other_instance and "
+        "refused give the number by proof. left_out: upstreams that were not "
+        "asked, because the registry shows another one at their address. "
+        "unreleased: upstreams that gave no proof before all earlier grants "
+        "had expired.",
+        (
+            "service",
+            "era",
+            "released",
+            "answered",
+            "other_instance",
+            "refused",
+            "left_out",
+            "unreleased",
+            "seconds",
+        ),
     )
     TABLES_UNREAD = Definition(
         "tables-unread",
@@ -482,6 +496,16 @@
             "age_ms",
         ),
     )
+    UPSTREAM_RELEASED = Definition(
+        "upstream-released",
+        logging.INFO,
+        "After a restore of the store, an upstream counts as holding no keys "
+        "granted in an earlier era. proof=answered: it answered a release of "
+        "all keys; other-instance: another upstream answered at its address; "
+        "refused: its address refused a connection. seconds: time since the "
+        "recovery began.",
+        ("service", "era", "upstream", "address", "proof", "seconds"),
+    )
 
 
 _FIELDS = {event: frozenset(event.value.fields) for event in Event}
--- a/tests/daemons/test_recoverycoordinator.py
+++ b/tests/daemons/test_recoverycoordinator.py
@@ -1,6 +1,7 @@
 """Tests of the recovery of ownership in a new era of the store."""
 
 import gevent
+from prometheus_client import REGISTRY
 import testtools
 
 from sedgetide.core.history import Position
@@ -15,6 +16,7 @@
 from sedgetide.daemons._orderclient import OrderResult
 from sedgetide.daemons._recoverycoordinator import RecoveryCoordinator
 from sedgetide.runtime.clock import read_clock
+from tests.daemons.eventcapture import capture_events
 from tests.daemons.test_election import FakeRegistry
 
 SERVICE = "maps"
@@ -172,6 +174,79 @@
         self.assertIsNone(self.run_recovery(0.5))
         self.assertEqual(0, sum(self.count_released().values()))
 
+    def count_proofs(self, proof):
+        labels = {"service": SERVICE, "occasion": "restore", "proof": proof}
+        name = "sedgetide_stop_proofs_total"
+        return REGISTRY.get_sample_value(name, labels) or 0
+
+    def test_lines_and_counters_name_the_proof_for_each_upstream(self):
+        # Guards against a recovery whose log doesn't tell which upstream
+        # answered, and which only refused a connection.
+        events = capture_events(self)
+        kinds = ("answered", "other-instance", "refused", "address-reused")
+        before = [self.count_proofs(kind) for kind in kinds]
+        self.clients.clients["u-2"].taken = OrderOutcome.FOREIGN
+        self.clients.clients["u-3"].reachable = False
+        self.clients.addresses["u-3"] = "127.0.0.1:1"
+        self.clients.clients["u-4"] = FakeClient()
+        self.clients.addresses["u-4"] = "1.1.1.4:1"
+        entry = RegisteredUpstream("u-9", SERVICE, "1.1.1.4:1", "dc")
+        self.deployment.directory.put(entry, read_clock())
+        self.begin()
+        self.assertIsNotNone(self.run_recovery())
+        lines = [e for e in events if e["msg"] == "upstream-released"]
+        self.assertEqual(
+            [
+                ("u-1", "", "answered"),
+                ("u-2", "", "other-instance"),
+                ("u-3", "127.0.0.1:1", "refused"),
+            ],
+            sorted((e["upstream"], e["address"], e["proof"]) for e in lines),
+        )
+        (end,) = (e for e in events if e["msg"] == "recovered")
+        self.assertEqual(
+            (3, 1, 1, 1, 1, 0),
+            (
+                end["released"],
+                end["answered"],
+                end["other_instance"],
+                end["refused"],
+                end["left_out"],
+                end["unreleased"],
+            ),
+        )
+        after = [self.count_proofs(kind) for kind in kinds]
+        self.assertEqual([each + 1 for each in before], after)
+
+    def test_unreleased_upstreams_are_counted(self):
+        # Guards against "recovered" after a wait that reads like one after
+        # releases.
+        events = capture_events(self)
+        before = self.count_proofs("expired")
+        self.begin(took_over=self.durations.max_inherited_hold())
+        self.assertIsNotNone(self.run_recovery())
+        (end,) = (e for e in events if e["msg"] == "recovered")
+        self.assertEqual((0, 3), (end["released"], end["unreleased"]))
+        self.assertEqual(before + 3, self.count_proofs("expired"))
+
+    def test_state_shows_what_the_recovery_waits_for(self):
+        # Guards against a recovery that waits without showing for whom.
+        self.clients.clients["u-3"].reachable = False
+        self.begin()
+        self.assertIsNone(self.run_recovery(0.3))
+        state = self.coordinator.dump_state(read_clock())[SERVICE]
+        self.assertEqual(["u-1", "u-2", "u-3"], state["pending"])
+        self.assertEqual(["u-1", "u-2"], state["reachable"])
+        self.assertEqual({}, state["released"])
+        self.assertAlmostEqual(
+            self.durations.max_inherited_hold() - 0.3,
+            state["earlier_grants_s"],
+            delta=0.25,
+        )
+        self.clients.clients["u-3"].reachable = True
+        self.assertIsNotNone(self.run_recovery())
+        self.assertEqual({}, self.coordinator.dump_state(read_clock()))
+
     def test_first_era_needs_no_recovery(self):
         self.begin(era=0)
         self.assertEqual(self.table, self.coordinator.recover_table(SERVICE))
