`owner-stopped` tells an expired hold from a reused address

No decision changes. The proofs are now answered (done before), other-instance (foreign), expired and address-reused (both were ended); after_hold gives the seconds since the end of the owner's hold, negative if it had not ended. A hold whose owner had answered a release before the move began counts as answered, with an empty after_hold. sedgetide_stop_proofs{occasion="move"} counts them.

--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -13,6 +13,7 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.proofs import StopProof
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
 from sedgetide.core.ownership.terms import Grant
@@ -20,6 +21,7 @@
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import MOVES
 from sedgetide.daemons._hostmetrics import PLANNED_MOVE_SECONDS
+from sedgetide.daemons._hostmetrics import STOP_PROOFS
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderclient import OrderResult
@@ -39,6 +41,12 @@
 _GRANT_ATTEMPTS = 3
 # Enough for the grants of two tables with 24 ranges for each of 300 upstreams.
 _MAX_SESSIONS = 16_000
+# End of a hold whose owner answered a release before the move began.
+_RELEASED_BEFORE = float("-inf")
+_RELEASE_PROOFS = {
+    OrderOutcome.DONE: StopProof.ANSWERED,
+    OrderOutcome.FOREIGN: StopProof.OTHER_INSTANCE,
+}
 
 
 class OrderClients:
@@ -300,10 +308,11 @@
             now = read_clock()
             if not self.term.may_order(now):
                 return None
-            if self._is_hold_over(service, tenure, now):
-                self._log_owner_stopped(service, tenure, "ended", now - began)
-                return _StoppedOwner()
             end = self._find_hold_end(service, tenure)
+            over = self._find_end_proof(tenure, now, end)
+            if over is not None:
+                self._log_owner_stopped(service, tenure, over, began, end)
+                return _StoppedOwner()
             # One release may fail because the owner is at its connection
             # limit.
             lost = releases > 1 or not self._is_registered(tenure.owner)
@@ -316,10 +325,8 @@
                 releases += 1
                 result = self._release(service, tenure)
                 if result is not None:
-                    proof = result.taken.value
-                    self._log_owner_stopped(
-                        service, tenure, proof, read_clock() - began
-                    )
+                    proof = _RELEASE_PROOFS[result.taken]
+                    self._log_owner_stopped(service, tenure, proof, began, end)
                     released = result.taken is OrderOutcome.DONE
                     return _StoppedOwner(result.handover, released)
                 gevent.sleep(_RETRY_DELAY)
@@ -338,7 +345,7 @@
             return self._is_current(service, tenure)
 
         result = client.release(tenure.keys, tenure.fence, may_send)
-        if result.taken not in (OrderOutcome.DONE, OrderOutcome.FOREIGN):
+        if result.taken not in _RELEASE_PROOFS:
             return None
         self.term.note_release(tenure.owner, tenure.keys)
         return result
@@ -350,9 +357,15 @@
         self,
         service: ServiceName,
         tenure: Tenure,
-        proof: str,
-        seconds: float,
+        proof: StopProof,
+        began: float,
+        hold_end: float,
     ) -> None:
+        STOP_PROOFS.labels(service, "move", proof.value).inc()
+        now = read_clock()
+        after_hold = f"{now - hold_end:.2f}"
+        if hold_end == _RELEASED_BEFORE:
+            after_hold = ""
         log_event(
             Event.OWNER_STOPPED,
             service=service,
@@ -360,19 +373,23 @@
             low=tenure.low,
             high=tenure.high,
             fence=tenure.fence,
-            proof=proof,
-            seconds=f"{seconds:.2f}",
+            proof=proof.value,
+            seconds=f"{now - began:.2f}",
+            after_hold=after_hold,
         )
 
-    def _is_hold_over(
-        self, service: ServiceName, tenure: Tenure, now: float
-    ) -> bool:
-        """Return whether the owner's hold of the range is over."""
+    def _find_end_proof(
+        self, tenure: Tenure, now: float, hold_end: float
+    ) -> StopProof | None:
+        """Return the proof that the owner's hold of the range is over."""
+        if hold_end == _RELEASED_BEFORE:
+            return StopProof.ANSWERED
+        if now >= hold_end:
+            return StopProof.EXPIRED
         address = self._clients.find_address(tenure.owner)
         if self._deployment.directory.is_address_reused(tenure.owner, address):
-            return True
-        since = self._deployment.find_known_since(service, tenure)
-        return self.term.has_ended(tenure.owner, tenure.keys, since, now)
+            return StopProof.ADDRESS_REUSED
+        return None
 
     def _find_hold_end(self, service: ServiceName, tenure: Tenure) -> float:
         """Return when the owner's hold of a range has certainly expired."""
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -431,8 +431,21 @@
     OWNER_STOPPED = Definition(
         "owner-stopped",
         logging.INFO,
-        "A moving range no longer has an owner. proof: how this is known.",
-        ("service", "upstream", "low", "high", "fence", "proof", "seconds"),
+        "A moving range no longer has an owner. proof: how this is known: "
+        "answered, other-instance, expired or address-reused. seconds: time "
+        "since the move began. after_hold: seconds since the end of the "
+        "owner's hold; negative if the hold had not ended, empty if the "
+        "owner had answered a release before the move began.",
+        (
+            "service",
+            "upstream",
+            "low",
+            "high",
+            "fence",
+            "proof",
+            "seconds",
+            "after_hold",
+        ),
     )
     REQUEST = Definition(
         "request",
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -22,6 +22,7 @@
 from sedgetide.daemons._upstreamchannels import UpstreamChannels
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.runtime.clock import read_clock
+from tests.daemons.eventcapture import capture_events
 from tests.daemons.test_election import FakeRegistry
 from tests.daemons.test_orderclient import Upstream
 
@@ -124,12 +125,13 @@
     def __init__(self, names):
         self.sent = {name: [] for name in names}
         self.clients = {name: SlowClient(self.sent[name]) for name in names}
+        self.addresses = {}
 
     def find(self, upstream):
         return self.clients[upstream]
 
     def find_address(self, upstream):
-        return ""
+        return self.addresses.get(upstream, "")
 
 
 class TestDelayedOrders(testtools.TestCase):
@@ -291,3 +293,65 @@
         # connection limit refuses a release and answers the next one.
         self.assertEqual([], self.find_stated_holds(True, 0.15))
         self.assertEqual(1, len(self.find_stated_holds(True, 0.7)))
+
+
+class TestStopProofs(testtools.TestCase):
+    """The line of a stopped owner tells how that is known."""
+
+    def setUp(self):
+        super().setUp()
+        self.events = capture_events(self)
+        self.deployment = DeploymentState(FakeRegistry())
+        self.clients = SlowClients(("u-1", "u-2"))
+        for client in self.clients.clients.values():
+            client.opened.set()
+
+    def find_line(self, took_over):
+        """Return the line of a move from u-1 to u-2.
+
+        Parameters
+        ----------
+        took_over : float
+            Seconds since the begin of the term.
+        """
+        durations = Durations()
+        leadership = Leadership(durations)
+        now = read_clock()
+        leadership.begin(TERM, now, now - took_over)
+        executor = OrderExecutor(
+            Term(leadership, durations),
+            self.deployment,
+            self.clients,
+            durations,
+            lambda *_: None,
+        )
+        self.addCleanup(executor.close)
+        table = RangeTable().assign_first([("u-1", 1)])
+        table = table.begin([Move(KeyRange(0, 99), "u-2")])
+        self.deployment.update_table(SERVICE, table, Position(0, 9), now)
+        executor.reconcile(SERVICE, table)
+        gevent.sleep(0.05)
+        (line,) = (e for e in self.events if e["msg"] == "owner-stopped")
+        return line
+
+    def test_expired_hold(self):
+        # Guards against an expired hold that reads like a reused address.
+        longest = Durations().max_inherited_hold()
+        line = self.find_line(took_over=longest + 5.0)
+        self.assertEqual("expired", line["proof"])
+        self.assertAlmostEqual(5.0, float(line["after_hold"]), delta=0.2)
+
+    def test_reused_address(self):
+        # Guards against a hold that is cut short without a trace.
+        self.clients.addresses["u-1"] = "1.1.1.1:1"
+        entry = RegisteredUpstream("u-9", SERVICE, "1.1.1.1:1", "dc")
+        self.deployment.directory.put(entry, read_clock())
+        line = self.find_line(took_over=0.0)
+        self.assertEqual("address-reused", line["proof"])
+        longest = Durations().max_inherited_hold()
+        self.assertAlmostEqual(-longest, float(line["after_hold"]), delta=0.2)
+
+    def test_answered_release(self):
+        line = self.find_line(took_over=0.0)
+        self.assertEqual("answered", line["proof"])
+        self.assertLess(float(line["after_hold"]), 0.0)
