The leader logs the first grants of a term and of each move

Successful grants were not logged, so with two holders the logs did not show since when each of them could have held the keys.

No decision changes. `granting` gives the term, the upstream and its ranges with their fences: one line for each owner when its renewals begin, one for each move before its grant. Renewals are not logged. At 600 owners this is 600 lines at the begin of a term.

--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sedgetide.core.history import Era
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.ownership.holds import Hold
 from sedgetide.core.ownership.holds import HoldLedger
@@ -60,6 +61,11 @@
         """Seconds for which a grant of an earlier leader may be held."""
         return self._durations.max_inherited_hold()
 
+    @property
+    def position(self) -> Position:
+        """Position of the leader's record of this term."""
+        return self._position
+
     @property
     def era(self) -> Era:
         """Era of the store in which the term began."""
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -272,6 +272,7 @@
         stopped = self._stop_owner(service, tenure)
         if stopped is None:
             return
+        self._log_granting(service, tenure.successor, [tenure])
         for _ in range(_GRANT_ATTEMPTS):
             now = read_clock()
             if not self.term.may_order(now):
@@ -378,6 +379,22 @@
             after_hold=after_hold,
         )
 
+    def _log_granting(
+        self,
+        service: ServiceName,
+        upstream: IncarnationName,
+        tenures: Collection[Tenure],
+    ) -> None:
+        log_event(
+            Event.GRANTING,
+            service=service,
+            term=self.term.position,
+            upstream=upstream,
+            ranges=" ".join(
+                f"{each.low}-{each.high}/{each.fence}" for each in tenures
+            ),
+        )
+
     def _find_end_proof(
         self, tenure: Tenure, now: float, hold_end: float
     ) -> StopProof | None:
@@ -442,11 +459,15 @@
 
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
         """Renew the grants of one owner at intervals."""
+        logged = False
         while True:
             table = self._find_table(service)
             owned = [] if table is None else table.list_owned(owner)
             if not owned:
                 return
+            if not logged:
+                self._log_granting(service, owner, owned)
+                logged = True
             results = renew_grants(
                 owned, lambda tenure: self._renew_one(service, tenure)
             )
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -519,6 +519,16 @@
         "recovery began.",
         ("service", "era", "upstream", "address", "proof", "seconds"),
     )
+    GRANTING = Definition(
+        "granting",
+        logging.INFO,
+        "The leader sends an upstream its first grants of ranges, in the form "
+        "from-to/fence: those that the upstream owns when the term begins, "
+        "and each one that moves to it. Renewals are not logged. The upstream "
+        "may hold the keys from now on, until owner-stopped or "
+        "upstream-released.",
+        ("service", "term", "upstream", "ranges"),
+    )
 
 
 _FIELDS = {event: frozenset(event.value.fields) for event in Event}
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -10,6 +10,7 @@
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import LAST_KEY
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.terms import Term
@@ -351,6 +352,17 @@
         longest = Durations().max_inherited_hold()
         self.assertAlmostEqual(-longest, float(line["after_hold"]), delta=0.2)
 
+    def test_first_grants_of_a_term_and_of_a_move(self):
+        # Guards against two holders of a key without a trace of when each
+        # of them got it.
+        self.find_line(took_over=0.0)
+        lines = [e for e in self.events if e["msg"] == "granting"]
+        self.assertEqual(
+            [("u-1", f"100-{LAST_KEY}/1"), ("u-2", "0-99/2")],
+            sorted((e["upstream"], e["ranges"]) for e in lines),
+        )
+        self.assertEqual({TERM}, {e["term"] for e in lines})
+
     def test_answered_release(self):
         line = self.find_line(took_over=0.0)
         self.assertEqual("answered", line["proof"])
