`granting` lists up to 100 ranges a line at the begin of a term

A line for each owner would be 600 lines in one second at 600 upstreams, where a host may log 300; the rest, the lines of a recovery among them, would be omitted. The table of the term's begin is now logged in parts of 100 ranges.

--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Sequence
 
 import gevent
 import msgspec
@@ -39,6 +40,8 @@
 # Seconds by which the end of a hold has to change to be stated again.
 _STATED_PRECISION = 0.1
 _GRANT_ATTEMPTS = 3
+# Ranges in one log line of about 4 KB.
+_LOGGED_RANGES = 100
 # Enough for the grants of two tables with 24 ranges for each of 300 upstreams.
 _MAX_SESSIONS = 16_000
 # End of a hold whose owner answered a release before the move began.
@@ -187,6 +190,7 @@
         self._completed: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
         self._sessions: dict[tuple[IncarnationName, Fence], int] = {}
+        self._logged: set[ServiceName] = set()
         self._renew_now = ChangeSignal()
 
     @property
@@ -246,6 +250,10 @@
     def reconcile(self, service: ServiceName, table: RangeTable) -> None:
         """Start the tasks that a table requires and cancel the others."""
         moving = set(table.list_moving())
+        if service not in self._logged:
+            self._logged.add(service)
+            settled = [e for e in table.tenures if e not in moving]
+            self._log_granting(service, [(e, e.owner) for e in settled])
         for tenure in moving:
             move_key = (service, tenure)
             completed = tenure in self.list_completed(service)
@@ -272,7 +280,7 @@
         stopped = self._stop_owner(service, tenure)
         if stopped is None:
             return
-        self._log_granting(service, tenure.successor, [tenure])
+        self._log_granting(service, [(tenure, tenure.successor)])
         for _ in range(_GRANT_ATTEMPTS):
             now = read_clock()
             if not self.term.may_order(now):
@@ -382,18 +390,19 @@
     def _log_granting(
         self,
         service: ServiceName,
-        upstream: IncarnationName,
-        tenures: Collection[Tenure],
+        grants: Sequence[tuple[Tenure, IncarnationName]],
     ) -> None:
-        log_event(
-            Event.GRANTING,
-            service=service,
-            term=self.term.position,
-            upstream=upstream,
-            ranges=" ".join(
-                f"{each.low}-{each.high}/{each.fence}" for each in tenures
-            ),
-        )
+        for first in range(0, len(grants), _LOGGED_RANGES):
+            some = grants[first : first + _LOGGED_RANGES]
+            log_event(
+                Event.GRANTING,
+                service=service,
+                term=self.term.position,
+                ranges=" ".join(
+                    f"{each.low}-{each.high}/{each.fence}>{upstream}"
+                    for each, upstream in some
+                ),
+            )
 
     def _find_end_proof(
         self, tenure: Tenure, now: float, hold_end: float
@@ -459,15 +468,11 @@
 
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
         """Renew the grants of one owner at intervals."""
-        logged = False
         while True:
             table = self._find_table(service)
             owned = [] if table is None else table.list_owned(owner)
             if not owned:
                 return
-            if not logged:
-                self._log_granting(service, owner, owned)
-                logged = True
             results = renew_grants(
                 owned, lambda tenure: self._renew_one(service, tenure)
             )
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -522,12 +522,12 @@
     GRANTING = Definition(
         "granting",
         logging.INFO,
-        "The leader sends an upstream its first grants of ranges, in the form "
-        "from-to/fence: those that the upstream owns when the term begins, "
-        "and each one that moves to it. Renewals are not logged. The upstream "
-        "may hold the keys from now on, until owner-stopped or "
+        "The leader sends its first grants of ranges in a term, in the form "
+        "from-to/fence>upstream: up to 100 ranges a line when the term "
+        "begins, and each range that moves. Renewals are not logged. The "
+        "upstream may hold the keys from now on, until owner-stopped or "
         "upstream-released.",
-        ("service", "term", "upstream", "ranges"),
+        ("service", "term", "ranges"),
     )
 
 
