`sedgetide holders` lists who may have held a key, and how each stopped

On call had to read the lines of all leaders by hand to see whether two upstreams may have held a key at one time, and by what proof each stopped.

The command reads the logs of all hosts: `granting` begins a holding, `owner-stopped`, `upstream-released` and `recovered` end it. It prints host, term and fence of each grant, the proof, the time from the hold's end, and each pair that may have held the key at the same time. `explain` shows the same lines in a request's timeline, with the range of its key only.

--- a/sedgetide/command/explain.py
+++ b/sedgetide/command/explain.py
@@ -13,8 +13,9 @@
 from sedgetide.core.errors import Step
 from sedgetide.core.requests.refusals import RefusalReason
 
+_GRANTED = re.compile(r"(\d+)-(\d+)/(\d+)>(\S+)")
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-_TIME = "%Y-%m-%d %H:%M:%S,%f"
+TIME_FORM = "%Y-%m-%d %H:%M:%S,%f"
 _WINDOW_BEFORE = datetime.timedelta(seconds=12)
 _WINDOW_AFTER = datetime.timedelta(seconds=1)
 _OWNERSHIP_EVENTS = frozenset({"owner-stopped", "order"})
@@ -35,6 +36,7 @@
         "not-verified",
         "recovering",
         "recovered",
+        "upstream-released",
     }
 )
 _HOST_EVENTS = frozenset(
@@ -93,7 +95,7 @@
         for name, value in _PAIR.findall(text[start:])
     }
     try:
-        at = datetime.datetime.strptime(fields["time"], _TIME)
+        at = datetime.datetime.strptime(fields["time"], TIME_FORM)
     except (KeyError, ValueError):
         return None
     return Line(at, fields)
@@ -120,13 +122,41 @@
     return sorted(lines, key=lambda line: line.at)
 
 
-def _concerns_key(line: Line, key: str) -> bool:
+def concerns_key(line: Line, key: str) -> bool:
+    """Return whether an event is about a range with a key."""
     low, high = line.find("low"), line.find("high")
     if not (key.isdigit() and low.isdigit() and high.isdigit()):
         return False
     return int(low) <= int(key) <= int(high)
 
 
+class Granted(msgspec.Struct, frozen=True):
+    """Range with a key, as the line ``granting`` states it."""
+
+    text: str
+    upstream: str
+    fence: str
+
+
+def find_granted(line: Line, key: str) -> Granted | None:
+    """Return the range with a key that a line grants, or None."""
+    if line.find("event") != "granting" or not key.isdigit():
+        return None
+    for found in _GRANTED.finditer(line.find("ranges")):
+        low, high, fence, upstream = found.groups()
+        if int(low) <= int(key) <= int(high):
+            return Granted(found.group(), upstream, fence)
+    return None
+
+
+def _show_granted(line: Line, key: str) -> Line:
+    """Return a line ``granting`` with no ranges but that of the key."""
+    granted = find_granted(line, key)
+    if granted is None:
+        return line
+    return Line(line.at, {**line.fields, "ranges": granted.text})
+
+
 def _drop_start_time(incarnation: str) -> str:
     """Return the registered name of an upstream, which events have."""
     name, _, born = incarnation.rpartition("@")
@@ -138,8 +168,10 @@
     event = line.find("event")
     if event in _LEADERSHIP_EVENTS:
         return True
+    if find_granted(line, request.find("key")) is not None:
+        return True
     if event in _OWNERSHIP_EVENTS:
-        return _concerns_key(line, request.find("key"))
+        return concerns_key(line, request.find("key"))
     if event in _UPSTREAM_EVENTS:
         names = request.find("upstreams").split(",")
         names.append(request.find("no_room_at"))
@@ -311,7 +343,8 @@
             )
         ]
         for line in near:
-            yield _format_line(line, began)
+            shown = _show_granted(line, request.find("key"))
+            yield _format_line(shown, began)
         yield f"cause: {describe_cause(request)}"
         yield from _describe_hops(request)
         yield from _describe_refusal(request)
--- a/sedgetide/command/main.py
+++ b/sedgetide/command/main.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Iterator
 import contextlib
+import datetime
 import pathlib
 import sys
 
@@ -15,6 +16,7 @@
 from sedgetide.coding.addresses import split_address
 from sedgetide.command import configuration
 from sedgetide.command import explain
+from sedgetide.command import holders
 from sedgetide.core.configuration.services import UpstreamState
 from sedgetide.core.errors import InputError
 from sedgetide.core.errors import SedgetideError
@@ -220,6 +222,29 @@
     return EXIT_OK
 
 
+def explain_holders(options: argparse.Namespace) -> int:
+    """Print which upstreams may have held a key, from all hosts' logs."""
+    try:
+        lines = explain.read_lines(options.logs)
+        for line in holders.explain_holders(
+            options.service, options.key, lines, options.at
+        ):
+            print(line)
+    except InputError as error:
+        return _report_bad_input(f"{error.peer}: {error.detail}")
+    return EXIT_OK
+
+
+def _parse_time(value: str) -> datetime.datetime:
+    try:
+        return datetime.datetime.strptime(value, explain.TIME_FORM)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(
+            f"{value!r}: expected a time as in the logs, "
+            "2026-12-02 10:00:04,500"
+        ) from error
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
@@ -258,6 +283,16 @@
     reason.add_argument("request", metavar="REQUEST-ID")
     reason.add_argument("logs", nargs="+", type=pathlib.Path, metavar="LOG")
     reason.set_defaults(run=explain_request)
+    held = commands.add_parser(
+        "holders",
+        help="print which upstreams may have held a key, and by what proof "
+        "each stopped",
+    )
+    held.add_argument("service")
+    held.add_argument("key", help="number, as in the lines of requests")
+    held.add_argument("logs", nargs="+", type=pathlib.Path, metavar="LOG")
+    held.add_argument("--at", type=_parse_time, help="only at this time")
+    held.set_defaults(run=explain_holders)
     return parser
 
 
