`sedgetide holders` reads recoveries by the former leader's report

After `recovered basis=report` the leader grants keys although an upstream is silent, if the report shows that it can't hold them. Read as before, such keys would look like keys with two holders. They now end at that line, with the proof "not among the holds that were reported", when another upstream is granted them next; keys that stay with the silent one stay open.

--- a/sedgetide/command/holders.py
+++ b/sedgetide/command/holders.py
@@ -41,6 +41,9 @@
         Line that shows its end.
     proof : str
         How the end is known.
+    recovered : Line or None
+        End of a recovery by the report of the former leader, in which the
+        upstream has not released its keys.
     """
 
     upstream: str
@@ -48,6 +51,7 @@
     granted: Line
     stopped: Line | None = None
     proof: str = _NO_PROOF
+    recovered: Line | None = None
 
     def includes(self, at: datetime.datetime) -> bool:
         """Return whether the upstream may have held the key at a time."""
@@ -66,8 +70,7 @@
     event, proof = line.find("event"), line.find("proof")
     if event == "recovered":
         # Without a basis: a line of an earlier version.
-        waited = line.find("basis") in ("", "expired")
-        return "expired" if waited else ""
+        return "expired" if line.find("basis") in ("", "expired") else ""
     if line.find("upstream") != upstream:
         return ""
     if event == "upstream-released":
@@ -98,9 +101,17 @@
             proof = _find_stopped(line, key, each.upstream)
             if proof:
                 each.stopped, each.proof = line, proof
+            elif line.find("event") == "recovered":
+                each.recovered = line
         granted = find_granted(line, key)
         if granted is None:
             continue
+        for each in running:
+            # Keys that the report shows as held are granted to their holder.
+            if each.recovered and each.upstream != granted.upstream:
+                each.stopped = each.recovered
+                each.proof = "not among the holds that were reported"
+            each.recovered = None
         held = [each.upstream for each in holdings if each.stopped is None]
         if granted.upstream not in held:
             holdings.append(Holding(granted.upstream, granted.fence, line))
--- a/tests/command/test_holders.py
+++ b/tests/command/test_holders.py
@@ -109,6 +109,42 @@
         self.assertEqual(2, len(shown))
         self.assertIn("by expired (h-2 recovered)", shown[0])
 
+    def test_keys_that_a_report_shows_as_free(self):
+        # Guards against two holders where the former leader has reported
+        # that the first one's hold had ended.
+        by_report = make_line(
+            "10:00:10,050",
+            "event=recovered host=h-2 service=maps era=1 basis=report "
+            "released=1 silent=1 retained=0",
+        )
+        shown = explain("100", [GRANTED, by_report, RESTORED[1]]).splitlines()
+        self.assertEqual(2, len(shown))
+        self.assertIn("by not among the holds that were reported", shown[0])
+
+    def test_keys_that_stay_with_a_silent_upstream(self):
+        # Guards against a holder that is taken for stopped because the
+        # recovery went on without its answer.
+        by_report = make_line(
+            "10:00:10,050",
+            "event=recovered host=h-2 service=maps era=1 basis=report "
+            "released=1 silent=1 retained=1",
+        )
+        retained = make_line(
+            "10:00:10,100",
+            "event=granting host=h-2 service=maps term=1/3 "
+            "ranges=100-65535/9>u-2@5",
+        )
+        moved = make_line(
+            "10:00:11,100",
+            "event=granting host=h-2 service=maps term=1/3 "
+            "ranges=100-65535/10>u-1@5",
+        )
+        lines = [GRANTED, by_report, retained]
+        (shown,) = explain("100", lines).splitlines()
+        self.assertIn("u-2@5", shown)
+        self.assertIn("no proof in these files", shown)
+        self.assertIn("two upstreams", explain("100", [*lines, moved]))
+
     def test_other_services_do_not_count(self):
         other = make_line(
             "10:00:05,000",
