Ledgers of holds list them, and take reported ones for the inherited bound

After a restore the new leader has to know which keys an upstream may hold that does not answer. Only the ledger of the former leader knows, and it could not be listed.

HoldLedger.list_held gives the latest end of each upstream's ranges, without released parts; replace_inherited takes such holds in place of the bound on inherited grants. Term.is_over tells when a list is final. RangeTable.restart keeps given ranges with their holders.

--- a/sedgetide/core/ownership/ranges.py
+++ b/sedgetide/core/ownership/ranges.py
@@ -128,6 +128,13 @@
     reason: MoveReason = MoveReason.BALANCE
 
 
+class RetainedRange(msgspec.Struct, frozen=True):
+    """Keys that stay with the upstream that may hold them."""
+
+    keys: KeyRange
+    holder: IncarnationName
+
+
 class RangeTable(msgspec.Struct, frozen=True):
     """Owners of all keys of one service.
 
@@ -192,9 +199,12 @@
         return RangeTable(fence, tuple(tenures))
 
     def restart(
-        self, fence: Fence, owners: Collection[IncarnationName]
+        self,
+        fence: Fence,
+        owners: Collection[IncarnationName],
+        retained: Collection[RetainedRange] = (),
     ) -> "RangeTable":
-        """Reassign all ranges after every upstream has released its keys.
+        """Reassign all ranges that no upstream holds any more.
 
         Moving ranges go to their successors, and ranges whose owner is not
         among ``owners`` to the upstream with the fewest keys.
@@ -205,6 +215,9 @@
             Lower bound of the new fence, exclusive.
         owners : collection of IncarnationName
             Upstreams that may own keys.
+        retained : collection of RetainedRange
+            Disjoint ranges that stay with their holders, whether or not
+            these are among ``owners``.
 
         Raises
         ------
@@ -217,20 +230,21 @@
             )
         fence = Fence(max(self.fence, fence) + 1)
         counts = dict.fromkeys(sorted(owners), 0)
-        next_owners = [each.successor or each.owner for each in self.tenures]
-        for tenure, next_owner in zip(self.tenures, next_owners, strict=True):
+        holders = {each.keys.low: each.holder for each in retained}
+        parts = _cut_out(self.tenures, retained)
+        for keys, next_owner in parts:
             if next_owner in counts:
-                counts[next_owner] += len(tenure.keys)
+                counts[next_owner] += len(keys)
         tenures: list[Tenure] = []
-        for tenure, next_owner in zip(self.tenures, next_owners, strict=True):
+        for keys, next_owner in parts:
             owner = next_owner
-            if owner not in counts:
+            if owner not in counts and holders.get(keys.low) != owner:
                 owner = min(counts, key=counts.__getitem__)
-                counts[owner] += len(tenure.keys)
-            low = tenure.low
+                counts[owner] += len(keys)
+            low = keys.low
             if tenures and tenures[-1].owner == owner:
                 low = tenures.pop().low
-            tenures.append(Tenure(low, tenure.high, owner, fence))
+            tenures.append(Tenure(low, keys.high, owner, fence))
         return RangeTable(fence, tuple(tenures))
 
     def begin(self, moves: Iterable[Move]) -> "RangeTable":
@@ -344,6 +358,29 @@
     )
 
 
+def _cut_out(
+    tenures: Iterable[Tenure], retained: Iterable[RetainedRange]
+) -> list[tuple[KeyRange, IncarnationName]]:
+    """Return the ranges of the next owners, and the retained ones."""
+    kept = sorted(retained, key=lambda each: each.keys)
+    parts = [(each.keys, each.holder) for each in kept]
+    index = 0
+    for tenure in tenures:
+        next_owner = tenure.successor or tenure.owner
+        low = tenure.low
+        while index < len(kept) and kept[index].keys.low <= tenure.high:
+            keys = kept[index].keys
+            if low < keys.low:
+                parts.append((KeyRange(low, Key(keys.low - 1)), next_owner))
+            low = Key(max(low, keys.high + 1))
+            if keys.high > tenure.high:
+                break
+            index += 1
+        if low <= tenure.high:
+            parts.append((KeyRange(low, tenure.high), next_owner))
+    return sorted(parts)
+
+
 def _split(tenure: Tenure, move: Move, fence: Fence) -> list[Tenure]:
     """Return the tenures that replace one of which a part moves."""
     keys = move.keys
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -1,11 +1,16 @@
 """Grants that a leader may send in its term, and when earlier ones expire."""
 
+from collections.abc import Collection
+
 import msgspec
 
 from sedgetide.core.history import Era
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.holds import Hold
 from sedgetide.core.ownership.holds import HoldLedger
+from sedgetide.core.ownership.holds import UpstreamHold
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
@@ -52,8 +57,20 @@
         self._leadership = leadership
         self._position = leadership.term
         self._durations = durations
+        self._began_at = leadership.term_began_at
         self.inherited_until = leadership.find_inherited_hold_end()
         self._holds = HoldLedger(self.inherited_until)
+        self._without_inherited: set[ServiceName] = set()
+
+    @property
+    def position(self) -> Position:
+        """Position of the leader's record."""
+        return self._position
+
+    @property
+    def began_at(self) -> float:
+        """Local time at which the term began."""
+        return self._began_at
 
     @property
     def longest_hold(self) -> float:
@@ -75,6 +92,13 @@
             return False
         return self._leadership.may_order(now)
 
+    def is_over(self, now: float) -> bool:
+        """Return whether no order can be sent any more in this term."""
+        if self._leadership.term != self._position:
+            return True
+        ended = self._leadership.era_ended
+        return ended and not self._leadership.may_order(now)
+
     def is_fresh(self, now: float) -> bool:
         """Return whether orders may be sent and the last proof is recent."""
         return self.may_order(now) and self._leadership.is_fresh(now)
@@ -147,6 +171,38 @@
         """
         return now >= self.find_hold_end(upstream, keys, known_since)
 
+    def list_held(self, now: float) -> list[UpstreamHold]:
+        """Return what upstreams may hold, as in :class:`HoldLedger`."""
+        return self._holds.list_held(now)
+
+    def replace_inherited(
+        self,
+        service: ServiceName,
+        upstreams: Collection[IncarnationName],
+        holds: Collection[UpstreamHold],
+    ) -> None:
+        """Record all inherited grants of a service's keys.
+
+        Parameters
+        ----------
+        upstreams : collection of IncarnationName
+            Upstreams of the service.
+        holds : collection of UpstreamHold
+            Keys that they may hold as the result of inherited grants.
+        """
+        self._without_inherited.add(service)
+        self._holds.replace_inherited(upstreams, holds)
+
+    def find_inherited_end(self, service: ServiceName) -> float:
+        """Return until when grants of unknown keys may be held.
+
+        That is the end of all grants of earlier leaders, or minus infinity
+        if those of the service's keys are listed by :meth:`list_held`.
+        """
+        if service in self._without_inherited:
+            return float("-inf")
+        return self.inherited_until
+
     def prune(self, now: float) -> None:
         """Remove holds that have ended."""
         self._holds.prune(now)
--- a/tests/core/ownership/test_recovery.py
+++ b/tests/core/ownership/test_recovery.py
@@ -6,6 +6,7 @@
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import RetainedRange
 from sedgetide.core.ownership.recovery import find_first_fence
 from sedgetide.core.ownership.recovery import Recovery
 
@@ -103,3 +104,53 @@
 
     def test_no_owners_is_an_error(self):
         self.assertRaises(RuleError, self.table.restart, 90, ())
+
+    def test_retained_range_stays_with_its_holder(self):
+        # Guards against two owners of a key whose holder has not released it.
+        keys = KeyRange(100, 199)
+        retained = [RetainedRange(keys, "c")]
+        began = self.table.restart(90, {"a", "b"}, retained)
+        self.assertEqual(keys, began.find(150).keys)
+        self.assertEqual("c", began.find(150).owner)
+        self.assertEqual({91}, {each.fence for each in began.tenures})
+        self.assertEqual("a", began.find(99).owner)
+        self.assertEqual("a", began.find(200).owner)
+        self.assertNotIn("c", {began.find(key).owner for key in (0, 65535)})
+        self.assertEqual([], began.list_moving())
+
+    def test_retained_range_may_span_several(self):
+        low = self.table.tenures[0].high - 9
+        high = self.table.tenures[2].low + 9
+        keys = KeyRange(low, high)
+        began = self.table.restart(
+            90, {"a", "b", "c"}, [RetainedRange(keys, "gone")]
+        )
+        self.assertEqual(
+            [
+                (KeyRange(0, low - 1), "a"),
+                (keys, "gone"),
+                (KeyRange(high + 1, 65535), "c"),
+            ],
+            [(each.keys, each.owner) for each in began.tenures],
+        )
+
+    def test_all_keys_may_be_retained(self):
+        keys = KeyRange(0, 65535)
+        began = self.table.restart(90, {"a"}, [RetainedRange(keys, "b")])
+        self.assertEqual(
+            [(keys, "b")],
+            [(each.keys, each.owner) for each in began.tenures],
+        )
+
+    def test_retained_ranges_next_to_one_another(self):
+        retained = [
+            RetainedRange(KeyRange(10, 19), "b"),
+            RetainedRange(KeyRange(0, 9), "gone"),
+        ]
+        began = self.table.restart(90, {"a", "b", "c"}, retained)
+        self.assertEqual("gone", began.find(9).owner)
+        self.assertEqual("b", began.find(10).owner)
+        self.assertEqual("a", began.find(20).owner)
+        lows = [each.low for each in began.tenures]
+        highs = [each.high for each in began.tenures]
+        self.assertEqual([0, *(high + 1 for high in highs[:-1])], lows)
