The recovery decides by the former leader's report

The recovery knew two ways only: all known upstreams count as released, or all grants have expired; it could not say that some keys may still be held.

Recovery.decide takes the known upstreams, the report and whether it is the first start, and answers wait, ask, or grant with the ranges that stay with their holders, by the table of docs/design/released-keys.md. RecoveredTable makes the first table of it.

Tests written first: on the former code the module fails at its imports.

--- a/tests/core/ownership/test_recovery.py
+++ b/tests/core/ownership/test_recovery.py
@@ -3,50 +3,217 @@
 import testtools
 
 from sedgetide.core.errors import RuleError
+from sedgetide.core.ownership.holds import ReportedHolds
+from sedgetide.core.ownership.holds import UpstreamHold
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import RetainedRange
+from sedgetide.core.ownership.recovery import Action
+from sedgetide.core.ownership.recovery import Basis
+from sedgetide.core.ownership.recovery import Decision
 from sedgetide.core.ownership.recovery import find_first_fence
+from sedgetide.core.ownership.recovery import RecoveredTable
 from sedgetide.core.ownership.recovery import Recovery
+from sedgetide.core.ownership.recovery import WAIT
 
 BOTH = ("u-1", "u-2")
+SETTLED, EXPIRED = 102.0, 110.0
+LOW, HIGH = KeyRange(0, 99), KeyRange(100, 199)
 
 
-class TestRecovery(testtools.TestCase):
-    """All upstreams have released their keys, or all grants have expired."""
+def hold(upstream, keys, until=108.0):
+    """Return a reported hold."""
+    return UpstreamHold(upstream, keys, until)
+
+
+class RecoveryCase(testtools.TestCase):
+    """Decisions of one recovery."""
+
+    def setUp(self):
+        super().setUp()
+        self.recovery = Recovery(SETTLED, EXPIRED)
+
+    def decide(self, now, report=None, first_start=False, upstreams=BOTH):
+        return self.recovery.decide(upstreams, report, first_start, now)
+
+    def check_asked(self, names, now, report, **situation):
+        decision = self.decide(now, report, **situation)
+        self.assertEqual(Action.ASK, decision.action)
+        self.assertEqual(frozenset(names), decision.pending)
+        self.recovery.note_asked(now)
+
+    def check_granted(self, basis, now, report=None, **situation):
+        """Check that all keys but the returned ones are granted."""
+        decision = self.decide(now, report, **situation)
+        self.assertEqual(
+            (Action.GRANT, basis), (decision.action, decision.basis)
+        )
+        return decision.retained
+
+    def check_waiting(self, now, report=None, **situation):
+        self.assertEqual(WAIT, self.decide(now, report, **situation))
+
+
+class TestWithoutReport(RecoveryCase):
+    """No report of the former leader was accepted."""
+
+    def test_nobody_is_asked_and_grants_expire(self):
+        # Guards against two owners of a key: an upstream that the leader
+        # doesn't know, or doesn't reach, may hold it.
+        self.check_waiting(102.0)
+        self.recovery.note_released("u-1")
+        self.recovery.note_released("u-2")
+        self.check_waiting(109.9)
+        self.assertEqual((), self.check_granted(Basis.EXPIRED, 110.0))
+
+    def test_first_start_waits_for_all_releases(self):
+        situation = {"first_start": True}
+        self.check_asked(BOTH, 102.0, None, **situation)
+        self.recovery.note_released("u-1")
+        self.check_asked(["u-2"], 109.9, None, **situation)
+        self.recovery.note_released("u-2")
+        self.check_granted(Basis.FIRST_START, 109.9, **situation)
+
+    def test_upstream_that_comes_late_is_asked_too(self):
+        self.recovery.note_released("u-1")
+        self.check_asked(["u-2"], 103.0, None, first_start=True)
+
+    def test_nobody_is_asked_before_all_are_registered_again(self):
+        # The backup may lack an upstream that has started recently.
+        self.check_waiting(101.9, first_start=True)
+        self.check_waiting(101.9, first_start=True, upstreams=())
+
+
+class TestWithReport(RecoveryCase):
+    """The former leader has reported which keys may be held."""
 
     def setUp(self):
         super().setUp()
-        self.recovery = Recovery(settled_at=102.0, grants_expire_at=110.0)
+        self.report = ReportedHolds(
+            holds=(hold("u-1", LOW), hold("u-2", HIGH))
+        )
 
     def test_all_that_may_hold_keys_are_asked(self):
         # An upstream may have been granted keys by writes that were lost.
+        self.check_asked(BOTH, 102.0, self.report)
+        self.recovery.note_released("u-1")
+        self.check_asked(["u-2"], 102.3, self.report)
+        self.recovery.note_released("u-2")
         self.assertEqual(
-            list(BOTH), self.recovery.list_pending_releases(BOTH, 102.0)
+            (), self.check_granted(Basis.REPORT, 102.3, self.report)
         )
+
+    def test_nobody_is_asked_before_all_are_registered_again(self):
+        self.check_waiting(101.9, self.report)
+        self.check_waiting(101.9, ReportedHolds(), upstreams=())
+
+    def test_holder_that_the_leader_does_not_know_is_asked(self):
+        # Guards against two owners of a key of an upstream that has started
+        # after the backup was made and is cut off from the store.
+        report = ReportedHolds(holds=(hold("u-9", LOW),))
+        self.check_asked([*BOTH, "u-9"], 102.0, report)
+        self.recovery.note_released("u-1")
+        self.recovery.note_released("u-2")
+        retained = self.check_granted(Basis.REPORT, 102.4, report)
+        self.assertEqual((RetainedRange(LOW, "u-9"),), retained)
+
+    def test_silent_holder_keeps_what_it_may_hold(self):
+        # Guards against two owners of a key of an upstream that serves
+        # callers but is not reached by the leader.
+        self.check_asked(BOTH, 102.1, self.report)
         self.recovery.note_released("u-1")
+        self.check_asked(["u-2"], 102.4, self.report)
+        decision = self.decide(102.5, self.report)
         self.assertEqual(
-            ["u-2"], self.recovery.list_pending_releases(BOTH, 103.0)
+            Decision(
+                Action.GRANT,
+                Basis.REPORT,
+                frozenset(["u-2"]),
+                (RetainedRange(HIGH, "u-2"),),
+            ),
+            decision,
         )
-        self.assertFalse(self.recovery.is_over(BOTH, 103.0))
-        self.recovery.note_released("u-2")
-        self.assertTrue(self.recovery.is_over(BOTH, 103.0))
 
-    def test_nobody_is_asked_before_all_are_registered_again(self):
-        # The backup may lack an upstream that has started recently.
-        self.assertEqual([], self.recovery.list_pending_releases(BOTH, 101.9))
-        self.assertFalse(self.recovery.is_over((), 101.9))
+    def test_time_for_answers_begins_with_the_first_release(self):
+        # Guards against leaving out all upstreams when the store does not
+        # answer, as no release is sent then.
+        self.assertEqual(Action.ASK, self.decide(102.0, self.report).action)
+        self.check_asked(BOTH, 105.0, self.report)
+        self.check_asked(BOTH, 105.3, self.report)
+        self.check_granted(Basis.REPORT, 105.4, self.report)
 
-    def test_expiry_of_grants_suffices_without_an_answer(self):
-        self.assertFalse(self.recovery.is_over(BOTH, 109.9))
-        self.assertTrue(self.recovery.is_over(BOTH, 110.0))
-        self.assertEqual([], self.recovery.list_pending_releases(BOTH, 110.0))
+    def test_hold_that_has_ended_is_not_kept(self):
+        report = ReportedHolds(
+            holds=(hold("u-1", LOW, 102.5), hold("u-2", HIGH, 102.6))
+        )
+        self.check_asked(BOTH, 102.1, report)
+        retained = self.check_granted(Basis.REPORT, 102.5, report)
+        self.assertEqual((RetainedRange(HIGH, "u-2"),), retained)
 
-    def test_upstream_that_comes_late_is_asked_too(self):
+    def test_holds_of_one_upstream_are_joined(self):
+        report = ReportedHolds(
+            holds=(
+                hold("u-1", KeyRange(50, 150)),
+                hold("u-1", LOW),
+                hold("u-1", KeyRange(300, 310)),
+            )
+        )
+        self.check_asked(BOTH, 102.0, report)
+        self.assertEqual(
+            (
+                RetainedRange(KeyRange(0, 150), "u-1"),
+                RetainedRange(KeyRange(300, 310), "u-1"),
+            ),
+            self.check_granted(Basis.REPORT, 102.4, report),
+        )
+
+    def test_two_holders_of_a_key_are_not_believed(self):
+        # Guards against a table that takes a key from one of two upstreams
+        # that may both hold it.
+        report = ReportedHolds(
+            holds=(
+                hold("u-1", LOW, 111.0),
+                hold("u-2", HIGH, 111.0),
+                hold("u-2", KeyRange(99, 99), 111.0),
+            )
+        )
+        self.check_waiting(102.0, report)
+        self.check_waiting(109.9, report)
+        self.check_granted(Basis.EXPIRED, 110.0, report)
+
+    def test_two_holders_of_which_one_has_ended(self):
+        report = ReportedHolds(
+            holds=(hold("u-1", LOW, 105.0), hold("u-2", LOW))
+        )
+        self.check_waiting(104.9, report)
+        self.check_asked(BOTH, 105.0, report)
+
+    def test_inherited_grants_have_to_expire_first(self):
+        # Guards against two owners of a key that was granted by a leader
+        # before the one that reports: its holder is in no list.
+        report = ReportedHolds(104.0, self.report.holds)
+        self.check_waiting(103.9, report)
         self.recovery.note_released("u-1")
+        self.recovery.note_released("u-2")
+        self.check_waiting(103.9, report)
+        self.check_granted(Basis.REPORT, 104.0, report)
+
+    def test_report_that_is_refused_later_counts_no_more(self):
+        self.check_asked(BOTH, 102.0, self.report)
+        self.check_waiting(102.5)
+        self.assertEqual(Action.ASK, self.decide(103.0, self.report).action)
+
+    def test_release_counts_when_the_report_comes_later(self):
+        self.recovery.note_released("u-2")
+        self.check_waiting(102.5)
+        self.check_asked(["u-1"], 103.0, self.report)
+
+    def test_expiry_of_grants_suffices_without_an_answer(self):
+        self.check_asked(BOTH, 109.7, self.report)
+        self.check_asked(BOTH, 109.9, self.report)
         self.assertEqual(
-            ["u-2"], self.recovery.list_pending_releases(BOTH, 103.0)
+            (), self.check_granted(Basis.EXPIRED, 110.0, self.report)
         )
 
 
@@ -154,3 +321,53 @@
         lows = [each.low for each in began.tenures]
         highs = [each.high for each in began.tenures]
         self.assertEqual([0, *(high + 1 for high in highs[:-1])], lows)
+
+
+class TestRecoveredTable(testtools.TestCase):
+    """The first table, with and without upstreams that have not answered."""
+
+    def setUp(self):
+        super().setUp()
+        known = RangeTable().assign_first([("a", 1), ("b", 1)])
+        self.known = RangeTable(90, known.tenures)
+
+    def test_all_have_released(self):
+        recovered = RecoveredTable(self.known)
+        owners = [("a", 1), ("b", 1)]
+        self.assertEqual(
+            self.known.restart(90, ["a", "b"]), recovered.restart(owners)
+        )
+
+    def test_other_keys_of_a_silent_upstream_go_to_the_others(self):
+        # Guards against keys that are unavailable although nobody can hold
+        # them, since their last known owner has ended.
+        retained = (RetainedRange(KeyRange(0, 9), "a"),)
+        recovered = RecoveredTable(self.known, frozenset("a"), retained)
+        table = recovered.restart([("a", 1), ("b", 1)])
+        self.assertEqual("a", table.find(9).owner)
+        self.assertEqual("b", table.find(10).owner)
+
+    def test_release_of_a_silent_upstream_has_a_lower_fence(self):
+        # Guards against a release that is read late and ends a new grant.
+        recovered = RecoveredTable(self.known, frozenset("a"))
+        self.assertEqual(92, recovered.restart([("b", 1)]).fence)
+
+    def test_all_are_silent(self):
+        recovered = RecoveredTable(self.known, frozenset("ab"))
+        table = recovered.restart([("a", 1), ("b", 1)])
+        self.assertEqual(
+            [each.owner for each in self.known.tenures],
+            [each.owner for each in table.tenures],
+        )
+
+    def test_retained_range_without_a_known_table(self):
+        # Guards against granting a key that is held to another upstream when
+        # the backup is older than the first table.
+        retained = (RetainedRange(KeyRange(0, 9), "z"),)
+        recovered = RecoveredTable(RangeTable(90), frozenset("z"), retained)
+        table = recovered.restart([("a", 1), ("b", 1)])
+        self.assertEqual("z", table.find(9).owner)
+        self.assertEqual(
+            ["z", "a", "b"], [each.owner for each in table.tenures]
+        )
+        self.assertEqual({table.fence}, {x.fence for x in table.tenures})
