Hosts remember the last leader of each era, and earlier records

At the begin of an era a host forgot the former leader, so nobody could say whether the one that reports was the last; and a new host could not tell a restored store from a new one.

DeploymentState keeps a RecordHistory of all leader's records, removals and tables that it reads, with their era, and when the era was heard of.

--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -28,6 +28,7 @@
 from sedgetide.core.membership.evacuations import Evacuations
 from sedgetide.core.membership.lenders import LenderList
 from sedgetide.core.membership.peers import PeerList
+from sedgetide.core.ownership.formerterms import RecordHistory
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.moveprogress import MoveProgress
 from sedgetide.core.ownership.moveprogress import MovingRange
@@ -108,6 +109,11 @@
         Evacuated data centres; none are known yet if None.
     cold_tolerance : ColdTolerance or None
         Allowed excess over the rate of cold upstreams; none if None.
+
+    Attributes
+    ----------
+    records : RecordHistory
+        Eras of which records are known, and the last leader of each.
     """
 
     def __init__(
@@ -123,6 +129,7 @@
         self.tables: dict[ServiceName, KnownTable] = {}
         self._moves: dict[ServiceName, MoveProgress] = {}
         self.leader: KnownLeader | None = None
+        self.records = RecordHistory()
         self.changes = ChangeSignal()
         self.heard_at = float("-inf")
         self.hosts: int | None = None
@@ -163,6 +170,16 @@
             self._era = era
             self._era_since = now
 
+    @property
+    def era_began_at(self) -> float:
+        """When this host heard of the era; minus infinity before."""
+        return self._era_since
+
+    @property
+    def former_leader(self) -> Position:
+        """Position of the last known leader before this era."""
+        return self.records.find_former_leader(self._era)
+
     def find_reregistration_end(self) -> float:
         """Return when all live upstreams have registered in this era."""
         return self._era_since + RETURN_GRACE
@@ -320,6 +337,8 @@
         written_at = Position(key.era, position.revision)
         if key.is_leader and current:
             self._apply_leader(value, written_at)
+        elif key.is_leader and value is not None:
+            self.records.note_leader(written_at)
         elif key.is_quarantine:
             self._apply_quarantine(value, written_at, current, now)
         elif key.service is not None and value is not None:
@@ -328,6 +347,7 @@
             self.update_table(key.service, table, written_at, now)
 
     def _apply_leader(self, value: bytes | None, position: Position) -> None:
+        self.records.note_leader(position)
         if self.leader is not None and position < self.leader.position:
             # Older than the record that another host has read.
             return
@@ -350,6 +370,7 @@
         bool
             Whether it is newer than everything that this host has read.
         """
+        self.records.note_leader(position)
         known = self.leader
         newest = (
             self.as_of if known is None else max(self.as_of, known.position)
@@ -383,6 +404,7 @@
         now: float,
     ) -> None:
         """Update a service's table of owners, unless a newer one is known."""
+        self.records.note_era(position.era)
         known = self.tables.get(service)
         if known is not None and known.position >= position:
             return
--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -103,6 +103,73 @@
         self.list_items(1)
         self.assertEqual(11.3, self.deployment.find_reregistration_end())
 
+    def test_new_host_hears_of_the_era_with_its_first_listing(self):
+        self.list_items(6)
+        self.assertEqual(10.0, self.deployment.era_began_at)
+        self.deployment.note_era(7, 15.0)
+        self.assertEqual(15.0, self.deployment.era_began_at)
+
+
+class TestRecordsOfEarlierEras(testtools.TestCase):
+    """What tells a restore from a first start, and the last leader."""
+
+    def setUp(self):
+        super().setUp()
+        self.deployment = DeploymentState(FakeRegistry())
+
+    def list_items(self, era, *items):
+        position = Position(era, 100)
+        self.deployment.apply_listing(Listing(list(items), position), 10.0)
+        self.deployment.record_sync(position, 10.0)
+
+    def has_earlier(self, era):
+        return self.deployment.records.has_earlier(era)
+
+    def test_nothing_at_the_first_start(self):
+        self.list_items(6)
+        self.assertFalse(self.has_earlier(6))
+        self.assertEqual(NO_POSITION, self.deployment.former_leader)
+
+    def test_former_leader_is_kept_when_an_era_begins(self):
+        # Guards against using a report of a leader that had been replaced.
+        self.list_items(0, Item(make_leader_key(0), Position(0, 5), LEADER))
+        self.assertEqual(NO_POSITION, self.deployment.former_leader)
+        self.deployment.note_era(1, 11.0)
+        self.assertEqual(Position(0, 5), self.deployment.former_leader)
+        self.list_items(1, Item(make_leader_key(1), Position(1, 3), LEADER))
+        self.assertEqual(Position(0, 5), self.deployment.former_leader)
+        self.assertTrue(self.has_earlier(1))
+
+    def test_removed_record_counts_as_one_of_a_later_leader(self):
+        # Guards against a leader of which only the end is seen in a listing.
+        self.list_items(0, Item(make_leader_key(0), Position(0, 5), LEADER))
+        gone = Item(make_leader_key(0), Position(0, 102), None)
+        self.deployment.apply_items([gone], 11.0)
+        self.deployment.note_era(1, 12.0)
+        self.assertEqual(Position(0, 102), self.deployment.former_leader)
+
+    def test_former_leader_of_a_notice(self):
+        self.list_items(0)
+        record = LeaderRecord("h-2", "y", "1.1.1.2:1")
+        self.deployment.note_leader(record, Position(0, 120))
+        self.deployment.note_era(1, 12.0)
+        self.assertEqual(Position(0, 120), self.deployment.former_leader)
+
+    def test_backup_shows_the_leader_to_a_host_that_starts(self):
+        # Guards against taking a restore for the first start.
+        self.list_items(1, Item(make_leader_key(0), Position(1, 5), LEADER))
+        self.assertTrue(self.has_earlier(1))
+        self.assertEqual(Position(0, 5), self.deployment.former_leader)
+
+    def test_backup_shows_a_table_to_a_host_that_starts(self):
+        self.list_items(1, make_table(0, OLD, 1, 20))
+        self.assertTrue(self.has_earlier(1))
+
+    def test_former_table_is_remembered_after_the_first_of_the_era(self):
+        self.list_items(1, make_table(0, OLD, 1, 20))
+        self.deployment.update_table(SERVICE, FIRST, Position(1, 110), 11.0)
+        self.assertTrue(self.has_earlier(1))
+
 
 class TestLeaderNotice(testtools.TestCase):
     """Leader's record that another host has read."""
