Link message for the holds of a former leader

Hosts of the earlier version refuse a whole envelope with an unknown tag: they log 'message refused' and keep the link, but lose the messages sent with it. Measured with its decoder: a holds report gives "Invalid value 'holds'", also with a load report beside it; a load report with the new field is read. So the transport sends HoldsReport in an envelope of its own. A hold takes 48 bytes: 7,200 holds (24 ranges for each of 300 upstreams) are 346 kB, below the limit of 1.25 MB.

Tests written first: both new ones of test_transport failed on the former transport; now tests/links passes.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -1,5 +1,7 @@
 """Messages between sedgetide processes, encoded as MessagePack."""
 
+from typing import ClassVar
+
 import msgspec
 
 from sedgetide.backends.leasestore import Item
@@ -14,6 +16,7 @@
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import Key
 from sedgetide.core.identifiers import OperationId
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.identifiers import Revision
@@ -40,7 +43,16 @@
 
 
 class Message(msgspec.Struct, array_like=True, tag_field="kind"):
-    """Base class of all messages; the tag identifies the type on the wire."""
+    """Base class of all messages; the tag identifies the type on the wire.
+
+    Attributes
+    ----------
+    separate : bool
+        Whether the message is sent without others. Hosts of a version that
+        doesn't know its tag refuse all messages that are sent with it.
+    """
+
+    separate: ClassVar[bool] = False
 
 
 class Status(msgspec.Struct, array_like=True, frozen=True):
@@ -228,6 +240,8 @@
         Asks the receiver for a leader elected after this position; None if
         the host is in contact with the store or the leader. Hosts of earlier
         versions ignore it.
+    former_leader : Position
+        Last leader before this era of the store that the host knows.
     """
 
     keys: list[KeyWork]
@@ -237,6 +251,65 @@
     leaving: list[IncarnationName] = []
     limits: dict[IncarnationName, float] = {}
     leader: Position | None = None
+    former_leader: Position = NO_POSITION
+
+
+class HeldKeys(msgspec.Struct, frozen=True, array_like=True):
+    """Keys that an upstream may hold.
+
+    Parameters
+    ----------
+    upstream : IncarnationName
+        Upstream that may hold them.
+    low, high : Key
+        First and last key.
+    seconds : float
+        Seconds until it certainly holds none of them.
+    """
+
+    upstream: IncarnationName
+    low: Key
+    high: Key
+    seconds: float
+
+
+class ServiceHolds(msgspec.Struct, frozen=True, array_like=True):
+    """Keys of a service that upstreams may hold, as a former leader knows it.
+
+    Parameters
+    ----------
+    inherited : float
+        Seconds for which any keys may be held as the result of grants of
+        leaders before it; zero if none.
+    holds : list of HeldKeys
+        Keys that may be held as the result of its own grants.
+    """
+
+    inherited: float
+    holds: list[HeldKeys]
+
+
+class HoldsReport(Message, tag="holds"):
+    """Report of a leader of the former era to the leader of the new one.
+
+    Sent after the sender's term has ended. All times count from the send.
+
+    Parameters
+    ----------
+    term : Position
+        Position of the sender's record in the former era.
+    known_leader : Position
+        Position of the last leader of that era that the sender knows.
+    services : dict
+        Keyed services of which the sender had a table in that era. Several
+        messages may report services of the same term.
+    """
+
+    separate: ClassVar[bool] = True
+
+    term: Position
+    known_leader: Position
+    services: dict[ServiceName, ServiceHolds]
 
 
 class LeaderNotice(Message, tag="leader"):
@@ -549,6 +622,7 @@
     | Response
     | Cancel
     | LoadReport
+    | HoldsReport
     | LeaderNotice
     | Moved
     | StoreFeed
--- a/sedgetide/links/_transport.py
+++ b/sedgetide/links/_transport.py
@@ -38,12 +38,16 @@
 def _batch(
     messages: list[Message], body_limit: int
 ) -> Iterator[list[Message]]:
-    """Group messages so that the bodies of no group exceed the limit."""
+    """Group messages to be sent together.
+
+    The bodies of no group exceed the limit, and separate messages are alone.
+    """
     group: list[Message] = []
     size = 0
     for message in messages:
         body = len(getattr(message, "body", b""))
-        if group and size + body > body_limit:
+        alone = message.separate or (group and group[-1].separate)
+        if group and (alone or size + body > body_limit):
             yield group
             group, size = [], 0
         group.append(message)
--- a/tests/links/test_transport.py
+++ b/tests/links/test_transport.py
@@ -5,7 +5,12 @@
 import testtools
 
 from sedgetide.coding.messages import Cancel
+from sedgetide.coding.messages import encode_envelope
+from sedgetide.coding.messages import Envelope
+from sedgetide.coding.messages import HoldsReport
+from sedgetide.coding.messages import Message
 from sedgetide.coding.messages import Response
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import RequestId
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.links import Transport
@@ -68,6 +73,38 @@
             self.assertEqual(str(number), message.number)
             self.assertEqual(BODY_LIMIT, len(message.body))
 
+    def test_message_of_a_new_kind_goes_alone(self):
+        # Guards against a host of an older version that refuses messages it
+        # knows, since one it doesn't know is among them.
+        one, _, _ = self.make_transport()
+        two, received, _ = self.make_transport()
+        two.start()
+        report = HoldsReport(Position(1, 2), Position(1, 2), {})
+        messages = [Cancel(RequestId("1")), report, Cancel(RequestId("2"))]
+        for message in messages:
+            one.send(two.address, message)
+        for message in messages:
+            self.assertEqual(message, received.get(timeout=TIMEOUT)[0])
+        size = sum(
+            len(encode_envelope(Envelope(one.address, [each])))
+            for each in messages
+        )
+        self.assertEqual(size, two.traffic.received_bytes)
+
+    def test_unknown_message_does_not_end_the_link(self):
+        # Guards against a link that is lost, or a process that exits, when
+        # hosts of a later version send a message of a new kind.
+        class Unknown(Message, tag="unknown"):
+            separate = True
+
+        one, _, _ = self.make_transport()
+        two, received, _ = self.make_transport()
+        two.start()
+        one.send(two.address, Unknown())
+        one.send(two.address, Cancel(RequestId("1")))
+        message, _ = received.get(timeout=TIMEOUT)
+        self.assertEqual(Cancel(RequestId("1")), message)
+
     def test_redial_reports_what_was_not_handed_over(self):
         # A queued request was never sent, so it is known not to have run.
         one, _, dropped = self.make_transport()
