--- a/sedgetide/core/ownership/formerterms.py
+++ b/sedgetide/core/ownership/formerterms.py
@@ -30,6 +30,8 @@
         The record of a later leader may have been removed before this host
         read it, so a removal counts as the election of one.
         """
+        if position == NO_POSITION:
+            return
         self.note_era(position.era)
         known = self._leaders.get(position.era, NO_POSITION)
         self._leaders[position.era] = max(known, position)
@@ -100,8 +102,7 @@
         it has.
         """
         self._history.note_leader(report.term)
-        if report.known_leader != NO_POSITION:
-            self._history.note_leader(report.known_leader)
+        self._history.note_leader(report.known_leader)
         known = self._report
         if known is not None and report.term < known.term:
             return
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -170,6 +170,11 @@
             self._era = era
             self._era_since = now
 
+    @property
+    def era(self) -> Era:
+        """Newest era of the store that this host has heard of."""
+        return self._era
+
     @property
     def era_began_at(self) -> float:
         """When this host heard of the era; minus infinity before."""
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -361,16 +361,19 @@
         "recovering",
         logging.WARNING,
         "The store was restored from a copy. Keys of a service are granted "
-        "only after all upstreams have released theirs, or after "
-        "most_seconds.",
+        "only once the former leader has reported which may be held and "
+        "upstreams have released theirs, or after most_seconds.",
         ("service", "era", "most_seconds"),
     )
     RECOVERED = Definition(
         "recovered",
         logging.INFO,
         "Keys of a service are granted again. released: number of upstreams "
-        "that have released theirs.",
-        ("service", "era", "released"),
+        "that have released theirs; silent: of those that were asked and "
+        "have not; retained: number of ranges that stay with these. basis: "
+        "report of the former leader, first-start of the deployment, or "
+        "expired, when no grant of an earlier era can be held any more.",
+        ("service", "era", "released", "silent", "retained", "basis"),
     )
     TABLES_UNREAD = Definition(
         "tables-unread",
@@ -482,6 +485,22 @@
             "age_ms",
         ),
     )
+    HOLDS_REPORTED = Definition(
+        "holds-reported",
+        logging.INFO,
+        "The former leader reports to the leader of a new era of the store "
+        "which keys upstreams may hold, logged once by each of the two. "
+        "term: of the former leader; holds: number of ranges; inherited: "
+        "seconds for which other keys may be held as well.",
+        ("term", "sender", "receiver", "services", "holds", "inherited"),
+    )
+    HOLDS_REFUSED = Definition(
+        "holds-refused",
+        logging.WARNING,
+        "A report of held keys is not used or not sent. Without one, keys "
+        "are granted again once all earlier grants have expired.",
+        ("term", "sender", "problem"),
+    )
 
 
 _FIELDS = {event: frozenset(event.value.fields) for event in Event}
