--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -361,8 +361,8 @@
         "recovering",
         logging.WARNING,
         "The store was restored from a copy. Keys of a service are granted "
-        "only after all upstreams have released theirs, or after "
-        "most_seconds.",
+        "only once the former leader has reported which may be held and "
+        "upstreams have released theirs, or after most_seconds.",
         ("service", "era", "most_seconds"),
     )
     RECOVERED = Definition(
@@ -370,10 +370,13 @@
         logging.INFO,
         "Keys of a service are granted again. released: number of upstreams "
         "that have released theirs, of which answered, other_instance and "
-        "refused give the number by proof. left_out: upstreams that were not "
-        "asked, because the registry shows another one at their address. "
+        "refused give the number by proof; silent: of those that were asked "
+        "and have not; retained: number of ranges that stay with these; "
         "unreleased: upstreams that gave no proof before all earlier grants "
-        "had expired.",
+        "had expired; left_out: upstreams that were not asked, because the "
+        "registry shows another one at their address. basis: report of the "
+        "former leader, first-start of the deployment, or expired, when no "
+        "grant of an earlier era can be held any more.",
         (
             "service",
             "era",
@@ -381,8 +384,11 @@
             "answered",
             "other_instance",
             "refused",
-            "left_out",
+            "silent",
+            "retained",
             "unreleased",
+            "left_out",
+            "basis",
             "seconds",
         ),
     )
@@ -529,6 +535,22 @@
         "upstream-released.",
         ("service", "term", "ranges"),
     )
+    HOLDS_REPORTED = Definition(
+        "holds-reported",
+        logging.INFO,
+        "The former leader reports to the leader of a new era of the store "
+        "which keys upstreams may hold, logged once by each of the two. "
+        "term: of the former leader; holds: number of ranges; inherited: "
+        "seconds for which other keys may be held as well.",
+        ("term", "sender", "receiver", "services", "holds", "inherited"),
+    )
+    HOLDS_REFUSED = Definition(
+        "holds-refused",
+        logging.WARNING,
+        "A report of held keys is not used or not sent. Without one, keys "
+        "are granted again once all earlier grants have expired.",
+        ("term", "sender", "problem"),
+    )
 
 
 _FIELDS = {event: frozenset(event.value.fields) for event in Event}
