--- a/sedgetide/testing/losses.py
+++ b/sedgetide/testing/losses.py
@@ -22,6 +22,7 @@
 from sedgetide.platform import _names
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import HOST
+from sedgetide.testing.soakfleet import SoakHost
 from sedgetide.testing.soakfleet import SoakUpstream
 from sedgetide.wire.client import Connection
 from sedgetide.wire.messages import Request
@@ -84,21 +85,26 @@
 
     def _request(self, number: str, key: int) -> bool:
         host = self._random.choice(self._fleet.hosts)
-        headers = [
-            ("Host", HOST),
-            (_names.REQUEST_ID, number),
-            (_names.DEADLINE_MS, _DEADLINE_MS),
-            (_names.SHARD_KEY, str(key)),
-        ]
-        connection = Connection(host.front.address, 1 << 20)
-        try:
-            connection.open(0.5)
-            request = Request("GET", "/map/x", headers, b"")
-            return connection.exchange(request, 1.0).status == 200
-        except UpstreamError:
-            return False
-        finally:
-            connection.close()
+        return request_key(host, number, key)
+
+
+def request_key(host: SoakHost, number: str, key: int) -> bool:
+    """Send a request for a key to a host; return whether it was served."""
+    headers = [
+        ("Host", HOST),
+        (_names.REQUEST_ID, number),
+        (_names.DEADLINE_MS, _DEADLINE_MS),
+        (_names.SHARD_KEY, str(key)),
+    ]
+    connection = Connection(host.front.address, 1 << 20)
+    try:
+        connection.open(0.5)
+        request = Request("GET", "/map/x", headers, b"")
+        return connection.exchange(request, 1.0).status == 200
+    except UpstreamError:
+        return False
+    finally:
+        connection.close()
 
 
 def measure_losses(count: int, seed: int, folder: pathlib.Path) -> list[float]:
