--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -369,25 +369,19 @@
         "recovered",
         logging.INFO,
         "Keys of a service are granted again. released: number of upstreams "
-        "that have released theirs, of which answered, other_instance and "
-        "refused give the number by proof; silent: of those that were asked "
-        "and have not; retained: number of ranges that stay with these; "
-        "unreleased: upstreams that gave no proof before all earlier grants "
-        "had expired; left_out: upstreams that were not asked, because the "
-        "registry shows another one at their address. basis: report of the "
-        "former leader, first-start of the deployment, or expired, when no "
-        "grant of an earlier era can be held any more.",
+        "that have released theirs, of which answered and other_instance give "
+        "the number by proof; silent: of those that have not; retained: "
+        "number of ranges that stay with these. basis: report of the former "
+        "leader, first-start of the deployment, or expired, when no grant of "
+        "an earlier era can be held any more.",
         (
             "service",
             "era",
             "released",
             "answered",
             "other_instance",
-            "refused",
             "silent",
             "retained",
-            "unreleased",
-            "left_out",
             "basis",
             "seconds",
         ),
@@ -520,9 +514,8 @@
         logging.INFO,
         "After a restore of the store, an upstream counts as holding no keys "
         "granted in an earlier era. proof=answered: it answered a release of "
-        "all keys; other-instance: another upstream answered at its address; "
-        "refused: its address refused a connection. seconds: time since the "
-        "recovery began.",
+        "all keys; other-instance: another upstream answered at its address. "
+        "seconds: time since the recovery began.",
         ("service", "era", "upstream", "address", "proof", "seconds"),
     )
     GRANTING = Definition(
