Orders arrive in time, or not at all

The leaders after one that is frozen or killed wait for order_timeout (0.6 s) in which its last order may still arrive. A host that is frozen resets nothing, and after a kill the kernel goes on by itself: TCP_USER_TIMEOUT was 1.5 s, so that an order arrived up to 1.66 s after its send when a cut path healed. A host that was paused between the decision (prepare, may_send) and the send sent the order when it woke up, however late.

Ruled out: a plain user timeout of 0.6 s. Linux counts it only from the first retransmission on, which follows a loss probe; the order arrived 0.86 s after the send and the connection ended after 1.02 s.

Change: orders have a DeliveryLimit: all bytes leave within 0.1 s of the decision, or the order is prepared again; the kernel's limit is what is left of the other 0.5 s after two retransmission timeouts; SO_LINGER is 0 until the answer. Then both options are restored, so that idle connections live through what they did before. A connection that the limit ends counts as silent, not as closed by the upstream, so it raises no fence. Requests are as before.

--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -98,8 +98,9 @@
     margin : float
         Added to each wait to allow for timer granularity.
     order_timeout : float
-        Longest time between sending a grant and its arrival. After this
-        time the connection has been reset and the grant withdrawn.
+        Longest time between the decision to send a grant and its arrival.
+        After this time the connection has been reset and the grant
+        withdrawn, even if the sender is paused or has ended.
     """
 
     lease: float = 2.0
--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -21,6 +21,7 @@
 from sedgetide.runtime.events import log_event
 from sedgetide.wire.client import Connection
 from sedgetide.wire.client import ConnectionPool
+from sedgetide.wire.delivery import DeliveryLimit
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
 
@@ -30,6 +31,10 @@
 _RESET_WAIT = 0.003
 # Seconds; no upstream process restarts within this time.
 _MIN_RESTART_TIME = 0.1
+# Seconds between the decision to send an order and its send. Longer pauses
+# are rare, and an order from before one is prepared again.
+_MAX_SEND_DELAY = 0.1
+_MAX_PREPARATIONS = 3
 _OK = 200
 IGNORED_PATH = IgnoredPath()
 
@@ -82,6 +87,13 @@
     detail: str = ""
 
 
+class _PreparedOrder(msgspec.Struct, frozen=True):
+    """An order, and when it was decided that it may be sent."""
+
+    request: OrderRequest
+    decided_at: float
+
+
 class OrderClient:
     """Sends orders to one upstream.
 
@@ -166,16 +178,19 @@
             State returned by the previous owner.
         prepare : callable
             Called right before the send, with the connection open. Returns
-            the life of the grant, or None to cancel it.
+            the life of the grant, or None to cancel it. Called again if this
+            process is paused before the send.
         """
 
-        def make_order() -> OrderRequest | None:
+        def make_order() -> _PreparedOrder | None:
             life = prepare()
             if life is None:
                 return None
-            return self._dialect.make_grant(
+            decided_at = read_clock()
+            request = self._dialect.make_grant(
                 self.upstream, keys, fence, life, handover
             )
+            return _PreparedOrder(request, decided_at)
 
         result = self._send(make_order)
         self._log("grant", keys, fence, result)
@@ -197,13 +212,16 @@
             Fencing token of the release.
         may_send : callable
             Called right before the send, with the connection open. Returns
-            whether the order may still be sent.
+            whether the order may still be sent. Called again if this process
+            is paused before the send.
         """
 
-        def make_order() -> OrderRequest | None:
+        def make_order() -> _PreparedOrder | None:
             if not may_send():
                 return None
-            return self._dialect.make_release(self.upstream, keys, fence)
+            decided_at = read_clock()
+            request = self._dialect.make_release(self.upstream, keys, fence)
+            return _PreparedOrder(request, decided_at)
 
         result = self._send(make_order, _RELEASE_TIMEOUT)
         self._log("release", keys, fence, result)
@@ -228,7 +246,7 @@
 
     def _send(
         self,
-        make_order: Callable[[], OrderRequest | None],
+        make_order: Callable[[], _PreparedOrder | None],
         timeout: float | None = None,
     ) -> OrderResult:
         try:
@@ -318,36 +336,60 @@
     def _send_on(
         self,
         connection: Connection,
-        make_order: Callable[[], OrderRequest | None],
+        make_order: Callable[[], _PreparedOrder | None],
+        timeout: float | None,
+    ) -> OrderResult:
+        for _ in range(_MAX_PREPARATIONS):
+            order = make_order()
+            if order is None:
+                break
+            try:
+                return self._exchange(connection, order, timeout)
+            except UpstreamError as error:
+                if error.code is not ErrorCode.TOO_LATE:
+                    return self._note_failure(connection, error)
+                if not connection.is_open:
+                    # A part was sent; no upstream carries out a part.
+                    self._note_closed(connection)
+                    break
+        self._pool.give_back(connection)
+        return OrderResult(OrderOutcome.UNSENT)
+
+    def _exchange(
+        self,
+        connection: Connection,
+        order: _PreparedOrder,
         timeout: float | None,
     ) -> OrderResult:
-        order = make_order()
-        if order is None:
-            self._pool.give_back(connection)
-            return OrderResult(OrderOutcome.UNSENT)
         request = Request(
             "POST",
-            order.path,
-            [("Host", self.address), *order.headers],
-            order.body,
+            order.request.path,
+            [("Host", self.address), *order.request.headers],
+            order.request.body,
+        )
+        answer = connection.exchange(
+            request,
+            timeout or self._grant_timeout,
+            delivery=DeliveryLimit(
+                order.decided_at + _MAX_SEND_DELAY,
+                self._grant_timeout - _MAX_SEND_DELAY,
+            ),
         )
-        sent_at = read_clock()
-        try:
-            answer = connection.exchange(
-                request, timeout or self._grant_timeout
-            )
-        except UpstreamError as error:
-            if error.code is ErrorCode.UPSTREAM_SILENT:
-                self._path.note_silence()
-            else:
-                self._note_closed(connection)
-            return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
         self._path.note_answer()
         self._pool.give_back(connection)
         if not connection.is_open:
-            self._reconnect(connection, sent_at)
+            self._reconnect(connection, order.decided_at)
         return self._read_result(answer)
 
+    def _note_failure(
+        self, connection: Connection, error: UpstreamError
+    ) -> OrderResult:
+        if error.code is ErrorCode.UPSTREAM_SILENT:
+            self._path.note_silence()
+        else:
+            self._note_closed(connection)
+        return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
+
     def _read_result(self, answer: Answer) -> OrderResult:
         if answer.status == _OK:
             handover = self._dialect.read_handover(answer.headers)
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import contextlib
 import select
-import struct
 import time
 
 import gevent
@@ -15,6 +14,10 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
+from sedgetide.wire.delivery import DeliveryLimit
+from sedgetide.wire.delivery import lift_limit
+from sedgetide.wire.delivery import SendOverdue
+from sedgetide.wire.delivery import set_reset_on_close
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import decode_headers
 from sedgetide.wire.messages import encode_headers
@@ -35,7 +38,7 @@
 _IDLE_TIMEOUT_FRACTION = 0.9
 # This many responses to other requests are not just late duplicates.
 _MAX_ANSWERS_READ = 3
-_LINGER_RESET = struct.pack("ii", 1, 0)
+_BAD = ErrorCode.BAD_ANSWER
 
 AnswerFilter = Callable[[Headers], bool]
 
@@ -174,6 +177,7 @@
         request: Request,
         timeout: float,
         is_own_answer: AnswerFilter = _accept_any,
+        delivery: DeliveryLimit | None = None,
     ) -> Answer:
         """Send a request and read its complete response.
 
@@ -186,19 +190,35 @@
         is_own_answer : callable
             Returns whether a response belongs to this request, given its
             headers. Other responses are skipped.
+        delivery : DeliveryLimit or None
+            Limit for a request that must not arrive late.
 
         Raises
         ------
         UpstreamError
             With ``sent`` true; the connection is closed, because a late
             response on it would be taken for that of the next request.
+            With ``sent`` false and code TOO_LATE, if the request was not
+            sent by its limit; the connection stays open if nothing of it
+            was sent.
         """
         whole = False
         try:
             with gevent.Timeout(timeout) as timer:
-                answer = self._exchange(request, is_own_answer)
+                answer = self._exchange(request, is_own_answer, delivery)
             whole = True
             return answer
+        except SendOverdue as error:
+            whole = not error.begun
+            if whole:
+                lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
+            raise UpstreamError(
+                ErrorCode.TOO_LATE,
+                Step.SEND,
+                self.address,
+                str(error),
+                sent=False,
+            ) from error
         except gevent.Timeout as error:
             if error is not timer:
                 raise
@@ -207,7 +227,10 @@
             ) from error
         except (OSError, h11.ProtocolError, ValueError) as error:
             detail = f"{type(error).__name__}: {error}"
-            raise self._make_error(ErrorCode.BAD_ANSWER, detail) from error
+            # The kernel ends the connection when the limit is over.
+            silent = delivery is not None and isinstance(error, TimeoutError)
+            code = ErrorCode.UPSTREAM_SILENT if silent else _BAD
+            raise self._make_error(code, detail) from error
         finally:
             if not whole:
                 self.abort()
@@ -218,14 +241,23 @@
         )
 
     def _exchange(
-        self, request: Request, is_own_answer: AnswerFilter
+        self,
+        request: Request,
+        is_own_answer: AnswerFilter,
+        delivery: DeliveryLimit | None,
     ) -> Answer:
         data, parser = _format_request(request)
-        self._socket.sendall(data)
+        if delivery is None:
+            self._socket.sendall(data)
+        else:
+            delivery.apply(self._socket)
+            delivery.send(self._socket, data)
         for _ in range(_MAX_ANSWERS_READ):
             answer = self._read_answer(parser)
             rest, ended = parser.trailing_data
             if is_own_answer(answer.headers):
+                if delivery is not None:
+                    lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
                 self._finish(answer, parser, rest, ended)
                 return answer
             # A duplicate of an earlier response arrives where the response
@@ -299,9 +331,7 @@
         """
         if self._socket is not None:
             with contextlib.suppress(OSError):
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                )
+                set_reset_on_close(self._socket)
         self.close()
 
     def close(self) -> None:
