An answer to another order counts for none

What callers saw: nothing known; two owners of a key are possible. An upstream may send an extra answer late, where that to the next order is expected. The 200 to a grant, sent again, was taken for the answer to a release, so that the next upstream got keys that the first still held, or still worked on.

Change: each order has an id of its own in the header that the upstream echoes. An answer with another id is skipped, and one without an id too, unless it is the first on its connection, where nothing can be late. Where an upstream echoes no ids, releases go to new connections, and a grant counts as arriving as late as the limit of its delivery allows: the answer may be to an earlier one.

The cost of an id wasn't measured.

--- a/sedgetide/backends/dialects.py
+++ b/sedgetide/backends/dialects.py
@@ -152,6 +152,11 @@
 class OrderDialect(abc.ABC):
     """Orders that grant keys to an upstream or release them."""
 
+    @property
+    @abc.abstractmethod
+    def id_header(self) -> str:
+        """Header with an order's id, which the upstream echoes."""
+
     @abc.abstractmethod
     def make_grant(
         self,
--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import enum
+import uuid
 import weakref
 
 import msgspec
@@ -23,6 +24,8 @@
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.delivery import DeliveryLimit
 from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Headers
 from sedgetide.wire.messages import Request
 
 _ANSWER_BYTES = 64 * 1024
@@ -80,11 +83,15 @@
         next owner with its grant.
     detail : str
         Human-readable error message.
+    identified : bool
+        Whether the answer is certainly that to this order. If not, the order
+        may still arrive, until the limit of its delivery.
     """
 
     taken: OrderOutcome
     handover: str = ""
     detail: str = ""
+    identified: bool = True
 
 
 class _PreparedOrder(msgspec.Struct, frozen=True):
@@ -108,6 +115,13 @@
     before its successor accepts one. So once a new connection is open, this
     host can tell whether it leads to a restarted process.
 
+    An upstream may send an extra answer late, where that to the next order
+    is expected. Each order has an id, which the upstream echoes; answers with
+    another one are skipped, and those without one too if the upstream echoes
+    ids. The first answer on a connection can't be an extra one. So a release
+    goes to a new connection if the upstream echoes no ids, while its grants
+    count as delivered only at their limit.
+
     Parameters
     ----------
     upstream : UpstreamName
@@ -148,6 +162,7 @@
         self._opened: weakref.WeakKeyDictionary[Connection, int] = (
             weakref.WeakKeyDictionary()
         )
+        self._echoes_ids = True
         self.session = 0
 
     def connect(self) -> bool:
@@ -223,7 +238,7 @@
             request = self._dialect.make_release(self.upstream, keys, fence)
             return _PreparedOrder(request, decided_at)
 
-        result = self._send(make_order, _RELEASE_TIMEOUT)
+        result = self._send(make_order, _RELEASE_TIMEOUT, certain=True)
         self._log("release", keys, fence, result)
         return result
 
@@ -248,22 +263,37 @@
         self,
         make_order: Callable[[], _PreparedOrder | None],
         timeout: float | None = None,
+        certain: bool = False,
     ) -> OrderResult:
+        """Send an order.
+
+        Parameters
+        ----------
+        certain : bool
+            Whether only an answer counts that is certainly to this order.
+        """
         try:
-            connection = self._take()
+            connection = self._take(fresh=certain and not self._echoes_ids)
         except UpstreamError as error:
             return OrderResult(OrderOutcome.UNSENT, detail=error.detail)
         self._in_use.add(connection)
         try:
-            return self._send_on(connection, make_order, timeout)
+            return self._send_on(connection, make_order, timeout, certain)
         finally:
             self._in_use.discard(connection)
 
-    def _take(self) -> Connection:
-        """Return a connection and update the session count."""
+    def _take(self, fresh: bool = False) -> Connection:
+        """Return a connection and update the session count.
+
+        Parameters
+        ----------
+        fresh : bool
+            Whether it has to be a new one.
+        """
         kept = self._pool.has_idle
+        take = self._pool.open if fresh else self._pool.take
         try:
-            connection = self._pool.take(_CONNECT_TIMEOUT)
+            connection = take(_CONNECT_TIMEOUT)
         except UpstreamError as error:
             # An accepted connection that is reset only shows that the
             # upstream is at its connection limit.
@@ -338,13 +368,14 @@
         connection: Connection,
         make_order: Callable[[], _PreparedOrder | None],
         timeout: float | None,
+        certain: bool,
     ) -> OrderResult:
         for _ in range(_MAX_PREPARATIONS):
             order = make_order()
             if order is None:
                 break
             try:
-                return self._exchange(connection, order, timeout)
+                return self._exchange(connection, order, timeout, certain)
             except UpstreamError as error:
                 if error.code is not ErrorCode.TOO_LATE:
                     return self._note_failure(connection, error)
@@ -360,26 +391,49 @@
         connection: Connection,
         order: _PreparedOrder,
         timeout: float | None,
+        certain: bool,
     ) -> OrderResult:
-        request = Request(
-            "POST",
-            order.request.path,
-            [("Host", self.address), *order.request.headers],
-            order.request.body,
-        )
+        number = uuid.uuid4().hex
+        is_first = not connection.answered
+        may_be_unnamed = is_first or not (certain or self._echoes_ids)
+
+        def is_own_answer(headers: Headers) -> bool:
+            found = self._read_id(headers)
+            return may_be_unnamed if found is None else found == number
+
         answer = connection.exchange(
-            request,
+            Request(
+                "POST",
+                order.request.path,
+                [
+                    ("Host", self.address),
+                    (self._dialect.id_header, number),
+                    *order.request.headers,
+                ],
+                order.request.body,
+            ),
             timeout or self._grant_timeout,
-            delivery=DeliveryLimit(
+            is_own_answer,
+            DeliveryLimit(
                 order.decided_at + _MAX_SEND_DELAY,
                 self._grant_timeout - _MAX_SEND_DELAY,
             ),
         )
+        self._echoes_ids = self._read_id(answer.headers) is not None
+        identified = self._echoes_ids or is_first
+        if identified:
+            connection.lift_delivery_limit()
         self._path.note_answer()
         self._pool.give_back(connection)
         if not connection.is_open:
             self._reconnect(connection, order.decided_at)
-        return self._read_result(answer)
+        elif certain and not self._echoes_ids:
+            # Each release adds a connection.
+            self._pool.drop_older(connection.opened_at)
+        return self._read_result(answer, identified)
+
+    def _read_id(self, headers: Headers) -> str | None:
+        return find_header(headers, self._dialect.id_header.lower())
 
     def _note_failure(
         self, connection: Connection, error: UpstreamError
@@ -390,18 +444,20 @@
             self._note_closed(connection)
         return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
 
-    def _read_result(self, answer: Answer) -> OrderResult:
+    def _read_result(self, answer: Answer, identified: bool) -> OrderResult:
+        handover = detail = ""
         if answer.status == _OK:
+            taken = OrderOutcome.DONE
             handover = self._dialect.read_handover(answer.headers)
-            return OrderResult(OrderOutcome.DONE, handover)
-        if self._dialect.is_fenced(answer.status):
-            return OrderResult(OrderOutcome.FENCED)
-        if self._dialect.is_misdirected(answer.status):
-            return OrderResult(OrderOutcome.FOREIGN)
-        # No other status proves whether the order was carried out.
-        return OrderResult(
-            OrderOutcome.UNKNOWN, detail=f"status {answer.status}"
-        )
+        elif self._dialect.is_fenced(answer.status):
+            taken = OrderOutcome.FENCED
+        elif self._dialect.is_misdirected(answer.status):
+            taken = OrderOutcome.FOREIGN
+        else:
+            # No other status proves whether the order was carried out.
+            taken = OrderOutcome.UNKNOWN
+            detail = f"status {answer.status}"
+        return OrderResult(taken, handover, detail, identified)
 
     def close(self) -> None:
         """Close all connections."""
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -413,14 +413,16 @@
             grants.append(grant)
             return grant.life
 
+        delivered = True
         try:
             result = client.grant(tenure.keys, tenure.fence, handover, prepare)
+            delivered = result.identified
             if result.taken is OrderOutcome.FOREIGN:
                 self._deployment.directory.note_foreign(upstream, read_clock())
             return OrderOutcome.RESTARTED if restarted else result.taken
         finally:
             # It was answered or aborted, so it can't arrive after now.
-            for grant in grants:
+            for grant in grants if delivered else ():
                 self.term.note_arrival(grant, read_clock())
 
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
--- a/sedgetide/platform/_orders.py
+++ b/sedgetide/platform/_orders.py
@@ -29,6 +29,8 @@
 class PlatformOrders(OrderDialect):
     """Orders in the format of the platform's upstreams."""
 
+    id_header = _names.REQUEST_ID
+
     def make_grant(
         self,
         upstream: UpstreamName,
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -86,6 +86,8 @@
         pool; 0 for a new connection.
     opened_at : float
         Monotonic time at which it was opened; 0 before.
+    answered : bool
+        Whether a response to a request was read on it.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -96,6 +98,7 @@
         self._idle_timeout = _DEFAULT_IDLE_TIMEOUT
         self.rested = 0.0
         self.opened_at = 0.0
+        self.answered = False
 
     def open(self, timeout: float) -> None:
         """Connect to the server.
@@ -191,7 +194,8 @@
             Returns whether a response belongs to this request, given its
             headers. Other responses are skipped.
         delivery : DeliveryLimit or None
-            Limit for a request that must not arrive late.
+            Limit for a request that must not arrive late. It applies until
+            it is lifted.
 
         Raises
         ------
@@ -211,7 +215,7 @@
         except SendOverdue as error:
             whole = not error.begun
             if whole:
-                lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
+                self.lift_delivery_limit()
             raise UpstreamError(
                 ErrorCode.TOO_LATE,
                 Step.SEND,
@@ -235,6 +239,11 @@
             if not whole:
                 self.abort()
 
+    def lift_delivery_limit(self) -> None:
+        """Restore the limits of an idle connection after an answer."""
+        if self._socket is not None:
+            lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
+
     def _make_error(self, code: ErrorCode, detail: str) -> UpstreamError:
         return UpstreamError(
             code, Step.ANSWER, self.address, detail, sent=True
@@ -256,8 +265,7 @@
             answer = self._read_answer(parser)
             rest, ended = parser.trailing_data
             if is_own_answer(answer.headers):
-                if delivery is not None:
-                    lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
+                self.answered = True
                 self._finish(answer, parser, rest, ended)
                 return answer
             # A duplicate of an earlier response arrives where the response
@@ -412,9 +420,10 @@
             With ``sent`` false, if no connection can be opened.
         """
         connection = self._take_idle(max_idle)
-        return self._open(timeout) if connection is None else connection
+        return self.open(timeout) if connection is None else connection
 
-    def _open(self, timeout: float) -> Connection:
+    def open(self, timeout: float) -> Connection:
+        """Return a new connection; arguments and errors as in `take`."""
         connection = Connection(self.address, self._body_limit)
         connection.open(timeout)
         if self._reset_wait:
@@ -429,7 +438,7 @@
         UpstreamError
             With ``sent`` false, if no connection can be opened.
         """
-        self.give_back(self._open(timeout))
+        self.give_back(self.open(timeout))
 
     def _take_idle(self, max_idle: float) -> Connection | None:
         while self._idle:
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -242,6 +242,37 @@
         self.assertIsNone(task.get())
 
 
+class UncertainClient(SlowClient):
+    """Order client whose answers may be those to earlier orders."""
+
+    def grant(self, keys, fence, handover, prepare):
+        prepare()
+        return OrderResult(OrderOutcome.DONE, identified=False)
+
+
+class TestUncertainAnswers(testtools.TestCase):
+    def test_grant_may_arrive_after_an_answer_that_may_be_to_another(self):
+        # Guards against a hold that is believed to end before it does.
+        durations = Durations()
+        leadership = Leadership(durations)
+        leadership.begin(TERM, read_clock(), read_clock() - 60.0)
+        deployment = DeploymentState(FakeRegistry())
+        clients = SlowClients(("u-1",))
+        clients.clients["u-1"] = UncertainClient([])
+        term = Term(leadership, durations)
+        executor = OrderExecutor(
+            term, deployment, clients, durations, lambda *_: None
+        )
+        table = RangeTable().assign_first([("u-1", 1)])
+        deployment.update_table(SERVICE, table, Position(0, 9), read_clock())
+        (tenure,) = table.tenures
+        began = read_clock()
+        executor._grant(SERVICE, "u-1", tenure, "")
+        end = term.find_hold_end("u-1", tenure.keys, began - 60.0)
+        latest = began + durations.order_timeout
+        self.assertGreaterEqual(end, latest + durations.max_hold(3.5))
+
+
 class RefusingClient(SlowClient):
     """Order client of an upstream that refuses all connections."""
 
