An entry at an owner's address is no proof of its end

What callers saw: nothing known; two owners of a key are possible. A move took the hold of its old owner for over as soon as the registry showed another upstream at its address. An entry may be late, or of a backup, and a host that has just started takes any order of entries for the order of the processes, while the owner may be cut off from the registry and this host, and serve.

Evidence: tests/daemons/test_orderexecutor.py, TestReusedAddress: the owner isn't reached, a later entry has its address, and the successor was granted the keys within 0.7 s, where the owner may hold them for 9.8 s. The test failed before.

Change: only an answer counts. The release is sent to the address every 0.2 s anyway, so that a process that has it is found by the next one.

The tests pass, and those of core/membership. is_address_reused has one caller left, in the recovery after a restore.

--- a/sedgetide/core/membership/directory.py
+++ b/sedgetide/core/membership/directory.py
@@ -361,12 +361,12 @@
     def is_address_reused(self, name: IncarnationName, address: str) -> bool:
         """Return whether a newer upstream uses the address of a gone one.
 
-        An address is reused only after the previous process has ended, so
-        a newer entry with the same address proves that the upstream is
-        gone. An older entry proves nothing: a writer that was cut off may
-        deliver entries of ended upstreams late, for seconds, while the
-        upstream that now has the address may be cut off from the registry
-        and still serve.
+        This is no proof that the upstream has ended. The entry may be late
+        or of a backup, and a host that has just started doesn't know which
+        entry is newer, while the upstream may be cut off from the registry
+        and still serve. Only the process that answers an order at the
+        address shows that. An older entry tells nothing: a writer that was
+        cut off may deliver entries of ended upstreams late, for seconds.
         """
         if name in self._entries:
             return False
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -367,10 +367,7 @@
     def _is_hold_over(
         self, service: ServiceName, tenure: Tenure, now: float
     ) -> bool:
-        """Return whether the owner's hold of the range is over."""
-        address = self._clients.find_address(tenure.owner)
-        if self._deployment.directory.is_address_reused(tenure.owner, address):
-            return True
+        """Return whether the owner's hold of the range has expired."""
         since = self._deployment.find_known_since(service, tenure)
         return self.term.has_ended(tenure.owner, tenure.keys, since, now)
 
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -23,6 +23,7 @@
 from sedgetide.platform._orders import PlatformOrders
 from sedgetide.runtime.clock import read_clock
 from tests.daemons.test_election import FakeRegistry
+from tests.daemons.test_orderclient import OK_ANSWER
 from tests.daemons.test_orderclient import Upstream
 
 SERVICE = "maps"
@@ -322,3 +323,76 @@
         # connection limit refuses a release and answers the next one.
         self.assertEqual([], self.find_stated_holds(True, 0.15))
         self.assertEqual(1, len(self.find_stated_holds(True, 0.7)))
+
+
+class TestReusedAddress(testtools.TestCase):
+    """The registry shows another upstream at the address of a gone owner."""
+
+    def setUp(self):
+        super().setUp()
+        self.owner, successor = Upstream(), Upstream()
+        self.addCleanup(self.owner.stop)
+        self.addCleanup(successor.stop)
+        self.durations = Durations()
+        leadership = Leadership(self.durations)
+        leadership.begin(TERM, read_clock(), read_clock())
+        self.deployment = DeploymentState(FakeRegistry())
+        clients = OrderClients(
+            PlatformOrders(),
+            self.durations.order_timeout,
+            PathMonitor(self.deployment.directory, UpstreamChannels(1000)),
+        )
+        self.addCleanup(clients.retain, ())
+        directory = self.deployment.directory
+        directory.put(self.make_entry("u-1"), read_clock())
+        directory.put(self.make_entry("u-2", successor.port), read_clock())
+        clients.update_entries(directory, read_clock())
+        self.moved = Event()
+        self.executor = OrderExecutor(
+            Term(leadership, self.durations),
+            self.deployment,
+            clients,
+            self.durations,
+            lambda *_: self.moved.set(),
+        )
+        self.addCleanup(self.executor.close)
+        directory.remove("u-1", read_clock())
+        directory.put(self.make_entry("u-9"), read_clock())
+
+    def make_entry(self, name, port=0):
+        address = f"127.0.0.1:{port or self.owner.port}"
+        return RegisteredUpstream(name, SERVICE, address, "dc", born=5)
+
+    def move(self):
+        owner = self.make_entry("u-1").name
+        successor = self.make_entry("u-2").name
+        table = RangeTable().assign_first([(owner, 1)])
+        table = table.begin([Move(KeyRange(0, 99), successor)])
+        self.deployment.update_table(
+            SERVICE, table, Position(0, 9), read_clock()
+        )
+        self.executor.reconcile(SERVICE, table)
+
+    def test_entry_at_the_address_is_no_proof(self):
+        # Guards against two owners: the entry is late or of a backup, and the
+        # owner serves but isn't reached from this host.
+        self.owner.stop()
+        self.move()
+        self.assertFalse(self.moved.wait(0.7))
+
+    def test_another_upstream_that_answers_is_a_proof(self):
+        # Guards against keys that have no owner until the hold is over.
+        self.owner.answer = OK_ANSWER.replace(b"200 OK", b"421 Misdirected")
+        began = read_clock()
+        self.move()
+        self.assertTrue(self.moved.wait(3.0))
+        self.assertLess(read_clock() - began, 1.0)
+
+    def test_address_is_reused_while_the_move_waits(self):
+        # Guards against a wait that ends only with the hold.
+        self.owner.stop()
+        self.move()
+        gevent.sleep(0.3)
+        self.owner.answer = OK_ANSWER.replace(b"200 OK", b"421 Misdirected")
+        self.owner.start()
+        self.assertTrue(self.moved.wait(3.0))
