A host that leads again knows which upstreams restarted

What callers saw: nothing known. A host that resigned and was elected again forgot in which sessions it had granted keys. An upstream that restarted in between got the keys at the fence of its former process at the first renewal, though its connections had shown the restart.

Evidence: tests/daemons/test_orderexecutor.py: an owner restarts between two terms of a host. No range was given a new fence within 5 s, and the restarted process was granted the keys; the test failed before.

Change: the sessions belong to the order clients, which a host keeps across terms. They are dropped if no order was sent for 5 s: idle connections end then, and all upstreams would look restarted. Another host that is elected has never known them, as before.

Ruled out, with a test of each that passed before: orders of a table that the lead loop goes on with after the host has been elected again, and new fences for owners that have not restarted.

--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from sedgetide.backends.dialects import OrderDialect
-from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
@@ -23,6 +22,8 @@
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderclient import OrderResult
+from sedgetide.daemons._ordersessions import OrderSessions
+from sedgetide.daemons._ordersessions import OwnedFence
 from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._renewal import renew_grants
 from sedgetide.daemons._upstreampath import UpstreamPath
@@ -37,8 +38,6 @@
 # Seconds by which the end of a hold has to change to be stated again.
 _STATED_PRECISION = 0.1
 _GRANT_ATTEMPTS = 3
-# Enough for the grants of two tables with 24 ranges for each of 300 upstreams.
-_MAX_SESSIONS = 16_000
 
 
 class OrderClients:
@@ -52,6 +51,11 @@
         Seconds after which an unanswered grant is aborted.
     paths : PathMonitor
         Records which upstreams are reached.
+
+    Attributes
+    ----------
+    sessions : OrderSessions
+        Sessions in which upstreams were granted keys.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self._clients: dict[IncarnationName, OrderClient] = {}
         self._entries: dict[IncarnationName, RegisteredUpstream] = {}
         self._seen_at: dict[IncarnationName, float] = {}
+        self.sessions = OrderSessions()
 
     def update_entries(self, directory: UpstreamDirectory, now: float) -> None:
         """Store the current entries, kept also after upstreams have left."""
@@ -178,8 +183,8 @@
         self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
         self._completed: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
-        self._sessions: dict[tuple[IncarnationName, Fence], int] = {}
         self._renew_now = ChangeSignal()
+        clients.sessions.begin_term(read_clock())
 
     @property
     def moving(self) -> int:
@@ -205,18 +210,17 @@
         """Drop completed moves that the written table has applied."""
         completed = self.list_completed(service)
         self._completed[service] = completed.intersection(table.tenures)
-        if len(self._sessions) > _MAX_SESSIONS:
+        if self._clients.sessions.is_full:
             self._prune_sessions()
 
     def _prune_sessions(self) -> None:
         """Drop sessions of grants that are in no current table."""
-        current = set()
+        current: set[OwnedFence] = set()
         for known in self._deployment.tables.values():
             for tenure in known.table.tenures:
                 current.add((tenure.owner, tenure.fence))
                 current.add((tenure.successor, tenure.fence))
-        for grant in self._sessions.keys() - current:
-            del self._sessions[grant]
+        self._clients.sessions.retain(current)
 
     def pop_fenced(
         self,
@@ -396,15 +400,13 @@
             # meanwhile doesn't wait for a grant that hasn't been sent.
             if not self._is_current(service, tenure):
                 return None
-            # A restarted upstream has seen no fence and would accept the keys
-            # at the one under which its former process had them.
-            known = self._sessions.setdefault(granted, client.session)
-            restarted = known != client.session
+            now = read_clock()
+            restarted = self._clients.sessions.is_restarted(
+                granted, client.session, now
+            )
             if restarted:
                 return None
-            grant = self.term.prepare_grant(
-                upstream, tenure.keys, read_clock()
-            )
+            grant = self.term.prepare_grant(upstream, tenure.keys, now)
             if grant is None:
                 return None
             grants.append(grant)
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -18,6 +18,7 @@
 from sedgetide.daemons._orderclient import OrderResult
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.daemons._orderexecutor import OrderExecutor
+from sedgetide.daemons._ordersessions import OrderSessions
 from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._upstreamchannels import UpstreamChannels
 from sedgetide.platform._orders import PlatformOrders
@@ -38,7 +39,8 @@
         self.upstream = Upstream()
         self.addCleanup(self.upstream.stop)
         durations = Durations(renew=0.1, order_timeout=0.3)
-        leadership = Leadership(durations)
+        self.durations = durations
+        self.leadership = leadership = Leadership(durations)
         leadership.begin(TERM, read_clock(), read_clock())
         self.deployment = DeploymentState(FakeRegistry())
         entry = RegisteredUpstream(
@@ -56,14 +58,24 @@
         )
         clients.update_entries(self.deployment.directory, read_clock())
         self.addCleanup(clients.retain, ())
-        self.executor = OrderExecutor(
-            Term(leadership, durations),
+        self.clients = clients
+        self.executor = self.make_executor()
+
+    def make_executor(self):
+        executor = OrderExecutor(
+            Term(self.leadership, self.durations),
             self.deployment,
-            clients,
-            durations,
+            self.clients,
+            self.durations,
             lambda *_: None,
         )
-        self.addCleanup(self.executor.close)
+        self.addCleanup(executor.close)
+        return executor
+
+    def begin_another_term(self):
+        self.leadership.begin(Position(0, 99), read_clock(), read_clock())
+        self.executor = self.make_executor()
+        self.executor.reconcile(SERVICE, self.table)
 
     def wait_for(self, test):
         with gevent.Timeout(5.0):
@@ -80,6 +92,9 @@
         self.upstream.stop()
         self.upstream.grants.clear()
         self.upstream.start()
+        self.assert_fenced()
+
+    def assert_fenced(self):
         fenced = set()
 
         def has_fenced():
@@ -93,6 +108,44 @@
         self.assertEqual([], self.upstream.grants)
         self.assertEqual(set(self.table.tenures), fenced)
 
+    def end_term_after_a_grant(self):
+        self.executor.reconcile(SERVICE, self.table)
+        self.wait_for(lambda: self.upstream.grants)
+        gevent.sleep(0.02)
+        self.executor.close()
+        self.leadership.end()
+
+    def test_owner_restarts_between_two_terms_of_a_host(self):
+        # Guards against keys at the fence of the former process, granted by
+        # a leader that resigned and was elected again.
+        self.end_term_after_a_grant()
+        self.upstream.stop()
+        self.upstream.grants.clear()
+        self.upstream.start()
+        self.begin_another_term()
+        self.assert_fenced()
+
+    def test_owner_that_goes_on_keeps_its_fence_in_the_next_term(self):
+        # Guards against keys that have no owner while they get a new fence.
+        self.end_term_after_a_grant()
+        self.upstream.grants.clear()
+        self.begin_another_term()
+        self.wait_for(lambda: self.upstream.grants)
+        fenced = self.executor.pop_fenced(SERVICE, lambda owner: True)
+        self.assertEqual(set(), fenced)
+
+    def test_tables_of_a_former_term_send_nothing_in_the_next(self):
+        # Guards against orders that another leader hasn't waited for: the
+        # host resigns while the write of a table is answered, and is elected
+        # again before it goes on with that table.
+        self.end_term_after_a_grant()
+        former = self.executor
+        self.leadership.begin(Position(0, 99), read_clock(), read_clock())
+        self.upstream.grants.clear()
+        former.reconcile(SERVICE, self.table)
+        gevent.sleep(0.4)
+        self.assertEqual([], self.upstream.grants)
+
 
 class SlowClient:
     """Order client whose connection opens when the test says so."""
@@ -125,6 +178,7 @@
     def __init__(self, names):
         self.sent = {name: [] for name in names}
         self.clients = {name: SlowClient(self.sent[name]) for name in names}
+        self.sessions = OrderSessions()
 
     def find(self, upstream):
         return self.clients[upstream]
