--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import enum
+import uuid
 import weakref
 
 import msgspec
@@ -21,7 +22,10 @@
 from sedgetide.runtime.events import log_event
 from sedgetide.wire.client import Connection
 from sedgetide.wire.client import ConnectionPool
+from sedgetide.wire.delivery import DeliveryLimit
 from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import find_header
+from sedgetide.wire.messages import Headers
 from sedgetide.wire.messages import Request
 
 _ANSWER_BYTES = 64 * 1024
@@ -30,6 +34,10 @@
 _RESET_WAIT = 0.003
 # Seconds; no upstream process restarts within this time.
 _MIN_RESTART_TIME = 0.1
+# Seconds between the decision to send an order and its send. Longer pauses
+# are rare, and an order from before one is prepared again.
+_MAX_SEND_DELAY = 0.1
+_MAX_PREPARATIONS = 3
 _OK = 200
 IGNORED_PATH = IgnoredPath()
 
@@ -75,11 +83,22 @@
         next owner with its grant.
     detail : str
         Human-readable error message.
+    identified : bool
+        Whether the answer is certainly that to this order. If not, the order
+        may still arrive, until the limit of its delivery.
     """
 
     taken: OrderOutcome
     handover: str = ""
     detail: str = ""
+    identified: bool = True
+
+
+class _PreparedOrder(msgspec.Struct, frozen=True):
+    """An order, and when it was decided that it may be sent."""
+
+    request: OrderRequest
+    decided_at: float
 
 
 class OrderClient:
@@ -96,6 +115,13 @@
     before its successor accepts one. So once a new connection is open, this
     host can tell whether it leads to a restarted process.
 
+    An upstream may send an extra answer late, where that to the next order
+    is expected. Each order has an id, which the upstream echoes; answers with
+    another one are skipped, and those without one too if the upstream echoes
+    ids. The first answer on a connection can't be an extra one. So a release
+    goes to a new connection if the upstream echoes no ids, while its grants
+    count as delivered only at their limit.
+
     Parameters
     ----------
     upstream : UpstreamName
@@ -136,6 +162,7 @@
         self._opened: weakref.WeakKeyDictionary[Connection, int] = (
             weakref.WeakKeyDictionary()
         )
+        self._echoes_ids = True
         self.session = 0
 
     def connect(self) -> bool:
@@ -166,16 +193,19 @@
             State returned by the previous owner.
         prepare : callable
             Called right before the send, with the connection open. Returns
-            the life of the grant, or None to cancel it.
+            the life of the grant, or None to cancel it. Called again if this
+            process is paused before the send.
         """
 
-        def make_order() -> OrderRequest | None:
+        def make_order() -> _PreparedOrder | None:
             life = prepare()
             if life is None:
                 return None
-            return self._dialect.make_grant(
+            decided_at = read_clock()
+            request = self._dialect.make_grant(
                 self.upstream, keys, fence, life, handover
             )
+            return _PreparedOrder(request, decided_at)
 
         result = self._send(make_order)
         self._log("grant", keys, fence, result)
@@ -197,15 +227,18 @@
             Fencing token of the release.
         may_send : callable
             Called right before the send, with the connection open. Returns
-            whether the order may still be sent.
+            whether the order may still be sent. Called again if this process
+            is paused before the send.
         """
 
-        def make_order() -> OrderRequest | None:
+        def make_order() -> _PreparedOrder | None:
             if not may_send():
                 return None
-            return self._dialect.make_release(self.upstream, keys, fence)
+            decided_at = read_clock()
+            request = self._dialect.make_release(self.upstream, keys, fence)
+            return _PreparedOrder(request, decided_at)
 
-        result = self._send(make_order, _RELEASE_TIMEOUT)
+        result = self._send(make_order, _RELEASE_TIMEOUT, certain=True)
         self._log("release", keys, fence, result)
         return result
 
@@ -228,24 +261,39 @@
 
     def _send(
         self,
-        make_order: Callable[[], OrderRequest | None],
+        make_order: Callable[[], _PreparedOrder | None],
         timeout: float | None = None,
+        certain: bool = False,
     ) -> OrderResult:
+        """Send an order.
+
+        Parameters
+        ----------
+        certain : bool
+            Whether only an answer counts that is certainly to this order.
+        """
         try:
-            connection = self._take()
+            connection = self._take(fresh=certain and not self._echoes_ids)
         except UpstreamError as error:
             return OrderResult(OrderOutcome.UNSENT, detail=error.detail)
         self._in_use.add(connection)
         try:
-            return self._send_on(connection, make_order, timeout)
+            return self._send_on(connection, make_order, timeout, certain)
         finally:
             self._in_use.discard(connection)
 
-    def _take(self) -> Connection:
-        """Return a connection and update the session count."""
+    def _take(self, fresh: bool = False) -> Connection:
+        """Return a connection and update the session count.
+
+        Parameters
+        ----------
+        fresh : bool
+            Whether it has to be a new one.
+        """
         kept = self._pool.has_idle
+        take = self._pool.open if fresh else self._pool.take
         try:
-            connection = self._pool.take(_CONNECT_TIMEOUT)
+            connection = take(_CONNECT_TIMEOUT)
         except UpstreamError as error:
             # An accepted connection that is reset only shows that the
             # upstream is at its connection limit.
@@ -318,48 +366,98 @@
     def _send_on(
         self,
         connection: Connection,
-        make_order: Callable[[], OrderRequest | None],
+        make_order: Callable[[], _PreparedOrder | None],
         timeout: float | None,
+        certain: bool,
     ) -> OrderResult:
-        order = make_order()
-        if order is None:
-            self._pool.give_back(connection)
-            return OrderResult(OrderOutcome.UNSENT)
-        request = Request(
-            "POST",
-            order.path,
-            [("Host", self.address), *order.headers],
-            order.body,
+        for _ in range(_MAX_PREPARATIONS):
+            order = make_order()
+            if order is None:
+                break
+            try:
+                return self._exchange(connection, order, timeout, certain)
+            except UpstreamError as error:
+                if error.code is not ErrorCode.TOO_LATE:
+                    return self._note_failure(connection, error)
+                if not connection.is_open:
+                    # A part was sent; no upstream carries out a part.
+                    self._note_closed(connection)
+                    break
+        self._pool.give_back(connection)
+        return OrderResult(OrderOutcome.UNSENT)
+
+    def _exchange(
+        self,
+        connection: Connection,
+        order: _PreparedOrder,
+        timeout: float | None,
+        certain: bool,
+    ) -> OrderResult:
+        number = uuid.uuid4().hex
+        is_first = not connection.answered
+        may_be_unnamed = is_first or not (certain or self._echoes_ids)
+
+        def is_own_answer(headers: Headers) -> bool:
+            found = self._read_id(headers)
+            return may_be_unnamed if found is None else found == number
+
+        answer = connection.exchange(
+            Request(
+                "POST",
+                order.request.path,
+                [
+                    ("Host", self.address),
+                    (self._dialect.id_header, number),
+                    *order.request.headers,
+                ],
+                order.request.body,
+            ),
+            timeout or self._grant_timeout,
+            is_own_answer,
+            DeliveryLimit(
+                order.decided_at + _MAX_SEND_DELAY,
+                self._grant_timeout - _MAX_SEND_DELAY,
+            ),
         )
-        sent_at = read_clock()
-        try:
-            answer = connection.exchange(
-                request, timeout or self._grant_timeout
-            )
-        except UpstreamError as error:
-            if error.code is ErrorCode.UPSTREAM_SILENT:
-                self._path.note_silence()
-            else:
-                self._note_closed(connection)
-            return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
+        self._echoes_ids = self._read_id(answer.headers) is not None
+        identified = self._echoes_ids or is_first
+        if identified:
+            connection.lift_delivery_limit()
         self._path.note_answer()
         self._pool.give_back(connection)
         if not connection.is_open:
-            self._reconnect(connection, sent_at)
-        return self._read_result(answer)
+            self._reconnect(connection, order.decided_at)
+        elif certain and not self._echoes_ids:
+            # Each release adds a connection.
+            self._pool.drop_older(connection.opened_at)
+        return self._read_result(answer, identified)
 
-    def _read_result(self, answer: Answer) -> OrderResult:
+    def _read_id(self, headers: Headers) -> str | None:
+        return find_header(headers, self._dialect.id_header.lower())
+
+    def _note_failure(
+        self, connection: Connection, error: UpstreamError
+    ) -> OrderResult:
+        if error.code is ErrorCode.UPSTREAM_SILENT:
+            self._path.note_silence()
+        else:
+            self._note_closed(connection)
+        return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
+
+    def _read_result(self, answer: Answer, identified: bool) -> OrderResult:
+        handover = detail = ""
         if answer.status == _OK:
+            taken = OrderOutcome.DONE
             handover = self._dialect.read_handover(answer.headers)
-            return OrderResult(OrderOutcome.DONE, handover)
-        if self._dialect.is_fenced(answer.status):
-            return OrderResult(OrderOutcome.FENCED)
-        if self._dialect.is_misdirected(answer.status):
-            return OrderResult(OrderOutcome.FOREIGN)
-        # No other status proves whether the order was carried out.
-        return OrderResult(
-            OrderOutcome.UNKNOWN, detail=f"status {answer.status}"
-        )
+        elif self._dialect.is_fenced(answer.status):
+            taken = OrderOutcome.FENCED
+        elif self._dialect.is_misdirected(answer.status):
+            taken = OrderOutcome.FOREIGN
+        else:
+            # No other status proves whether the order was carried out.
+            taken = OrderOutcome.UNKNOWN
+            detail = f"status {answer.status}"
+        return OrderResult(taken, handover, detail, identified)
 
     def close(self) -> None:
         """Close all connections."""
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -432,10 +432,10 @@
         "owner-stopped",
         logging.INFO,
         "A moving range no longer has an owner. proof: how this is known: "
-        "answered, other-instance, expired or address-reused. seconds: time "
-        "since the move began. after_hold: seconds since the end of the "
-        "owner's hold; negative if the hold had not ended, empty if the "
-        "owner had answered a release before the move began.",
+        "answered, other-instance, expired, or unheld if the owner had no "
+        "grant of the keys any more when the move began. seconds: time since "
+        "then. after_hold: seconds since the end of the owner's hold; "
+        "negative if the hold had not ended.",
         (
             "service",
             "upstream",
