--- a/sedgetide/testing/restoretimes.py
+++ b/sedgetide/testing/restoretimes.py
@@ -48,6 +48,7 @@
 _BACKUP_AGE = 1.5
 _OUTAGE = 0.1
 _REFUSAL_TIME = 5.0
+_SERVED_WITHIN = 30.0
 
 
 class Situation(enum.Enum):
@@ -151,6 +152,9 @@
         hosts = [e for e in fleet.hosts if not (killed and e is leader)]
         probers = [_KeyProber(key, hosts) for key in _KEYS]
         tasks = [gevent.spawn(each.run) for each in probers]
+        with gevent.Timeout(_SERVED_WITHIN):
+            while not all(each.number for each in probers):
+                gevent.sleep(_INTERVAL)
         gevent.sleep(_BACKUP_AGE)
         owners = _find_owners(fleet, probers)
         lost: set[Key] = set()
