--- a/sedgetide/core/ownership/holds.py
+++ b/sedgetide/core/ownership/holds.py
@@ -178,22 +178,24 @@
         Returns
         -------
         list of UpstreamHold
-            One for each upstream and range, with the latest end of all
-            grants. Ranges of one upstream may overlap.
+            One for each upstream and granted range, with the latest end of
+            its grants; several where a part was released. Ranges of one
+            upstream may overlap.
         """
-        ends: dict[tuple[IncarnationName, KeyRange], float] = {}
+        held = []
         for upstream in sorted({*self._holds, *self._reported}):
             released = self._released.get(upstream, [])
+            ends: dict[KeyRange, float] = {}
             for hold in self._iterate_holds(upstream):
-                if hold.until <= now:
-                    continue
-                for keys in subtract_ranges(hold.keys, released):
-                    known = ends.get((upstream, keys), _NEVER)
-                    ends[upstream, keys] = max(known, hold.until)
-        return [
-            UpstreamHold(upstream, keys, until)
-            for (upstream, keys), until in ends.items()
-        ]
+                if hold.until > now:
+                    known = ends.get(hold.keys, now)
+                    ends[hold.keys] = max(known, hold.until)
+            held += [
+                UpstreamHold(upstream, keys, until)
+                for granted, until in ends.items()
+                for keys in subtract_ranges(granted, released)
+            ]
+        return held
 
     def prune(self, now: float) -> None:
         """Remove holds that have ended."""
