A leader knows its own term before it has read its record

A host that was elected right before a restore might not have read its own record yet. Its load reports would then name its predecessor as the last leader of the former era, whose report the new leader would use. No case was seen.

HoldsReporter notes the term of this host when it begins.

--- a/sedgetide/daemons/_holdsreporter.py
+++ b/sedgetide/daemons/_holdsreporter.py
@@ -202,6 +202,8 @@
         An earlier term of the same era isn't needed any more, since its
         grants count as inherited ones of the later term.
         """
+        # This host may not have read its own record yet.
+        self._deployment.records.note_leader(term.position)
         former = [each for each in self._terms if each.era < term.era]
         self._terms = [*former[-1:], term]
 
--- a/tests/daemons/test_holdsreporter.py
+++ b/tests/daemons/test_holdsreporter.py
@@ -214,6 +214,12 @@
         ((_, report),) = self.sent
         self.assertEqual((FORMER, later), (report.term, report.known_leader))
 
+    def test_own_term_is_known_before_its_record_is_read(self):
+        # Guards against a load report that hides the last leader, its sender,
+        # from the leader of the next era.
+        self.deployment.note_era(6, 100.0)
+        self.assertEqual(FORMER, self.deployment.former_leader)
+
     def test_host_that_leads_again_uses_its_own_ledger(self):
         self.grant("u-1", KEYS, 99.0)
         self.restore(LeaderRecord("h-1", "x", OWN_LINK))
