A restart behind a cut path raises the session

What callers saw: nothing known. An upstream may start again under its name and knows no fence then. The leader notices by its connections, which end with the process. Behind a cut path they show nothing: the order on the last one was given up as unanswered, the next connection led to the later process, and it got the keys at the fence of the former one.

Evidence: tests/daemons/test_orderclient.py with a path that drops packets: restarts behind a cut, during another order that is cut off, and after an order that was cancelled all left the session as it was; three tests failed before. (A fourth, for names that are never used again, needs an argument that did not exist.)

Change: the session also rises when the last connection is given up whose path is known to work. An order that was acknowledged but not answered is no such case: another connection is opened before the silent one is reset, and leads to the same process. It applies only where the registry shows start times; elsewhere a later process has another name and refuses by itself.

The effect on requests in such a deployment was not measured.

--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -111,9 +111,11 @@
     lost its highest fencing token. Its registry entry is updated up to a
     second later; until then a restart shows only in the connections.
     ``session`` counts possible restarts: the upstream refused a connection,
-    or closed all that were open. A process that ends closes its connections
-    before its successor accepts one. So once a new connection is open, this
-    host can tell whether it leads to a restarted process.
+    or closed all that were open, or this host gave up the last one without
+    knowing whether it still led to the process. A process that ends closes
+    its connections before its successor accepts one. So once a new
+    connection is open, this host can tell whether it leads to a restarted
+    process. Behind a path that is cut, no connection shows the end.
 
     An upstream may send an extra answer late, where that to the next order
     is expected. Each order has an id, which the upstream echoes; answers with
@@ -136,6 +138,9 @@
         Seconds to wait on a new connection for a reset.
     path : PathObserver
         Records whether the upstream is reached.
+    may_restart : bool
+        Whether a later process may have the same name. Another one refuses
+        orders by itself.
     """
 
     def __init__(
@@ -146,12 +151,14 @@
         grant_timeout: float,
         reset_wait: float = _RESET_WAIT,
         path: PathObserver = IGNORED_PATH,
+        may_restart: bool = True,
     ) -> None:
         self.upstream = upstream
         self.address = address
         self._dialect = dialect
         self._grant_timeout = grant_timeout
         self._path = path
+        self._may_restart = may_restart
         # An upstream that is at its connection limit, or lost behind a proxy
         # that accepts for it, resets new connections. If the reset is seen
         # before the send, the order certainly wasn't sent. After the send the
@@ -277,10 +284,16 @@
         except UpstreamError as error:
             return OrderResult(OrderOutcome.UNSENT, detail=error.detail)
         self._in_use.add(connection)
+        finished = False
         try:
-            return self._send_on(connection, make_order, timeout, certain)
+            result = self._send_on(connection, make_order, timeout, certain)
+            finished = True
+            return result
         finally:
             self._in_use.discard(connection)
+            if not finished:
+                # This order was cancelled, and its connection reset.
+                self._note_given_up(connection)
 
     def _take(self, fresh: bool = False) -> Connection:
         """Return a connection and update the session count.
@@ -314,6 +327,8 @@
             for other in self._in_use:
                 if other.ended:
                     self._note_closed(other)
+                elif other.stalled:
+                    self._note_given_up(other)
             self._opened[connection] = self.session
         return connection
 
@@ -335,6 +350,43 @@
         if not alive and not self._pool.has_idle:
             self.session += 1
 
+    def _note_given_up(self, connection: Connection) -> None:
+        """Record that a connection no longer shows a restart.
+
+        Parameters
+        ----------
+        connection : Connection
+            Connection that was reset, or whose path is cut.
+        """
+        if not self._may_restart:
+            return
+        if self._opened.get(connection) != self.session:
+            return
+        self._pool.prune()
+        alive = any(
+            not each.ended and not each.stalled
+            for each in self._in_use - {connection}
+        )
+        if not alive and not self._pool.has_idle:
+            self.session += 1
+
+    def _replace_silent(self, connection: Connection) -> None:
+        """Open another connection before a silent one is reset.
+
+        As long as the silent one is open and its path works, the other one
+        leads to the same process.
+        """
+        if self._pool.has_idle or connection.stalled:
+            return
+        try:
+            other = self._pool.open(_MIN_RESTART_TIME)
+        except UpstreamError:
+            return
+        if connection.ended:
+            self._note_closed(connection)
+        self._opened[other] = self.session
+        self._pool.give_back(other)
+
     def _reconnect(self, ended: Connection, sent_at: float) -> None:
         """Replace a connection that the upstream announced to close.
 
@@ -418,6 +470,7 @@
                 order.decided_at + _MAX_SEND_DELAY,
                 self._grant_timeout - _MAX_SEND_DELAY,
             ),
+            lambda: self._replace_silent(connection),
         )
         self._echoes_ids = self._read_id(answer.headers) is not None
         identified = self._echoes_ids or is_first
@@ -440,6 +493,7 @@
     ) -> OrderResult:
         if error.code is ErrorCode.UPSTREAM_SILENT:
             self._path.note_silence()
+            self._note_given_up(connection)
         else:
             self._note_closed(connection)
         return OrderResult(OrderOutcome.UNKNOWN, detail=error.detail)
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -11,6 +11,7 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.directory import UpstreamDirectory
+from sedgetide.core.membership.incarnations import UNKNOWN_START_TIME
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
@@ -104,6 +105,7 @@
                 self._dialect,
                 self._grant_timeout,
                 path=UpstreamPath(self._paths, entry),
+                may_restart=entry.born != UNKNOWN_START_TIME,
             )
             self._clients[upstream] = client
         return client
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -15,6 +15,7 @@
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
 from sedgetide.wire.delivery import DeliveryLimit
+from sedgetide.wire.delivery import has_undelivered
 from sedgetide.wire.delivery import lift_limit
 from sedgetide.wire.delivery import SendOverdue
 from sedgetide.wire.delivery import set_reset_on_close
@@ -36,6 +37,8 @@
 _DEFAULT_IDLE_TIMEOUT = 8.0
 _MAX_IDLE_TIMEOUT = 30.0
 _IDLE_TIMEOUT_FRACTION = 0.9
+# Seconds after which sent data is acknowledged on a path that works.
+_MAX_ROUND_TRIP = 0.1
 # This many responses to other requests are not just late duplicates.
 _MAX_ANSWERS_READ = 3
 _BAD = ErrorCode.BAD_ANSWER
@@ -47,6 +50,10 @@
     return True
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 def enable_keepalive_probes(connection: socket.socket, limit_ms: int) -> None:
     """Enable TCP keepalive probes and a limit for unacknowledged data.
 
@@ -95,6 +102,7 @@
         self._body_limit = body_limit
         self._socket: socket.socket | None = None
         self._used_at = 0.0
+        self._sent_at = 0.0
         self._idle_timeout = _DEFAULT_IDLE_TIMEOUT
         self.rested = 0.0
         self.opened_at = 0.0
@@ -171,6 +179,15 @@
         poll.register(self._socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def stalled(self) -> bool:
+        """Whether the server's host doesn't acknowledge what was sent."""
+        if self._socket is None:
+            return True
+        if time.monotonic() - self._sent_at < _MAX_ROUND_TRIP:
+            return False
+        return has_undelivered(self._socket)
+
     def record_idle_time(self) -> None:
         """Record for how long the connection has been idle."""
         self.rested = time.monotonic() - self._used_at
@@ -181,6 +198,7 @@
         timeout: float,
         is_own_answer: AnswerFilter = _accept_any,
         delivery: DeliveryLimit | None = None,
+        on_timeout: Callable[[], None] = _ignore,
     ) -> Answer:
         """Send a request and read its complete response.
 
@@ -196,6 +214,9 @@
         delivery : DeliveryLimit or None
             Limit for a request that must not arrive late. It applies until
             it is lifted.
+        on_timeout : callable
+            Called when there is no response in time, before the connection
+            is closed.
 
         Raises
         ------
@@ -226,6 +247,7 @@
         except gevent.Timeout as error:
             if error is not timer:
                 raise
+            on_timeout()
             raise self._make_error(
                 ErrorCode.UPSTREAM_SILENT, f"no response in {timeout:.3f} s"
             ) from error
@@ -256,6 +278,7 @@
         delivery: DeliveryLimit | None,
     ) -> Answer:
         data, parser = _format_request(request)
+        self._sent_at = time.monotonic()
         if delivery is None:
             self._socket.sendall(data)
         else:
--- a/sedgetide/wire/delivery.py
+++ b/sedgetide/wire/delivery.py
@@ -14,6 +14,8 @@
 _INFO_BYTES = 104
 # Position of the retransmission timeout, in microseconds, in ``tcp_info``.
 _RTO_OFFSET = 8
+# Position of the number of packets that aren't acknowledged.
+_UNACKED_OFFSET = 24
 # The kernel sends unacknowledged data twice more, as a loss probe and as a
 # first retransmission, before it applies TCP_USER_TIMEOUT. Each comes at most
 # one retransmission timeout after the last.
@@ -59,11 +61,8 @@
         Until :func:`lift_limit`, the kernel also discards what it has not
         delivered when the process ends.
         """
-        info = connection.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES
-        )
-        (rto_us,) = struct.unpack_from("I", info, _RTO_OFFSET)
-        limit = self.arrive_within - _UNLIMITED_SENDS * rto_us / 1e6
+        rto = _read_info(connection, _RTO_OFFSET) / 1e6
+        limit = self.arrive_within - _UNLIMITED_SENDS * rto
         connection.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
@@ -97,6 +96,20 @@
                 )
 
 
+def _read_info(connection: socket.socket, offset: int) -> int:
+    """Return a number of the kernel's ``tcp_info``."""
+    info = connection.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES
+    )
+    found: int = struct.unpack_from("I", info, offset)[0]
+    return found
+
+
+def has_undelivered(connection: socket.socket) -> bool:
+    """Return whether data was sent that the peer hasn't acknowledged."""
+    return _read_info(connection, _UNACKED_OFFSET) > 0
+
+
 def set_reset_on_close(connection: socket.socket) -> None:
     """Make a close discard data that is not delivered."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
--- a/tests/daemons/test_orderclient.py
+++ b/tests/daemons/test_orderclient.py
@@ -10,6 +10,7 @@
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.platform._orders import PlatformOrders
+from tests.wire.lossypath import drop_arrivals
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 KEYS = KeyRange(0, 9)
@@ -229,3 +230,79 @@
         self.assertIs(OrderOutcome.UNKNOWN, self.grant())
         self.assertIs(OrderOutcome.UNKNOWN, self.grant())
         self.assertEqual(0, self.client.session)
+
+    def cut(self):
+        for peer in self.upstream.peers:
+            drop_arrivals(peer)
+        for connection in self.client._pool._idle:
+            drop_arrivals(connection._socket)
+
+    def restart_behind_a_cut(self):
+        """Restart without a sign on the connections."""
+        self.cut()
+        self.assertIs(OrderOutcome.UNKNOWN, self.grant())
+        self.upstream.stop()
+        self.upstream.start()
+
+    def test_restart_behind_a_cut(self):
+        # Guards against keys of the former process at its fence: the path is
+        # cut, and heals after the upstream has restarted.
+        self.grant()
+        self.restart_behind_a_cut()
+        self.assertIs(OrderOutcome.DONE, self.grant())
+        self.assertEqual(1, self.client.session)
+
+    def test_restart_after_an_order_is_given_up(self):
+        # Guards against the same after the end of a term, which gives up the
+        # order on the only connection.
+        self.grant()
+        self.upstream.pause = 5.0
+        task = gevent.spawn(self.grant)
+        gevent.sleep(0.05)
+        task.kill()
+        self.upstream.pause = 0.0
+        self.upstream.stop()
+        self.upstream.start()
+        gevent.sleep(0.1)
+        self.assertIs(OrderOutcome.DONE, self.grant())
+        self.assertEqual(1, self.client.session)
+
+    def test_upstream_that_leaves_an_order_unanswered_goes_on(self):
+        # Guards against new fences: the same process answers the next order.
+        self.grant()
+        self.upstream.pause = 0.7
+        self.assertIs(OrderOutcome.UNKNOWN, self.grant())
+        self.upstream.pause = 0.0
+        gevent.sleep(0.3)
+        self.assertIs(OrderOutcome.DONE, self.grant())
+        self.assertEqual(0, self.client.session)
+
+    def test_cut_to_an_upstream_whose_name_is_never_used_again(self):
+        # Guards against new fences after each cut: another process would
+        # refuse orders for this one by itself.
+        address = f"127.0.0.1:{self.upstream.port}"
+        self.client = OrderClient(
+            "u-1", address, PlatformOrders(), 0.5, may_restart=False
+        )
+        self.addCleanup(self.client.close)
+        self.grant()
+        self.cut()
+        self.assertIs(OrderOutcome.UNKNOWN, self.grant())
+        self.assertIs(OrderOutcome.DONE, self.grant())
+        self.assertEqual(0, self.client.session)
+
+    def test_restart_while_another_order_is_cut_off(self):
+        # Guards against a stalled connection that passes for an open one.
+        self.grant()
+        self.cut()
+        first = gevent.spawn(self.grant)
+        gevent.sleep(0.2)
+        self.upstream.stop()
+        self.upstream.start()
+        sessions = []
+        self.client.grant(
+            KEYS, 1, "", lambda: sessions.append(self.client.session)
+        )
+        self.assertIs(OrderOutcome.UNKNOWN, first.get())
+        self.assertEqual([1], sessions)
+        self.assertEqual(1, self.client.session)
