A keeper confirms no release by an answer to a grant

What callers saw: nothing known. In deployments without a registry, control calls have no ids and share one connection to the upstream. An extra answer to a grant, sent late, was taken for the answer to the release after it; the release counted as confirmed, and the shard got another owner at once.

Change: a release goes on a new connection, where nothing can be late. Grants need none: what a keeper believes of them only decides which requests it sends, and the waits count from the upstream's own stamp.

--- a/sedgetide/backends/httpupstream.py
+++ b/sedgetide/backends/httpupstream.py
@@ -107,6 +107,8 @@
             "stamp": order.stamp,
             "shards": _encode_shards(shards),
         }
+        # A late extra answer to an earlier call would confirm the release.
+        self._close_control_connection()
         return self._send_order(
             "POST", "/releases", document, timeout, order.not_after
         )
@@ -174,6 +176,9 @@
     def close(self) -> None:
         while self._idle:
             self._idle.pop().close()
+        self._close_control_connection()
+
+    def _close_control_connection(self) -> None:
         if self._control_connection is not None:
             self._control_connection.close()
 
