Grants are renewed when the path to their owner is back

Change: the monitor of paths tells which upstreams are no longer in doubt. The renewals of those owners whose last round failed start at once; the others are not repeated.

Evidence: tests/daemons/test_orderexecutor.py, TestRegainedPath: without the call the owner has no grant 0.3 s after its path is back (interval of 60 s in the test), with it one.

--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -142,6 +142,7 @@
         self._reachability = LeaderReachability()
         self._clients = OrderClients(dialect, durations.order_timeout, paths)
         self._executor = self._create_executor()
+        paths.on_regained = lambda owners: self._executor.renew_owners(owners)
         self._recovery = self._create_recovery()
         self._load_tracker = LoadTracker()
         self._limit_tracker = LimitTracker()
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 
 import gevent
+from gevent.event import Event as Wake
 import msgspec
 
 from sedgetide.backends.dialects import OrderDialect
@@ -31,7 +32,6 @@
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
-from sedgetide.runtime.signals import ChangeSignal
 
 _RETRY_DELAY = 0.2
 # Seconds; a timeout of zero would cancel the release before it is sent.
@@ -39,6 +39,8 @@
 # Seconds by which the end of a hold has to change to be stated again.
 _STATED_PRECISION = 0.1
 _GRANT_ATTEMPTS = 3
+# Outcomes of a renewal over a path that may be lost.
+_UNREACHED = frozenset({OrderOutcome.UNSENT, OrderOutcome.UNKNOWN})
 
 
 class OrderClients:
@@ -185,7 +187,8 @@
         self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
         self._completed: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
-        self._renew_now = ChangeSignal()
+        self._wakes: dict[IncarnationName, Wake] = {}
+        self._unrenewed: set[IncarnationName] = set()
         clients.sessions.begin_term(read_clock())
 
     @property
@@ -202,7 +205,13 @@
 
     def renew_all(self) -> None:
         """Renew all grants now."""
-        self._renew_now.notify_all()
+        for wake in self._wakes.values():
+            wake.set()
+
+    def renew_owners(self, owners: Collection[IncarnationName]) -> None:
+        """Renew the grants of those owners whose last renewals failed."""
+        for owner in self._unrenewed.intersection(owners):
+            self._wakes[owner].set()
 
     def list_completed(self, service: ServiceName) -> set[Tenure]:
         """Return completed moves that the table may not show yet."""
@@ -428,10 +437,15 @@
 
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
         """Renew the grants of one owner at intervals."""
+        wake = self._wakes.setdefault(owner, Wake())
         while True:
+            # A path may be regained after the round has failed to use it.
+            self._unrenewed.add(owner)
+            wake.clear()
             table = self._find_table(service)
             owned = [] if table is None else table.list_owned(owner)
             if not owned:
+                self._unrenewed.discard(owner)
                 return
             results = renew_grants(
                 owned, lambda tenure: self._renew_one(service, tenure)
@@ -443,7 +457,10 @@
                 )
                 if refused and self._is_current(service, tenure):
                     self._fenced.setdefault(service, set()).add(tenure)
-            self._renew_now.wait(self._durations.renew)
+            if _UNREACHED.isdisjoint(results.values()):
+                self._unrenewed.discard(owner)
+                wake.clear()
+            wake.wait(self._durations.renew)
 
     def _renew_one(self, service: ServiceName, tenure: Tenure) -> OrderOutcome:
         if not self._is_current(service, tenure):
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -1,6 +1,8 @@
 """Watches this host's paths to the upstreams, and probes those in doubt."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import contextlib
 from typing import Any
@@ -29,6 +31,10 @@
 _MIN_STALE = 1.0
 
 
+def _ignore(_: Collection[IncarnationName]) -> None:
+    """Do nothing."""
+
+
 class PathMonitor:
     """Records which upstreams this host reaches, and looks after the others.
 
@@ -38,6 +44,11 @@
         Registered upstreams.
     channels : UpstreamChannels
         Connections to the upstreams. A successful probe leaves one there.
+
+    Attributes
+    ----------
+    on_regained : callable
+        Called with the upstreams to which the path is no longer in doubt.
     """
 
     def __init__(
@@ -46,6 +57,9 @@
         self._directory = directory
         self._channels = channels
         self.tracker = PathTracker()
+        self.on_regained: Callable[[Collection[IncarnationName]], None] = (
+            _ignore
+        )
         self._sendings: set[Sending] = set()
         self._answered_at = float("-inf")
         self._probing: set[IncarnationName] = set()
@@ -64,7 +78,9 @@
         now = read_clock()
         lost_for = self.tracker.find_doubtful_time(upstream, now)
         regained = self.tracker.is_lost(upstream.data_centre)
+        doubtful = self._list_doubtful() if lost_for > 0 else []
         self.tracker.note_connected(upstream, now)
+        self._report_regained(doubtful)
         if lost_for < _MIN_STALE:
             return
         self._drop_older(upstream, now - lost_for)
@@ -73,6 +89,14 @@
                 if each.data_centre == upstream.data_centre:
                     self._drop_older(each, now - lost_for)
 
+    def _report_regained(self, doubtful: list[RegisteredUpstream]) -> None:
+        """Report the upstreams that were in doubt and no longer are."""
+        regained = {
+            each.name for each in doubtful if not self.is_doubtful(each)
+        }
+        if regained:
+            self.on_regained(regained)
+
     def _drop_older(self, upstream: RegisteredUpstream, at: float) -> None:
         self._channels.find(upstream).pool.drop_older(at)
 
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -450,3 +450,79 @@
         self.owner.answer = OK_ANSWER.replace(b"200 OK", b"421 Misdirected")
         self.owner.start()
         self.assertTrue(self.moved.wait(3.0))
+
+
+class TestRegainedPath(testtools.TestCase):
+    """Renewals fail while the path to an owner is lost."""
+
+    def setUp(self):
+        super().setUp()
+        self.owner, other = Upstream(), Upstream()
+        self.addCleanup(self.owner.stop)
+        self.addCleanup(other.stop)
+        self.other = other
+        durations = Durations(renew=60.0)
+        leadership = Leadership(durations)
+        leadership.begin(TERM, read_clock(), read_clock())
+        deployment = DeploymentState(FakeRegistry())
+        self.entries = [
+            RegisteredUpstream(
+                name, SERVICE, f"127.0.0.1:{upstream.port}", "dc", born=5
+            )
+            for name, upstream in (("u-1", self.owner), ("u-2", other))
+        ]
+        for entry in self.entries:
+            deployment.directory.put(entry, read_clock())
+        self.paths = PathMonitor(deployment.directory, UpstreamChannels(1000))
+        clients = OrderClients(
+            PlatformOrders(), durations.order_timeout, self.paths
+        )
+        self.addCleanup(clients.retain, ())
+        clients.update_entries(deployment.directory, read_clock())
+        self.executor = OrderExecutor(
+            Term(leadership, durations),
+            deployment,
+            clients,
+            durations,
+            lambda *_: None,
+        )
+        self.addCleanup(self.executor.close)
+        self.paths.on_regained = self.executor.renew_owners
+        self.table = RangeTable().assign_first(
+            [(each.name, 1) for each in self.entries]
+        )
+        deployment.update_table(
+            SERVICE, self.table, Position(0, 9), read_clock()
+        )
+
+    def lose_path(self):
+        self.owner.stop()
+        self.executor.reconcile(SERVICE, self.table)
+        gevent.sleep(0.3)
+        self.assertTrue(self.paths.is_doubtful(self.entries[0]))
+        self.assertEqual(1, len(self.other.grants))
+        self.owner.start()
+
+    def test_renewals_do_not_wait_for_their_interval(self):
+        # Guards against keys that stay unavailable for another 1.2 s after
+        # the path to their owner is back.
+        self.lose_path()
+        self.paths.note_connected(self.entries[0])
+        gevent.sleep(0.3)
+        self.assertEqual(1, len(self.owner.grants))
+
+    def test_renewals_that_were_answered_are_not_repeated(self):
+        # Guards against a burst of grants to owners that have them.
+        self.lose_path()
+        for entry in self.entries:
+            self.paths.note_connected(entry)
+        gevent.sleep(0.3)
+        self.assertEqual(1, len(self.other.grants))
+
+    def test_connection_without_a_lost_path_renews_nothing(self):
+        # Guards against a round of renewals for each new connection.
+        self.lose_path()
+        for _ in range(5):
+            self.paths.note_connected(self.entries[0])
+            gevent.sleep(0.05)
+        self.assertEqual(1, len(self.owner.grants))
