Reports of holds are bounded by their size

A report of holds was bounded by their number, 20,000, for names of 30 bytes. A name may have 200 bytes: 20,000 such holds are 4.4 MB, and the receiver closes the link at each message above 1.25 MB. No case was seen. The bound is now the size, 1 MB, as computed from the names.

--- a/sedgetide/daemons/_holdsreporter.py
+++ b/sedgetide/daemons/_holdsreporter.py
@@ -33,9 +33,10 @@
 
 # Seconds; also the interval of load reports.
 _INTERVAL = 0.4
-# Holds in one message. A hold takes 48 bytes, and a receiver closes the link
-# on which a message of more than 1.25 MB arrives.
-_MAX_HOLDS = 20_000
+# A receiver closes the link on which a message of more than 1.25 MB arrives.
+_MAX_BYTES = 1_000_000
+# Largest encoding of a hold without the name of its upstream.
+_HOLD_BYTES = 18
 _MAX_LOGGED = 64
 
 
@@ -254,8 +255,9 @@
                 )
                 for each in self._list_held(term, service, now)
             ]
-            if len(holds) > _MAX_HOLDS:
-                problem = f"{len(holds)} holds, expected up to {_MAX_HOLDS}"
+            size = sum(len(each.upstream) + _HOLD_BYTES for each in holds)
+            if size > _MAX_BYTES:
+                problem = f"{size} bytes, expected up to {_MAX_BYTES}"
                 self._log.log_refusal(term.position, self._own_link, problem)
                 continue
             inherited = max(0.0, term.find_inherited_end(service) - now)
--- a/tests/daemons/test_holdsreporter.py
+++ b/tests/daemons/test_holdsreporter.py
@@ -5,6 +5,8 @@
 
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
+from sedgetide.coding.messages import encode_envelope
+from sedgetide.coding.messages import Envelope
 from sedgetide.coding.messages import HeldKeys
 from sedgetide.coding.messages import HoldsReport
 from sedgetide.coding.messages import ServiceHolds
@@ -202,6 +204,32 @@
         expected = {SERVICE: {"u-1", "x-1"}, OTHER: {"m-1", "x-1"}}
         self.assertEqual(expected, found)
 
+    def test_report_that_is_too_long_is_not_sent(self):
+        # Guards against a link that is closed at each report, since the
+        # receiver takes messages up to a size only.
+        events = capture_events(self)
+        name = "u" * 200
+        for low in range(5_000):
+            self.grant(name, KeyRange(low, low), 99.0)
+        self.restore()
+        self.reporter.run_periodic(102.0)
+        self.assertEqual([], self.sent)
+        (line,) = [x for x in events if x["msg"] == "holds-refused"]
+        self.assertEqual(
+            f"{5_000 * 218} bytes, expected up to 1000000", line["problem"]
+        )
+
+    def test_long_report_is_below_the_size_limit(self):
+        name = "u" * 200
+        for low in range(4_500):
+            self.grant(name, KeyRange(60_000 + low, 65_535), 99.0)
+        self.restore()
+        self.reporter.run_periodic(102.0)
+        ((_, report),) = self.sent
+        size = len(encode_envelope(Envelope(OWN_LINK, [report])))
+        self.assertLess(900_000, size)
+        self.assertLess(size, 1024 * 1024)
+
     def test_known_later_leader_is_stated(self):
         # Guards against a leader that had been replaced and reports holds
         # that its successor has changed.
