--- a/sedgetide/testing/restoretimes.py
+++ b/sedgetide/testing/restoretimes.py
@@ -49,6 +49,8 @@
 _OUTAGE = 0.1
 _REFUSAL_TIME = 5.0
 _SERVED_WITHIN = 30.0
+# Seconds before the end in which a key that is available was served.
+_LAST_TIME = 2.0
 
 
 class Situation(enum.Enum):
@@ -69,12 +71,15 @@
         Of the keys whose upstream is reached, in ascending order.
     refused : tuple of float
         Of the keys whose upstream refuses connections.
+    unserved : int
+        Keys that were still not served at the end of the measurement.
     recovered : tuple of str
         Fields of the lines ``recovered`` of all hosts.
     """
 
     keys: tuple[float, ...]
     refused: tuple[float, ...]
+    unserved: int
     recovered: tuple[str, ...]
 
 
@@ -97,6 +102,10 @@
                 self.served_at.append(sent_at)
             gevent.sleep(_INTERVAL)
 
+    def is_served(self, since: float) -> bool:
+        """Return whether a request that was sent since then was served."""
+        return bool(self.served_at) and self.served_at[-1] >= since
+
     def find_gap(self, began: float, ended: float) -> float:
         """Return the longest time without a served request."""
         times = [began, *(at for at in self.served_at if at > began), ended]
@@ -183,6 +192,7 @@
     return RestoreTimes(
         tuple(sorted(gap for key, gap in gaps.items() if key not in lost)),
         tuple(sorted(gap for key, gap in gaps.items() if key in lost)),
+        sum(not each.is_served(ended - _LAST_TIME) for each in probers),
         tuple(
             _describe(line)
             for line in lines
@@ -218,6 +228,7 @@
             runs.append(run)
             _show(situation.value, run.keys)
             _show(f"{situation.value}, refusing upstream", run.refused)
+            print(f"{run.unserved} keys not served at the end")
             print(*run.recovered, sep="\n")
         _show(
             f"all {situation.value}", [gap for run in runs for gap in run.keys]
