The kernel has 0.55 s for an order, its sender 0.05 s

A cut path shows by orders that are not acknowledged. With 0.1 s for the sender the kernel gave up 0.52 s after the send, where the order timed out after 0.6 s before: a cut of one second may be noticed more often.

--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -36,7 +36,7 @@
 _MIN_RESTART_TIME = 0.1
 # Seconds between the decision to send an order and its send. Longer pauses
 # are rare, and an order from before one is prepared again.
-_MAX_SEND_DELAY = 0.1
+_MAX_SEND_DELAY = 0.05
 _MAX_PREPARATIONS = 3
 _OK = 200
 IGNORED_PATH = IgnoredPath()
