Stand-ins: upstreams record what they hold

Upstreams wrote an event when a request began and ended. Two upstreams that held the same keys without overlapping requests left no trace.

They now write each grant that they apply, with keys, fence, the end of the hold in the machine's monotonic clock (their own may run slow) and whether it was applied late, and each release. An event for the end of a process is defined for the harness, which sees it.

--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -49,11 +49,16 @@
 SAID = "said"
 # Kind of event: the registry has acknowledged that the upstream leaves.
 LEFT = "left"
+# Kinds of events: a grant was applied, keys were released, and the process
+# has ended. The last one is seen by the harness.
+GRANTED = "granted"
+RELEASED = "released"
+EXITED = "exited"
 _QUEUE_LIMIT = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
 
 
-class Event(msgspec.Struct, frozen=True):
+class Event(msgspec.Struct, frozen=True, omit_defaults=True):
     """One event at an upstream.
 
     Parameters
@@ -61,8 +66,9 @@
     at : float
         Time of the machine's monotonic clock.
     kind : str
-        ``begin`` or ``end`` of a run, ``flooded``, ``left``, or, at an
-        upstream with a script, ``arrived`` or ``said``.
+        ``begin`` or ``end`` of a run, ``flooded``, ``left``, ``granted``,
+        ``released``, ``exited``, or, at an upstream with a script,
+        ``arrived`` or ``said``.
     upstream : str
         Id of this incarnation of the upstream.
     request : str
@@ -70,9 +76,15 @@
     key : int
         Key of the request; -1 when it has none.
     fence : int
-        Fence of the grant that the key is held under.
+        Fence of the grant that the key is held under, or of the order.
     said : dict
         Values of the script in the answer, by kind.
+    keys : KeyRange or None
+        Keys of an order.
+    until : float
+        End of the hold of a grant, in the machine's monotonic clock.
+    late : bool
+        Whether a grant was applied after its call had been held up.
     """
 
     at: float
@@ -82,6 +94,9 @@
     key: int
     fence: int
     said: dict[str, str] = {}
+    keys: KeyRange | None = None
+    until: float = 0.0
+    late: bool = False
 
 
 class Leaving(enum.Enum):
@@ -100,6 +115,16 @@
     REMOVED = "removed"
 
 
+def name_life(name: str, born: int) -> str:
+    """Return the id in events of one incarnation of an upstream."""
+    return f"{name}@{born}"
+
+
+def _write(event: Event) -> None:
+    sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
+    sys.stdout.buffer.flush()
+
+
 class RangeUpstream:
     """State of one upstream process.
 
@@ -111,6 +136,7 @@
 
     def __init__(self, options: argparse.Namespace) -> None:
         self.name = options.name
+        self._life = name_life(options.name, options.born)
         self._options = options
         self._holder = RangeHolder(options.name)
         self._slots = BoundedSemaphore(options.slots)
@@ -151,20 +177,27 @@
         arrived_at = self._read_clock()
         keys = KeyRange(order["from"], order["to"])
 
-        def apply_grant() -> bool:
-            return self._holder.grant(
-                keys, order["fence"], order["hold-ms"] / 1000.0, arrived_at
-            )
-
-        if self._random.random() < self._options.late:
-            gevent.spawn_later(self._random.uniform(0.5, 6.0), apply_grant)
+        def apply_grant(late: bool) -> bool:
+            hold = order["hold-ms"] / 1000.0
+            fence = order["fence"]
+            if not self._holder.grant(keys, fence, hold, arrived_at):
+                return False
+            until = (arrived_at + hold) / self._options.clock_rate
+            self._write_order(GRANTED, keys, fence, until, late)
+            return True
+
+        late = self._random.random() < self._options.late
+        if late:
+            delay = self._random.uniform(0.5, 6.0)
+            gevent.spawn_later(delay, apply_grant, late)
             gevent.sleep(10.0)
-        return Answer(200 if apply_grant() else _names.FENCED, [])
+        return Answer(200 if apply_grant(late) else _names.FENCED, [])
 
     def _apply_release(self, request: Request) -> Answer:
         order = msgspec.json.decode(request.body)
         keys = KeyRange(order["from"], order["to"])
         self._holder.release(keys, order["fence"])
+        self._write_order(RELEASED, keys, order["fence"])
         while any(
             keys.low <= key <= keys.high for key in self._holder.running
         ):
@@ -264,12 +297,33 @@
         fence: int,
         said: dict[str, str] | None = None,
     ) -> None:
-        start = f"{self.name}@{self._options.born}"
         event = Event(
-            time.monotonic(), kind, start, number, key, fence, said or {}
+            time.monotonic(), kind, self._life, number, key, fence, said or {}
+        )
+        _write(event)
+
+    def _write_order(
+        self,
+        kind: str,
+        keys: KeyRange,
+        fence: int,
+        until: float = 0.0,
+        late: bool = False,
+    ) -> None:
+        now = time.monotonic()
+        _write(
+            Event(
+                now,
+                kind,
+                self._life,
+                "",
+                -1,
+                fence,
+                keys=keys,
+                until=until,
+                late=late,
+            )
         )
-        sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
-        sys.stdout.buffer.flush()
 
     # Registry
 
