Soak: record ends of processes and ends of faults that held up data

The check of holdings needs the end of each process, because a killed upstream holds nothing, and the times after which held up orders are delivered: a host or an upstream resumed, a proxy or gateway that holds back data passing it again.

Proxies and gateways note the ends of the modes that hold back data to upstreams.

--- a/sedgetide/testing/gateways.py
+++ b/sedgetide/testing/gateways.py
@@ -79,6 +79,9 @@
     def __init__(self) -> None:
         self._path = Path.OPEN
         self._is_affected: Callable[[str], bool] = lambda address: True
+        # Times at which data that had been held back was delivered, and for
+        # which addresses.
+        self.heals: list[tuple[float, Callable[[str], bool]]] = []
         self._connections: set[_Connection] = set()
         self._listener = open_listener("127.0.0.1", 0)
         port = self._listener.getsockname()[1]
@@ -99,6 +102,8 @@
         is_affected : callable
             Returns whether it applies to the upstream at an address.
         """
+        if self._path is Path.HANGING:
+            self.heals.append((time.monotonic(), self._is_affected))
         self._path = path
         self._is_affected = is_affected
         if path is Path.RESETTING:
--- a/sedgetide/testing/proxies.py
+++ b/sedgetide/testing/proxies.py
@@ -82,7 +82,9 @@
 
     def __init__(self, port: int) -> None:
         self.target = port
-        self.mode = Mode.PASS
+        self._mode = Mode.PASS
+        # Times at which data that had been held back was delivered.
+        self.healed_at: list[float] = []
         self.delay = 0.05
         self._pairs: set[_Pair] = set()
         self._listener = open_listener("127.0.0.1", 0)
@@ -90,6 +92,17 @@
         self.address = f"127.0.0.1:{self.port}"
         self._task = gevent.spawn(self._accept)
 
+    @property
+    def mode(self) -> Mode:
+        """How connections are treated now."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        if self._mode in (Mode.CUT, Mode.ONE_WAY):
+            self.healed_at.append(time.monotonic())
+        self._mode = mode
+
     def _accept(self) -> None:
         while True:
             client, _ = self._listener.accept()
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -22,6 +22,9 @@
 from sedgetide.testing.proxies import Proxy
 from sedgetide.testing.rangeupstream import CRASHED
 from sedgetide.testing.rangeupstream import Event
+from sedgetide.testing.rangeupstream import EXITED
+from sedgetide.testing.rangeupstream import name_life
+from sedgetide.testing.soakholdings import Heal
 from sedgetide.wire.client import Connection
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import Request
@@ -61,6 +64,8 @@
         self.name = name
         self.arguments = arguments
         self.output = folder / f"{name}.out"
+        self.resumed_at: list[float] = []
+        self._ended_at: float | None = None
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -71,6 +76,7 @@
         """
         if self.running:
             return
+        self._ended_at = None
         with self.output.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, *self.arguments],
@@ -81,6 +87,8 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process runs."""
         if self._process is not None and self._process.poll() is None:
+            if number is signal.SIGCONT:
+                self.resumed_at.append(time.monotonic())
             os.kill(self._process.pid, number)
 
     @property
@@ -96,7 +104,18 @@
     @property
     def running(self) -> bool:
         """Whether the process was started and has not exited."""
-        return self._process is not None and self._process.poll() is None
+        if self._process is None:
+            return False
+        if self._process.poll() is None:
+            return True
+        if self._ended_at is None:
+            self._ended_at = time.monotonic()
+        return False
+
+    @property
+    def ended_at(self) -> float | None:
+        """Time at which the end of the last start was seen, if it ended."""
+        return None if self.running else self._ended_at
 
     def read_processor_time(self) -> float:
         """Return the processor time that the process has used, in s."""
@@ -260,6 +279,7 @@
         direct = f"127.0.0.1:{self._port}"
         self.address = direct if crash_on else self.proxy.address
         self.programs: list[Program] = []
+        self._lives: list[str] = []
 
     @property
     def program(self) -> Program:
@@ -310,6 +330,21 @@
         program = Program(label, self._folder, arguments)
         program.start()
         self.programs.append(program)
+        self._lives.append(name_life(self.name, self._starts))
+
+    def list_exits(self) -> list[Event]:
+        """Return an event for each process of this upstream that has ended."""
+        return [
+            Event(program.ended_at, EXITED, life, "", -1, 0)
+            for life, program in zip(self._lives, self.programs, strict=True)
+            if program.ended_at is not None
+        ]
+
+    def list_heals(self) -> list[Heal]:
+        """Return the times at which orders to it may have been held up."""
+        times = [at for each in self.programs for at in each.resumed_at]
+        times += self.proxy.healed_at
+        return [Heal(at, f"i-{self._number}-") for at in times]
 
     def close(self) -> None:
         """Kill all processes of this upstream and close the proxy."""
@@ -535,12 +570,26 @@
         decoder = msgspec.json.Decoder(Event)
         events = []
         for upstream in self.upstreams:
+            events += upstream.list_exits()
             for program in upstream.programs:
                 for line in program.output.read_bytes().splitlines():
                     if line.startswith(b'{"at"') and line.endswith(b"}"):
                         events.append(decoder.decode(line))
         return sorted(events, key=lambda event: event.at)
 
+    def list_heals(self) -> list[Heal]:
+        """Return the times after which held up orders may be delivered."""
+        heals = [heal for each in self.upstreams for heal in each.list_heals()]
+        for host in self.hosts:
+            heals += [Heal(at) for at in host.program.resumed_at]
+            heals += [
+                Heal(at, f"i-{number}-")
+                for at, was_affected in host.gateway.heals
+                for number, each in enumerate(self.upstreams)
+                if was_affected(each.address)
+            ]
+        return heals
+
     def close(self) -> None:
         """Kill all processes and close all proxies."""
         self._stack.close()
