--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -195,6 +195,7 @@
         )
         checks.check_answers(records)
         checks.check_owners(events)
+        checks.check_holdings(events, ended)
         checks.check_recovery(records, ended)
         checks.check_configuration(self._fault_sampler.extra_routes)
         checks.problems += find_flooded(events)
--- a/sedgetide/testing/soakchecks.py
+++ b/sedgetide/testing/soakchecks.py
@@ -10,6 +10,7 @@
 from sedgetide.testing.soakcallers import RequestRecord
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import HOST
+from sedgetide.testing.soakholdings import find_holding_violations
 from sedgetide.wire.client import Connection
 from sedgetide.wire.messages import Request
 
@@ -137,6 +138,14 @@
                 )
             fences[event.key] = (event.fence, event.upstream)
 
+    def check_holdings(self, events: list[Event], ended: float) -> None:
+        """Check that one upstream at a time holds a key.
+
+        Unlike :meth:`check_owners` this sees two holders without requests.
+        """
+        heals = self._fleet.list_heals()
+        self.problems += find_holding_violations(events, heals, ended)
+
     def _has_finished(self, events: list[Event], name: str) -> bool:
         """Return whether all runs of an upstream ended: it was not killed."""
         counts = collections.Counter(
