Soak: a proxy between each upstream and the store

An upstream could not be cut off from the store while the hosts reach it. It now has a proxy on its way to the store, as hosts have. It is open in all earlier fault sets.

--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -241,7 +241,8 @@
 class SoakUpstream:
     """Address at which upstream processes are started one after another.
 
-    A start gets a new name, or keeps the name of the previous one.
+    A start gets a new name, or keeps the name of the previous one. There is
+    a proxy before it, and one between it and the store.
     """
 
     def __init__(
@@ -265,7 +266,7 @@
         self.data_centre = f"dc-{number % 2}"
         self._crash_on = crash_on
         self._folder = folder
-        self._store_port = store_port
+        self.store = Proxy(store_port)
         self._number = number
         self._service = service
         self._late_grants = late_grants
@@ -309,7 +310,7 @@
             f"--data-centre={self.data_centre}",
             f"--port={self._port}",
             f"--address={self.address}",
-            f"--store=127.0.0.1:{self._store_port}",
+            f"--store={self.store.address}",
             f"--late={self._late_grants}",
             f"--clock-rate={self._clock_rate}",
             f"--slots={self._slots}",
@@ -347,10 +348,11 @@
         return [Heal(at, f"i-{self._number}-") for at in times]
 
     def close(self) -> None:
-        """Kill all processes of this upstream and close the proxy."""
+        """Kill all processes of this upstream and close the proxies."""
         for program in self.programs:
             program.close()
         self.proxy.close()
+        self.store.close()
 
 
 def call(port: int, method: str, path: str, document=None) -> Answer | None:
