--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from sedgetide.backends.dialects import OrderDialect
-from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
@@ -26,6 +25,8 @@
 from sedgetide.daemons._orderclient import OrderClient
 from sedgetide.daemons._orderclient import OrderOutcome
 from sedgetide.daemons._orderclient import OrderResult
+from sedgetide.daemons._ordersessions import OrderSessions
+from sedgetide.daemons._ordersessions import OwnedFence
 from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._renewal import renew_grants
 from sedgetide.daemons._upstreampath import UpstreamPath
@@ -42,10 +43,8 @@
 _GRANT_ATTEMPTS = 3
 # Ranges in one log line of about 4 KB.
 _LOGGED_RANGES = 100
-# Enough for the grants of two tables with 24 ranges for each of 300 upstreams.
-_MAX_SESSIONS = 16_000
-# End of a hold whose owner answered a release before the move began.
-_RELEASED_BEFORE = float("-inf")
+# End of the holds of an upstream that holds none of the keys.
+_NO_HOLD = float("-inf")
 _RELEASE_PROOFS = {
     OrderOutcome.DONE: StopProof.ANSWERED,
     OrderOutcome.FOREIGN: StopProof.OTHER_INSTANCE,
@@ -63,6 +62,11 @@
         Seconds after which an unanswered grant is aborted.
     paths : PathMonitor
         Records which upstreams are reached.
+
+    Attributes
+    ----------
+    sessions : OrderSessions
+        Sessions in which upstreams were granted keys.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         self._clients: dict[IncarnationName, OrderClient] = {}
         self._entries: dict[IncarnationName, RegisteredUpstream] = {}
         self._seen_at: dict[IncarnationName, float] = {}
+        self.sessions = OrderSessions()
 
     def update_entries(self, directory: UpstreamDirectory, now: float) -> None:
         """Store the current entries, kept also after upstreams have left."""
@@ -189,9 +194,9 @@
         self._moves: dict[tuple[ServiceName, Tenure], gevent.Greenlet] = {}
         self._completed: dict[ServiceName, set[Tenure]] = {}
         self._fenced: dict[ServiceName, set[Tenure]] = {}
-        self._sessions: dict[tuple[IncarnationName, Fence], int] = {}
         self._logged: set[ServiceName] = set()
         self._renew_now = ChangeSignal()
+        clients.sessions.begin_term(read_clock())
 
     @property
     def moving(self) -> int:
@@ -217,18 +222,17 @@
         """Drop completed moves that the written table has applied."""
         completed = self.list_completed(service)
         self._completed[service] = completed.intersection(table.tenures)
-        if len(self._sessions) > _MAX_SESSIONS:
+        if self._clients.sessions.is_full:
             self._prune_sessions()
 
     def _prune_sessions(self) -> None:
         """Drop sessions of grants that are in no current table."""
-        current = set()
+        current: set[OwnedFence] = set()
         for known in self._deployment.tables.values():
             for tenure in known.table.tenures:
                 current.add((tenure.owner, tenure.fence))
                 current.add((tenure.successor, tenure.fence))
-        for grant in self._sessions.keys() - current:
-            del self._sessions[grant]
+        self._clients.sessions.retain(current)
 
     def pop_fenced(
         self,
@@ -318,9 +322,10 @@
             if not self.term.may_order(now):
                 return None
             end = self._find_hold_end(service, tenure)
-            over = self._find_end_proof(tenure, now, end)
-            if over is not None:
-                self._log_owner_stopped(service, tenure, over, began, end)
+            if now >= end:
+                unheld = end == _NO_HOLD
+                proof = StopProof.UNHELD if unheld else StopProof.EXPIRED
+                self._log_owner_stopped(service, tenure, proof, began, end)
                 return _StoppedOwner()
             # One release may fail because the owner is at its connection
             # limit.
@@ -372,9 +377,7 @@
     ) -> None:
         STOP_PROOFS.labels(service, "move", proof.value).inc()
         now = read_clock()
-        after_hold = f"{now - hold_end:.2f}"
-        if hold_end == _RELEASED_BEFORE:
-            after_hold = ""
+        after_hold = "" if hold_end == _NO_HOLD else f"{now - hold_end:.2f}"
         log_event(
             Event.OWNER_STOPPED,
             service=service,
@@ -404,19 +407,6 @@
                 ),
             )
 
-    def _find_end_proof(
-        self, tenure: Tenure, now: float, hold_end: float
-    ) -> StopProof | None:
-        """Return the proof that the owner's hold of the range is over."""
-        if hold_end == _RELEASED_BEFORE:
-            return StopProof.ANSWERED
-        if now >= hold_end:
-            return StopProof.EXPIRED
-        address = self._clients.find_address(tenure.owner)
-        if self._deployment.directory.is_address_reused(tenure.owner, address):
-            return StopProof.ADDRESS_REUSED
-        return None
-
     def _find_hold_end(self, service: ServiceName, tenure: Tenure) -> float:
         """Return when the owner's hold of a range has certainly expired."""
         since = self._deployment.find_known_since(service, tenure)
@@ -442,28 +432,28 @@
             # meanwhile doesn't wait for a grant that hasn't been sent.
             if not self._is_current(service, tenure):
                 return None
-            # A restarted upstream has seen no fence and would accept the keys
-            # at the one under which its former process had them.
-            known = self._sessions.setdefault(granted, client.session)
-            restarted = known != client.session
+            now = read_clock()
+            restarted = self._clients.sessions.is_restarted(
+                granted, client.session, now
+            )
             if restarted:
                 return None
-            grant = self.term.prepare_grant(
-                upstream, tenure.keys, read_clock()
-            )
+            grant = self.term.prepare_grant(upstream, tenure.keys, now)
             if grant is None:
                 return None
             grants.append(grant)
             return grant.life
 
+        delivered = True
         try:
             result = client.grant(tenure.keys, tenure.fence, handover, prepare)
+            delivered = result.identified
             if result.taken is OrderOutcome.FOREIGN:
                 self._deployment.directory.note_foreign(upstream, read_clock())
             return OrderOutcome.RESTARTED if restarted else result.taken
         finally:
             # It was answered or aborted, so it can't arrive after now.
-            for grant in grants:
+            for grant in grants if delivered else ():
                 self.term.note_arrival(grant, read_clock())
 
     def _renew(self, service: ServiceName, owner: IncarnationName) -> None:
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -361,28 +361,28 @@
         "recovering",
         logging.WARNING,
         "The store was restored from a copy. Keys of a service are granted "
-        "only after all upstreams have released theirs, or after "
-        "most_seconds.",
+        "only once the former leader has reported which may be held and "
+        "upstreams have released theirs, or after most_seconds.",
         ("service", "era", "most_seconds"),
     )
     RECOVERED = Definition(
         "recovered",
         logging.INFO,
         "Keys of a service are granted again. released: number of upstreams "
-        "that have released theirs, of which answered, other_instance and "
-        "refused give the number by proof. left_out: upstreams that were not "
-        "asked, because the registry shows another one at their address. "
-        "unreleased: upstreams that gave no proof before all earlier grants "
-        "had expired.",
+        "that have released theirs, of which answered and other_instance give "
+        "the number by proof; silent: of those that have not; retained: "
+        "number of ranges that stay with these. basis: report of the former "
+        "leader, first-start of the deployment, or expired, when no grant of "
+        "an earlier era can be held any more.",
         (
             "service",
             "era",
             "released",
             "answered",
             "other_instance",
-            "refused",
-            "left_out",
-            "unreleased",
+            "silent",
+            "retained",
+            "basis",
             "seconds",
         ),
     )
@@ -432,10 +432,10 @@
         "owner-stopped",
         logging.INFO,
         "A moving range no longer has an owner. proof: how this is known: "
-        "answered, other-instance, expired or address-reused. seconds: time "
-        "since the move began. after_hold: seconds since the end of the "
-        "owner's hold; negative if the hold had not ended, empty if the "
-        "owner had answered a release before the move began.",
+        "answered, other-instance, expired, or unheld if the owner had no "
+        "grant of the keys any more when the move began. seconds: time since "
+        "then. after_hold: seconds since the end of the owner's hold; "
+        "negative if the hold had not ended.",
         (
             "service",
             "upstream",
@@ -514,9 +514,8 @@
         logging.INFO,
         "After a restore of the store, an upstream counts as holding no keys "
         "granted in an earlier era. proof=answered: it answered a release of "
-        "all keys; other-instance: another upstream answered at its address; "
-        "refused: its address refused a connection. seconds: time since the "
-        "recovery began.",
+        "all keys; other-instance: another upstream answered at its address. "
+        "seconds: time since the recovery began.",
         ("service", "era", "upstream", "address", "proof", "seconds"),
     )
     GRANTING = Definition(
@@ -529,6 +528,22 @@
         "upstream-released.",
         ("service", "term", "ranges"),
     )
+    HOLDS_REPORTED = Definition(
+        "holds-reported",
+        logging.INFO,
+        "The former leader reports to the leader of a new era of the store "
+        "which keys upstreams may hold, logged once by each of the two. "
+        "term: of the former leader; holds: number of ranges; inherited: "
+        "seconds for which other keys may be held as well.",
+        ("term", "sender", "receiver", "services", "holds", "inherited"),
+    )
+    HOLDS_REFUSED = Definition(
+        "holds-refused",
+        logging.WARNING,
+        "A report of held keys is not used or not sent. Without one, keys "
+        "are granted again once all earlier grants have expired.",
+        ("term", "sender", "problem"),
+    )
 
 
 _FIELDS = {event: frozenset(event.value.fields) for event in Event}
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import contextlib
 import select
-import struct
 import time
 
 import gevent
@@ -15,6 +14,10 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
+from sedgetide.wire.delivery import DeliveryLimit
+from sedgetide.wire.delivery import lift_limit
+from sedgetide.wire.delivery import SendOverdue
+from sedgetide.wire.delivery import set_reset_on_close
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import decode_headers
 from sedgetide.wire.messages import encode_headers
@@ -35,7 +38,7 @@
 _IDLE_TIMEOUT_FRACTION = 0.9
 # This many responses to other requests are not just late duplicates.
 _MAX_ANSWERS_READ = 3
-_LINGER_RESET = struct.pack("ii", 1, 0)
+_BAD = ErrorCode.BAD_ANSWER
 
 AnswerFilter = Callable[[Headers], bool]
 
@@ -83,6 +86,8 @@
         pool; 0 for a new connection.
     opened_at : float
         Monotonic time at which it was opened; 0 before.
+    answered : bool
+        Whether a response to a request was read on it.
     """
 
     def __init__(self, address: str, body_limit: int) -> None:
@@ -93,6 +98,7 @@
         self._idle_timeout = _DEFAULT_IDLE_TIMEOUT
         self.rested = 0.0
         self.opened_at = 0.0
+        self.answered = False
 
     def open(self, timeout: float) -> None:
         """Connect to the server.
@@ -174,6 +180,7 @@
         request: Request,
         timeout: float,
         is_own_answer: AnswerFilter = _accept_any,
+        delivery: DeliveryLimit | None = None,
     ) -> Answer:
         """Send a request and read its complete response.
 
@@ -186,19 +193,36 @@
         is_own_answer : callable
             Returns whether a response belongs to this request, given its
             headers. Other responses are skipped.
+        delivery : DeliveryLimit or None
+            Limit for a request that must not arrive late. It applies until
+            it is lifted.
 
         Raises
         ------
         UpstreamError
             With ``sent`` true; the connection is closed, because a late
             response on it would be taken for that of the next request.
+            With ``sent`` false and code TOO_LATE, if the request was not
+            sent by its limit; the connection stays open if nothing of it
+            was sent.
         """
         whole = False
         try:
             with gevent.Timeout(timeout) as timer:
-                answer = self._exchange(request, is_own_answer)
+                answer = self._exchange(request, is_own_answer, delivery)
             whole = True
             return answer
+        except SendOverdue as error:
+            whole = not error.begun
+            if whole:
+                self.lift_delivery_limit()
+            raise UpstreamError(
+                ErrorCode.TOO_LATE,
+                Step.SEND,
+                self.address,
+                str(error),
+                sent=False,
+            ) from error
         except gevent.Timeout as error:
             if error is not timer:
                 raise
@@ -207,25 +231,41 @@
             ) from error
         except (OSError, h11.ProtocolError, ValueError) as error:
             detail = f"{type(error).__name__}: {error}"
-            raise self._make_error(ErrorCode.BAD_ANSWER, detail) from error
+            # The kernel ends the connection when the limit is over.
+            silent = delivery is not None and isinstance(error, TimeoutError)
+            code = ErrorCode.UPSTREAM_SILENT if silent else _BAD
+            raise self._make_error(code, detail) from error
         finally:
             if not whole:
                 self.abort()
 
+    def lift_delivery_limit(self) -> None:
+        """Restore the limits of an idle connection after an answer."""
+        if self._socket is not None:
+            lift_limit(self._socket, _UPSTREAM_TIMEOUT_MS)
+
     def _make_error(self, code: ErrorCode, detail: str) -> UpstreamError:
         return UpstreamError(
             code, Step.ANSWER, self.address, detail, sent=True
         )
 
     def _exchange(
-        self, request: Request, is_own_answer: AnswerFilter
+        self,
+        request: Request,
+        is_own_answer: AnswerFilter,
+        delivery: DeliveryLimit | None,
     ) -> Answer:
         data, parser = _format_request(request)
-        self._socket.sendall(data)
+        if delivery is None:
+            self._socket.sendall(data)
+        else:
+            delivery.apply(self._socket)
+            delivery.send(self._socket, data)
         for _ in range(_MAX_ANSWERS_READ):
             answer = self._read_answer(parser)
             rest, ended = parser.trailing_data
             if is_own_answer(answer.headers):
+                self.answered = True
                 self._finish(answer, parser, rest, ended)
                 return answer
             # A duplicate of an earlier response arrives where the response
@@ -299,9 +339,7 @@
         """
         if self._socket is not None:
             with contextlib.suppress(OSError):
-                self._socket.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                )
+                set_reset_on_close(self._socket)
         self.close()
 
     def close(self) -> None:
@@ -382,9 +420,10 @@
             With ``sent`` false, if no connection can be opened.
         """
         connection = self._take_idle(max_idle)
-        return self._open(timeout) if connection is None else connection
+        return self.open(timeout) if connection is None else connection
 
-    def _open(self, timeout: float) -> Connection:
+    def open(self, timeout: float) -> Connection:
+        """Return a new connection; arguments and errors as in `take`."""
         connection = Connection(self.address, self._body_limit)
         connection.open(timeout)
         if self._reset_wait:
@@ -399,7 +438,7 @@
         UpstreamError
             With ``sent`` false, if no connection can be opened.
         """
-        self.give_back(self._open(timeout))
+        self.give_back(self.open(timeout))
 
     def _take_idle(self, max_idle: float) -> Connection | None:
         while self._idle:
