A release ends no hold at its own fence

No caller is known to have seen it; two holders of a key are possible. A range that goes to its owner again is released and granted at one fence. A grant at this fence that is under way, of this leader or of the former one in its last 1.8 s, is applied after the answered release, since upstreams refuse lower fences only.

Change: where the owner is the successor, an answered release doesn't end its hold in the ledger. The next move releases the range at a higher fence, or waits for the hold's end.

The new test failed before: u-2 got the keys at fence 3 with no order to u-1 after the release at fence 2. It passes, as do those of test_orderexecutor.

--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -363,7 +363,11 @@
         result = client.release(tenure.keys, tenure.fence, may_send)
         if result.taken not in _RELEASE_PROOFS:
             return None
-        self.term.note_release(tenure.owner, tenure.keys)
+        # A grant of the same fence that is still under way is accepted after
+        # the release, if the owner gets the range again.
+        regranted = tenure.owner == tenure.successor
+        if not regranted or result.taken is OrderOutcome.FOREIGN:
+            self.term.note_release(tenure.owner, tenure.keys)
         return result
 
     def _is_registered(self, upstream: IncarnationName) -> bool:
--- a/tests/daemons/test_restarted_owner.py
+++ b/tests/daemons/test_restarted_owner.py
@@ -14,6 +14,8 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._deployment import DeploymentState
+from sedgetide.daemons._orderclient import OrderOutcome
+from sedgetide.daemons._orderclient import OrderResult
 from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.daemons._orderexecutor import OrderExecutor
 from sedgetide.daemons._pathmonitor import PathMonitor
@@ -25,6 +27,7 @@
 from tests.daemons.test_election import FakeRegistry
 from tests.daemons.test_orderclient import Upstream
 from tests.daemons.test_orderexecutor import SERVICE
+from tests.daemons.test_orderexecutor import SlowClients
 from tests.daemons.test_orderexecutor import TERM
 
 TIMEOUT = 3.0
@@ -170,3 +173,43 @@
         self.assertIn(("u-1", 2, GRANT_PATH, 2), self.orders)
         granted = self.orders.index(("u-2", 1, GRANT_PATH, 3))
         self.assertIn(("u-1", 2, RELEASE_PATH, 3), self.orders[:granted])
+
+
+class LosingClient:
+    """Order client whose upstream is not reached after a release."""
+
+    session = 0
+
+    def __init__(self):
+        self.granted = []
+        self.reached = True
+
+    def grant(self, keys, fence, handover, prepare):
+        if not self.reached or prepare() is None:
+            return OrderResult(OrderOutcome.UNSENT)
+        self.granted.append(fence)
+        return OrderResult(OrderOutcome.DONE)
+
+    def release(self, keys, fence, may_send):
+        if not self.reached or not may_send():
+            return OrderResult(OrderOutcome.UNSENT)
+        self.reached = False
+        return OrderResult(OrderOutcome.DONE)
+
+
+class TestMoveToTheSameOwner(MoveCase):
+    """A range goes to its owner again, at a new fence."""
+
+    def test_release_at_the_fence_of_a_grant_ends_no_hold(self):
+        # Guards against two holders of a key: a grant of the former leader at
+        # the same fence arrives after the release, and is not refused.
+        clients = SlowClients(("u-1", "u-2"))
+        clients.clients.update({"u-1": LosingClient(), "u-2": LosingClient()})
+        self.create_executor(clients, 0.5)
+        table = RangeTable().assign_first([("u-1", 1)])
+        table = self.begin(table, "u-1", MoveReason.FENCE)
+        self.write(table)
+        table = self.complete(table)
+        self.write(self.begin(table, "u-2", MoveReason.EVICTION))
+        gevent.sleep(0.3)
+        self.assertEqual([], clients.clients["u-2"].granted)
