The delay of an order counts from before its decision

An order could leave after a pause, on an old proof of leadership: the clock that measures its delay was read after the proof was looked at, and a pause between the two was not seen (review). Another leader may have waited for all orders of this host by then, and moved the keys.

Change: the clock is read first. The new test failed before (the order was sent) and passes, as do those of the order client.

--- a/sedgetide/daemons/_orderclient.py
+++ b/sedgetide/daemons/_orderclient.py
@@ -205,10 +205,11 @@
         """
 
         def make_order() -> _PreparedOrder | None:
+            # A pause after the decision must count as a delay of the order.
+            decided_at = read_clock()
             life = prepare()
             if life is None:
                 return None
-            decided_at = read_clock()
             request = self._dialect.make_grant(
                 self.upstream, keys, fence, life, handover
             )
@@ -239,9 +240,9 @@
         """
 
         def make_order() -> _PreparedOrder | None:
+            decided_at = read_clock()
             if not may_send():
                 return None
-            decided_at = read_clock()
             request = self._dialect.make_release(self.upstream, keys, fence)
             return _PreparedOrder(request, decided_at)
 
--- a/tests/daemons/test_late_orders.py
+++ b/tests/daemons/test_late_orders.py
@@ -151,6 +151,21 @@
         holds = [each["hold-ms"] for each in self.upstream.orders]
         self.assertEqual([4000], holds)
 
+    def test_pause_right_after_the_decision(self):
+        # Guards against two owners: the pause is not noticed if it begins
+        # before the delay of the order is measured.
+        allowed = [True, False]
+
+        def prepare():
+            if not allowed.pop(0):
+                return None
+            time.sleep(0.3)
+            return 3.0
+
+        result = self.make_client(PlatformOrders()).grant(KEYS, 1, "", prepare)
+        self.assertIs(OrderOutcome.UNSENT, result.taken)
+        self.assertEqual([], self.upstream.orders)
+
     def test_nothing_is_sent_if_orders_are_no_longer_allowed(self):
         # Guards against two owners: the host isn't the leader any more.
         lives = [3.0, None]
