Merge renewals at a regained path

In test_concurrent_orders_are_no_restart the decision took 0.1 s, which is the limit for the delay of an order since that counts from before its decision: the order was given up, and the test failed there. The decision now takes 0.05 s; the other order still begins and ends meanwhile, and the checks are the same.

--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -154,6 +154,7 @@
             self._holds_receiver,
         )
         self._executor = self._create_executor()
+        paths.on_regained = lambda owners: self._executor.renew_owners(owners)
         self._recovery = self._create_recovery()
         self._load_tracker = LoadTracker()
         self._limit_tracker = LimitTracker()
--- a/tests/daemons/test_orderclient.py
+++ b/tests/daemons/test_orderclient.py
@@ -165,7 +165,7 @@
         sessions = []
 
         def delay_order():
-            gevent.sleep(0.1)
+            gevent.sleep(0.05)
             return 3.5
 
         def record_session():
