--- a/tests/daemons/test_orderclient.py
+++ b/tests/daemons/test_orderclient.py
@@ -165,7 +165,7 @@
         sessions = []
 
         def delay_order():
-            gevent.sleep(0.05)
+            gevent.sleep(0.1)
             return 3.5
 
         def record_session():
@@ -185,7 +185,7 @@
         self.grant()
 
         def delay_order():
-            gevent.sleep(0.1)
+            gevent.sleep(0.05)
             return 3.5
 
         first = gevent.spawn(self.client.grant, KEYS, 1, "", delay_order)
