Gateways: several cuts of paths at once

A gateway had one state for one set of upstreams, so that a second fault ended the first one. It now keeps a list of cuts; the last one that affects an upstream counts. set_path replaces all of them, as before.

--- a/sedgetide/testing/gateways.py
+++ b/sedgetide/testing/gateways.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 import time
 
@@ -73,12 +74,27 @@
                 reset_socket(end)
 
 
+class Cut:
+    """State of the path to some upstreams, until it is removed.
+
+    Parameters
+    ----------
+    path : Path
+        State of the path.
+    is_affected : callable
+        Returns whether it applies to the upstream at an address.
+    """
+
+    def __init__(self, path: Path, is_affected: Callable[[str], bool]) -> None:
+        self.path = path
+        self.is_affected = is_affected
+
+
 class Gateway:
     """Path of one host to all upstreams."""
 
     def __init__(self) -> None:
-        self._path = Path.OPEN
-        self._is_affected: Callable[[str], bool] = lambda address: True
+        self._cuts: list[Cut] = []
         # Times at which data that had been held back was delivered, and for
         # which addresses.
         self.heals: list[tuple[float, Callable[[str], bool]]] = []
@@ -102,29 +118,49 @@
         is_affected : callable
             Returns whether it applies to the upstream at an address.
         """
-        if self._path is Path.HANGING:
-            self.heals.append((time.monotonic(), self._is_affected))
-        self._path = path
-        self._is_affected = is_affected
-        if path is Path.RESETTING:
-            self._reset_affected(self._connections)
-        elif path in _SILENT:
+        for cut in list(self._cuts):
+            self.remove_cut(cut)
+        if path is not Path.OPEN:
+            self.add_cut(Cut(path, is_affected))
+
+    def add_cut(self, cut: Cut) -> None:
+        """Change the path to some upstreams, over all earlier cuts."""
+        self._cuts.append(cut)
+        affected = {
+            each for each in self._connections if cut.is_affected(each.address)
+        }
+        if cut.path is Path.RESETTING:
+            self._reset(affected)
+        elif cut.path in _SILENT:
             gevent.spawn_later(
-                _USER_TIMEOUT, self._give_up, path, set(self._connections)
+                _USER_TIMEOUT, self._give_up, cut.path, affected
             )
 
+    def remove_cut(self, cut: Cut) -> None:
+        """End a cut; has no effect when it was removed before."""
+        if cut not in self._cuts:
+            return
+        self._cuts.remove(cut)
+        if cut.path is Path.HANGING:
+            self.heals.append((time.monotonic(), cut.is_affected))
+
     def _give_up(self, path: Path, connections: set[_Connection]) -> None:
         """End connections whose keepalive probes got no reply."""
-        if self._path is path:
-            self._reset_affected(connections & self._connections)
+        self._reset(
+            each
+            for each in connections & self._connections
+            if self._find_path(each.address) is path
+        )
 
-    def _reset_affected(self, connections: set[_Connection]) -> None:
+    def _reset(self, connections: Iterable[_Connection]) -> None:
         for each in list(connections):
-            if self._is_affected(each.address):
-                each.reset()
+            each.reset()
 
     def _find_path(self, address: str) -> Path:
-        return self._path if self._is_affected(address) else Path.OPEN
+        for cut in reversed(self._cuts):
+            if cut.is_affected(address):
+                return cut.path
+        return Path.OPEN
 
     def _accept(self) -> None:
         while True:
