--- a/sedgetide/testing/soakfaults.py
+++ b/sedgetide/testing/soakfaults.py
@@ -327,10 +327,13 @@
         def begin() -> None:
             for host in self._fleet.hosts:
                 host.program.signal(signal.SIGKILL)
+            # Not at the end, as an overlapping fault may have started the
+            # hosts again by then.
+            for host in self._fleet.hosts:
+                host.program.wait()
 
         def end() -> None:
             for host in self._fleet.hosts:
-                host.program.wait()
                 host.program.start()
 
         hosts = tuple(range(len(self._fleet.hosts)))
