--- a/tests/daemons/test_orderclient.py
+++ b/tests/daemons/test_orderclient.py
@@ -184,8 +184,10 @@
     def test_concurrent_orders_are_no_restart(self):
         self.grant()
 
+        delays = [0.1]
+
         def delay_order():
-            gevent.sleep(0.05)
+            gevent.sleep(delays.pop() if delays else 0.0)
             return 3.5
 
         first = gevent.spawn(self.client.grant, KEYS, 1, "", delay_order)
