Soak: fault set of isolated upstreams, seeds from 11000 on

No fault set had all of these at once: returns of the store from older copies, lost paths to single upstreams, upstreams without the store, and a lost leader.

Each run draws one or two restores, and around each of them with a probability: a replaced upstream, cuts (refusing, resetting, hanging, one-way; once or in series) of one upstream or a data centre from some or all hosts, that upstream without the store, leaving or reborn, the loss of all hosts, a leader frozen, killed or resigning, a further restore. Hosts are 3, 5 or 8, the first era 0 or 6.

--- a/sedgetide/testing/soak.py
+++ b/sedgetide/testing/soak.py
@@ -92,6 +92,15 @@
         match self._fault_set:
             case FaultSet.PATHS:
                 return self._make_routed_fleet(folder, late_grants)
+            case FaultSet.ISOLATED:
+                return Fleet(
+                    folder,
+                    late_grants,
+                    ({},) * self._random.choice((3, 5, 8)),
+                    slots=3,
+                    era=self._random.choice((0, 6, 6)),
+                    with_gateways=True,
+                )
             case FaultSet.RESTORES:
                 era = self._random.choice((0, 0, 6))
                 options = ({},) * self._random.choice((3, 3, 8))
--- a/sedgetide/testing/soakfaults.py
+++ b/sedgetide/testing/soakfaults.py
@@ -4,6 +4,7 @@
 import enum
 import random
 import signal
+from typing import Any
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -17,6 +18,11 @@
 from sedgetide.testing.soakfleet import Fleet
 from sedgetide.testing.soakfleet import GRACE
 from sedgetide.testing.soakfleet import Program
+from sedgetide.testing.soakfleet import SoakUpstream
+from sedgetide.testing.soakisolation import draw_isolation
+from sedgetide.testing.soakisolation import draw_leader_loss
+from sedgetide.testing.soakisolation import draw_store_cut
+from sedgetide.testing.soakpaths import Disruption
 from sedgetide.testing.soakpaths import draw_path_cut
 
 FAULT_WINDOW = 9.0
@@ -94,6 +100,9 @@
     RESTORES = 8000
     # Hosts lose their paths to upstreams, and some of them have no peers.
     PATHS = 10_000
+    # The store is restored from older copies while upstreams are cut off
+    # from hosts and from the store, restart and leave, and leaders are lost.
+    ISOLATED = 11_000
 
 
 def find_fault_set(seed: int) -> FaultSet:
@@ -132,6 +141,8 @@
 
     def draw(self) -> list[Fault]:
         """Return the faults, ordered by start time."""
+        if self._fault_set is FaultSet.ISOLATED:
+            return sorted(self._draw_isolated(), key=lambda fault: fault.at)
         factories = [
             self._draw_host_signal,
             self._draw_upstream_loss,
@@ -174,6 +185,81 @@
         ]
         return sorted(faults, key=lambda fault: fault.at)
 
+    def _draw_isolated(self) -> list[Fault]:
+        """Draw restores, each with several faults around it."""
+        return [
+            fault
+            for _ in range(self._random.choice((1, 1, 1, 2)))
+            for fault in self._draw_isolated_restore()
+        ]
+
+    def _draw_isolated_restore(self) -> list[Fault]:
+        """Draw a restore and faults that mostly concern one upstream.
+
+        Two upstreams hold the same keys only when several faults of one of
+        them meet within the seconds of a restore. Independently drawn faults
+        seldom do. Most begin once the leader has sent the long grants of an
+        outage.
+        """
+        source, fleet = self._random, self._fleet
+        target = source.choice(fleet.list_keyed())
+        age = source.choice((0.5, 1.5, 3.0, 6.0))
+        outage = source.choice((0.3, 1.5, 2.0, 3.0))
+        began = source.uniform(5.0, FAULT_WINDOW)
+        later = outage + 1.0
+        # Probability, times from the loss of the store on, and the fault.
+        parts: list[tuple[float, float, float, Callable[[float], Fault]]] = [
+            (0.4, -4.5, -2.5, lambda at: self._draw_replacement(at, target)),
+            (0.6, 0.9, later, lambda at: self._draw_isolation(at, target)),
+            (0.5, -0.5, outage, lambda at: self._draw_store_cut(at, target)),
+            (0.4, 0.9, later, self._draw_loss_of_all_hosts),
+            (0.4, -0.5, later, self._draw_leader_loss),
+            (0.5, 0.9, later, lambda at: self._draw_leaving(at, target)),
+            (0.2, -0.5, later, lambda at: self._draw_restart(at, target)),
+            (0.2, -0.5, later, self._draw_upstream_loss),
+            (0.2, 1.0, outage + 4.0, self._draw_restore),
+        ]
+        return [
+            Fault(
+                began,
+                outage + _RESTORE_INTERVAL,
+                f"restore store of {age:g} s ago after {outage:g} s",
+                lambda: fleet.restore_store(age, outage),
+            ),
+            *[
+                draw(began + source.uniform(low, high))
+                for probability, low, high, draw in parts
+                if source.random() < probability
+            ],
+        ]
+
+    def _draw_isolation(self, at: float, target: SoakUpstream) -> Fault:
+        return self._place(at, draw_isolation, target)
+
+    def _draw_store_cut(self, at: float, target: SoakUpstream) -> Fault:
+        return self._place(at, draw_store_cut, target)
+
+    def _draw_leader_loss(self, at: float) -> Fault:
+        return self._place(at, draw_leader_loss)
+
+    def _place(
+        self, at: float, draw: Callable[..., Disruption], *arguments: Any
+    ) -> Fault:
+        """Draw a fault that begins at a time."""
+        drawn = draw(self._random, self._fleet, *arguments)
+        return Fault(
+            at, drawn.seconds, drawn.name, drawn.begin, drawn.end, drawn.hosts
+        )
+
+    def _draw_replacement(self, at: float, upstream: SoakUpstream) -> Fault:
+        """Replace an upstream by one of another name."""
+
+        def begin() -> None:
+            upstream.program.close()
+            upstream.start()
+
+        return Fault(at, 0.0, "replace an upstream", begin)
+
     def _draw_seconds(self) -> float:
         return self._random.choice((0.3, 1.0, 2.0, 4.0))
 
@@ -236,9 +322,12 @@
             upstream.start,
         )
 
-    def _draw_restart(self, at: float) -> Fault:
+    def _draw_restart(
+        self, at: float, upstream: SoakUpstream | None = None
+    ) -> Fault:
         """Kill an upstream and restart it under the same name."""
-        upstream = self._random.choice(self._fleet.upstreams)
+        if upstream is None:
+            upstream = self._random.choice(self._fleet.upstreams)
         seconds = self._random.choice((0.1, 0.3, 1.0, 3.0))
         return Fault(
             at,
@@ -264,9 +353,12 @@
         name = f"restore store of {ages[0]:g} s ago" + twice * " twice"
         return Fault(at, outage + _RESTORE_INTERVAL, name, begin, end)
 
-    def _draw_leaving(self, at: float) -> Fault:
+    def _draw_leaving(
+        self, at: float, upstream: SoakUpstream | None = None
+    ) -> Fault:
         """Have an upstream leave, exit some seconds later and be replaced."""
-        upstream = self._random.choice(self._fleet.upstreams)
+        if upstream is None:
+            upstream = self._random.choice(self._fleet.upstreams)
         how = self._random.choice((signal.SIGUSR1, signal.SIGUSR2))
         seconds = self._random.choice((3.0, 5.0, 8.0))
 
@@ -285,8 +377,7 @@
         return Fault(at, 0.0, f"{upstream.name} leaves", begin)
 
     def _draw_path_cut(self, at: float) -> Fault:
-        cut = draw_path_cut(self._random, self._fleet)
-        return Fault(at, cut.seconds, cut.name, cut.begin, cut.end, cut.hosts)
+        return self._place(at, draw_path_cut)
 
     def _draw_evacuation(self, at: float) -> Fault:
         name = draw_data_centre(self._random)
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -34,6 +34,7 @@
 PLAIN = "archive"
 GRACE = 4.0
 _EXIT_TIMEOUT = 10.0
+_LEADER_TIMEOUT = 1.0
 # Seconds; faults of the store last 4 s at most.
 _WRITE_TIMEOUT = 20.0
 # Seconds after which a crashed upstream is restarted.
@@ -203,6 +204,8 @@
     def read_leader(self) -> str | None:
         """Return the name of the leader that the host knows, or None."""
         answer = call(self.admin_port, "GET", "/state")
+        if answer is None:
+            return None
         leader = msgspec.json.decode(answer.body)["knowledge"]["leader"]
         return None if leader is None else leader["record"]["host"]
 
@@ -268,7 +271,7 @@
         self._folder = folder
         self.store = Proxy(store_port)
         self._number = number
-        self._service = service
+        self.service = service
         self._late_grants = late_grants
         self._clock_rate = clock_rate
         self._starts = 0
@@ -306,7 +309,7 @@
             "sedgetide.testing.rangeupstream",
             f"--name={self.name}",
             f"--born={self._starts}",
-            f"--service={self._service}",
+            f"--service={self.service}",
             f"--data-centre={self.data_centre}",
             f"--port={self._port}",
             f"--address={self.address}",
@@ -316,7 +319,7 @@
             f"--slots={self._slots}",
             f"--work={self._work}",
         ]
-        if self._service == KEYED:
+        if self.service == KEYED:
             arguments.append("--keyed")
         if self._cold is not None and self._starts > 1:
             # The first ones start before there is any traffic.
@@ -533,6 +536,19 @@
         document = {"kind": "restore", "age": age, "seconds": seconds}
         call(self.store_port, "POST", "/fault", document)
 
+    def list_keyed(self) -> list[SoakUpstream]:
+        """Return the upstreams that own keys."""
+        return [each for each in self.upstreams if each.service == KEYED]
+
+    def find_leader(self) -> SoakHost | None:
+        """Return the host that the first host to answer takes for leader."""
+        hosts = {each.name: each for each in self.hosts}
+        tasks = [gevent.spawn(each.read_leader) for each in self.hosts]
+        for task in gevent.iwait(tasks, timeout=_LEADER_TIMEOUT):
+            if task.value is not None:
+                return hosts[task.value]
+        return None
+
     def find_data_centre(self, start: str) -> str:
         """Return the data centre of the upstream of an event."""
         number = int(start.split("-")[1])
--- a/sedgetide/testing/soakpaths.py
+++ b/sedgetide/testing/soakpaths.py
@@ -15,11 +15,11 @@
 # Seconds of a cut and of the pause after it, in a series of cuts.
 _SERIES_STEP = 0.7
 _SERIES_LENGTH = 4
-_LOST_PATHS = tuple(each for each in Path if each is not Path.OPEN)
+LOST_PATHS = tuple(each for each in Path if each is not Path.OPEN)
 
 
-class PathCut(msgspec.Struct, frozen=True):
-    """A cut between some hosts and some upstreams.
+class Disruption(msgspec.Struct, frozen=True):
+    """A fault whose time is not yet set.
 
     Parameters
     ----------
@@ -28,9 +28,9 @@
     seconds : float
         Duration.
     hosts : tuple of int
-        Numbers of the hosts.
+        Numbers of the hosts that it concerns.
     begin, end : callable
-        Cut the paths and open them.
+        Inject the fault and undo it.
     """
 
     name: str
@@ -40,7 +40,7 @@
     end: Callable[[], None]
 
 
-def _draw_hosts(source: random.Random, fleet: Fleet) -> tuple[int, ...]:
+def draw_hosts(source: random.Random, fleet: Fleet) -> tuple[int, ...]:
     """Draw one host, half of them, a data centre or all of them."""
     everyone = range(len(fleet.hosts))
     kind = source.choice(("one", "half", "half", "centre", "all"))
@@ -78,12 +78,12 @@
             gevent.sleep(_SERIES_STEP)
 
 
-def draw_path_cut(source: random.Random, fleet: Fleet) -> PathCut:
+def draw_path_cut(source: random.Random, fleet: Fleet) -> Disruption:
     """Draw a cut, or a series of cuts, of some hosts from upstreams."""
-    numbers = _draw_hosts(source, fleet)
+    numbers = draw_hosts(source, fleet)
     hosts = [fleet.hosts[number] for number in numbers]
     lost = _draw_upstreams(source, fleet)
-    path = source.choice(_LOST_PATHS)
+    path = source.choice(LOST_PATHS)
     seconds = source.choice(_SECONDS)
     in_series = source.random() < 0.25
 
@@ -102,6 +102,6 @@
         seconds = 2 * _SERIES_STEP * _SERIES_LENGTH
     label = ",".join(map(str, numbers))
     name = f"{path.value} paths of hosts {label} to {len(lost)} upstreams"
-    return PathCut(
+    return Disruption(
         name + in_series * " in series", seconds, numbers, begin, end
     )
