Use only reports that are shown to be of the last leader

A leader is frozen or cut off, a later one moves keys, and all hosts that knew the later one start again before the restored store is back. The first leader then reports its holds, and the keys of the others are granted.

Cause: a report counted unless somebody knew a later leader. Hosts that have started since know of none, and neither does the leader itself.

Change: the receiver uses a report (also the own ledger of a host that leads again) only if a host other than the reporting one has read the record of exactly this term as the last one while its era lasted (LoadReport gets `read_leader`; the receiver's own memory counts), or if the sender heard of the next era less than a lease after the last read of its record (HoldsReport gets `proved`). Records in the restored copy, notices and reports of other hosts confirm nothing. Both times of `proved` are read from the sender's clock: counted at the receipt, a late report would make the proof seem later. It is infinite once the term has ended before the era, as a leader that resigns or finds its record removed may be followed at once. That only one host exists is not known for certain, so it is no reason.

Existing tests of accepted reports now state who confirms them.

Why it works: a leader elected later would have been read by each running host that reads the store or is fed; without such a host, only the lease shows that there was none.

--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -242,6 +242,9 @@
         versions ignore it.
     former_leader : Position
         Last leader before this era of the store that the host knows.
+    read_leader : Position
+        Last leader before this era whose record the host has read while its
+        era lasted, from the store or from a leader's feed.
     """
 
     keys: list[KeyWork]
@@ -252,6 +255,7 @@
     limits: dict[IncarnationName, float] = {}
     leader: Position | None = None
     former_leader: Position = NO_POSITION
+    read_leader: Position = NO_POSITION
 
 
 class HeldKeys(msgspec.Struct, frozen=True, array_like=True):
@@ -292,7 +296,8 @@
 class HoldsReport(Message, tag="holds"):
     """Report of a leader of the former era to the leader of the new one.
 
-    Sent after the sender's term has ended. All times count from the send.
+    Sent after the sender's term has ended. Times of holds count from the
+    send.
 
     Parameters
     ----------
@@ -303,6 +308,9 @@
     services : dict
         Keyed services of which the sender had a table in that era. Several
         messages may report services of the same term.
+    proved : float
+        Seconds from the sender's last read of its record until it heard of
+        the next era.
     """
 
     separate: ClassVar[bool] = True
@@ -310,6 +318,7 @@
     term: Position
     known_leader: Position
     services: dict[ServiceName, ServiceHolds]
+    proved: float = float("inf")
 
 
 class LeaderNotice(Message, tag="leader"):
--- a/sedgetide/core/ownership/formerterms.py
+++ b/sedgetide/core/ownership/formerterms.py
@@ -3,7 +3,9 @@
 The leader of a new era relies on the report of the former leader about the
 keys that upstreams may hold. A leader of the former era that was elected after
 the one that reports may have granted keys to others, so the report is used
-only if no later one is known.
+only if no later one is known. Hosts that have started since know of none, so
+that another host has to confirm that the reporting leader was the last one,
+unless there was no time to elect a later one.
 """
 
 from collections.abc import Mapping
@@ -13,15 +15,19 @@
 from sedgetide.core.history import Era
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
+from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.holds import ReportedHolds
 
+_NO_HOST = LinkAddress("")
+
 
 class RecordHistory:
     """Eras of which records are known, and the last leader of each."""
 
     def __init__(self) -> None:
         self._leaders: dict[Era, Position] = {}
+        self._read_leaders: dict[Era, Position] = {}
         self._eras: set[Era] = set()
 
     def note_leader(self, position: Position) -> None:
@@ -36,6 +42,12 @@
         known = self._leaders.get(position.era, NO_POSITION)
         self._leaders[position.era] = max(known, position)
 
+    def note_read_leader(self, position: Position) -> None:
+        """Record a leader's record, or its removal, read in its own era."""
+        self.note_leader(position)
+        known = self._read_leaders.get(position.era, NO_POSITION)
+        self._read_leaders[position.era] = max(known, position)
+
     def note_era(self, era: Era) -> None:
         """Record that a leader of an era has written a record."""
         self._eras.add(era)
@@ -52,18 +64,23 @@
 
     def find_former_leader(self, era: Era) -> Position:
         """Return the position of the last known leader before an era."""
-        former = [
-            position
-            for known, position in self._leaders.items()
-            if known < era
-        ]
-        return max(former, default=NO_POSITION)
+        return _find_last(self._leaders, era)
+
+    def find_read_leader(self, era: Era) -> Position:
+        """Return the last leader before an era that was read in its era."""
+        return _find_last(self._read_leaders, era)
 
     def has_earlier(self, era: Era) -> bool:
         """Return whether a record of an earlier era is known."""
         return any(each < era for each in self._eras)
 
 
+def _find_last(leaders: Mapping[Era, Position], era: Era) -> Position:
+    """Return the last position of the eras before an era."""
+    former = [position for known, position in leaders.items() if known < era]
+    return max(former, default=NO_POSITION)
+
+
 class TermReport(msgspec.Struct, frozen=True):
     """Report of a former leader about its last term.
 
@@ -75,11 +92,18 @@
         Position of the last leader of that era that it knows.
     services : mapping
         What upstreams may hold, for each service whose table it had read.
+    sender : LinkAddress
+        Host that reports.
+    proved : float
+        Seconds from its last read of its record until it heard of the next
+        era.
     """
 
     term: Position
     known_leader: Position
     services: Mapping[ServiceName, ReportedHolds]
+    sender: LinkAddress = _NO_HOST
+    proved: float = float("inf")
 
 
 class TermReports:
@@ -89,11 +113,34 @@
     ----------
     history : RecordHistory
         Leaders that this host knows.
+    own_link : LinkAddress
+        Link address of this host.
+    lease : float
+        Seconds after a leader's read of its record in which no other leader
+        can be elected.
     """
 
-    def __init__(self, history: RecordHistory) -> None:
+    def __init__(
+        self,
+        history: RecordHistory,
+        own_link: LinkAddress = _NO_HOST,
+        lease: float = 0.0,
+    ) -> None:
         self._history = history
+        self._own_link = own_link
+        self._lease = lease
         self._report: TermReport | None = None
+        self._confirmed = NO_POSITION
+        self._confirmed_by: set[LinkAddress] = set()
+
+    def note_confirmation(self, host: LinkAddress, leader: Position) -> None:
+        """Record the last leader that another host has read in its era."""
+        if leader == NO_POSITION or leader < self._confirmed:
+            return
+        if leader > self._confirmed:
+            self._confirmed_by.clear()
+        self._confirmed = leader
+        self._confirmed_by.add(host)
 
     def note_report(self, report: TermReport) -> None:
         """Record a report; services of the same term are added to it.
@@ -118,8 +165,25 @@
         last = self._history.find_last_leader(report.term.era)
         if last > report.term:
             return f"a later leader is known, of term {last}"
+        if not self._is_last(report):
+            return "no other host has seen that its leader was the last one"
         return ""
 
+    def _is_last(self, report: TermReport) -> bool:
+        """Return whether no leader was elected after the reporting one.
+
+        The reporting host itself may have been cut off from the store when
+        a later one was elected.
+        """
+        if report.proved < self._lease:
+            return True
+        hosts = set(self._confirmed_by)
+        if self._confirmed != report.term:
+            hosts.clear()
+        if self._history.find_read_leader(report.term.era + 1) == report.term:
+            hosts.add(self._own_link)
+        return bool(hosts - {report.sender})
+
     def find(self, service: ServiceName, era: Era) -> ReportedHolds | None:
         """Return what upstreams may hold at the beginning of an era.
 
--- a/sedgetide/core/ownership/leadership.py
+++ b/sedgetide/core/ownership/leadership.py
@@ -136,6 +136,19 @@
         return last + self.max_hold(self.long_hold)
 
 
+class ProofOfTerm(msgspec.Struct):
+    """Last read that showed a term's record, under a lease renewed before.
+
+    Parameters
+    ----------
+    read_at : float
+        Monotonic time before the lease was renewed; minus infinity if there
+        was no such read, or if the lease may have been given up or lost.
+    """
+
+    read_at: float = NEVER
+
+
 class Leadership:
     """Whether this host is the leader, and until when it may send orders.
 
@@ -155,6 +168,7 @@
         self._proved_at = NEVER
         self._term_began_at = NEVER
         self._era_ended = False
+        self._proof = ProofOfTerm()
 
     @property
     def era_ended(self) -> bool:
@@ -181,6 +195,11 @@
         """Monotonic time at which the term began."""
         return self._term_began_at
 
+    @property
+    def proof(self) -> ProofOfTerm:
+        """Last read in this term; another object in each term."""
+        return self._proof
+
     def begin(self, position: Position, asked_at: float, now: float) -> None:
         """Begin a term after this host's leader record was written.
 
@@ -197,6 +216,8 @@
         self._era_ended = False
         self._proved_at = asked_at
         self._term_began_at = now
+        # The lease runs since before the record was written.
+        self._proof = ProofOfTerm()
 
     def note_read(self, position: Position, asked_at: float) -> bool:
         """Record a read of the leader record; return whether it is ours."""
@@ -206,10 +227,16 @@
             self.end()
             return False
         self._proved_at = max(self._proved_at, asked_at)
+        self._proof.read_at = max(self._proof.read_at, asked_at)
         return True
 
     def end(self) -> None:
         """End the term; no more orders may be sent."""
+        if not self._era_ended:
+            # Another leader may be elected in this era before the lease ends:
+            # the record was removed, or this host gives it up.
+            self._proof.read_at = NEVER
+        self._proof = ProofOfTerm()
         self._term = NO_POSITION
         self._era_ended = False
         self._proved_at = NEVER
--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -56,6 +56,7 @@
     def __init__(self, leadership: Leadership, durations: Durations) -> None:
         self._leadership = leadership
         self._position = leadership.term
+        self._proof = leadership.proof
         self._durations = durations
         self._began_at = leadership.term_began_at
         self.inherited_until = leadership.find_inherited_hold_end()
@@ -72,6 +73,16 @@
         """Local time at which the term began."""
         return self._began_at
 
+    def find_proof_age(self, at: float) -> float:
+        """Return how old the last read of the leader's record is at a time.
+
+        Returns
+        -------
+        float
+            Seconds; infinite if the lease may have ended early.
+        """
+        return at - self._proof.read_at
+
     @property
     def longest_hold(self) -> float:
         """Seconds for which a grant of an earlier leader may be held."""
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -185,6 +185,11 @@
         """Position of the last known leader before this era."""
         return self.records.find_former_leader(self._era)
 
+    @property
+    def read_leader(self) -> Position:
+        """Position of the last leader before this era, if read in its era."""
+        return self.records.find_read_leader(self._era)
+
     def find_reregistration_end(self) -> float:
         """Return when all live upstreams have registered in this era."""
         return self._era_since + RETURN_GRACE
@@ -352,7 +357,7 @@
             self.update_table(key.service, table, written_at, now)
 
     def _apply_leader(self, value: bytes | None, position: Position) -> None:
-        self.records.note_leader(position)
+        self.records.note_read_leader(position)
         if self.leader is not None and position < self.leader.position:
             # Older than the record that another host has read.
             return
--- a/sedgetide/daemons/_holdsreporter.py
+++ b/sedgetide/daemons/_holdsreporter.py
@@ -91,6 +91,8 @@
         Leaders that this host knows.
     own_link : LinkAddress
         Link address of this host.
+    lease : float
+        Seconds for which a leader's record stands after it was read.
 
     Attributes
     ----------
@@ -99,12 +101,16 @@
     """
 
     def __init__(
-        self, deployment: DeploymentState, own_link: LinkAddress
+        self, deployment: DeploymentState, own_link: LinkAddress, lease: float
     ) -> None:
         self._deployment = deployment
         self._own_link = own_link
         self._log = _ReportLog()
-        self.reports = TermReports(deployment.records)
+        self.reports = TermReports(deployment.records, own_link, lease)
+
+    def note_confirmation(self, host: LinkAddress, leader: Position) -> None:
+        """Record the last former leader that another host has read."""
+        self.reports.note_confirmation(host, leader)
 
     def handle_report(
         self, message: HoldsReport, sender: LinkAddress, now: float
@@ -118,7 +124,13 @@
             service: _read_holds(each, now)
             for service, each in message.services.items()
         }
-        report = TermReport(message.term, message.known_leader, services)
+        report = TermReport(
+            message.term,
+            message.known_leader,
+            services,
+            sender,
+            message.proved,
+        )
         self.reports.note_report(report)
         era = self._deployment.era
         # A report may arrive before this host hears of the new era.
@@ -244,6 +256,7 @@
     def _make_reports(self, term: Term, now: float) -> Iterator[HoldsReport]:
         """Return one report for each service without a table of the era."""
         last = self._deployment.records.find_last_leader(term.era)
+        proved = term.find_proof_age(self._deployment.era_began_at)
         for service in self._list_services(term):
             holds = [
                 HeldKeys(
@@ -263,6 +276,7 @@
                 term.position,
                 max(last, term.position),
                 {service: ServiceHolds(inherited, holds)},
+                proved,
             )
 
     def _list_services(self, term: Term) -> list[ServiceName]:
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -145,7 +145,9 @@
         self._paths = paths
         self._reachability = LeaderReachability()
         self._clients = OrderClients(dialect, durations.order_timeout, paths)
-        self._holds_receiver = HoldsReceiver(deployment, own_host.link)
+        self._holds_receiver = HoldsReceiver(
+            deployment, own_host.link, durations.lease
+        )
         self._holds_reporter = HoldsReporter(
             deployment,
             self._clients,
@@ -204,6 +206,7 @@
         """
         self._deployment.records.note_leader(report.former_leader)
         if sender is not None:
+            self._holds_receiver.note_confirmation(sender, report.read_leader)
             self._move_notifier.note_status(sender, report.standing, now)
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.position, now)
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -464,6 +464,7 @@
         report.leaving = self._deployment.directory.list_announced()
         report.limits = self._places.list_limits(read_clock())
         report.former_leader = self._deployment.former_leader
+        report.read_leader = self._deployment.read_leader
         if link == self._settings.link:
             self._leader.note_report(report, None, read_clock())
         else:
--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -136,6 +136,7 @@
         self.assertEqual(NO_POSITION, self.deployment.former_leader)
         self.deployment.note_era(1, 11.0)
         self.assertEqual(Position(0, 5), self.deployment.former_leader)
+        self.assertEqual(Position(0, 5), self.deployment.read_leader)
         self.list_items(1, Item(make_leader_key(1), Position(1, 3), LEADER))
         self.assertEqual(Position(0, 5), self.deployment.former_leader)
         self.assertTrue(self.has_earlier(1))
@@ -154,12 +155,14 @@
         self.deployment.note_leader(record, Position(0, 120))
         self.deployment.note_era(1, 12.0)
         self.assertEqual(Position(0, 120), self.deployment.former_leader)
+        self.assertEqual(NO_POSITION, self.deployment.read_leader)
 
     def test_backup_shows_the_leader_to_a_host_that_starts(self):
         # Guards against taking a restore for the first start.
         self.list_items(1, Item(make_leader_key(0), Position(1, 5), LEADER))
         self.assertTrue(self.has_earlier(1))
         self.assertEqual(Position(0, 5), self.deployment.former_leader)
+        self.assertEqual(NO_POSITION, self.deployment.read_leader)
 
     def test_backup_shows_a_table_to_a_host_that_starts(self):
         self.list_items(1, make_table(0, OLD, 1, 20))
--- a/tests/daemons/test_holdsreporter.py
+++ b/tests/daemons/test_holdsreporter.py
@@ -24,7 +24,7 @@
 from tests.daemons.test_election import FakeRegistry
 
 SERVICE, OTHER = "maps", "mail"
-OWN_LINK, LINK = "10.0.0.1:7", "10.0.0.2:7"
+OWN_LINK, LINK, CONFIRMING = "10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"
 LEADER = LeaderRecord("h-2", "x", LINK)
 FORMER, NEW = Position(5, 30), Position(6, 12)
 TABLE = RangeTable(7).assign_first([("u-1", 1)])
@@ -52,7 +52,9 @@
         self.deployment = DeploymentState(FakeRegistry())
         self.sent = []
         self.clients = FakeClients()
-        self.receiver = HoldsReceiver(self.deployment, OWN_LINK)
+        self.receiver = HoldsReceiver(
+            self.deployment, OWN_LINK, self.durations.lease
+        )
         self.reporter = HoldsReporter(
             self.deployment,
             self.clients,
@@ -114,6 +116,25 @@
         left = 99.0 + self.durations.max_hold(self.durations.hold) - 101.0
         self.assertAlmostEqual(left, held.seconds)
 
+    def test_last_proof_is_counted_to_the_next_era(self):
+        # Guards against a report that takes long to arrive and reads as if
+        # there had been no time to elect another leader.
+        self.grant("u-1", KEYS, 99.0)
+        self.restore()
+        self.reporter.run_periodic(105.0)
+        ((_, report),) = self.sent
+        self.assertEqual(1.0, report.proved)
+
+    def test_record_that_was_given_up_is_no_proof(self):
+        # Guards against a leader that resigns, so that another one is elected
+        # at once, and reports its own holds as the last ones.
+        self.grant("u-1", KEYS, 99.0)
+        self.leadership.end()
+        self.restore()
+        self.reporter.run_periodic(102.0)
+        ((_, report),) = self.sent
+        self.assertEqual(float("inf"), report.proved)
+
     def test_report_is_repeated_until_the_table_is_seen(self):
         self.restore()
         self.reporter.run_periodic(102.0)
@@ -232,6 +253,21 @@
         self.assertEqual(("u-1", KEYS), (held.upstream, held.keys))
         self.assertAlmostEqual(until, held.until)
 
+    def test_own_ledger_has_to_be_confirmed(self):
+        # Guards against two owners of a key that a later leader has moved
+        # while this host was frozen, when all who knew have started again.
+        self.grant("u-1", KEYS, 96.0)
+        self.restore(LeaderRecord("h-1", "x", OWN_LINK))
+        self.deployment.records.note_read_leader(FORMER)
+        self.lead(NEW, 102.0)
+        self.reporter.run_periodic(102.0)
+        reports = self.receiver.reports
+        self.assertIsNone(reports.find(SERVICE, 6))
+        self.receiver.note_confirmation(OWN_LINK, FORMER)
+        self.assertIsNone(reports.find(SERVICE, 6))
+        self.receiver.note_confirmation(LINK, FORMER)
+        self.assertIsNotNone(reports.find(SERVICE, 6))
+
 
 class TestHoldsReceiver(ReportCase):
     """Reports of another host to this one."""
@@ -239,6 +275,7 @@
     def setUp(self):
         super().setUp()
         self.restore()
+        self.receiver.note_confirmation(CONFIRMING, FORMER)
 
     def receive(self, now, term=FORMER, inherited=0.0, known_leader=FORMER):
         holds = ServiceHolds(inherited, [HeldKeys("u-1", 0, 99, 4.5)])
@@ -255,6 +292,7 @@
 
     def test_report_before_the_era_is_heard_of_is_kept(self):
         events = capture_events(self)
+        self.receiver.note_confirmation(CONFIRMING, Position(6, 18))
         self.receive(102.0, term=Position(6, 18), known_leader=NEW)
         self.assertNotIn("holds-refused", [each["msg"] for each in events])
         self.assertIsNone(self.receiver.reports.find(SERVICE, 6))
--- a/tests/daemons/test_host.py
+++ b/tests/daemons/test_host.py
@@ -7,6 +7,7 @@
 from sedgetide.coding.messages import LoadReport
 from sedgetide.coding.messages import ServiceHolds
 from sedgetide.coding.settings import HostSettings
+from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.daemons.host import DeploymentAdapter
@@ -76,11 +77,22 @@
         host.send_report(CONTACT, LoadReport([], []))
         ((_, report),) = host._transport.sent
         self.assertEqual(Position(0, 7), report.former_leader)
+        self.assertEqual(NO_POSITION, report.read_leader)
+
+    def test_reports_name_the_former_leader_that_was_read(self):
+        host = make_host()
+        host._transport = FakeTransport()
+        host._deployment.records.note_read_leader(Position(0, 7))
+        host._deployment.note_era(1, 1.0)
+        host.send_report(CONTACT, LoadReport([], []))
+        ((_, report),) = host._transport.sent
+        self.assertEqual(Position(0, 7), report.read_leader)
 
     def test_holds_are_passed_to_the_leader_task(self):
         host = make_host()
         term = Position(0, 7)
         report = HoldsReport(term, term, {"maps": ServiceHolds(0.0, [])})
+        host._deployment.records.note_read_leader(term)
         host._handle_message(report, CONTACT)
         reports = host._leader._holds_receiver.reports
         self.assertIsNotNone(reports.find("maps", 1))
--- a/tests/daemons/test_leader.py
+++ b/tests/daemons/test_leader.py
@@ -40,6 +40,7 @@
 
 SERVICE = "maps"
 LINK = LinkAddress("10.0.0.1:7")
+OTHER_LINK = LinkAddress("10.0.0.4:7")
 RECORD = LeaderRecord("h-2", "x", LINK)
 LEADER_KEY = make_leader_key(FIRST_ERA)
 RANGES_KEY = make_ranges_key(FIRST_ERA, SERVICE)
@@ -186,6 +187,13 @@
         self.leader._begin_term(term)
         self.leader._clients.update_entries(self.deployment.directory, now)
 
+    def handle_holds(self, *holds):
+        """Take a report whose leader another host knows as the last one."""
+        report = list_holds(*holds)
+        load = LoadReport([], [], read_leader=report.term)
+        self.leader.note_report(load, OTHER_LINK, read_clock())
+        self.leader.handle_holds(report, LINK, read_clock())
+
     def find_table(self, seconds):
         """Return the first table; None if none is written in time."""
         with gevent.Timeout(seconds, False):
@@ -205,8 +213,7 @@
 
     def test_keys_that_may_be_held_stay_with_their_holders(self):
         self.lead()
-        report = list_holds(("u-2", 100, 199), ("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-2", 100, 199), ("u-9", 200, 299))
         table = self.find_table(5.0)
         self.assertEqual(
             ["u-1", "u-2", "u-9", "u-1"],
@@ -218,8 +225,7 @@
         # Guards against keys that nobody renews: the holder has ended, or
         # is cut off from the store for long.
         self.lead()
-        report = list_holds(("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-9", 200, 299))
         table = self.find_table(5.0)
         (moving,) = self.leader._compute_next_table(
             SERVICE, table, False, read_clock()
@@ -238,8 +244,7 @@
         self.deployment.directory.put(entry, read_clock())
         self.leader = self.make_leader()
         self.lead()
-        report = list_holds(("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-9", 200, 299))
         table = self.find_table(5.0)
         self.assertEqual(
             ["u-1", "u-9", "u-1"], [each.owner for each in table.tenures]
@@ -248,11 +253,23 @@
     def test_later_leader_that_a_host_knows_voids_the_report(self):
         # Guards against two owners of a key that the later leader has moved.
         self.lead()
-        self.leader.handle_holds(list_holds(), LINK, read_clock())
+        self.handle_holds()
         report = LoadReport([], [], former_leader=Position(Era(5), 31))
         self.leader.note_report(report, None, read_clock())
         self.assertIsNone(self.find_table(1.2))
 
+    def test_report_of_a_leader_that_no_other_host_has_seen(self):
+        # Guards against two owners of a key that a later leader has moved,
+        # when all hosts that knew of it have started again.
+        self.lead()
+        report = list_holds()
+        self.leader.handle_holds(report, LINK, read_clock())
+        load = LoadReport([], [], former_leader=report.term)
+        self.leader.note_report(load, OTHER_LINK, read_clock())
+        load = LoadReport([], [], read_leader=report.term)
+        self.leader.note_report(load, LINK, read_clock())
+        self.assertIsNone(self.find_table(1.2))
+
     def test_ledger_is_kept_after_the_term(self):
         # Guards against a leader of the next era that isn't told which keys
         # upstreams may hold.
--- a/tests/daemons/test_recoverycoordinator.py
+++ b/tests/daemons/test_recoverycoordinator.py
@@ -91,7 +91,10 @@
                 for upstream, keys, seconds in holds
             ),
         )
-        self.reports.note_report(TermReport(term, term, {SERVICE: reported}))
+        self.deployment.records.note_read_leader(term)
+        self.reports.note_report(
+            TermReport(term, term, {SERVICE: reported}, "10.0.0.9:7")
+        )
 
     def begin(self, era=1, took_over=1.0):
         """Begin a term that took over some seconds ago."""
