Wait a second for the first load reports of a term

Cause: a report was used 0.5 s after the begin of the term. A host that polls the new leader's record 0.2 s late sends its first load report up to 0.6 s after the begin, and may be the one that knows a later former leader.

Change: 1.0 s. It matters only if the term began more than 1.3 s after the era was heard of, as the wait for registrations is 2.3 s.

Evidence: the new test fails before (asks at 0.6 s) and passes now.

--- a/sedgetide/daemons/_recoverycoordinator.py
+++ b/sedgetide/daemons/_recoverycoordinator.py
@@ -39,8 +39,9 @@
 
 _RETRY_DELAY = 0.2
 # Seconds after the begin of a term; each host has sent a load report by then,
-# which tells whether it knows a later leader of the former era.
-_FIRST_REPORTS_TIME = 0.5
+# which tells whether it knows a later leader of the former era. A host may
+# read the new leader's record 0.2 s late and then sends it within 0.4 s.
+_FIRST_REPORTS_TIME = 1.0
 
 
 class _ServiceRecovery:
--- a/tests/daemons/test_recoverycoordinator.py
+++ b/tests/daemons/test_recoverycoordinator.py
@@ -351,6 +351,16 @@
         self.assertIsNone(self.run_recovery(0.5))
         self.assertEqual(0, sum(self.count_released().values()))
 
+    def test_hosts_have_time_to_read_the_record_and_to_report(self):
+        # Guards against using a report before the first load report of a
+        # host that polled the new leader's record late.
+        self.report()
+        self.begin(took_over=0.6)
+        self.coordinator.recover_table(SERVICE)
+        gevent.sleep(0.05)
+        self.assertEqual(0, sum(self.count_released().values()))
+        self.assertIsNotNone(self.run_recovery())
+
     def test_report_is_not_used_if_a_later_leader_is_known(self):
         # Guards against two owners of a key that the later leader has moved.
         self.report()
