Keep the holds of each service apart

A hold of an upstream whose service was forgotten stood in the reports of all services. The recovery of a second service asked that upstream to release all keys, and noted the release when it was done, not when it was answered: a renewal in between was taken for ended, and the next move of its keys would have asked nobody.

Cause: one ledger for all services, with a guess by registered upstreams; releases noted at the end of the recovery; and successors whose grants are tried were forgotten when they were not registered any more.

Change: Term has a ledger for each service; the order executor, the recovery and the reporter name theirs (ONLY_SERVICE is for callers with a single one, such as the simulation). The recovery notes a release when it is answered. Leader._forget_departed keeps successors as well.

Evidence: the five new or changed tests fail with the ledger shared, releases noted at the end, and successors forgotten. test_services_are_reported_apart expected a hold of unknown service in both reports; the service of a hold is always known now, so it expects it in one.

Why it works: the numbers of keys of two services name different keys, so nothing about one service tells anything about holds of another.

--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -15,6 +15,8 @@
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.ranges import KeyRange
 
+ONLY_SERVICE = ServiceName("")
+
 
 class Grant(msgspec.Struct, frozen=True):
     """Lifetime of one grant and its entry in the hold ledger.
@@ -60,7 +62,7 @@
         self._durations = durations
         self._began_at = leadership.term_began_at
         self.inherited_until = leadership.find_inherited_hold_end()
-        self._holds = HoldLedger(self.inherited_until)
+        self._ledgers: dict[ServiceName, HoldLedger] = {}
         self._without_inherited: set[ServiceName] = set()
 
     @property
@@ -114,11 +116,32 @@
         """Return whether orders may be sent and the last proof is recent."""
         return self.may_order(now) and self._leadership.is_fresh(now)
 
+    def _find_ledger(self, service: ServiceName) -> HoldLedger:
+        """Return the ledger of a service's keys.
+
+        The same numbers of keys of two services are different keys.
+        """
+        ledger = self._ledgers.get(service)
+        if ledger is None:
+            ledger = HoldLedger(self.inherited_until)
+            self._ledgers[service] = ledger
+        return ledger
+
     def prepare_grant(
-        self, upstream: IncarnationName, keys: KeyRange, now: float
+        self,
+        upstream: IncarnationName,
+        keys: KeyRange,
+        now: float,
+        service: ServiceName = ONLY_SERVICE,
     ) -> Grant | None:
         """Record a grant that the caller sends immediately afterwards.
 
+        Parameters
+        ----------
+        service : ServiceName
+            Service whose keys are granted; the same for all other methods if
+            there is only one.
+
         Returns
         -------
         Grant or None
@@ -136,22 +159,32 @@
         life = self._leadership.choose_hold(now)
         latest = now + self._durations.order_timeout
         until = latest + self._durations.max_hold(life)
-        return Grant(life, self._holds.note_grant(upstream, keys, until))
+        ledger = self._find_ledger(service)
+        return Grant(life, ledger.note_grant(upstream, keys, until))
 
     def note_arrival(self, grant: Grant, now: float) -> None:
         """Record that a grant was answered, or withdrawn without answer."""
         until = now + self._durations.max_hold(grant.life)
         grant.hold.until = min(grant.hold.until, until)
 
-    def note_release(self, upstream: IncarnationName, keys: KeyRange) -> None:
-        """Record that an upstream answered the release of keys."""
-        self._holds.note_release(upstream, keys)
+    def note_release(
+        self,
+        upstream: IncarnationName,
+        keys: KeyRange,
+        service: ServiceName = ONLY_SERVICE,
+    ) -> None:
+        """Record that an upstream has answered the release of keys just now.
+
+        Grants of other services' keys to it stand.
+        """
+        self._find_ledger(service).note_release(upstream, keys)
 
     def find_hold_end(
         self,
         upstream: IncarnationName,
         keys: KeyRange,
         known_since: float,
+        service: ServiceName = ONLY_SERVICE,
     ) -> float:
         """Return the time at which an upstream can no longer hold keys.
 
@@ -164,7 +197,8 @@
             before without knowing it yet.
         """
         inherited = known_since + self._durations.max_inherited_hold()
-        return self._holds.find_hold_end(upstream, keys, inherited)
+        ledger = self._find_ledger(service)
+        return ledger.find_hold_end(upstream, keys, inherited)
 
     def has_ended(
         self,
@@ -172,6 +206,7 @@
         keys: KeyRange,
         known_since: float,
         now: float,
+        service: ServiceName = ONLY_SERVICE,
     ) -> bool:
         """Return whether an upstream can no longer hold keys.
 
@@ -180,11 +215,14 @@
         known_since : float
             As in :meth:`find_hold_end`.
         """
-        return now >= self.find_hold_end(upstream, keys, known_since)
+        end = self.find_hold_end(upstream, keys, known_since, service)
+        return now >= end
 
-    def list_held(self, now: float) -> list[UpstreamHold]:
+    def list_held(
+        self, now: float, service: ServiceName = ONLY_SERVICE
+    ) -> list[UpstreamHold]:
         """Return what upstreams may hold, as in :class:`HoldLedger`."""
-        return self._holds.list_held(now)
+        return self._find_ledger(service).list_held(now)
 
     def replace_inherited(
         self,
@@ -202,7 +240,7 @@
             Keys that they may hold as the result of inherited grants.
         """
         self._without_inherited.add(service)
-        self._holds.replace_inherited(upstreams, holds)
+        self._find_ledger(service).replace_inherited(upstreams, holds)
 
     def find_inherited_end(self, service: ServiceName) -> float:
         """Return until when grants of unknown keys may be held.
@@ -216,4 +254,5 @@
 
     def prune(self, now: float) -> None:
         """Remove holds that have ended."""
-        self._holds.prune(now)
+        for ledger in self._ledgers.values():
+            ledger.prune(now)
--- a/sedgetide/daemons/_holdsreporter.py
+++ b/sedgetide/daemons/_holdsreporter.py
@@ -15,7 +15,6 @@
 from sedgetide.core.history import Era
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
-from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import LinkAddress
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.formerterms import TermReport
@@ -25,7 +24,6 @@
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.terms import Term
 from sedgetide.daemons._deployment import DeploymentState
-from sedgetide.daemons._orderexecutor import OrderClients
 from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.events import Event
 from sedgetide.runtime.events import log_event
@@ -169,8 +167,6 @@
     ----------
     deployment : DeploymentState
         Current leader, and the tables of owners.
-    clients : OrderClients
-        Upstreams of each service.
     send : callable
         Sends a message to a host.
     own_link : LinkAddress
@@ -182,20 +178,18 @@
     def __init__(
         self,
         deployment: DeploymentState,
-        clients: OrderClients,
         send: Callable[[LinkAddress, Message], None],
         own_link: LinkAddress,
         receiver: HoldsReceiver,
     ) -> None:
         self._deployment = deployment
-        self._clients = clients
         self._send = send
         self._own_link = own_link
         self._receiver = receiver
         self._log = _ReportLog()
         # The last term, and the last one of an earlier era.
         self._terms: list[Term] = []
-        self._held: tuple[Term, list[UpstreamHold]] | None = None
+        self._held: dict[tuple[Era, ServiceName], list[UpstreamHold]] = {}
         self._sent_at = float("-inf")
         self._sent_to = NO_POSITION
 
@@ -218,6 +212,7 @@
         self._deployment.records.note_leader(term.position)
         former = [each for each in self._terms if each.era < term.era]
         self._terms = [*former[-1:], term]
+        self._held.clear()
 
     def run_periodic(self, now: float) -> None:
         """Report if the leader of the next era is known and it is due."""
@@ -294,25 +289,9 @@
     def _list_held(
         self, term: Term, service: ServiceName, now: float
     ) -> list[UpstreamHold]:
-        """Return what a service's upstreams may hold.
-
-        Upstreams of which the service is unknown are included.
-        """
-        if self._held is None or self._held[0] is not term:
-            self._held = term, term.list_held(now)
-        others = self._list_upstreams_of_others(service)
-        return [
-            each
-            for each in self._held[1]
-            if each.until > now and each.upstream not in others
-        ]
-
-    def _list_upstreams_of_others(
-        self, service: ServiceName
-    ) -> set[IncarnationName]:
-        return {
-            upstream
-            for other in self._deployment.tables
-            if other != service
-            for upstream in self._clients.list_seen(other, float("-inf"))
-        }
+        """Return what a service's upstreams may hold."""
+        known = self._held.get((term.era, service))
+        if known is None:
+            known = term.list_held(now, service)
+            self._held[term.era, service] = known
+        return [each for each in known if each.until > now]
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -150,7 +150,6 @@
         )
         self._holds_reporter = HoldsReporter(
             deployment,
-            self._clients,
             send,
             own_host.link,
             self._holds_receiver,
@@ -443,7 +442,8 @@
             return
         known = {each.name for each in self._deployment.directory.list_all()}
         for each in self._deployment.tables.values():
-            known.update(tenure.owner for tenure in each.table.tenures)
+            for tenure in each.table.tenures:
+                known.update((tenure.owner, tenure.successor or tenure.owner))
         self._load_tracker.forget(known)
         self._reachability.forget(known)
         self._clients.retain(known)
--- a/sedgetide/daemons/_orderexecutor.py
+++ b/sedgetide/daemons/_orderexecutor.py
@@ -363,7 +363,7 @@
         result = client.release(tenure.keys, tenure.fence, may_send)
         if result.taken not in _RELEASE_PROOFS:
             return None
-        self.term.note_release(tenure.owner, tenure.keys)
+        self.term.note_release(tenure.owner, tenure.keys, service)
         return result
 
     def _is_registered(self, upstream: IncarnationName) -> bool:
@@ -412,7 +412,9 @@
     def _find_hold_end(self, service: ServiceName, tenure: Tenure) -> float:
         """Return when the owner's hold of a range has certainly expired."""
         since = self._deployment.find_known_since(service, tenure)
-        return self.term.find_hold_end(tenure.owner, tenure.keys, since)
+        return self.term.find_hold_end(
+            tenure.owner, tenure.keys, since, service
+        )
 
     def _grant(
         self,
@@ -440,7 +442,9 @@
             )
             if restarted:
                 return None
-            grant = self.term.prepare_grant(upstream, tenure.keys, now)
+            grant = self.term.prepare_grant(
+                upstream, tenure.keys, now, service
+            )
             if grant is None:
                 return None
             grants.append(grant)
--- a/sedgetide/daemons/_recoverycoordinator.py
+++ b/sedgetide/daemons/_recoverycoordinator.py
@@ -228,8 +228,6 @@
             {*upstreams, *released},
             report.holds if reported else (),
         )
-        for upstream in released:
-            self._term.note_release(upstream, ALL_KEYS)
         if decision.basis is state.logged_basis:
             return
         state.logged_basis = decision.basis
@@ -258,6 +256,8 @@
         proof: StopProof,
     ) -> None:
         state.recovery.note_released(name)
+        # Noted when it is answered, since a grant of this term may follow.
+        self._term.note_release(name, ALL_KEYS, state.service)
         state.proofs[name] = proof
         STOP_PROOFS.labels(state.service, "restore", proof.value).inc()
         log_event(
--- a/tests/core/ownership/test_terms.py
+++ b/tests/core/ownership/test_terms.py
@@ -46,9 +46,21 @@
         self.term.replace_inherited(SERVICE, ("u-1", "u-2"), [held])
         self.assertEqual(float("-inf"), self.term.find_inherited_end(SERVICE))
         self.assertEqual(end, self.term.find_inherited_end("other"))
-        self.assertEqual([held], self.term.list_held(101.0))
-        self.assertFalse(self.term.has_ended("u-1", KEYS, 0.0, 103.9))
-        self.assertTrue(self.term.has_ended("u-1", KEYS, 0.0, 104.0))
+        self.assertEqual([held], self.term.list_held(101.0, SERVICE))
+        self.assertFalse(self.term.has_ended("u-1", KEYS, 0.0, 103.9, SERVICE))
+        self.assertTrue(self.term.has_ended("u-1", KEYS, 0.0, 104.0, SERVICE))
+
+    def test_release_of_one_service_ends_no_hold_of_another(self):
+        # Guards against two owners of a key of a service, whose holder
+        # answered a release of another one's keys.
+        self.leadership.note_read(self.leadership.term, 101.0)
+        for service in (SERVICE, "mail"):
+            self.term.prepare_grant("u-1", KEYS, 101.0, service)
+        self.term.note_release("u-1", KEYS, "mail")
+        self.assertEqual([], self.term.list_held(101.0, "mail"))
+        (held,) = self.term.list_held(101.0, SERVICE)
+        end = self.term.find_hold_end("u-1", KEYS, 0.0, SERVICE)
+        self.assertEqual(held.until, end)
 
     def test_unanswered_grant_is_held_as_long_as_it_may_arrive(self):
         grant = self.term.prepare_grant("u-1", KEYS, 100.5)
--- a/tests/daemons/test_holdsreporter.py
+++ b/tests/daemons/test_holdsreporter.py
@@ -31,18 +31,6 @@
 KEYS = KeyRange(0, 99)
 
 
-class FakeClients:
-    """Upstreams of each service."""
-
-    def __init__(self):
-        self.services = {"u-1": SERVICE, "u-2": SERVICE, "m-1": OTHER}
-
-    def list_seen(self, service, since):
-        return [
-            name for name, each in self.services.items() if each == service
-        ]
-
-
 class ReportCase(testtools.TestCase):
     """This host led in era 5 from 80 s on; era 6 is heard of at 100 s."""
 
@@ -51,13 +39,11 @@
         self.durations = Durations()
         self.deployment = DeploymentState(FakeRegistry())
         self.sent = []
-        self.clients = FakeClients()
         self.receiver = HoldsReceiver(
             self.deployment, OWN_LINK, self.durations.lease
         )
         self.reporter = HoldsReporter(
             self.deployment,
-            self.clients,
             lambda link, message: self.sent.append((link, message)),
             OWN_LINK,
             self.receiver,
@@ -77,10 +63,10 @@
         self.term = Term(self.leadership, self.durations)
         self.reporter.note_term(self.term)
 
-    def grant(self, upstream, keys, now):
+    def grant(self, upstream, keys, now, service=SERVICE):
         self.leadership.note_read(self.leadership.term, now)
         self.term.note_arrival(
-            self.term.prepare_grant(upstream, keys, now), now
+            self.term.prepare_grant(upstream, keys, now, service), now
         )
 
     def restore(self, leader=LEADER):
@@ -208,10 +194,13 @@
         self.assertEqual([SERVICE], list(report.services))
 
     def test_services_are_reported_apart(self):
+        # Guards against a hold in the reports of two services, one of which
+        # then asks an upstream of the other to release all its keys.
         self.deployment.update_table(OTHER, TABLE, Position(5, 33), 80.0)
         self.grant("u-1", KEYS, 99.0)
-        self.grant("m-1", KEYS, 99.0)
-        self.grant("x-1", KEYS, 99.0)
+        self.grant("m-1", KEYS, 99.0, OTHER)
+        # Not registered any more.
+        self.grant("x-1", KEYS, 99.0, OTHER)
         self.restore()
         self.reporter.run_periodic(102.0)
         found = {
@@ -219,8 +208,7 @@
             for _, report in self.sent
             for service, holds in report.services.items()
         }
-        # The service of x-1 is not known any more.
-        expected = {SERVICE: {"u-1", "x-1"}, OTHER: {"m-1", "x-1"}}
+        expected = {SERVICE: {"u-1"}, OTHER: {"m-1", "x-1"}}
         self.assertEqual(expected, found)
 
     def test_known_later_leader_is_stated(self):
--- a/tests/daemons/test_leader.py
+++ b/tests/daemons/test_leader.py
@@ -1,5 +1,7 @@
 """Tests of the tables that a leader writes."""
 
+import types
+
 import gevent
 import msgspec
 import testtools
@@ -117,6 +119,20 @@
             SERVICE, table, False, read_clock()
         )
 
+    def test_successor_that_is_not_registered_is_kept(self):
+        # Guards against a holder whose address is forgotten while its grants
+        # are tried, so that it can't be asked to release them.
+        self.leader._clients.update_entries(
+            self.deployment.directory, read_clock()
+        )
+        self.deployment.policy = types.SimpleNamespace(
+            list_keyed=lambda: [SERVICE]
+        )
+        self.deployment.directory.remove("u-2", read_clock())
+        self.deployment.directory.expire(read_clock() + 60.0)
+        self.leader._forget_departed(read_clock())
+        self.assertIsNotNone(self.leader._clients.find("u-2"))
+
     def test_completed_moves_that_the_record_lacks_are_written(self):
         # Guards against hosts that missed the notice of the former leader,
         # or have started since, and refuse callers of a range that they
@@ -233,8 +249,10 @@
         self.assertEqual(("u-9", 200), (moving.owner, moving.low))
         now = read_clock()
         term = self.leader._executor.term
-        self.assertFalse(term.has_ended("u-9", moving.keys, now, now))
-        self.assertTrue(term.has_ended("u-9", moving.keys, now, now + 5.0))
+        self.assertFalse(term.has_ended("u-9", moving.keys, now, now, SERVICE))
+        self.assertTrue(
+            term.has_ended("u-9", moving.keys, now, now + 5.0, SERVICE)
+        )
 
     def test_held_keys_stay_although_no_table_is_known(self):
         # Guards against two owners of a key when the backup is older than
@@ -275,7 +293,7 @@
         # upstreams may hold.
         self.lead()
         term = self.leader._executor.term
-        term.prepare_grant("u-1", KeyRange(0, 9), read_clock())
+        term.prepare_grant("u-1", KeyRange(0, 9), read_clock(), SERVICE)
         self.deployment.update_table(
             SERVICE, MOVING, Position(Era(6), 9), read_clock()
         )
--- a/tests/daemons/test_orderexecutor.py
+++ b/tests/daemons/test_orderexecutor.py
@@ -327,7 +327,7 @@
         (tenure,) = table.tenures
         began = read_clock()
         executor._grant(SERVICE, "u-1", tenure, "")
-        end = term.find_hold_end("u-1", tenure.keys, began - 60.0)
+        end = term.find_hold_end("u-1", tenure.keys, began - 60.0, SERVICE)
         latest = began + durations.order_timeout
         self.assertGreaterEqual(end, latest + durations.max_hold(3.5))
 
@@ -417,7 +417,7 @@
         )
         self.addCleanup(executor.close)
         if released:
-            executor.term.note_release("u-1", ALL_KEYS)
+            executor.term.note_release("u-1", ALL_KEYS, SERVICE)
         table = RangeTable().assign_first([("u-1", 1)])
         table = table.begin([Move(KeyRange(0, 99), "u-2")])
         self.deployment.update_table(SERVICE, table, Position(0, 9), now)
--- a/tests/daemons/test_recoverycoordinator.py
+++ b/tests/daemons/test_recoverycoordinator.py
@@ -27,9 +27,10 @@
 from tests.daemons.eventcapture import capture_events
 from tests.daemons.test_election import FakeRegistry
 
-SERVICE = "maps"
+SERVICE, OTHER = "maps", "mail"
 FIRST = 1 << 32
 FORMER_TERM = Position(0, 5)
+SENDER = "10.0.0.9:7"
 HELD = KeyRange(60000, 65535)
 
 
@@ -93,7 +94,7 @@
         )
         self.deployment.records.note_read_leader(term)
         self.reports.note_report(
-            TermReport(term, term, {SERVICE: reported}, "10.0.0.9:7")
+            TermReport(term, term, {SERVICE: reported}, SENDER)
         )
 
     def begin(self, era=1, took_over=1.0):
@@ -182,7 +183,9 @@
             self.assertEqual([(ALL_KEYS, FIRST + 1)], client.released)
         # Earlier grants needn't be waited for any more.
         now = read_clock()
-        self.assertTrue(self.term.has_ended("u-3", ALL_KEYS, now, now))
+        self.assertTrue(
+            self.term.has_ended("u-3", ALL_KEYS, now, now, SERVICE)
+        )
 
     def test_nobody_releases_without_a_report(self):
         # Guards against keys that are unavailable because an upstream that
@@ -231,7 +234,9 @@
         self.assertIsNone(self.run_recovery(0.1))
         self.assertIsNotNone(self.run_recovery())
         now = read_clock()
-        self.assertTrue(self.term.has_ended("u-1", ALL_KEYS, now, now))
+        self.assertTrue(
+            self.term.has_ended("u-1", ALL_KEYS, now, now, SERVICE)
+        )
 
     def check_silent(self, name):
         """Check that keys held by an upstream that doesn't answer stay."""
@@ -241,10 +246,14 @@
         self.assertEqual(frozenset([name]), recovered.silent)
         self.assertEqual((RetainedRange(HELD, name),), recovered.retained)
         now = read_clock()
-        self.assertFalse(self.term.has_ended(name, HELD, now, now + 4.0))
-        self.assertTrue(self.term.has_ended(name, HELD, now, now + 5.0))
+        self.assertFalse(
+            self.term.has_ended(name, HELD, now, now + 4.0, SERVICE)
+        )
+        self.assertTrue(
+            self.term.has_ended(name, HELD, now, now + 5.0, SERVICE)
+        )
         others = KeyRange(0, HELD.low - 1)
-        self.assertTrue(self.term.has_ended(name, others, now, now))
+        self.assertTrue(self.term.has_ended(name, others, now, now, SERVICE))
 
     def test_owner_that_refuses_connections_may_hold_keys(self):
         # Guards against two owners of a key: the path from this host alone
@@ -361,6 +370,41 @@
         self.assertEqual(0, sum(self.count_released().values()))
         self.assertIsNotNone(self.run_recovery())
 
+    def test_release_for_another_service_ends_no_newer_hold(self):
+        # Guards against two owners of a key that was granted anew between the
+        # answer to a release and the end of the recovery that asked for it.
+        self.report()
+        self.begin()
+        self.assertIsNotNone(self.run_recovery())
+        now = read_clock()
+        self.term.prepare_grant("u-1", HELD, now, SERVICE)
+        reported = ReportedHolds(holds=(UpstreamHold("u-1", HELD, now + 3.0),))
+        self.reports.note_report(
+            TermReport(FORMER_TERM, FORMER_TERM, {OTHER: reported}, SENDER)
+        )
+        with gevent.Timeout(2.0):
+            while self.coordinator.recover_table(OTHER) is None:
+                gevent.sleep(0.02)
+        self.assertGreater(self.get_count("u-1"), 1)
+        self.assertFalse(self.term.has_ended("u-1", HELD, now, now, SERVICE))
+        self.assertTrue(self.term.has_ended("u-1", HELD, now, now, OTHER))
+
+    def get_count(self, name):
+        return len(self.get_released(name))
+
+    def test_release_ends_no_hold_that_was_granted_after_its_answer(self):
+        # Guards against two owners of a key that was granted anew while
+        # other upstreams were still asked.
+        self.clients.clients["u-3"].taken = OrderOutcome.UNKNOWN
+        self.report()
+        self.begin()
+        self.assertIsNone(self.run_recovery(0.2))
+        self.assertEqual(1, self.get_count("u-1"))
+        now = read_clock()
+        self.term.prepare_grant("u-1", HELD, now, SERVICE)
+        self.assertIsNotNone(self.run_recovery())
+        self.assertFalse(self.term.has_ended("u-1", HELD, now, now, SERVICE))
+
     def test_report_is_not_used_if_a_later_leader_is_known(self):
         # Guards against two owners of a key that the later leader has moved.
         self.report()
