Take no change of the era for a first start

Cause: only records showed that there had been an earlier era. Without one, upstreams that aren't registered were not asked to release, although they held keys of the lost leader.

Change: a host that has seen the number of an earlier era, in a refused answer too, knows that this is no first start, and waits for a report or for the end of all earlier grants.

--- a/sedgetide/core/ownership/formerterms.py
+++ b/sedgetide/core/ownership/formerterms.py
@@ -29,6 +29,7 @@
         self._leaders: dict[Era, Position] = {}
         self._read_leaders: dict[Era, Position] = {}
         self._eras: set[Era] = set()
+        self._later_eras: set[Era] = set()
 
     def note_leader(self, position: Position) -> None:
         """Record the position of a leader's record, or of its removal.
@@ -52,6 +53,14 @@
         """Record that a leader of an era has written a record."""
         self._eras.add(era)
 
+    def note_later_era(self, era: Era) -> None:
+        """Record that this host has seen an era begin after another one.
+
+        Leaders may have granted keys before, although the backup is older
+        than the first record.
+        """
+        self._later_eras.add(era)
+
     def find_last_leader(self, era: Era) -> Position:
         """Return the position of the last known leader of an era.
 
@@ -71,8 +80,9 @@
         return _find_last(self._read_leaders, era)
 
     def has_earlier(self, era: Era) -> bool:
-        """Return whether a record of an earlier era is known."""
-        return any(each < era for each in self._eras)
+        """Return whether there may have been a leader in an earlier era."""
+        recorded = any(each < era for each in self._eras)
+        return recorded or any(each <= era for each in self._later_eras)
 
 
 def _find_last(leaders: Mapping[Era, Position], era: Era) -> Position:
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -157,7 +157,9 @@
 
         Records of the former era aren't valid any more. The tables of owners
         are kept, as the best available information for routing requests.
+        Not called for the first era that this host sees.
         """
+        self.records.note_later_era(era)
         self._begin_era(era, now)
         self.directory.begin_era(now)
         if self.leader is not None and self.leader.position.era < era:
--- a/tests/core/ownership/test_formerterms.py
+++ b/tests/core/ownership/test_formerterms.py
@@ -44,6 +44,14 @@
         self.assertTrue(self.history.has_earlier(6))
         self.assertFalse(self.history.has_earlier(5))
 
+    def test_change_of_the_era_shows_that_there_was_another_one(self):
+        # Guards against granting all keys as at the first start when the
+        # backup is older than the first record.
+        self.history.note_later_era(6)
+        self.assertFalse(self.history.has_earlier(5))
+        self.assertTrue(self.history.has_earlier(6))
+        self.assertTrue(self.history.has_earlier(7))
+
     def test_last_leader_of_each_era_is_kept(self):
         for position in (Position(4, 90), Position(5, 30), Position(5, 20)):
             self.history.note_leader(position)
--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -5,6 +5,7 @@
 
 from sedgetide.backends.dialects import EvacuationRequest
 from sedgetide.backends.dialects import UpstreamWithdrawn
+from sedgetide.backends.eras import EraTracker
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
 from sedgetide.coding.ranges import encode_ranges
@@ -130,6 +131,19 @@
         self.assertFalse(self.has_earlier(6))
         self.assertEqual(NO_POSITION, self.deployment.former_leader)
 
+    def test_host_that_has_seen_an_earlier_era(self):
+        # Guards against granting all keys as at the first start, while
+        # upstreams that are cut off from the store hold some: the backup is
+        # older than the first record, and the era before was only seen in a
+        # refused answer.
+        eras = EraTracker()
+        eras.subscribe(lambda era: self.deployment.note_era(era, 9.0))
+        eras.note(6)
+        self.assertFalse(self.has_earlier(6))
+        eras.note(7)
+        self.list_items(7)
+        self.assertTrue(self.has_earlier(7))
+
     def test_former_leader_is_kept_when_an_era_begins(self):
         # Guards against using a report of a leader that had been replaced.
         self.list_items(0, Item(make_leader_key(0), Position(0, 5), LEADER))
