--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -157,7 +157,9 @@
 
         Records of the former era aren't valid any more. The tables of owners
         are kept, as the best available information for routing requests.
+        Not called for the first era that this host sees.
         """
+        self.records.note_later_era(era)
         self._begin_era(era, now)
         self.directory.begin_era(now)
         if self.leader is not None and self.leader.position.era < era:
@@ -185,6 +187,11 @@
         """Position of the last known leader before this era."""
         return self.records.find_former_leader(self._era)
 
+    @property
+    def read_leader(self) -> Position:
+        """Position of the last leader before this era, if read in its era."""
+        return self.records.find_read_leader(self._era)
+
     def find_reregistration_end(self) -> float:
         """Return when all live upstreams have registered in this era."""
         return self._era_since + RETURN_GRACE
@@ -352,7 +359,7 @@
             self.update_table(key.service, table, written_at, now)
 
     def _apply_leader(self, value: bytes | None, position: Position) -> None:
-        self.records.note_leader(position)
+        self.records.note_read_leader(position)
         if self.leader is not None and position < self.leader.position:
             # Older than the record that another host has read.
             return
--- a/sedgetide/daemons/_leader.py
+++ b/sedgetide/daemons/_leader.py
@@ -145,10 +145,11 @@
         self._paths = paths
         self._reachability = LeaderReachability()
         self._clients = OrderClients(dialect, durations.order_timeout, paths)
-        self._holds_receiver = HoldsReceiver(deployment, own_host.link)
+        self._holds_receiver = HoldsReceiver(
+            deployment, own_host.link, durations.lease
+        )
         self._holds_reporter = HoldsReporter(
             deployment,
-            self._clients,
             send,
             own_host.link,
             self._holds_receiver,
@@ -205,6 +206,7 @@
         """
         self._deployment.records.note_leader(report.former_leader)
         if sender is not None:
+            self._holds_receiver.note_confirmation(sender, report.read_leader)
             self._move_notifier.note_status(sender, report.standing, now)
         if sender is not None and self._leadership.is_fresh(now):
             self._feed.note_report(sender, report.position, now)
@@ -441,7 +443,8 @@
             return
         known = {each.name for each in self._deployment.directory.list_all()}
         for each in self._deployment.tables.values():
-            known.update(tenure.owner for tenure in each.table.tenures)
+            for tenure in each.table.tenures:
+                known.update((tenure.owner, tenure.successor or tenure.owner))
         self._load_tracker.forget(known)
         self._reachability.forget(known)
         self._clients.retain(known)
--- a/sedgetide/daemons/_recoverycoordinator.py
+++ b/sedgetide/daemons/_recoverycoordinator.py
@@ -39,8 +39,9 @@
 
 _RETRY_DELAY = 0.2
 # Seconds after the begin of a term; each host has sent a load report by then,
-# which tells whether it knows a later leader of the former era.
-_FIRST_REPORTS_TIME = 0.5
+# which tells whether it knows a later leader of the former era. A host may
+# read the new leader's record 0.2 s late and then sends it within 0.4 s.
+_FIRST_REPORTS_TIME = 1.0
 
 
 class _ServiceRecovery:
@@ -227,8 +228,6 @@
             {*upstreams, *released},
             report.holds if reported else (),
         )
-        for upstream in released:
-            self._term.note_release(upstream, ALL_KEYS)
         if decision.basis is state.logged_basis:
             return
         state.logged_basis = decision.basis
@@ -257,6 +256,8 @@
         proof: StopProof,
     ) -> None:
         state.recovery.note_released(name)
+        # Noted when it is answered, since a grant of this term may follow.
+        self._term.note_release(name, ALL_KEYS, state.service)
         state.proofs[name] = proof
         STOP_PROOFS.labels(state.service, "restore", proof.value).inc()
         log_event(
--- a/tests/daemons/test_leader.py
+++ b/tests/daemons/test_leader.py
@@ -1,5 +1,7 @@
 """Tests of the tables that a leader writes."""
 
+import types
+
 import gevent
 import msgspec
 import testtools
@@ -40,6 +42,7 @@
 
 SERVICE = "maps"
 LINK = LinkAddress("10.0.0.1:7")
+OTHER_LINK = LinkAddress("10.0.0.4:7")
 RECORD = LeaderRecord("h-2", "x", LINK)
 LEADER_KEY = make_leader_key(FIRST_ERA)
 RANGES_KEY = make_ranges_key(FIRST_ERA, SERVICE)
@@ -116,6 +119,20 @@
             SERVICE, table, False, read_clock()
         )
 
+    def test_successor_that_is_not_registered_is_kept(self):
+        # Guards against a holder whose address is forgotten while its grants
+        # are tried, so that it can't be asked to release them.
+        self.leader._clients.update_entries(
+            self.deployment.directory, read_clock()
+        )
+        self.deployment.policy = types.SimpleNamespace(
+            list_keyed=lambda: [SERVICE]
+        )
+        self.deployment.directory.remove("u-2", read_clock())
+        self.deployment.directory.expire(read_clock() + 60.0)
+        self.leader._forget_departed(read_clock())
+        self.assertIsNotNone(self.leader._clients.find("u-2"))
+
     def test_completed_moves_that_the_record_lacks_are_written(self):
         # Guards against hosts that missed the notice of the former leader,
         # or have started since, and refuse callers of a range that they
@@ -186,6 +203,13 @@
         self.leader._begin_term(term)
         self.leader._clients.update_entries(self.deployment.directory, now)
 
+    def handle_holds(self, *holds):
+        """Take a report whose leader another host knows as the last one."""
+        report = list_holds(*holds)
+        load = LoadReport([], [], read_leader=report.term)
+        self.leader.note_report(load, OTHER_LINK, read_clock())
+        self.leader.handle_holds(report, LINK, read_clock())
+
     def find_table(self, seconds):
         """Return the first table; None if none is written in time."""
         with gevent.Timeout(seconds, False):
@@ -205,8 +229,7 @@
 
     def test_keys_that_may_be_held_stay_with_their_holders(self):
         self.lead()
-        report = list_holds(("u-2", 100, 199), ("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-2", 100, 199), ("u-9", 200, 299))
         table = self.find_table(5.0)
         self.assertEqual(
             ["u-1", "u-2", "u-9", "u-1"],
@@ -218,8 +241,7 @@
         # Guards against keys that nobody renews: the holder has ended, or
         # is cut off from the store for long.
         self.lead()
-        report = list_holds(("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-9", 200, 299))
         table = self.find_table(5.0)
         (moving,) = self.leader._compute_next_table(
             SERVICE, table, False, read_clock()
@@ -227,8 +249,10 @@
         self.assertEqual(("u-9", 200), (moving.owner, moving.low))
         now = read_clock()
         term = self.leader._executor.term
-        self.assertFalse(term.has_ended("u-9", moving.keys, now, now))
-        self.assertTrue(term.has_ended("u-9", moving.keys, now, now + 5.0))
+        self.assertFalse(term.has_ended("u-9", moving.keys, now, now, SERVICE))
+        self.assertTrue(
+            term.has_ended("u-9", moving.keys, now, now + 5.0, SERVICE)
+        )
 
     def test_held_keys_stay_although_no_table_is_known(self):
         # Guards against two owners of a key when the backup is older than
@@ -238,8 +262,7 @@
         self.deployment.directory.put(entry, read_clock())
         self.leader = self.make_leader()
         self.lead()
-        report = list_holds(("u-9", 200, 299))
-        self.leader.handle_holds(report, LINK, read_clock())
+        self.handle_holds(("u-9", 200, 299))
         table = self.find_table(5.0)
         self.assertEqual(
             ["u-1", "u-9", "u-1"], [each.owner for each in table.tenures]
@@ -248,17 +271,29 @@
     def test_later_leader_that_a_host_knows_voids_the_report(self):
         # Guards against two owners of a key that the later leader has moved.
         self.lead()
-        self.leader.handle_holds(list_holds(), LINK, read_clock())
+        self.handle_holds()
         report = LoadReport([], [], former_leader=Position(Era(5), 31))
         self.leader.note_report(report, None, read_clock())
         self.assertIsNone(self.find_table(1.2))
 
+    def test_report_of_a_leader_that_no_other_host_has_seen(self):
+        # Guards against two owners of a key that a later leader has moved,
+        # when all hosts that knew of it have started again.
+        self.lead()
+        report = list_holds()
+        self.leader.handle_holds(report, LINK, read_clock())
+        load = LoadReport([], [], former_leader=report.term)
+        self.leader.note_report(load, OTHER_LINK, read_clock())
+        load = LoadReport([], [], read_leader=report.term)
+        self.leader.note_report(load, LINK, read_clock())
+        self.assertIsNone(self.find_table(1.2))
+
     def test_ledger_is_kept_after_the_term(self):
         # Guards against a leader of the next era that isn't told which keys
         # upstreams may hold.
         self.lead()
         term = self.leader._executor.term
-        term.prepare_grant("u-1", KeyRange(0, 9), read_clock())
+        term.prepare_grant("u-1", KeyRange(0, 9), read_clock(), SERVICE)
         self.deployment.update_table(
             SERVICE, MOVING, Position(Era(6), 9), read_clock()
         )
