Simulated hosts are refused by upstreams that run

Callers saw two upstreams that held the same keys. The simulation of ownership could not show one of the suspected causes: a path was open or silent, never refused, so the present rule of recovery (a refused connection shows that the process has ended, and with it its holds) was never applied to an upstream that runs. Hosts move to a module of their own, with a state of each path.

--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -4,7 +4,8 @@
 the production classes (:class:`Leadership`, :class:`Term`,
 :class:`RangeTable`). Injected faults: the store is reachable from some hosts
 only, drops the leader's record or applies writes late; hosts pause or lose
-all state; upstreams are unreachable, apply orders late or have slow clocks.
+all state; upstreams are unreachable, refuse connections from some hosts,
+apply orders late or have slow clocks.
 After each step it is checked that no key is held by two upstreams.
 """
 
@@ -14,14 +15,12 @@
 
 import msgspec
 
-from sedgetide.backends.leasestore import LeaseId
 from sedgetide.backends.leasestore import NO_LEASE
 from sedgetide.backends.leasestore import Write
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.coding.ranges import encode_ranges
 from sedgetide.core.errors import RuleError
 from sedgetide.core.errors import StoreError
-from sedgetide.core.history import Era
 from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
@@ -31,8 +30,6 @@
 from sedgetide.core.identifiers import NO_REVISION
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.ownership.leadership import Durations
-from sedgetide.core.ownership.leadership import Leadership
-from sedgetide.core.ownership.move_observations import MoveObservations
 from sedgetide.core.ownership.ranges import ALL_KEYS
 from sedgetide.core.ownership.ranges import KeyRange
 from sedgetide.core.ownership.ranges import LAST_KEY
@@ -48,6 +45,9 @@
 from sedgetide.daemons._recordkeys import parse_key
 from sedgetide.testing.leasestore import LeaseStoreModel
 from sedgetide.testing.leasestore import StoreCopy
+from sedgetide.testing.ownershiphosts import NEVER
+from sedgetide.testing.ownershiphosts import PathState
+from sedgetide.testing.ownershiphosts import WorldHost
 from sedgetide.testing.rangeholder import RangeHolder
 
 STEP = 0.1
@@ -55,7 +55,6 @@
 _SLOW_CLOCK = 1.02
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
 _FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
-_NEVER = float("inf")
 # One copy is made in each step, so the oldest one is 8 s old.
 _MAX_COPIES = 80
 
@@ -67,57 +66,6 @@
     act: Callable[[], None]
 
 
-class WorldHost:
-    """State of one simulated host.
-
-    Parameters
-    ----------
-    name : str
-        Value that it writes to the leader's record.
-    durations : Durations
-        Timing parameters, the same for all hosts.
-    """
-
-    def __init__(self, name: str, durations: Durations) -> None:
-        self.name = name
-        self.durations = durations
-        self.paused_until = 0.0
-        # Probability that the host reads the store in a step. A low value
-        # stands for a watch that stays silent for long.
-        self.read_probability = 0.7
-        self.store_unreachable_until = 0.0
-        self.unreachable: dict[IncarnationName, float] = {}
-        self.restart()
-
-    def restart(self) -> None:
-        """Reset all state, as a restart of the process does."""
-        self.leadership = Leadership(self.durations)
-        self.term: Term | None = None
-        self.lease: LeaseId = NO_LEASE
-        self.table = RangeTable()
-        self.position: Position = NO_POSITION
-        self.recovery: Recovery | None = None
-        self.observations = MoveObservations()
-        self.verified_at = -_NEVER
-        self.renewed_at: dict[IncarnationName, float] = {}
-
-    def note_era(self, era: Era) -> None:
-        """Record the era that an answer of the store names."""
-        self.leadership.note_era(era)
-
-    def owns_table(self) -> bool:
-        """Return whether the table was written in the era of the term."""
-        return self.position.era == self.leadership.term.era
-
-    def adopt(self, table: RangeTable, position: Position, now: float) -> None:
-        """Replace the table unless the version is an older one."""
-        if position <= self.position:
-            return
-        self.table = table
-        self.position = position
-        self.observations.note_table(table, now)
-
-
 class OwnershipWorld:
     """Simulation of hosts, upstreams and the store with injected faults.
 
@@ -131,6 +79,8 @@
         Timing parameters that single ownership depends on.
     with_restores : bool
         Whether the store is also restored from older copies.
+    with_refusals : bool
+        Whether hosts are also refused by upstreams that run.
     """
 
     def __init__(
@@ -140,6 +90,7 @@
         upstreams: int = 3,
         durations: Durations | None = None,
         with_restores: bool = False,
+        with_refusals: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.now = 1000.0
@@ -170,6 +121,8 @@
         ]
         if with_restores:
             self._faults += [self._restore, self._restore, self._restart_all]
+        if with_refusals:
+            self._faults += [self._refuse, self._refuse]
 
     # Time
 
@@ -248,11 +201,15 @@
     def _isolate_upstream(self, _: WorldHost, until: float) -> None:
         name = self.random.choice(list(self.holders))
         for host in self.hosts:
-            host.unreachable[name] = until
+            host.paths.close(name, PathState.SILENT, until)
 
     def _cut_from_upstream(self, host: WorldHost, until: float) -> None:
         name = self.random.choice(list(self.holders))
-        host.unreachable[name] = until
+        host.paths.close(name, PathState.SILENT, until)
+
+    def _refuse(self, host: WorldHost, until: float) -> None:
+        name = self.random.choice(list(self.holders))
+        host.paths.close(name, PathState.REFUSED, until)
 
     def _change_read_probability(self, host: WorldHost, _: float) -> None:
         host.read_probability = self.random.choice((0.0, 0.02, 0.7))
@@ -344,7 +301,7 @@
         for tenure in host.table.list_moving():
             self._move(host, tenure)
         for name in self.holders:
-            last = host.renewed_at.get(name, -_NEVER)
+            last = host.renewed_at.get(name, -NEVER)
             if self.now - last >= self.durations.renew:
                 host.renewed_at[name] = self.now
                 for tenure in host.table.list_owned(name):
@@ -361,8 +318,10 @@
         first = find_first_fence(era)
         recovery = host.recovery
         for name in recovery.list_pending_releases(self.holders, self.now):
-            reached = self.now >= host.unreachable.get(name, 0.0)
-            if reached and self.random.random() < 0.4:
+            state = host.paths.find_state(name, self.now)
+            if self.is_proof_of_end(state):
+                recovery.note_released(name)
+            if state is PathState.OPEN and self.random.random() < 0.4:
                 self._release_all(host, name, Fence(first + 1))
         if recovery.is_over(self.holders, self.now):
             for name in recovery.list_released():
@@ -375,6 +334,10 @@
             self._write(host, table)
         return host.owns_table()
 
+    def is_proof_of_end(self, state: PathState) -> bool:
+        """Return whether a path shows that the upstream has ended."""
+        return state is PathState.REFUSED
+
     def _release_all(
         self, host: WorldHost, name: IncarnationName, fence: Fence
     ) -> None:
@@ -441,7 +404,8 @@
             self._release(host, tenure)
 
     def _release(self, host: WorldHost, tenure: Tenure) -> None:
-        if self.now < host.unreachable.get(tenure.owner, 0.0):
+        state = host.paths.find_state(tenure.owner, self.now)
+        if state is not PathState.OPEN:
             return
         holder = self.holders[tenure.owner]
         if self.random.random() < 0.15:
@@ -468,7 +432,7 @@
         grant = term.prepare_grant(name, tenure.keys, self.now)
         if grant is None:
             return
-        if self.now < host.unreachable.get(name, 0.0):
+        if host.paths.find_state(name, self.now) is not PathState.OPEN:
             term.note_arrival(grant, self.now)
             return
         self._delay(
--- a/tests/testing/test_ownershipworld.py
+++ b/tests/testing/test_ownershipworld.py
@@ -23,11 +23,11 @@
 SECONDS = 120.0
 
 
-def simulate(seeds=SEEDS, with_restores=False):
+def simulate(seeds=SEEDS, **options):
     """Return the first violation of any run, and the count of done moves."""
     moves = 0
     for seed in seeds:
-        world = OwnershipWorld(seed, with_restores=with_restores)
+        world = OwnershipWorld(seed, **options)
         world.run(SECONDS)
         moves += world.moves_completed
         if world.problems:
@@ -55,9 +55,9 @@
 class TestSafeguards(testtools.TestCase):
     """Without any one of the safeguards the simulation finds two owners."""
 
-    def check_found(self, owner, name, replacement, with_restores=False):
+    def check_found(self, owner, name, replacement, **options):
         with mock.patch.object(owner, name, replacement):
-            problem, _ = simulate(MUTATION_SEEDS, with_restores)
+            problem, _ = simulate(MUTATION_SEEDS, **options)
         self.assertIsNotNone(problem)
 
     def test_old_owner_not_waited_for(self):
@@ -141,3 +141,11 @@
         self.check_found(
             ownershipworld, "find_first_fence", zero, with_restores=True
         )
+
+    def test_refused_connection_taken_for_the_end_of_a_process(self):
+        # Guards against a leader that counts the keys of an upstream as
+        # released because a lost path refuses or resets its connections.
+        problem, _ = simulate(
+            MUTATION_SEEDS, with_restores=True, with_refusals=True
+        )
+        self.assertIsNotNone(problem)
