--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -15,7 +15,6 @@
 
 import msgspec
 
-from sedgetide.backends.leasestore import NO_LEASE
 from sedgetide.backends.leasestore import Write
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.coding.ranges import encode_ranges
@@ -43,8 +42,10 @@
 from sedgetide.daemons._recordkeys import make_leader_key
 from sedgetide.daemons._recordkeys import make_ranges_key
 from sedgetide.daemons._recordkeys import parse_key
+from sedgetide.daemons._recordkeys import RecordKey
 from sedgetide.testing.leasestore import LeaseStoreModel
 from sedgetide.testing.leasestore import StoreCopy
+from sedgetide.testing.ownershipfaults import Faults
 from sedgetide.testing.ownershiphosts import NEVER
 from sedgetide.testing.ownershiphosts import PathState
 from sedgetide.testing.ownershiphosts import WorldHost
@@ -54,7 +55,6 @@
 _SERVICE = ServiceName("maps")
 _SLOW_CLOCK = 1.02
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
-_FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
 # One copy is made in each step, so the oldest one is 8 s old.
 _MAX_COPIES = 80
 
@@ -97,7 +97,7 @@
         self.durations = durations or Durations()
         self.store = LeaseStoreModel()
         self.hosts = [
-            WorldHost(f"h-{index}", self.durations) for index in range(hosts)
+            self._create_host(f"h-{index}") for index in range(hosts)
         ]
         self.holders = {
             IncarnationName(f"u-{index}"): RangeHolder(f"u-{index}")
@@ -106,23 +106,22 @@
         self.problems: list[str] = []
         self.moves_completed = 0
         self._delayed: list[_DelayedAction] = []
-        self._copies: collections.deque[tuple[float, StoreCopy]] = (
+        self.copies: collections.deque[tuple[float, StoreCopy]] = (
             collections.deque(maxlen=_MAX_COPIES)
         )
-        self._faults = [
-            self._pause,
-            self._restart,
-            self._cut_host_from_store,
-            self._stop_store,
-            self._revoke,
-            self._isolate_upstream,
-            self._cut_from_upstream,
-            self._change_read_probability,
-        ]
-        if with_restores:
-            self._faults += [self._restore, self._restore, self._restart_all]
-        if with_refusals:
-            self._faults += [self._refuse, self._refuse]
+        self._faults = self._create_faults(with_restores, with_refusals)
+
+    def _create_faults(
+        self, with_restores: bool, with_refusals: bool
+    ) -> Faults:
+        return Faults(self, with_restores, with_refusals)
+
+    def _create_host(self, name: str) -> WorldHost:
+        return WorldHost(name, self.durations)
+
+    def _list_holders(self) -> dict[IncarnationName, RangeHolder]:
+        """Return the holders of all upstreams that run."""
+        return self.holders
 
     # Time
 
@@ -132,9 +131,10 @@
         while self.now < end and not self.problems:
             self.now += STEP
             self.store.expire(self.now)
-            self._copies.append((self.now, self.store.copy()))
+            self.copies.append((self.now, self.store.copy()))
             self._run_delayed_actions()
-            self._start_random_fault()
+            self._faults.start_random()
+            self._step_upstreams()
             for host in self.hosts:
                 if self.now >= host.paused_until:
                     self._step(host)
@@ -148,11 +148,14 @@
         for action in due:
             action.act()
 
+    def _step_upstreams(self) -> None:
+        """Advance the upstreams; fixed ones do nothing by themselves."""
+
     def _check_ownership(self) -> None:
         for key in _PROBES:
             holding = [
                 name
-                for name, holder in self.holders.items()
+                for name, holder in self._list_holders().items()
                 if holder.find_fence(key, self.now) is not None
             ]
             if len(holding) > 1:
@@ -160,65 +163,9 @@
                     f"{self.now:.1f}: key {key} is held by {holding}"
                 )
 
-    # Faults
-
-    def _start_random_fault(self) -> None:
-        """Start a random fault in 4 % of the steps."""
-        if self.random.random() > 0.04:
-            return
-        host = self.random.choice(self.hosts)
-        until = self.now + self.random.choice(_FAULT_TIMES)
-        self.random.choice(self._faults)(host, until)
-
-    def _pause(self, host: WorldHost, until: float) -> None:
-        host.paused_until = until
-
-    def _restart(self, host: WorldHost, _: float) -> None:
-        host.restart()
-        host.paused_until = self.now + self.random.uniform(0.2, 2.0)
-
-    def _cut_host_from_store(self, host: WorldHost, until: float) -> None:
-        host.store_unreachable_until = until
-
-    def _stop_store(self, _: WorldHost, until: float) -> None:
-        for host in self.hosts:
-            host.store_unreachable_until = until
-
-    def _restore(self, *_: object) -> None:
-        """Restore the store from a copy, at once or after an outage."""
-        outage = self.random.choice((0.0, 0.0, 0.3, 1.0, 3.0))
-        copy = self.random.choice(self._copies)[1]
-        for host in self.hosts:
-            host.store_unreachable_until = max(
-                host.store_unreachable_until, self.now + outage
-            )
-        self._delay(outage, lambda: self.store.restore(copy, self.now))
-
-    def _restart_all(self, *_: object) -> None:
-        for host in self.hosts:
-            self._restart(host, 0.0)
-
-    def _isolate_upstream(self, _: WorldHost, until: float) -> None:
-        name = self.random.choice(list(self.holders))
-        for host in self.hosts:
-            host.paths.close(name, PathState.SILENT, until)
-
-    def _cut_from_upstream(self, host: WorldHost, until: float) -> None:
-        name = self.random.choice(list(self.holders))
-        host.paths.close(name, PathState.SILENT, until)
-
-    def _refuse(self, host: WorldHost, until: float) -> None:
-        name = self.random.choice(list(self.holders))
-        host.paths.close(name, PathState.REFUSED, until)
-
-    def _change_read_probability(self, host: WorldHost, _: float) -> None:
-        host.read_probability = self.random.choice((0.0, 0.02, 0.7))
-
-    def _revoke(self, *_: object) -> None:
-        """Delete the leader's record while its lease stays valid."""
-        for host in self.hosts:
-            if host.lease != NO_LEASE:
-                self.store.revoke(host.lease, forget=False)
+    def pick_upstream(self) -> str:
+        """Return the upstream of which a fault closes the paths."""
+        return self.random.choice(list(self.holders))
 
     # One host
 
@@ -249,9 +196,19 @@
         host.note_era(self.store.era)
         for item in self.store.list("").items:
             name = parse_key(item.key)
-            if name is not None and name.service is not None:
+            if name is not None:
                 written_at = Position(name.era, item.position.revision)
-                host.adopt(decode_ranges(item.value), written_at, self.now)
+                self._read_record(host, name, item.value, written_at)
+
+    def _read_record(
+        self,
+        host: WorldHost,
+        name: RecordKey,
+        value: bytes,
+        written_at: Position,
+    ) -> None:
+        if name.service is not None:
+            host.adopt(decode_ranges(value), written_at, self.now)
 
     def _stand_for_election(self, host: WorldHost) -> None:
         if self.random.random() < 0.7:
@@ -267,9 +224,12 @@
         host.leadership.begin(position, self.now, self.now)
         host.term = Term(host.leadership, self.durations)
         host.renewed_at.clear()
-        host.recovery = Recovery(self.now, host.term.inherited_until)
+        self._begin_recovery(host)
         self._read_tables(host)
 
+    def _begin_recovery(self, host: WorldHost) -> None:
+        host.recovery = Recovery(self.now, host.term.inherited_until)
+
     def _verify(self, host: WorldHost) -> None:
         host.verified_at = self.now
         host.note_era(self.store.era)
@@ -285,12 +245,13 @@
         asked_at = self.now
         leadership = host.leadership
         # The answer arrives up to 0.4 s later.
-        self._delay(
+        self.delay(
             self.random.uniform(0.0, 0.4),
             lambda: leadership.note_read(position, asked_at),
         )
 
-    def _delay(self, seconds: float, act: Callable[[], None]) -> None:
+    def delay(self, seconds: float, act: Callable[[], None]) -> None:
+        """Carry out an action some seconds later."""
         self._delayed.append(_DelayedAction(self.now + seconds, act))
 
     def _lead(self, host: WorldHost) -> None:
@@ -300,13 +261,21 @@
             self._plan(host)
         for tenure in host.table.list_moving():
             self._move(host, tenure)
-        for name in self.holders:
+        for name in self._list_renewed(host):
             last = host.renewed_at.get(name, -NEVER)
             if self.now - last >= self.durations.renew:
                 host.renewed_at[name] = self.now
                 for tenure in host.table.list_owned(name):
                     self._grant(host, name, tenure)
 
+    def _list_renewed(self, _: WorldHost) -> list[IncarnationName]:
+        """Return the upstreams of which a leader renews the grants."""
+        return list(self.holders)
+
+    def _list_candidates(self, _: WorldHost) -> list[IncarnationName]:
+        """Return the upstreams that may get keys."""
+        return sorted(self.holders)
+
     def _recover(self, host: WorldHost) -> bool:
         """Write the first table of an era; return whether it is written."""
         if host.leadership.era_ended:
@@ -346,7 +315,7 @@
     ) -> None:
         holder = self.holders[name]
         if self.random.random() < 0.15:
-            self._delay(
+            self.delay(
                 self.random.uniform(0.5, 9.0),
                 lambda: holder.release(ALL_KEYS, fence),
             )
@@ -356,19 +325,27 @@
             host.recovery.note_released(name)
 
     def _plan(self, host: WorldHost) -> None:
+        candidates = self._list_candidates(host)
+        if not candidates:
+            return
         if not host.table.tenures:
-            names = [(name, 1) for name in sorted(self.holders)]
+            names = [(name, 1) for name in candidates]
             self._write(host, host.table.assign_first(names))
         elif self.random.random() < 0.15:
-            low = Key(self.random.randrange(LAST_KEY))
-            tenure = host.table.find(low)
-            high = Key(min(tenure.high, low + self.random.randrange(9000)))
-            goal = self.random.choice(sorted(self.holders))
-            try:
-                moved = host.table.begin([Move(KeyRange(low, high), goal)])
-            except RuleError:
-                return
-            self._write(host, moved.merge())
+            self._begin_random_move(host, candidates)
+
+    def _begin_random_move(
+        self, host: WorldHost, candidates: list[IncarnationName]
+    ) -> None:
+        low = Key(self.random.randrange(LAST_KEY))
+        tenure = host.table.find(low)
+        high = Key(min(tenure.high, low + self.random.randrange(9000)))
+        goal = self.random.choice(candidates)
+        try:
+            moved = host.table.begin([Move(KeyRange(low, high), goal)])
+        except RuleError:
+            return
+        self._write(host, moved.merge())
 
     def _write(self, host: WorldHost, table: RangeTable) -> None:
         """Write a table; the answer may be lost or the write delayed."""
@@ -393,7 +370,7 @@
         lost = self.random.random() < 0.1
         if self.random.random() < 0.1:
             lost = True
-            self._delay(self.random.uniform(0.5, 6.0), write)
+            self.delay(self.random.uniform(0.5, 6.0), write)
         else:
             write()
 
@@ -412,7 +389,7 @@
             return
         holder = self.holders[tenure.owner]
         if self.random.random() < 0.15:
-            self._delay(
+            self.delay(
                 self.random.uniform(0.5, 9.0),
                 lambda: holder.release(tenure.keys, tenure.fence),
             )
@@ -438,7 +415,7 @@
         if host.paths.find_state(name, self.now) is not PathState.OPEN:
             term.note_arrival(grant, self.now)
             return
-        self._delay(
+        self.delay(
             self.random.choice((0.0, 0.0, 0.0, 0.3, 0.9)),
             lambda: self._deliver_grant(term, name, tenure, grant),
         )
@@ -458,7 +435,7 @@
             holder.grant(tenure.keys, tenure.fence, life, arrived_at)
 
         if self.random.random() < 0.15:
-            self._delay(self.random.uniform(0.5, 9.0), apply_grant)
+            self.delay(self.random.uniform(0.5, 9.0), apply_grant)
         else:
             apply_grant()
         term.note_arrival(grant, arrived_at)
