Simulated upstreams register, leave, and are reborn

Callers saw two upstreams that held the same keys. The simulation could not show the second suspected cause, since its upstreams were a fixed set that each host knew. In a new simulation they start (also at a former address), register in the simulated store, lose their entries while they are cut off from it, leave, end and are reborn under their names. Hosts know them by what they read since their start, with the production's directory, and leaders follow the present rule: the upstreams seen within the longest hold and the owners in the known table release all keys. The copy that is restored may lack an upstream that holds keys.

--- a/sedgetide/testing/ownershipfaults.py
+++ b/sedgetide/testing/ownershipfaults.py
@@ -4,14 +4,19 @@
 from typing import TYPE_CHECKING
 
 from sedgetide.backends.leasestore import NO_LEASE
+from sedgetide.core.history import NO_POSITION
+from sedgetide.testing.leasestore import StoreCopy
 from sedgetide.testing.ownershiphosts import PathState
 from sedgetide.testing.ownershiphosts import WorldHost
+from sedgetide.testing.ownershipregistry import UpstreamProcess
 
 if TYPE_CHECKING:
+    from sedgetide.testing.ownershipregistryworld import RegistryWorld
     from sedgetide.testing.ownershipworld import OwnershipWorld
 
 _FAULT_TIMES = (0.3, 1.0, 2.0, 4.0, 8.0, 16.0, 30.0)
 _FAULTS_PER_STEP = 0.04
+_LEAST_UPSTREAMS = 2
 
 
 class Faults:
@@ -76,7 +81,11 @@
     def _restore(self, *_: object) -> None:
         """Restore the store from a copy, at once or after an outage."""
         outage = self.world.random.choice((0.0, 0.0, 0.3, 1.0, 3.0))
-        copy = self.world.random.choice(self.world.copies)[1]
+        self._restore_copy(
+            outage, self.world.random.choice(self.world.copies)[1]
+        )
+
+    def _restore_copy(self, outage: float, copy: StoreCopy) -> None:
         for host in self.world.hosts:
             host.store_unreachable_until = max(
                 host.store_unreachable_until, self.world.now + outage
@@ -110,3 +119,126 @@
         for host in self.world.hosts:
             if host.lease != NO_LEASE:
                 self.world.store.revoke(host.lease, forget=False)
+
+
+class RegistryFaults(Faults):
+    """Also faults of upstreams that register, and of pairs of things."""
+
+    world: "RegistryWorld"
+
+    def __init__(self, world: "RegistryWorld") -> None:
+        super().__init__(world, with_restores=True, with_refusals=True)
+        self.kinds += [
+            self._start_upstream,
+            self._end_upstream,
+            self._restart_upstream,
+            self._let_upstream_leave,
+            self._cut_upstream_from_store,
+            self._resign,
+            self._restore_and_cut_upstream,
+            self._restore_and_lose_hosts,
+            self._restore_twice,
+            self._restore_copy_without_upstream,
+            self._restore_copy_without_upstream,
+        ]
+
+    def _pick_process(self) -> UpstreamProcess:
+        return self.world.random.choice(self.world.registry.list_running())
+
+    def _start_upstream(self, *_: object) -> UpstreamProcess | None:
+        registry = self.world.registry
+        if len(registry.list_running()) >= self.world.most_upstreams:
+            return None
+        former = registry.former_addresses
+        if former and self.world.random.random() < 0.5:
+            address = self.world.random.choice(former)
+        else:
+            address = self.world.create_address()
+        return self.world.start_upstream(address)
+
+    def _end_upstream(self, *_: object) -> None:
+        registry = self.world.registry
+        if len(registry.list_running()) > _LEAST_UPSTREAMS:
+            registry.end(self._pick_process())
+
+    def _restart_upstream(self, *_: object) -> None:
+        process = self._pick_process()
+        name, address = process.entry.registered_name, process.entry.address
+        registry = self.world.registry
+        if len(registry.list_running()) <= _LEAST_UPSTREAMS:
+            return
+        registry.end(process)
+
+        def start() -> None:
+            if registry.find_at(address) is None:
+                registry.start(name, address, self.world.now)
+
+        self.world.delay(self.world.random.uniform(0.2, 2.0), start)
+
+    def _let_upstream_leave(self, *_: object) -> None:
+        registry = self.world.registry
+        if len(registry.list_running()) <= _LEAST_UPSTREAMS:
+            return
+        process = self._pick_process()
+        registry.leave(process)
+        self.world.delay(
+            self.world.random.uniform(1.0, 8.0),
+            lambda: registry.end(process),
+        )
+
+    def _cut_upstream_from_store(self, _: WorldHost, until: float) -> None:
+        self._pick_process().store_unreachable_until = until
+
+    def _resign(self, host: WorldHost, _: float) -> None:
+        """End the term of a leader that reaches the store."""
+        if host.leadership.term == NO_POSITION:
+            return
+        host.leadership.end()
+        if self.world.now >= host.store_unreachable_until:
+            self.world.store.revoke(host.lease)
+
+    def _restore_and_cut_upstream(self, host: WorldHost, until: float) -> None:
+        """Restore the store while an upstream is cut off, also from hosts."""
+        process = self._pick_process()
+        process.store_unreachable_until = until
+        state = self.world.random.choice(list(PathState))
+        for each in self.world.hosts:
+            each.paths.close(process.entry.address, state, until)
+        self._restore()
+
+    def _restore_and_lose_hosts(self, *_: object) -> None:
+        self._restart_some()
+        self._restore()
+
+    def _restart_some(self) -> None:
+        share = self.world.random.choice((0.5, 1.0))
+        for host in self.world.hosts:
+            if self.world.random.random() < share:
+                self._restart(host, 0.0)
+
+    def _restore_copy_without_upstream(
+        self, _: WorldHost, until: float
+    ) -> None:
+        """Start an upstream, and restore a copy of before its start.
+
+        The upstream is cut off from the store meanwhile, so that only hosts
+        which have seen its entry before know of it.
+        """
+        copy = self.world.store.copy()
+        process = self._start_upstream()
+        if process is None:
+            return
+
+        def restore() -> None:
+            process.store_unreachable_until = self.world.now + until - began
+            self._restart_some()
+            self._restore_copy(self.world.random.choice((0.0, 0.5)), copy)
+
+        began = self.world.now
+        self.world.delay(self.world.random.uniform(2.0, 7.0), restore)
+
+    def _restore_twice(self, host: WorldHost, until: float) -> None:
+        self._restore()
+        self.world.delay(
+            self.world.random.uniform(0.3, 12.0), lambda: self._restore()
+        )
--- a/sedgetide/testing/ownershiphosts.py
+++ b/sedgetide/testing/ownershiphosts.py
@@ -1,5 +1,6 @@
 """Hosts of the ownership simulation, and their paths to the upstreams."""
 
+from collections.abc import Collection
 import enum
 
 import msgspec
@@ -7,15 +8,21 @@
 from sedgetide.backends.leasestore import LeaseId
 from sedgetide.backends.leasestore import NO_LEASE
 from sedgetide.core.history import Era
+from sedgetide.core.history import FIRST_ERA
 from sedgetide.core.history import NO_POSITION
 from sedgetide.core.history import Position
+from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.membership.directory import RETURN_GRACE
+from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.move_observations import MoveObservations
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.terms import Term
+from sedgetide.testing.ownershipregistry import SERVICE
 
 NEVER = float("inf")
 
@@ -83,10 +90,12 @@
         self.read_probability = 0.7
         self.store_unreachable_until = 0.0
         self.paths = Paths()
+        self.starts = 0
         self.restart()
 
     def restart(self) -> None:
         """Reset all state, as a restart of the process does."""
+        self.starts += 1
         self.leadership = Leadership(self.durations)
         self.term: Term | None = None
         self.lease: LeaseId = NO_LEASE
@@ -97,8 +106,8 @@
         self.verified_at = -NEVER
         self.renewed_at: dict[IncarnationName, float] = {}
 
-    def note_era(self, era: Era) -> None:
-        """Record the era that an answer of the store names."""
+    def note_era(self, era: Era, now: float) -> None:
+        """Record the era that an answer of the store names at ``now``."""
         self.leadership.note_era(era)
 
     def owns_table(self) -> bool:
@@ -112,3 +121,66 @@
         self.table = table
         self.position = position
         self.observations.note_table(table, now)
+
+
+class RegistryHost(WorldHost):
+    """A host that knows upstreams from the registry's entries only."""
+
+    def restart(self) -> None:
+        """Reset all state, as a restart of the process does."""
+        super().restart()
+        self.directory = UpstreamDirectory()
+        self.era = FIRST_ERA
+        self.era_since = -NEVER
+        # Entries that were seen, also those that have gone, and when.
+        self._seen: dict[IncarnationName, RegisteredUpstream] = {}
+        self._seen_at: dict[IncarnationName, float] = {}
+        self._has_listed = False
+        self._listed_era = FIRST_ERA
+        # Process at the other end of the connection of each grant.
+        self.sessions: dict[tuple[IncarnationName, Fence], object] = {}
+
+    def note_era(self, era: Era, now: float) -> None:
+        """Record the era that an answer of the store names at ``now``."""
+        super().note_era(era, now)
+        if era > self.era:
+            self.era = era
+            self.era_since = now
+            self.directory.begin_era(now)
+
+    @property
+    def settled_at(self) -> float:
+        """Time at which the upstreams that run have registered again."""
+        return self.era_since + RETURN_GRACE
+
+    def note_entries(
+        self, entries: Collection[RegisteredUpstream], now: float
+    ) -> None:
+        """Record the entries that the registry shows."""
+        from_backup = self._has_listed and self._listed_era < self.era
+        self._has_listed = True
+        self._listed_era = self.era
+        present = {each.registered_name for each in entries}
+        for known in self.directory.list_all():
+            if known.registered_name not in present:
+                self.directory.remove(known.registered_name, now)
+        for entry in entries:
+            self.directory.put(entry, now, from_backup)
+        self.directory.expire(now)
+        for entry in self.directory.list_all():
+            self._seen[entry.name] = entry
+            self._seen_at[entry.name] = now
+
+    def find_entry(self, name: IncarnationName) -> RegisteredUpstream | None:
+        """Return the last known entry of an upstream."""
+        return self._seen.get(name)
+
+    def list_seen(self, since: float) -> list[IncarnationName]:
+        """Return the upstreams that the registry showed since a time."""
+        return [each for each, at in self._seen_at.items() if at >= since]
+
+    def list_active(self) -> list[IncarnationName]:
+        """Return the upstreams that may get keys."""
+        return sorted(
+            each.name for each in self.directory.list_active(SERVICE)
+        )
--- /dev/null
+++ b/sedgetide/testing/ownershipregistryworld.py
@@ -0,0 +1,309 @@
+"""Simulation of range ownership with upstreams that come and go.
+
+Upstreams register in the simulated store. Hosts know them from what they have
+read of the store since their start, and leaders recover ownership with this
+knowledge after the store was restored.
+"""
+
+from sedgetide.core.history import FIRST_ERA
+from sedgetide.core.identifiers import Fence
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import UpstreamName
+from sedgetide.core.membership.directory import RegisteredUpstream
+from sedgetide.core.ownership.leadership import Durations
+from sedgetide.core.ownership.ranges import ALL_KEYS
+from sedgetide.core.ownership.ranges import KeyRange
+from sedgetide.core.ownership.ranges import Move
+from sedgetide.core.ownership.ranges import RangeTable
+from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.recovery import find_first_fence
+from sedgetide.core.ownership.recovery import Recovery
+from sedgetide.core.ownership.terms import Grant
+from sedgetide.testing.ownershipfaults import Faults
+from sedgetide.testing.ownershipfaults import RegistryFaults
+from sedgetide.testing.ownershiphosts import PathState
+from sedgetide.testing.ownershiphosts import RegistryHost
+from sedgetide.testing.ownershiphosts import WorldHost
+from sedgetide.testing.ownershipregistry import Registry
+from sedgetide.testing.ownershipregistry import UpstreamProcess
+from sedgetide.testing.ownershipworld import OwnershipWorld
+from sedgetide.testing.ownershipworld import SLOW_CLOCK
+from sedgetide.testing.rangeholder import RangeHolder
+
+
+class RegistryWorld(OwnershipWorld):
+    """Simulation of hosts, registering upstreams and a restored store.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random number generator behind all events.
+    hosts, upstreams : int
+        Number of hosts, and of upstreams at the start.
+    durations : Durations
+        Timing parameters that single ownership depends on.
+
+    Attributes
+    ----------
+    delivery_bound : float
+        Seconds after the send within which the kernel of a paused or killed
+        host delivers an order.
+    """
+
+    hosts: list[RegistryHost]
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: int = 3,
+        upstreams: int = 3,
+        durations: Durations | None = None,
+    ) -> None:
+        super().__init__(seed, hosts, upstreams, durations)
+        self.delivery_bound = self.durations.order_timeout
+        self.most_upstreams = 2 * upstreams
+        self.registry = Registry(self.store)
+        self._started = 0
+        self._addresses = 0
+        for _ in range(upstreams):
+            self.start_upstream(self.create_address())
+
+    def _create_faults(self, *_: bool) -> Faults:
+        return RegistryFaults(self)
+
+    def _create_host(self, name: str) -> RegistryHost:
+        return RegistryHost(name, self.durations)
+
+    # Upstreams
+
+    def create_address(self) -> str:
+        """Return an address that no upstream has had."""
+        self._addresses += 1
+        return f"a-{self._addresses}"
+
+    def start_upstream(self, address: str) -> UpstreamProcess:
+        """Start an upstream of a new name at an address."""
+        name = UpstreamName(f"u-{self._started}")
+        self._started += 1
+        return self.registry.start(name, address, self.now)
+
+    def pick_upstream(self) -> str:
+        """Return the address to which a fault closes the paths."""
+        return self.random.choice(self.registry.list_running()).entry.address
+
+    def _list_holders(self) -> dict[IncarnationName, RangeHolder]:
+        running = self.registry.list_running()
+        return {each.name: each.holder for each in running}
+
+    def _step_upstreams(self) -> None:
+        self.registry.step(self.now)
+
+    # Hosts
+
+    def _read_tables(self, host: RegistryHost) -> None:
+        super()._read_tables(host)
+        host.note_entries(self.registry.list_entries(), self.now)
+
+    def _list_renewed(self, host: WorldHost) -> list[IncarnationName]:
+        return sorted({each.owner for each in host.table.tenures})
+
+    def _list_candidates(self, host: RegistryHost) -> list[IncarnationName]:
+        return host.list_active()
+
+    def _plan(self, host: RegistryHost) -> None:
+        active = host.list_active()
+        lost = [
+            each
+            for each in host.table.tenures
+            if not each.moving and each.owner not in active
+        ]
+        if active and lost and self.random.random() < 0.5:
+            moves = [
+                Move(each.keys, self.random.choice(active)) for each in lost
+            ]
+            self._write(host, host.table.begin(moves))
+        else:
+            super()._plan(host)
+
+    # Recovery
+
+    def _begin_recovery(self, host: RegistryHost) -> None:
+        host.recovery = None
+
+    def _recover(self, host: RegistryHost) -> bool:
+        if host.leadership.era_ended:
+            return False
+        if host.leadership.term.era == FIRST_ERA:
+            self._plan(host)
+            return host.owns_table()
+        if host.recovery is None:
+            host.recovery = Recovery(
+                host.settled_at, host.term.inherited_until
+            )
+        known = self._list_known(host)
+        if host.recovery.is_over(known, self.now):
+            self._write_first_table(host)
+            return host.owns_table()
+        pending = host.recovery.list_pending_releases(known, self.now)
+        if host.term.is_fresh(self.now):
+            self._request_releases(host, pending)
+        return False
+
+    def _list_known(self, host: RegistryHost) -> set[IncarnationName]:
+        """Return the upstreams that the host knows and that may hold keys."""
+        since = self.now - self.durations.max_inherited_hold()
+        known = set(host.list_seen(since))
+        for tenure in host.table.tenures:
+            known.update({tenure.owner, tenure.successor or tenure.owner})
+        return known
+
+    def _request_releases(
+        self, host: RegistryHost, names: list[IncarnationName]
+    ) -> None:
+        """Request releases from all upstreams, once all are reachable."""
+        processes = {name: self._find_receiver(host, name) for name in names}
+        if not all(processes.values()):
+            return
+        fence = Fence(find_first_fence(host.leadership.term.era) + 1)
+        for name in names:
+            if self.random.random() < 0.4:
+                self._release_all(host, name, fence)
+
+    def _release_all(
+        self, host: RegistryHost, name: IncarnationName, fence: Fence
+    ) -> None:
+        if self._send_release(host, name, ALL_KEYS, fence):
+            host.recovery.note_released(name)
+
+    def _write_first_table(self, host: RegistryHost) -> None:
+        active = host.list_active()
+        if not active:
+            return
+        for name in host.recovery.list_released():
+            host.term.note_release(name, ALL_KEYS)
+        first = find_first_fence(host.leadership.term.era)
+        if host.table.tenures:
+            table = host.table.restart(first, active)
+        else:
+            names = [(name, 1) for name in active]
+            table = RangeTable(first).assign_first(names)
+        self._write(host, table)
+
+    # Orders
+
+    def _find_receiver(
+        self, host: RegistryHost, name: IncarnationName
+    ) -> UpstreamProcess | None:
+        """Return the process that an order to an upstream would reach."""
+        entry = host.find_entry(name)
+        if entry is None:
+            return None
+        state = host.paths.find_state(entry.address, self.now)
+        if state is not PathState.OPEN:
+            return None
+        return self.registry.find_at(entry.address)
+
+    def _release(self, host: RegistryHost, tenure: Tenure) -> None:
+        if self._send_release(host, tenure.owner, tenure.keys, tenure.fence):
+            host.term.note_release(tenure.owner, tenure.keys)
+
+    def _send_release(
+        self,
+        host: RegistryHost,
+        name: IncarnationName,
+        keys: KeyRange,
+        fence: Fence,
+    ) -> bool:
+        """Release keys; return whether an answer shows that they are free.
+
+        An answer of another process at the address shows it too.
+        """
+        process = self._find_receiver(host, name)
+        if process is None:
+            return False
+        if not _is_addressee(process, host.find_entry(name)):
+            return self.random.random() < 0.9
+        if self.random.random() < 0.15:
+            self.delay(
+                self.random.uniform(0.5, 9.0),
+                lambda: process.holder.release(keys, fence),
+            )
+            return False
+        process.holder.release(keys, fence)
+        return self.random.random() < 0.9
+
+    def _grant(
+        self, host: RegistryHost, name: IncarnationName, tenure: Tenure
+    ) -> None:
+        process = self._find_receiver(host, name)
+        if process is None or not _is_addressee(
+            process, host.find_entry(name)
+        ):
+            return
+        # A process that has replaced the one of the grant knows no fences.
+        session = host.sessions.setdefault((name, tenure.fence), process)
+        if session is not process:
+            return
+        grant = host.term.prepare_grant(name, tenure.keys, self.now)
+        if grant is None:
+            return
+        self._send_grant(host, process, tenure, grant)
+
+    def _send_grant(
+        self,
+        host: RegistryHost,
+        process: UpstreamProcess,
+        tenure: Tenure,
+        grant: Grant,
+    ) -> None:
+        """Send a grant on a connection to a process.
+
+        A host that runs withdraws it after ``order_timeout``; the kernel of a
+        paused or killed one delivers it later.
+        """
+        term = host.term
+        starts = host.starts
+        delay = self.random.choice((0.0, 0.0, 0.0, 0.3, self.delivery_bound))
+        withdrawn = False
+
+        def is_running() -> bool:
+            return host.starts == starts and self.now >= host.paused_until
+
+        def withdraw() -> None:
+            nonlocal withdrawn
+            withdrawn = is_running()
+
+        def deliver() -> None:
+            if withdrawn or not self.registry.is_running(process):
+                return
+            self._apply_grant(process, tenure, grant.life)
+            if is_running():
+                term.note_arrival(grant, self.now)
+
+        if delay > self.durations.order_timeout:
+            self.delay(self.durations.order_timeout, withdraw)
+        self.delay(delay, deliver)
+
+    def _apply_grant(
+        self, process: UpstreamProcess, tenure: Tenure, life: float
+    ) -> None:
+        arrived_at = self.now
+
+        def apply_grant() -> None:
+            process.holder.grant(
+                tenure.keys, tenure.fence, life * SLOW_CLOCK, arrived_at
+            )
+
+        if self.random.random() < 0.15:
+            self.delay(self.random.uniform(0.5, 9.0), apply_grant)
+        else:
+            apply_grant()
+
+
+def _is_addressee(
+    process: UpstreamProcess, entry: RegisteredUpstream | None
+) -> bool:
+    """Return whether a process has the name that an order is sent to."""
+    if entry is None:
+        return False
+    return process.entry.registered_name == entry.registered_name
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -53,7 +53,7 @@
 
 STEP = 0.1
 _SERVICE = ServiceName("maps")
-_SLOW_CLOCK = 1.02
+SLOW_CLOCK = 1.02
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
 # One copy is made in each step, so the oldest one is 8 s old.
 _MAX_COPIES = 80
@@ -193,7 +193,7 @@
         A table of an earlier era does not prove ownership; it is only what
         recovery starts from.
         """
-        host.note_era(self.store.era)
+        host.note_era(self.store.era, self.now)
         for item in self.store.list("").items:
             name = parse_key(item.key)
             if name is not None:
@@ -232,7 +232,7 @@
 
     def _verify(self, host: WorldHost) -> None:
         host.verified_at = self.now
-        host.note_era(self.store.era)
+        host.note_era(self.store.era, self.now)
         if host.leadership.era_ended:
             return
         try:
@@ -429,7 +429,7 @@
     ) -> None:
         holder = self.holders[name]
         arrived_at = self.now
-        life = grant.life * _SLOW_CLOCK
+        life = grant.life * SLOW_CLOCK
 
         def apply_grant() -> None:
             holder.grant(tenure.keys, tenure.fence, life, arrived_at)
