Simulated leaders recover by the reports of former leaders

Leaders now follow docs/design/released-keys.md with the production's Recovery, RecoveredTable, TermReports, RecordHistory and Term. New faults: the leader is paused, killed or resigns before a restore; restores in series; a record that is removed right after it was read, from a leader that sends its last grants, all late, and is lost at once. The kernel delivers orders of a paused or killed host for order_timeout.

--- a/sedgetide/testing/ownershipfaults.py
+++ b/sedgetide/testing/ownershipfaults.py
@@ -6,7 +6,10 @@
 from sedgetide.backends.leasestore import NO_LEASE
 from sedgetide.core.history import NO_POSITION
 from sedgetide.testing.leasestore import StoreCopy
+from sedgetide.testing.ownershiphosts import NEVER
 from sedgetide.testing.ownershiphosts import PathState
+from sedgetide.testing.ownershiphosts import RegistryHost
+from sedgetide.testing.ownershiphosts import STEP
 from sedgetide.testing.ownershiphosts import WorldHost
 from sedgetide.testing.ownershipregistry import UpstreamProcess
 
@@ -135,6 +138,11 @@
             self._let_upstream_leave,
             self._cut_upstream_from_store,
             self._resign,
+            self._cut_links,
+            self._change_leader_and_restore,
+            self._change_leader_and_restore,
+            self._replace_leader_unnoticed,
+            self._replace_leader_unnoticed,
             self._restore_and_cut_upstream,
             self._restore_and_lose_hosts,
             self._restore_twice,
@@ -197,6 +205,87 @@
         if self.world.now >= host.store_unreachable_until:
             self.world.store.revoke(host.lease)
 
+    def _cut_links(self, host: WorldHost, until: float) -> None:
+        """Cut a host off from all other hosts."""
+        host.links_cut_until = until
+
+    def _change_leader_and_restore(self, *_: object) -> None:
+        """Take the leader away, and restore the store soon after."""
+        leaders = [
+            host
+            for host in self.world.hosts
+            if host.leadership.may_order(self.world.now)
+        ]
+        change = self.world.random.choice(
+            (self._pause, self._restart, self._resign)
+        )
+        for host in leaders:
+            change(host, self.world.now + self.world.random.uniform(1.0, 9.0))
+        self.world.delay(
+            self.world.random.uniform(0.0, 5.0), lambda: self._restore()
+        )
+
+    def _replace_leader_unnoticed(self, *_: object) -> None:
+        """Remove the record of a leader right after it was read.
+
+        The leader is cut off from the store then, and sends grants with the
+        long hold until it is lost after one of them. Its successor does not
+        reach one of the upstreams.
+        """
+        leader = self._find_leader()
+        if leader is None:
+            return
+        verified_in = leader.verified_at + self.world.durations.verify
+        self.world.delay(
+            max(0.0, verified_in + STEP - self.world.now),
+            lambda: self._remove_record(leader),
+        )
+
+    def _remove_record(self, leader: RegistryHost) -> None:
+        now = self.world.now
+        leader.store_unreachable_until = now + 16.0
+        self.world.store.revoke(leader.lease)
+        self._isolate_and_cut(self._pick_process(), leader, now + 16.0)
+        self.world.delay(
+            self.world.random.uniform(1.0, 1.7),
+            lambda: self._lose_with_orders(leader),
+        )
+        if self.world.random.random() < 0.5:
+            self.world.delay(
+                self.world.random.uniform(0.3, 4.0), lambda: self._restore()
+            )
+
+    def _lose_with_orders(self, host: RegistryHost) -> None:
+        """Have a host renew all grants, and lose it right after that."""
+        host.renewed_at.clear()
+        host.lost_after_order_at = self.world.now
+        self.world.delay(0.3, lambda: self.lose_after_order(host))
+
+    def lose_after_order(self, host: RegistryHost) -> None:
+        """Pause or restart a host that is to be lost, once."""
+        if host.lost_after_order_at == NEVER:
+            return
+        host.lost_after_order_at = NEVER
+        end = self.world.now + self.world.random.choice(_FAULT_TIMES)
+        self.world.random.choice((self._pause, self._restart))(host, end)
+
+    def _find_leader(self) -> RegistryHost | None:
+        for host in self.world.hosts:
+            if host.leadership.may_order(self.world.now):
+                return host
+        return None
+
+    def _isolate_and_cut(
+        self, process: UpstreamProcess, leader: WorldHost, until: float
+    ) -> None:
+        """Cut an upstream off from all hosts but the leader."""
+        state = self.world.random.choice((PathState.SILENT, PathState.REFUSED))
+        for host in self.world.hosts:
+            if host is not leader:
+                host.paths.close(process.entry.address, state, until)
+        if self.world.random.random() < 0.5:
+            process.store_unreachable_until = until
+
     def _restore_and_cut_upstream(self, host: WorldHost, until: float) -> None:
         """Restore the store while an upstream is cut off, also from hosts."""
         process = self._pick_process()
--- a/sedgetide/testing/ownershiphosts.py
+++ b/sedgetide/testing/ownershiphosts.py
@@ -16,6 +16,8 @@
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.membership.directory import RETURN_GRACE
 from sedgetide.core.membership.directory import UpstreamDirectory
+from sedgetide.core.ownership.formerterms import RecordHistory
+from sedgetide.core.ownership.formerterms import TermReports
 from sedgetide.core.ownership.leadership import Durations
 from sedgetide.core.ownership.leadership import Leadership
 from sedgetide.core.ownership.move_observations import MoveObservations
@@ -25,6 +27,8 @@
 from sedgetide.testing.ownershipregistry import SERVICE
 
 NEVER = float("inf")
+# Seconds of simulated time between two checks.
+STEP = 0.1
 
 
 class PathState(enum.Enum):
@@ -124,7 +128,21 @@
 
 
 class RegistryHost(WorldHost):
-    """A host that knows upstreams from the registry's entries only."""
+    """A host that knows upstreams from the registry's entries only.
+
+    Parameters
+    ----------
+    name : str
+        Value that it writes to the leader's record.
+    durations : Durations
+        Timing parameters, the same for all hosts.
+    """
+
+    def __init__(self, name: str, durations: Durations) -> None:
+        super().__init__(name, durations)
+        self.links_cut_until = 0.0
+        # The host is lost right after the first order from this time on.
+        self.lost_after_order_at = NEVER
 
     def restart(self) -> None:
         """Reset all state, as a restart of the process does."""
@@ -137,6 +155,13 @@
         self._seen_at: dict[IncarnationName, float] = {}
         self._has_listed = False
         self._listed_era = FIRST_ERA
+        self.records = RecordHistory()
+        self.reports = TermReports(self.records)
+        self.leader_name = ""
+        self.send_at = 0.0
+        # Last own term of each era, and eras of which a table was read.
+        self.terms: dict[Era, Term] = {}
+        self.table_eras: set[Era] = set()
         # Process at the other end of the connection of each grant.
         self.sessions: dict[tuple[IncarnationName, Fence], object] = {}
 
@@ -146,8 +171,21 @@
         if era > self.era:
             self.era = era
             self.era_since = now
+            self.leader_name = ""
             self.directory.begin_era(now)
 
+    def note_leader(self, name: str, position: Position) -> None:
+        """Record a leader's record."""
+        self.records.note_leader(position)
+        if position.era == self.era:
+            self.leader_name = name
+
+    def adopt(self, table: RangeTable, position: Position, now: float) -> None:
+        """Replace the table unless the version is an older one."""
+        self.records.note_era(position.era)
+        self.table_eras.add(position.era)
+        super().adopt(table, position, now)
+
     @property
     def settled_at(self) -> float:
         """Time at which the upstreams that run have registered again."""
--- a/sedgetide/testing/ownershipregistry.py
+++ b/sedgetide/testing/ownershipregistry.py
@@ -38,17 +38,13 @@
 
     def __init__(self, entry: RegisteredUpstream) -> None:
         self.entry = entry
+        self.name: IncarnationName = entry.name
         self.holder = RangeHolder(entry.name)
         self.store_unreachable_until = 0.0
         self.renew_at = 0.0
         self.era = _NO_ERA
         self.lease: LeaseId = NO_LEASE
 
-    @property
-    def name(self) -> IncarnationName:
-        """Name of the incarnation."""
-        return self.entry.name
-
 
 class Registry:
     """Upstreams that run, and their entries in the store.
--- a/sedgetide/testing/ownershipregistryworld.py
+++ b/sedgetide/testing/ownershipregistryworld.py
@@ -5,7 +5,12 @@
 knowledge after the store was restored.
 """
 
+import collections
+from collections.abc import Collection
+
+from sedgetide.core.history import Era
 from sedgetide.core.history import FIRST_ERA
+from sedgetide.core.history import Position
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import UpstreamName
@@ -16,20 +21,31 @@
 from sedgetide.core.ownership.ranges import Move
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.ranges import Tenure
+from sedgetide.core.ownership.recovery import Action
+from sedgetide.core.ownership.recovery import Basis
+from sedgetide.core.ownership.recovery import Decision
 from sedgetide.core.ownership.recovery import find_first_fence
+from sedgetide.core.ownership.recovery import RecoveredTable
 from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.terms import Grant
+from sedgetide.daemons._recordkeys import RecordKey
 from sedgetide.testing.ownershipfaults import Faults
 from sedgetide.testing.ownershipfaults import RegistryFaults
 from sedgetide.testing.ownershiphosts import PathState
 from sedgetide.testing.ownershiphosts import RegistryHost
 from sedgetide.testing.ownershiphosts import WorldHost
+from sedgetide.testing.ownershiplinks import Links
+from sedgetide.testing.ownershiplinks import make_report
 from sedgetide.testing.ownershipregistry import Registry
+from sedgetide.testing.ownershipregistry import SERVICE
 from sedgetide.testing.ownershipregistry import UpstreamProcess
 from sedgetide.testing.ownershipworld import OwnershipWorld
 from sedgetide.testing.ownershipworld import SLOW_CLOCK
 from sedgetide.testing.rangeholder import RangeHolder
 
+# Seconds after the begin of a term in which hosts report what they know.
+_FIRST_REPORTS_TIME = 0.5
+
 
 class RegistryWorld(OwnershipWorld):
     """Simulation of hosts, registering upstreams and a restored store.
@@ -63,6 +79,9 @@
         self.delivery_bound = self.durations.order_timeout
         self.most_upstreams = 2 * upstreams
         self.registry = Registry(self.store)
+        self._links = Links(self)
+        self._recovered: dict[Era, str] = {}
+        self._hosts_by_name = {each.name: each for each in self.hosts}
         self._started = 0
         self._addresses = 0
         for _ in range(upstreams):
@@ -100,6 +119,25 @@
 
     # Hosts
 
+    def find_host(self, name: str) -> RegistryHost | None:
+        """Return the host of a name."""
+        return self._hosts_by_name.get(name)
+
+    def _step(self, host: RegistryHost) -> None:
+        super()._step(host)
+        self._links.send_periodic(host)
+
+    def _read_record(
+        self,
+        host: RegistryHost,
+        name: RecordKey,
+        value: bytes,
+        written_at: Position,
+    ) -> None:
+        if name.is_leader:
+            host.note_leader(value.decode(), written_at)
+        super()._read_record(host, name, value, written_at)
+
     def _read_tables(self, host: RegistryHost) -> None:
         super()._read_tables(host)
         host.note_entries(self.registry.list_entries(), self.now)
@@ -129,6 +167,7 @@
 
     def _begin_recovery(self, host: RegistryHost) -> None:
         host.recovery = None
+        host.terms[host.term.era] = host.term
 
     def _recover(self, host: RegistryHost) -> bool:
         if host.leadership.era_ended:
@@ -136,18 +175,44 @@
         if host.leadership.term.era == FIRST_ERA:
             self._plan(host)
             return host.owns_table()
+        decision = self._decide(host)
+        if decision.action is Action.ASK and self._may_ask(host, decision):
+            host.recovery.note_asked(self.now)
+            self._request_releases(host, decision.pending)
+        elif decision.action is Action.GRANT:
+            self._write_first_table(host, decision)
+        return host.owns_table()
+
+    def _may_ask(self, host: RegistryHost, decision: Decision) -> bool:
+        """Return whether upstreams may be asked to release their keys.
+
+        Without a report, not as long as one of them isn't reached.
+        """
+        if not host.term.is_fresh(self.now):
+            return False
+        if decision.basis is Basis.REPORT:
+            return True
+        return all(
+            self._find_receiver(host, name) for name in decision.pending
+        )
+
+    def _decide(self, host: RegistryHost) -> Decision:
         if host.recovery is None:
+            began_at = min(host.era_since, host.term.began_at)
             host.recovery = Recovery(
-                host.settled_at, host.term.inherited_until
+                max(host.settled_at, host.term.began_at + _FIRST_REPORTS_TIME),
+                began_at + self.durations.max_inherited_hold(),
             )
-        known = self._list_known(host)
-        if host.recovery.is_over(known, self.now):
-            self._write_first_table(host)
-            return host.owns_table()
-        pending = host.recovery.list_pending_releases(known, self.now)
-        if host.term.is_fresh(self.now):
-            self._request_releases(host, pending)
-        return False
+        era = host.leadership.term.era
+        own = make_report(host, era, self.now)
+        if own is not None:
+            host.reports.note_report(own)
+        return host.recovery.decide(
+            self._list_known(host),
+            host.reports.find(SERVICE, era),
+            not host.records.has_earlier(era),
+            self.now,
+        )
 
     def _list_known(self, host: RegistryHost) -> set[IncarnationName]:
         """Return the upstreams that the host knows and that may hold keys."""
@@ -158,14 +223,12 @@
         return known
 
     def _request_releases(
-        self, host: RegistryHost, names: list[IncarnationName]
+        self, host: RegistryHost, names: Collection[IncarnationName]
     ) -> None:
-        """Request releases from all upstreams, once all are reachable."""
-        processes = {name: self._find_receiver(host, name) for name in names}
-        if not all(processes.values()):
-            return
         fence = Fence(find_first_fence(host.leadership.term.era) + 1)
-        for name in names:
+        for name in sorted(names):
+            if self.is_proof_of_end(self._find_path(host, name)):
+                host.recovery.note_released(name)
             if self.random.random() < 0.4:
                 self._release_all(host, name, fence)
 
@@ -175,19 +238,39 @@
         if self._send_release(host, name, ALL_KEYS, fence):
             host.recovery.note_released(name)
 
-    def _write_first_table(self, host: RegistryHost) -> None:
+    def _write_first_table(
+        self, host: RegistryHost, decision: Decision
+    ) -> None:
         active = host.list_active()
         if not active:
             return
-        for name in host.recovery.list_released():
+        era = host.leadership.term.era
+        report = host.reports.find(SERVICE, era)
+        released = host.recovery.list_released()
+        host.term.replace_inherited(
+            SERVICE,
+            {*self._list_known(host), *released},
+            report.holds if decision.basis is Basis.REPORT else (),
+        )
+        for name in released:
             host.term.note_release(name, ALL_KEYS)
-        first = find_first_fence(host.leadership.term.era)
-        if host.table.tenures:
-            table = host.table.restart(first, active)
-        else:
-            names = [(name, 1) for name in active]
-            table = RangeTable(first).assign_first(names)
-        self._write(host, table)
+        self._count_recovery(era, decision)
+        known = RangeTable(find_first_fence(era), host.table.tenures)
+        recovered = RecoveredTable(known, decision.pending, decision.retained)
+        self._write(host, recovered.restart([(each, 1) for each in active]))
+
+    def _count_recovery(self, era: Era, decision: Decision) -> None:
+        """Count a recovery once in each era, as it was last decided."""
+        kind = decision.basis.value
+        if decision.retained:
+            kind += " with retained ranges"
+        elif decision.basis is Basis.REPORT and decision.pending:
+            kind += " without some answers"
+        self._recovered[era] = kind
+
+    def count_recoveries(self) -> collections.Counter[str]:
+        """Return the number of recoveries by what they were based on."""
+        return collections.Counter(self._recovered.values())
 
     # Orders
 
@@ -198,11 +281,23 @@
         entry = host.find_entry(name)
         if entry is None:
             return None
-        state = host.paths.find_state(entry.address, self.now)
-        if state is not PathState.OPEN:
+        if self._find_path(host, name) is not PathState.OPEN:
             return None
         return self.registry.find_at(entry.address)
 
+    def _find_path(
+        self, host: RegistryHost, name: IncarnationName
+    ) -> PathState:
+        """Return what a host meets on the path to an upstream."""
+        entry = host.find_entry(name)
+        if entry is None:
+            return PathState.SILENT
+        state = host.paths.find_state(entry.address, self.now)
+        ended = self.registry.find_at(entry.address) is None
+        if state is PathState.OPEN and ended:
+            return PathState.REFUSED
+        return state
+
     def _release(self, host: RegistryHost, tenure: Tenure) -> None:
         if self._send_release(host, tenure.owner, tenure.keys, tenure.fence):
             host.term.note_release(tenure.owner, tenure.keys)
@@ -263,7 +358,7 @@
         """
         term = host.term
         starts = host.starts
-        delay = self.random.choice((0.0, 0.0, 0.0, 0.3, self.delivery_bound))
+        delay = self._choose_order_delay(host)
         withdrawn = False
 
         def is_running() -> bool:
@@ -284,6 +379,15 @@
             self.delay(self.durations.order_timeout, withdraw)
         self.delay(delay, deliver)
 
+    def _choose_order_delay(self, host: RegistryHost) -> float:
+        """Return by how much an order is late; its sender may be lost."""
+        if self.now < host.lost_after_order_at:
+            return self.random.choice(
+                (0.0, 0.0, 0.0, 0.3, self.delivery_bound)
+            )
+        self.delay(0.0, lambda: self._faults.lose_after_order(host))
+        return self.delivery_bound
+
     def _apply_grant(
         self, process: UpstreamProcess, tenure: Tenure, life: float
     ) -> None:
--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -48,10 +48,10 @@
 from sedgetide.testing.ownershipfaults import Faults
 from sedgetide.testing.ownershiphosts import NEVER
 from sedgetide.testing.ownershiphosts import PathState
+from sedgetide.testing.ownershiphosts import STEP
 from sedgetide.testing.ownershiphosts import WorldHost
 from sedgetide.testing.rangeholder import RangeHolder
 
-STEP = 0.1
 _SERVICE = ServiceName("maps")
 SLOW_CLOCK = 1.02
 _PROBES = [Key(LAST_KEY * index // 24) for index in range(25)]
@@ -152,10 +152,11 @@
         """Advance the upstreams; fixed ones do nothing by themselves."""
 
     def _check_ownership(self) -> None:
+        holders = self._list_holders()
         for key in _PROBES:
             holding = [
                 name
-                for name, holder in self._list_holders().items()
+                for name, holder in holders.items()
                 if holder.find_fence(key, self.now) is not None
             ]
             if len(holding) > 1:
