--- a/sedgetide/testing/ownershipregistryworld.py
+++ b/sedgetide/testing/ownershipregistryworld.py
@@ -30,7 +30,6 @@
 from sedgetide.core.ownership.terms import Grant
 from sedgetide.daemons._recordkeys import RecordKey
 from sedgetide.testing.ownershipfaults import Faults
-from sedgetide.testing.ownershipfaults import RegistryFaults
 from sedgetide.testing.ownershiphosts import PathState
 from sedgetide.testing.ownershiphosts import RegistryHost
 from sedgetide.testing.ownershiphosts import WorldHost
@@ -39,6 +38,7 @@
 from sedgetide.testing.ownershipregistry import Registry
 from sedgetide.testing.ownershipregistry import SERVICE
 from sedgetide.testing.ownershipregistry import UpstreamProcess
+from sedgetide.testing.ownershipregistryfaults import RegistryFaults
 from sedgetide.testing.ownershipworld import OwnershipWorld
 from sedgetide.testing.ownershipworld import SLOW_CLOCK
 from sedgetide.testing.rangeholder import RangeHolder
