--- a/sedgetide/testing/ownershipworld.py
+++ b/sedgetide/testing/ownershipworld.py
@@ -123,6 +123,10 @@
         """Return the holders of all upstreams that run."""
         return self.holders
 
+    def count_recoveries(self) -> collections.Counter[str]:
+        """Return the number of recoveries by what they were based on."""
+        return collections.Counter()
+
     # Time
 
     def run(self, seconds: float) -> None:
