--- a/tests/testing/test_ownershipworld.py
+++ b/tests/testing/test_ownershipworld.py
@@ -14,6 +14,7 @@
 from sedgetide.core.ownership.ranges import RangeTable
 from sedgetide.core.ownership.recovery import Recovery
 from sedgetide.core.ownership.terms import Term
+from sedgetide.testing import ownershiphosts
 from sedgetide.testing import ownershipworld
 from sedgetide.testing.ownershipworld import OwnershipWorld
 from sedgetide.testing.rangeholder import RangeHolder
@@ -23,11 +24,11 @@
 SECONDS = 120.0
 
 
-def simulate(seeds=SEEDS, with_restores=False):
+def simulate(seeds=SEEDS, **options):
     """Return the first violation of any run, and the count of done moves."""
     moves = 0
     for seed in seeds:
-        world = OwnershipWorld(seed, with_restores=with_restores)
+        world = OwnershipWorld(seed, **options)
         world.run(SECONDS)
         moves += world.moves_completed
         if world.problems:
@@ -51,13 +52,20 @@
         self.assertIsNone(problem)
         self.assertGreater(moves, 500)
 
+    def test_single_ownership_with_refused_connections(self):
+        # Guards against a leader that counts the keys of an upstream as
+        # released because a lost path refuses or resets its connections.
+        problem, moves = simulate(with_restores=True, with_refusals=True)
+        self.assertIsNone(problem)
+        self.assertGreater(moves, 500)
+
 
 class TestSafeguards(testtools.TestCase):
     """Without any one of the safeguards the simulation finds two owners."""
 
-    def check_found(self, owner, name, replacement, with_restores=False):
+    def check_found(self, owner, name, replacement, **options):
         with mock.patch.object(owner, name, replacement):
-            problem, _ = simulate(MUTATION_SEEDS, with_restores)
+            problem, _ = simulate(MUTATION_SEEDS, **options)
         self.assertIsNotNone(problem)
 
     def test_old_owner_not_waited_for(self):
@@ -141,3 +149,15 @@
         self.check_found(
             ownershipworld, "find_first_fence", zero, with_restores=True
         )
+
+    def test_refused_connection_taken_for_the_end_of_a_process(self):
+        def is_proof_of_end(world, state):
+            return state is ownershiphosts.PathState.REFUSED
+
+        self.check_found(
+            OwnershipWorld,
+            "is_proof_of_end",
+            is_proof_of_end,
+            with_restores=True,
+            with_refusals=True,
+        )
