No first table while an earlier leader of the era may order

A leader whose record the store has removed has a proof for up to 1.8 s. Its successor of the same era recovers at once, after all grants of earlier eras have expired, writes the first table, and replaces the bound on inherited grants by what is known of them. The former leader reads that table, finds it of its own era, and grants by it; the successor's ledger knows nothing of that, and moves the keys at once.

Change: neither a report nor the expiry of earlier grants lets a term write a first table before proof_life has passed since its begin. As 2.3 s pass after a restore anyway, this costs something only to a term that begins more than 0.5 s after the era was heard of.

The new test failed before (a table after 0.5 s) and passes. The fixture of the other tests begins its term 1.8 s ago in place of 1.0 s; they check the same.

--- a/sedgetide/core/ownership/terms.py
+++ b/sedgetide/core/ownership/terms.py
@@ -75,6 +75,15 @@
         """Local time at which the term began."""
         return self._began_at
 
+    @property
+    def sole_orders_from(self) -> float:
+        """Local time from which no earlier leader can send orders.
+
+        Until then a leader that has lost its record without knowing it
+        orders by any table of its era that it reads.
+        """
+        return self._began_at + self._durations.proof_life
+
     def find_proof_age(self, at: float) -> float:
         """Return how old the last read of the leader's record is at a time.
 
--- a/sedgetide/daemons/_recoverycoordinator.py
+++ b/sedgetide/daemons/_recoverycoordinator.py
@@ -168,6 +168,7 @@
         settled_at = max(
             self._deployment.find_reregistration_end(),
             self._term.began_at + _FIRST_REPORTS_TIME,
+            self._term.sole_orders_from,
         )
         grants_expire_at = self._find_expiry()
         state = _ServiceRecovery(service, fence, settled_at, grants_expire_at)
@@ -182,16 +183,18 @@
         return state
 
     def _find_expiry(self) -> float:
-        """Return when all grants of earlier eras have expired.
+        """Return when all grants of earlier leaders have expired.
 
-        Their leaders get no proof of leadership after the restore, which
-        was before this host heard of it.
+        Those of earlier eras get no proof of leadership after the restore,
+        which was before this host heard of it. One of this era has granted
+        nothing, but would order by the first table.
         """
         since = self._term.began_at
         heard_at = self._deployment.era_began_at
         if heard_at > float("-inf"):
             since = min(since, heard_at)
-        return since + self._term.longest_hold
+        expired_at = since + self._term.longest_hold
+        return max(expired_at, self._term.sole_orders_from)
 
     def _advance_recovery(
         self, service: ServiceName, state: _ServiceRecovery, known: RangeTable
--- a/tests/daemons/test_recoverycoordinator.py
+++ b/tests/daemons/test_recoverycoordinator.py
@@ -32,6 +32,7 @@
 FORMER_TERM = Position(0, 5)
 SENDER = "10.0.0.9:7"
 HELD = KeyRange(60000, 65535)
+PROOF_LIFE = Durations().proof_life
 
 
 class FakeClient:
@@ -97,7 +98,7 @@
             TermReport(term, term, {SERVICE: reported}, SENDER)
         )
 
-    def begin(self, era=1, took_over=1.0):
+    def begin(self, era=1, took_over=PROOF_LIFE):
         """Begin a term that took over some seconds ago."""
         now = read_clock()
         self.leadership.begin(Position(era, 7), now, now - took_over)
@@ -368,6 +369,21 @@
         self.coordinator.recover_table(SERVICE)
         gevent.sleep(0.05)
         self.assertEqual(0, sum(self.count_released().values()))
+        self.wait_as_leader(PROOF_LIFE - 0.6)
+        self.assertIsNotNone(self.run_recovery())
+
+    def wait_as_leader(self, seconds):
+        gevent.sleep(seconds)
+        self.leadership.note_read(self.leadership.term, read_clock())
+
+    def test_no_table_while_an_earlier_leader_of_the_era_may_order(self):
+        # Guards against two holders of a key: a leader whose record was
+        # removed orders by the first table, which no ledger shows.
+        longest = self.durations.max_inherited_hold()
+        self.deployment.note_era(1, read_clock() - longest)
+        self.begin(took_over=0.0)
+        self.assertIsNone(self.run_recovery(0.5))
+        self.wait_as_leader(PROOF_LIFE - 0.4)
         self.assertIsNotNone(self.run_recovery())
 
     def test_release_for_another_service_ends_no_newer_hold(self):
@@ -455,7 +471,7 @@
         self.assertEqual(("wait", None), (state["action"], state["basis"]))
         self.assertEqual(["u-1", "u-2", "u-3"], state["pending"])
         self.assertAlmostEqual(
-            self.durations.max_inherited_hold() - 1.0,
+            self.durations.max_inherited_hold() - PROOF_LIFE,
             state["earlier_grants_s"],
             delta=0.25,
         )
