--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -120,6 +120,12 @@
     return f"{name}@{born}"
 
 
+def _echo_id(request: Request, answer: Answer) -> Answer:
+    number = find_header(request.headers, _names.REQUEST_ID.lower()) or ""
+    headers = [*answer.headers, (_names.REQUEST_ID, number)]
+    return Answer(answer.status, headers, answer.body)
+
+
 def _write(event: Event) -> None:
     sys.stdout.buffer.write(msgspec.json.encode(event) + b"\n")
     sys.stdout.buffer.flush()
@@ -165,9 +171,9 @@
         if expected is not None and expected != self.name:
             return Answer(_names.MISDIRECTED, [_NOT_RUN])
         if request.path == _names.GRANT_PATH:
-            return self._apply_grant(request)
+            return _echo_id(request, self._apply_grant(request))
         if request.path == _names.RELEASE_PATH:
-            return self._apply_release(request)
+            return _echo_id(request, self._apply_release(request))
         return self._answer(request)
 
     # Orders
