Review case 4: backends with steadier work

Cause: the work of the project's stand-in varies without bound.

Done: backends of review/lab2.py, which hold keys now; the process gets SIGKILL at the end of its grace, as on the platform.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
 """A machine is stopped, as planned, while requests wait on it for a key."""
 
 import asyncio
-import json
 import pathlib
 import random
 import signal
@@ -42,7 +41,15 @@
 def play(fleet, note):
     time.sleep(0.5)
     for number in range(BACKENDS):
-        start_backend(fleet, number)
+        fleet.start_backend(
+            f"i-{number}",
+            "mappa-fumi",
+            f"zone-{number % 3}",
+            slots=SLOTS,
+            work=WORK,
+            heartbeat=0.87,
+            keyed=True,
+        )
     hosts = [
         fleet.start_host(
             f"front-{number}", f"zone-{number % 3}", f"127.0.1.{number + 1}"
@@ -60,27 +67,6 @@
     return asyncio.run(drive(fleet, hosts, note))
 
 
-def start_backend(fleet, number):
-    """Start the project's own stand-in of a backend that is divided by key."""
-    port = lab2.find_ports(1)[0]
-    options = {
-        "name": f"i-{number}",
-        "born": number + 1,
-        "service": "mappa-fumi",
-        "data-centre": f"zone-{number % 3}",
-        "port": port,
-        "address": f"127.0.0.1:{port}",
-        "store": fleet.store,
-        "slots": SLOTS,
-        "work": WORK,
-        "heartbeat": 0.87,
-    }
-    arguments = [f"--{name}={value}" for name, value in options.items()]
-    module = "sedgetide.testing.rangeupstream"
-    command = [sys.executable, "-m", module, *arguments, "--keyed"]
-    fleet.add(lab2.Process(f"i-{number}", command, fleet.folder))
-
-
 async def drive(fleet, hosts, note):
     await asyncio.sleep(5.0)
     stopped = hosts[3]
@@ -101,6 +87,8 @@
             note(f"SIGTERM to {stopped.name}")
             stopped.signal(signal.SIGTERM)
             stopped.told = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(GRACE, stopped.signal, signal.SIGKILL)
         number += 1
         host = hosts[number % len(hosts)]
         if host is stopped and now > stop_at + ROTATION:
@@ -141,23 +129,17 @@
                 kept = await lab2.open_kept(host)
 
 
-def read_runs(folder):
+def read_runs(events):
     """Return when each request began and ended at a backend."""
     runs = {}
-    for path in folder.glob("i-*.out"):
-        for line in path.read_text(errors="replace").splitlines():
-            try:
-                event = json.loads(line)
-            except ValueError:
-                continue
-            if event.get("kind") in ("begin", "end"):
-                run = runs.setdefault(event["request"], {})
-                run[event["kind"]] = event["at"]
+    for each in events:
+        if each["event"] in ("begins", "ends"):
+            runs.setdefault(each["request"], {})[each["event"]] = each["at"]
     return runs
 
 
 def judge(fleet, answers, stopped, stop_at, note):
-    runs = read_runs(fleet.folder)
+    runs = read_runs(fleet.read_events())
     note(f"{len(answers)} sent; {lab2.count(answers)}")
     mine = [
         each
@@ -181,7 +163,7 @@
             note(text)
             continue
         # Not counted: still at work in the last sixth of the grace.
-        end = run.get("end", each.ended)
+        end = run.get("ends", each.ended)
         at_work = bool(run) and end >= stop_at + GRACE * 5 / 6
         counts = not at_work and SLACK < held < DEADLINE
         broken += counts
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,8 +8,7 @@
 import pathlib
 import sys
 
-for name in ("platformstore", "rangeupstream"):
-    importlib.import_module(f"sedgetide.testing.{name}")
+importlib.import_module("sedgetide.testing.platformstore")
 importlib.import_module("sedgetide.daemons.host")
 sys.path.insert(0, "review")
 importlib.import_module("lab2")
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -84,10 +84,54 @@
 # Backend
 
 
+class Keys:
+    """Keys that one life of a backend holds, and the fences that it saw."""
+
+    def __init__(self):
+        self.grants = []
+        self.seen = []
+        self.running = []
+
+    def holds(self, key):
+        now = time.monotonic()
+        return any(
+            low <= key <= high and now < until
+            for low, high, until in self.grants
+        )
+
+    async def obey(self, target, order, headers):
+        """Carry out a grant or a release; return the answer's parts."""
+        low, high, fence = order["from"], order["to"], order["fence"]
+        now = time.monotonic()
+        is_grant = target.endswith("grant")
+        if is_grant and any(
+            seen > fence and first <= high and low <= last
+            for first, last, seen in self.seen
+        ):
+            return "HTTP/1.1 409 No", headers
+        self.seen.append((low, high, fence))
+        kept = []
+        for first, last, until in self.grants:
+            if first < low:
+                kept.append((first, min(last, low - 1), until))
+            if last > high:
+                kept.append((max(first, high + 1), last, until))
+        self.grants = [each for each in kept if each[2] > now]
+        if is_grant:
+            until = now + order["hold-ms"] / 1000
+            self.grants.append((low, high, until))
+            return "HTTP/1.1 200 OK", headers
+        while any(low <= key <= high for key in self.running):
+            await asyncio.sleep(0.005)
+        handover = ("Sedgetide-Handover", f"h{fence}")
+        return "HTTP/1.1 200 OK", [*headers, handover]
+
+
 class Backend:
-    """A backend of a service without keys, as PROTOCOL.md describes it.
+    """A backend as PROTOCOL.md describes it.
 
-    Options: id, born, service, zone, addresses, slots, work (seconds), store,
+    Options: id, born, service, zone, addresses, slots, keyed, work (mean
+    seconds, half as long to one and a half times as long), store,
     heartbeat, drops (whether it drops a request whose connection closes),
     deadly (path prefix of requests that crash it), deadly_after (seconds of
     work after which it crashes), grey (share of the requests that may run
@@ -104,6 +148,7 @@
         self.slots = asyncio.Semaphore(options["slots"])
         self.leaving = False
         self.left = False
+        self.keys = Keys()
         self.listeners = {}
         self.writers = collections.defaultdict(set)
         self.random = random.Random(options["id"])
@@ -222,6 +267,9 @@
         not_run = [("Sedgetide-Not-Executed", "1")]
         if expected not in (None, self.o["id"]):
             return format_message("HTTP/1.1 421 No", own + not_run)
+        if target in ("/sedgetide/grant", "/sedgetide/release"):
+            order = json.loads(message[2])
+            return format_message(*await self.keys.obey(target, order, own))
         if target == "/health":
             status = "503 No" if self.leaving else "200 OK"
             return format_message("HTTP/1.1 " + status, own)
@@ -236,14 +284,26 @@
             await self.slots.acquire()
         finally:
             self.waiting -= 1
+        try:
+            return await self.run_request(method, target, headers, own)
+        finally:
+            self.slots.release()
+
+    async def run_request(self, method, target, headers, own):
+        number = headers["sedgetide-request-id"]
+        key = int(headers.get("sedgetide-shard-key", "-1"))
+        if self.o["keyed"] and not self.keys.holds(key):
+            not_run = ("Sedgetide-Not-Executed", "1")
+            return format_message("HTTP/1.1 421 No", [*own, not_run])
         self.running += 1
+        self.keys.running.append(key)
         try:
             self.log("begins", request=number, target=target, method=method)
             await self.work(target, headers)
             self.log("ends", request=number)
         finally:
             self.running -= 1
-            self.slots.release()
+            self.keys.running.remove(key)
         if self.fails(method):
             self.log("fails", request=number)
             signature = ("Sedgetide-Response-Signature", f"sig.{number}")
@@ -277,7 +337,8 @@
                 self.log("crashes")
                 os._exit(CRASHED)
             return
-        await asyncio.sleep(min(self.o["work"], deadline))
+        seconds = self.o["work"] * self.random.uniform(0.5, 1.5)
+        await asyncio.sleep(min(seconds, deadline))
 
 
 def put(store, key, value, life=None):
@@ -430,6 +491,7 @@
                 "zone": zone,
                 "addresses": addresses,
                 "slots": 4,
+                "keyed": False,
                 "work": 0.1,
                 "store": self.store,
                 "heartbeat": HEARTBEAT,
