--- a/review/lab2.py
+++ b/review/lab2.py
@@ -709,6 +709,8 @@
     )
 
 
+# All attempts of the case.
+_answers = []
 _numbers = iter(range(1, 1 << 30))
 _PREFIX = f"{os.getpid():x}"
 
@@ -729,6 +731,7 @@
     """
     number = f"{_PREFIX}-{next(_numbers)}"
     answer = Answer(number, host.name, target, time.monotonic())
+    _answers.append(answer)
     headers = [
         ("Host", HOST_HEADER),
         ("Sedgetide-Request-Id", number),
@@ -763,6 +766,21 @@
     return answer
 
 
+def write_all(fleet, note):
+    """Write what was sent, answered and run to the record."""
+    note("all attempts, by when they were sent:")
+    for each in _answers:
+        ended = each.ended or time.monotonic()
+        seconds = f"after {ended - each.began:.3f} s"
+        note(f"  {each.describe()} {seconds}", each.began)
+    note("all that backends did:")
+    for each in fleet.read_events():
+        left_out = ("at", "event", "id", "born")
+        rest = {name: each[name] for name in each if name not in left_out}
+        fields = " ".join(f"{name}={value}" for name, value in rest.items())
+        note(f"  {each['id']} {each['event']} {fields}", each["at"])
+
+
 def run_case(folder, play):
     """Play a case, write its record, and exit as the case tells.
 
@@ -792,6 +810,7 @@
             traceback.print_exc()
         finally:
             fleet.close()
+            write_all(fleet, note)
             keep = os.environ.get("KEEP")
             if keep:
                 subprocess.run(["cp", "-r", place, keep], check=False)
