Log what a request waited for that ends without an answer

Each wait of a request now has a stage, and the line of a request that was broken off has it (status=0, also where its caller left). A host that stops logs those that it leaves without an answer before event=stopped.

--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -16,6 +16,7 @@
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.refusals import Refusal
 from sedgetide.core.requests.refusals import RefusalReason
+from sedgetide.core.requests.stages import Stage
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import FORWARDED
 from sedgetide.daemons._requestcontext import RequestContext
@@ -145,10 +146,11 @@
         context.via = peer.address
         self._peer_pool.note_begin(peer)
         try:
-            answer = connection.exchange(
-                self._make_request(peer, context, now),
-                context.times.final - now,
-            )
+            with context.wait_for(Stage.PEER):
+                answer = connection.exchange(
+                    self._make_request(peer, context, now),
+                    context.times.final - now,
+                )
         except UpstreamError as error:
             self._note_broken(peer, context, error)
             return Detour.BROKEN
--- a/sedgetide/daemons/_requestcontext.py
+++ b/sedgetide/daemons/_requestcontext.py
@@ -1,5 +1,8 @@
 """State of a request from its arrival to its final answer."""
 
+from collections.abc import Iterator
+import contextlib
+
 import msgspec
 
 from sedgetide.backends.dialects import CallerFields
@@ -16,6 +19,7 @@
 from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import SHORT_RETRY_DELAY
 from sedgetide.core.requests.routes import RequestTimes
+from sedgetide.core.requests.stages import Stage
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.messages import find_header
 from sedgetide.wire.messages import Request
@@ -71,6 +75,8 @@
         Address of the peer that it was last passed on to; empty for none.
     congested : bool
         Whether requests waited for places at the upstream that answered.
+    stage : Stage
+        What it is waiting for.
     fingerprint : Fingerprint or None
         Computed on first use; see :meth:`find_fingerprint`.
     """
@@ -99,8 +105,24 @@
     detour: str | None = None
     via: str = ""
     congested: bool = False
+    stage: Stage = Stage.ROUTING
     fingerprint: Fingerprint | None = None
 
+    @contextlib.contextmanager
+    def wait_for(self, stage: Stage) -> Iterator[None]:
+        """Return a context manager for a wait.
+
+        The stage remains if the request ends meanwhile, so that the log
+        shows it.
+        """
+        self.stage = stage
+        try:
+            yield
+        except Exception:
+            self.stage = Stage.ROUTING
+            raise
+        self.stage = Stage.ROUTING
+
     def refuse(self, reason: RefusalReason) -> None:
         """Record what keeps it from being sent; no single upstream does."""
         self.refusal = Refusal(reason)
--- a/sedgetide/daemons/_requestlog.py
+++ b/sedgetide/daemons/_requestlog.py
@@ -4,6 +4,7 @@
 from sedgetide.backends.dialects import RequestDialect
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.refusals import RefusalReason
+from sedgetide.core.requests.stages import Stage
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._hostmetrics import HELD_SECONDS
 from sedgetide.daemons._hostmetrics import REQUEST_SECONDS
@@ -52,6 +53,8 @@
     details = {}
     if context.progress.outcome is Outcome.ANSWERED:
         return details
+    if context.stage is not Stage.ROUTING:
+        details["stage"] = context.stage.value
     if context.detail:
         details["detail"] = context.detail
     if context.refusal is not None and context.refusal.upstream:
@@ -94,7 +97,7 @@
     def log_end(
         self, context: RequestContext, status: int, began: float
     ) -> None:
-        """Log the end of a request; status 0 means that its caller left."""
+        """Log the end of a request; status 0 means that it got no answer."""
         table = self._deployment.tables.get(context.service)
         now = read_clock()
         log_event(
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -1,5 +1,7 @@
 """Routes a caller's request to an upstream and returns its final answer."""
 
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 
@@ -30,6 +32,7 @@
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import compute_times
+from sedgetide.core.requests.stages import Stage
 from sedgetide.daemons._crashdetector import CrashDetector
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._forwardedrequests import DECLINED
@@ -152,6 +155,7 @@
             paths,
         )
         self._log = RequestLog(deployment, dialect)
+        self._in_progress: dict[gevent.Greenlet, RequestContext] = {}
 
     def read_limits(self) -> CallerLimits:
         """Return the caller limits in force."""
@@ -194,7 +198,8 @@
             budget = self._find_budget(context.service)
             budget.limit(self._compute_burst_limit())
             budget.note_request()
-            answer = self._run_attempts(context)
+            with self._track(context):
+                answer = self._run_attempts(context)
         except gevent.GreenletExit:
             self._log.log_end(context, 0, began)
             raise
@@ -223,7 +228,8 @@
         context = make_context(forwarded, route, policy, self._dialect, began)
         status = 0
         try:
-            status = self._run_attempts(context).status
+            with self._track(context):
+                status = self._run_attempts(context).status
         except Exception:
             _log.exception("passed on request failed")
             _note_internal_error(context)
@@ -232,6 +238,21 @@
             self._log.log_end(context, status, began)
         return make_result(context, forwarded, self._paths.tracker.is_cut_off)
 
+    @contextlib.contextmanager
+    def _track(self, context: RequestContext) -> Iterator[None]:
+        """List a request as in progress."""
+        greenlet = gevent.getcurrent()
+        self._in_progress[greenlet] = context
+        try:
+            yield
+        finally:
+            del self._in_progress[greenlet]
+
+    def log_unfinished(self) -> None:
+        """Log the requests that end without an answer as the host stops."""
+        for context in self._in_progress.values():
+            self._log.log_end(context, 0, context.times.began)
+
     def _make_context(
         self,
         request: Request,
@@ -405,9 +426,10 @@
         ):
             return False
         if context.keyed:
-            self._deployment.changes.wait(
-                context.times.find_hold_deadline() - now
-            )
+            with context.wait_for(Stage.TARGET):
+                self._deployment.changes.wait(
+                    context.times.find_hold_deadline() - now
+                )
         return True
 
     def _make_final_answer(self, context: RequestContext) -> Answer:
--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -22,6 +22,7 @@
 from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import retry_after_full_upstream
 from sedgetide.core.requests.retryafter import retry_after_owner_loss
+from sedgetide.core.requests.stages import Stage
 from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.daemons._connectionchoice import take_connection
 from sedgetide.daemons._crashdetector import CrashDetector
@@ -169,7 +170,10 @@
         )
         silent = False
         try:
-            with self._paths.watch_sending(target.upstream):
+            with (
+                self._paths.watch_sending(target.upstream),
+                context.wait_for(Stage.ANSWER),
+            ):
                 answer = connection.exchange(
                     self._build_request(context, target, began),
                     max(0.001, context.times.final - began),
@@ -194,7 +198,8 @@
         """Return a connection to the upstream, or None after a failure."""
         upstream, channel = permit.target.upstream, permit.channel
         try:
-            connection = take_connection(context, channel, now)
+            with context.wait_for(Stage.CONNECTION):
+                connection = take_connection(context, channel, now)
         except UpstreamError as error:
             if error.code is ErrorCode.UPSTREAM_FULL:
                 self._paths.note_connected(upstream)
--- a/sedgetide/daemons/_trials.py
+++ b/sedgetide/daemons/_trials.py
@@ -24,6 +24,7 @@
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.refusals import Refusal
 from sedgetide.core.requests.refusals import RefusalReason
+from sedgetide.core.requests.stages import Stage
 from sedgetide.core.requests.trials import TrialDecision
 from sedgetide.core.requests.trials import TrialEnd
 from sedgetide.core.requests.trials import TrialScheduler
@@ -73,7 +74,8 @@
         self._pending_verdict = self._trials.ask(self._context)
         verdict = None
         if self._pending_verdict is not None:
-            verdict = self._pending_verdict.wait_first_verdict()
+            with self._context.wait_for(Stage.TRIAL):
+                verdict = self._pending_verdict.wait_first_verdict()
             if verdict is None:
                 self._trials.note_silent(self._pending_verdict.link)
         if verdict is None:
@@ -84,7 +86,9 @@
     def wait(self) -> bool:
         """Wait for the final verdict; return False when it is a refusal."""
         seconds = self._context.times.find_useful_time(read_clock())
-        self._apply(self._pending_verdict.wait_final_verdict(seconds))
+        with self._context.wait_for(Stage.TRIAL):
+            verdict = self._pending_verdict.wait_final_verdict(seconds)
+        self._apply(verdict)
         return self._verdict is not Verdict.REFUSED
 
     def _apply(self, verdict: Verdict) -> None:
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -30,6 +30,7 @@
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
+from sedgetide.core.requests.stages import Stage
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._forwarder import Forwarder
 from sedgetide.daemons._pathmonitor import PathMonitor
@@ -157,7 +158,8 @@
             if wait.until <= now:
                 context.retry_after = wait.retry_after
                 return None
-            self._deployment.changes.wait(wait.until - now)
+            with context.wait_for(Stage.TARGET):
+                self._deployment.changes.wait(wait.until - now)
 
     def _needs_detour(self, context: RequestContext, target: Target) -> bool:
         """Return whether another host has to send a request."""
@@ -195,7 +197,10 @@
         stated_limit = self._deployment.limits.find(target.upstream.name)
         bounded = cold_bound is not None or stated_limit is not None
         if context.keyed or bounded:
-            place = self._ask_place(context, target, cold_bound, stated_limit)
+            with context.wait_for(Stage.PLACE):
+                place = self._ask_place(
+                    context, target, cold_bound, stated_limit
+                )
             if place is None and bounded:
                 place = PlaceRefused(_NO_LENDER_RETRY_DELAY)
             if isinstance(place, PlaceRefused):
@@ -219,7 +224,9 @@
         wait = min(hold_deadline, context.times.final) - read_clock()
         rank = context.request.rank
         context.congested = not channel.has_room(rank)
-        if channel.acquire(priority, wait, rank):
+        with context.wait_for(Stage.WINDOW):
+            admitted = channel.acquire(priority, wait, rank)
+        if admitted:
             return SendPermit(target, channel, None)
         context.refusal = Refusal(RefusalReason.WINDOW, target.upstream.name)
         context.retry_after = retry_after_queue(
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -568,6 +568,7 @@
             self._server.close_idle()
             gevent.sleep(_STOP_POLL_INTERVAL)
         resigning.join(max(0.0, last - read_clock()))
+        self._router.log_unfinished()
         log_event(
             Event.STOPPED,
             in_hand=self._server.in_hand,
--- a/sedgetide/runtime/events.py
+++ b/sedgetide/runtime/events.py
@@ -526,9 +526,10 @@
     REQUEST = Definition(
         "request",
         logging.INFO,
-        "A request got its final response; status 0: the caller closed the "
-        "connection before. The fields after the times are the basis of the "
-        "decision: version of the routes, revision and fence of the owner, "
+        "A request got its final response; status 0: none, as the caller "
+        "closed the connection before or the host stopped. The fields after "
+        "the times are the basis of the decision: version of the routes, "
+        "revision and fence of the owner, "
         "and milliseconds since the last response of the store. rested_ms: "
         "idle time of the connection to the upstream before; 0 for a new "
         "connection. ports: this host's ports of the connections on which it "
@@ -536,13 +537,14 @@
         "fingerprint: as in "
         "upstream-ended, if the request was looked up in the quarantine. "
         "note: why the request was refused or failed; of an answered one, and "
-        "with status 0, what kept it from being sent before. detail: error "
+        "with status 0, what kept it from being sent before. stage: what a "
+        "request that was broken off waited for. detail: error "
         "text of the last attempt without a response. no_room_at: upstream "
         "that had no room for it. retry_after: seconds that the caller of a "
         "refused request was told. via: address of the peer that sent it in "
         "place of this host. received_from: host that passed it on to this "
         "one, whose own line has the same id. Lines without them omit these "
-        "five.",
+        "six.",
         (
             "id",
             "route",
@@ -553,6 +555,7 @@
             "failure",
             "failures",
             "note",
+            "stage",
             "detail",
             "no_room_at",
             "retry_after",
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+import gevent
 import testtools
 
 from sedgetide.core.configuration.policy import Policy
@@ -24,6 +25,7 @@
 from sedgetide.core.requests.places import Verdict
 from sedgetide.core.requests.retries import RetryPolicy
 from sedgetide.core.requests.routes import RouteTable
+from sedgetide.core.requests.stages import Stage
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._forwarder import Detour
 from sedgetide.daemons._requestrouter import RequestRouter
@@ -135,6 +137,20 @@
             (502, "internal-error"), (line["status"], line["note"])
         )
 
+    def test_request_without_an_answer_is_logged_with_its_wait(self):
+        # Guards against requests that end with the process without a line.
+        def wait(context):
+            with context.wait_for(Stage.PLACE):
+                gevent.sleep(60.0)
+
+        self.router._selector.acquire = wait
+        waiting = gevent.spawn(self.serve)
+        self.addCleanup(waiting.kill)
+        gevent.sleep(0)
+        self.router.log_unfinished()
+        line = self.events[-1]
+        self.assertEqual((0, "place"), (line["status"], line["stage"]))
+
     def test_host_without_routes(self):
         self.deployment.routes = None
         self.assertEqual(503, self.serve().status)
--- a/tests/daemons/test_trials.py
+++ b/tests/daemons/test_trials.py
@@ -1,5 +1,6 @@
 """Tests of how hosts ask for trials of suspect requests."""
 
+import contextlib
 import random
 import types
 
@@ -37,6 +38,7 @@
         refusal=None,
         retry_after=0.25,
         alone=False,
+        wait_for=lambda stage: contextlib.nullcontext(),
     )
 
 
