Answer all requests in progress before a stopping host ends

Cause: no request knew when its host would end. Waits and exchanges went by the caller's deadline and the route's timeout alone, and the process ended under them.

Change: the end of the host bounds the final deadline of each request from the signal on, and what may still be sent: nothing that has less than twice the usual service time left. Before the exit, whatever a request waits for is broken off with a final answer, 503 if it has not run, 504 otherwise. A peer's request that was not sent is declined. A request that a peer has counts as unknown until its result is there.

Why it works: the last step doesn't depend on the kind of wait, so that none is left out; the outcome at that moment is the one that decides the status.

--- a/sedgetide/command/_reasons.py
+++ b/sedgetide/command/_reasons.py
@@ -117,6 +117,11 @@
         "permission to be sent",
         "the host, by the caller's deadline and the timeout of the route",
     ),
+    RefusalReason.STOPPING: Explanation(
+        "the host was told to stop and had too little time left for it",
+        "what stage says, or nothing if there is none",
+        "the host, by its grace time and the usual service time",
+    ),
     RefusalReason.SUSPECT: Explanation(
         "upstreams had ended during it, and another run could end one more",
         _NOTHING,
--- a/sedgetide/core/requests/refusals.py
+++ b/sedgetide/core/requests/refusals.py
@@ -37,6 +37,7 @@
     QUARANTINED = "quarantined"
     ON_TRIAL = "on trial"
     TOO_LATE = "too late"
+    STOPPING = "stopping"
     # An attempt failed, and the request was not sent again.
     SUSPECT = "suspect"
     NO_RETRY_BUDGET = "no retry budget"
--- a/sedgetide/core/requests/retryafter.py
+++ b/sedgetide/core/requests/retryafter.py
@@ -9,6 +9,8 @@
 
 # Seconds; a place is returned within half of the service time of a request.
 SHORT_RETRY_DELAY = 0.25
+# Seconds; the caller's next connection leads to another host.
+STOPPING_RETRY_DELAY = 0.05
 # Seconds until a starting host has read the routes.
 STARTUP_RETRY_DELAY = 0.5
 # Seconds until a host without contact to the store may be connected again.
--- a/sedgetide/daemons/_forwardedrequests.py
+++ b/sedgetide/daemons/_forwardedrequests.py
@@ -8,6 +8,7 @@
 from sedgetide.core.requests.forwarding import ForwardedRequest
 from sedgetide.core.requests.forwarding import ForwardedResult
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._requestcontext import RequestContext
@@ -82,13 +83,15 @@
     """
     progress = context.progress
     tried = progress.tried[len(forwarded.tried) :]
-    unreached = (
-        context.detour is not None or progress.failure is Failure.UNREACHABLE
+    reason = context.find_reason()
+    unserved = (
+        context.detour is not None
+        or progress.failure is Failure.UNREACHABLE
+        or reason is RefusalReason.STOPPING
     )
-    if progress.outcome is Outcome.NOT_RUN and unreached and not tried:
+    if progress.outcome is Outcome.NOT_RUN and unserved and not tried:
         return ForwardedResult(Outcome.NOT_RUN, declined=True, cut_off=cut_off)
     answer = context.answer or Answer(0, [])
-    reason = context.find_reason()
     return ForwardedResult(
         progress.outcome,
         status=answer.status,
--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -145,6 +145,9 @@
             context.held = now - context.times.began
         context.via = peer.address
         self._peer_pool.note_begin(peer)
+        # Until there is a result, the peer may have sent it.
+        progress = context.progress
+        earlier_outcome, progress.outcome = progress.outcome, Outcome.UNKNOWN
         try:
             with context.wait_for(Stage.PEER):
                 answer = connection.exchange(
@@ -156,6 +159,7 @@
             return Detour.BROKEN
         finally:
             self._peer_pool.note_end(peer)
+        progress.outcome = earlier_outcome
         self._find_pool(peer).give_back(connection)
         return _decode_result(answer)
 
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -30,9 +30,11 @@
 from sedgetide.core.requests.retries import RetryPolicy
 from sedgetide.core.requests.retryafter import retry_after_backoff
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
+from sedgetide.core.requests.retryafter import STOPPING_RETRY_DELAY
 from sedgetide.core.requests.routes import choose_service
 from sedgetide.core.requests.routes import compute_times
 from sedgetide.core.requests.stages import Stage
+from sedgetide.core.requests.stopping import StopSchedule
 from sedgetide.daemons._crashdetector import CrashDetector
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._forwardedrequests import DECLINED
@@ -71,6 +73,10 @@
 _log = logging.getLogger(__name__)
 
 
+class _HostStops(BaseException):
+    """Raised in a request that is in progress when its host ends."""
+
+
 class RequestRouter:
     """Serves all requests that callers send to one host.
 
@@ -132,6 +138,7 @@
         self._trials = trials
         self._retry_policy = retry_policy
         self._overdue_detector = OverdueDetector()
+        self._stop_schedule = StopSchedule()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._selector = UpstreamSelector(
             deployment,
@@ -142,6 +149,7 @@
             rng,
             paths,
             forwarder,
+            self._stop_schedule,
         )
         self._paths = paths
         self._forwarder = forwarder
@@ -198,8 +206,7 @@
             budget = self._find_budget(context.service)
             budget.limit(self._compute_burst_limit())
             budget.note_request()
-            with self._track(context):
-                answer = self._run_attempts(context)
+            answer = self._run_until_stop(context)
         except gevent.GreenletExit:
             self._log.log_end(context, 0, began)
             raise
@@ -228,8 +235,7 @@
         context = make_context(forwarded, route, policy, self._dialect, began)
         status = 0
         try:
-            with self._track(context):
-                status = self._run_attempts(context).status
+            status = self._run_until_stop(context).status
         except Exception:
             _log.exception("passed on request failed")
             _note_internal_error(context)
@@ -238,6 +244,46 @@
             self._log.log_end(context, status, began)
         return make_result(context, forwarded, self._paths.tracker.is_cut_off)
 
+    # Stop
+
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuse requests that can't be answered before the host ends.
+
+        Parameters
+        ----------
+        ends_at : float
+            Monotonic time at which :meth:`end_requests` is called.
+        """
+        self._stop_schedule.ends_at = ends_at
+        for context in self._in_progress.values():
+            context.times = self._stop_schedule.cap_times(context.times)
+        # Requests that wait for an owner of their key decide anew.
+        self._deployment.changes.notify_all()
+
+    def end_requests(self) -> None:
+        """Give the requests in progress a final answer, whatever they do."""
+        for greenlet in list(self._in_progress):
+            greenlet.kill(_HostStops(), block=False)
+
+    def _run_until_stop(self, context: RequestContext) -> Answer:
+        """Run the attempts of a request, at most until the host ends."""
+        context.times = self._stop_schedule.cap_times(context.times)
+        with self._track(context):
+            try:
+                return self._run_attempts(context)
+            except _HostStops:
+                return self._break_off(context)
+
+    def _break_off(self, context: RequestContext) -> Answer:
+        """Return the final answer of a request that can't be completed."""
+        progress = context.progress
+        context.refuse(RefusalReason.STOPPING)
+        context.retry_after = STOPPING_RETRY_DELAY
+        if progress.outcome is Outcome.UNKNOWN:
+            progress.failure = Failure.SILENT
+            context.failures.append(Failure.SILENT)
+        return self._make_final_answer(context)
+
     @contextlib.contextmanager
     def _track(self, context: RequestContext) -> Iterator[None]:
         """List a request as in progress."""
--- a/sedgetide/daemons/_upstreamselector.py
+++ b/sedgetide/daemons/_upstreamselector.py
@@ -29,8 +29,10 @@
 from sedgetide.core.requests.retryafter import retry_after_promise
 from sedgetide.core.requests.retryafter import retry_after_queue
 from sedgetide.core.requests.retryafter import STARTUP_RETRY_DELAY
+from sedgetide.core.requests.retryafter import STOPPING_RETRY_DELAY
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
 from sedgetide.core.requests.stages import Stage
+from sedgetide.core.requests.stopping import StopSchedule
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._forwarder import Forwarder
 from sedgetide.daemons._pathmonitor import PathMonitor
@@ -99,6 +101,8 @@
         Tells which upstreams this host reaches.
     forwarder : Forwarder
         Tells whether other hosts can send requests in place of this one.
+    stop_schedule : StopSchedule
+        Until when this host sends requests.
     """
 
     def __init__(
@@ -111,6 +115,7 @@
         rng: random.Random,
         paths: PathMonitor,
         forwarder: Forwarder,
+        stop_schedule: StopSchedule,
     ) -> None:
         self._deployment = deployment
         self._channels = channels
@@ -120,6 +125,7 @@
         self._rng = rng
         self._paths = paths
         self._forwarder = forwarder
+        self._stop_schedule = stop_schedule
 
     def acquire(self, context: RequestContext) -> SendPermit | None:
         """Return a permit for a request; None when it cannot be sent.
@@ -131,9 +137,10 @@
         declined: set[IncarnationName] = set()
         while True:
             now = read_clock()
-            if _is_too_late(context, now):
-                # Its permit was acquired in time, but not used in time.
-                context.refuse(RefusalReason.TOO_LATE)
+            obstacle = self._find_obstacle(context, now)
+            if obstacle is not None:
+                # Its permit may have been acquired in time, but not used.
+                _note_obstacle(context, obstacle)
                 return None
             target = self._find_target(context, declined, now)
             if isinstance(target, Target):
@@ -158,8 +165,9 @@
             if wait.until <= now:
                 context.retry_after = wait.retry_after
                 return None
+            until = min(wait.until, self._find_send_limit(context))
             with context.wait_for(Stage.TARGET):
-                self._deployment.changes.wait(wait.until - now)
+                self._deployment.changes.wait(until - now)
 
     def _needs_detour(self, context: RequestContext, target: Target) -> bool:
         """Return whether another host has to send a request."""
@@ -221,7 +229,8 @@
                 channel.force_acquire()
                 return SendPermit(target, channel, place)
         priority = context.route.priority
-        wait = min(hold_deadline, context.times.final) - read_clock()
+        until = min(hold_deadline, context.times.final)
+        wait = min(until, self._find_send_limit(context)) - read_clock()
         rank = context.request.rank
         context.congested = not channel.has_room(rank)
         with context.wait_for(Stage.WINDOW):
@@ -301,6 +310,7 @@
             lambda: (
                 self._is_still_wanted(context, target)
                 and self._find_owner_silence(target) <= 0.0
+                and read_clock() < self._find_send_limit(context)
             ),
         )
 
@@ -375,10 +385,29 @@
         upstream = permit.target.upstream.name
         if permit.place is None and self._deployment.limits.find(upstream):
             return False
-        if _is_too_late(context, read_clock()):
+        if self._find_obstacle(context, read_clock()) is not None:
             return False
         return self._is_still_wanted(context, permit.target)
 
+    def _find_send_limit(self, context: RequestContext) -> float:
+        """Return until when this host sends a request, as it stops."""
+        usual = self._averages.find_service_time(context.service)
+        return self._stop_schedule.find_send_limit(usual)
+
+    def _find_obstacle(
+        self, context: RequestContext, now: float
+    ) -> RefusalReason | None:
+        """Return why a request has too little time left to be sent.
+
+        A request that may have run is sent nevertheless, since only an answer
+        can tell.
+        """
+        if context.progress.outcome is Outcome.UNKNOWN:
+            return None
+        if now >= self._find_send_limit(context):
+            return RefusalReason.STOPPING
+        return RefusalReason.TOO_LATE if now >= context.send_by else None
+
     def _is_still_wanted(
         self, context: RequestContext, target: Target
     ) -> bool:
@@ -463,16 +492,10 @@
     return min(hold_deadline, context.times.final)
 
 
-def _is_too_late(context: RequestContext, now: float) -> bool:
-    """Return whether a request that waited has too little time left.
-
-    A request that may have run is sent nevertheless, since only an answer
-    can tell.
-    """
-    return (
-        now >= context.send_by
-        and context.progress.outcome is not Outcome.UNKNOWN
-    )
+def _note_obstacle(context: RequestContext, reason: RefusalReason) -> None:
+    context.refuse(reason)
+    if reason is RefusalReason.STOPPING:
+        context.retry_after = STOPPING_RETRY_DELAY
 
 
 def _note_refusal(
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -109,6 +109,8 @@
 _IDLE_LINK_TIMEOUT = 30.0
 _STOP_POLL_INTERVAL = 0.05
 _EXIT_RESERVE = 0.25
+# Seconds for sending the answers of the requests that end with the host.
+_ANSWER_RESERVE = 0.1
 # Hosts don't know of each other's retries. Each is limited to a share of its
 # own requests, which adds up to that share of all requests even if hosts are
 # partitioned. The remaining fifth is for hosts that have just started.
@@ -545,6 +547,10 @@
         accepted any more: a later request could exceed the grace period and
         be aborted when the process ends, while its upstream works on it.
 
+        A request that can't be answered in time is refused as soon as that is
+        known. At the end all others get an answer as well: callers may repeat
+        a refused request, but not one whose connection was closed.
+
         All times count from the signal. The lead is given up meanwhile, which
         takes until a timeout if the store doesn't answer.
         """
@@ -555,6 +561,8 @@
             in_hand=self._server.in_hand,
             connections=len(self._server.connections),
         )
+        last = began + self._settings.grace - _EXIT_RESERVE
+        self._router.begin_stop(last - _ANSWER_RESERVE)
         self._server.begin_stop()
         self._forward_server.begin_stop()
         resigning = gevent.spawn(self._leader.resign)
@@ -563,10 +571,9 @@
         self._wait_until(began + notice)
         self._server.stop_accepting()
         self._server.close_idle()
-        last = began + self._settings.grace - _EXIT_RESERVE
-        while read_clock() < last and self._has_work():
-            self._server.close_idle()
-            gevent.sleep(_STOP_POLL_INTERVAL)
+        self._drain(last - _ANSWER_RESERVE)
+        self._router.end_requests()
+        self._drain(last)
         resigning.join(max(0.0, last - read_clock()))
         self._router.log_unfinished()
         log_event(
@@ -575,6 +582,12 @@
             seconds=f"{read_clock() - began:.1f}",
         )
 
+    def _drain(self, end: float) -> None:
+        """Wait until a time, or until no request is in progress."""
+        while read_clock() < end and self._has_work():
+            self._server.close_idle()
+            gevent.sleep(_STOP_POLL_INTERVAL)
+
     def _has_work(self) -> bool:
         """Return whether callers or other hosts still wait for answers."""
         in_progress = self._forward_server.in_progress
--- a/tests/daemons/test_forwarder.py
+++ b/tests/daemons/test_forwarder.py
@@ -93,6 +93,14 @@
 
 
 class TestResult(ForwarderTest):
+    def test_request_that_a_peer_has_may_have_run(self):
+        # Guards against "not run" of a request that is broken off meanwhile.
+        self.start_peer(lambda: gevent.sleep(5.0))
+        waiting = gevent.spawn(self.forward)
+        gevent.sleep(0.1)
+        waiting.kill()
+        self.assertIs(Outcome.UNKNOWN, self.context.progress.outcome)
+
     def test_answer_is_returned_unchanged(self):
         self.start_peer(ANSWERED)
         self.assertIs(Detour.FINAL, self.forward())
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -178,6 +178,65 @@
         self.assertEqual(["south"], reached)
 
 
+class TestStop(RequestRouterTest):
+    """Requests in progress when the host ends."""
+
+    def hold_place(self, context):
+        with context.wait_for(Stage.PLACE):
+            gevent.sleep(60.0)
+
+    def hold_answer(self, context, permit, may_send):
+        context.progress.sends += 1
+        context.progress.outcome = Outcome.UNKNOWN
+        with context.wait_for(Stage.ANSWER):
+            gevent.sleep(60.0)
+
+    def end(self):
+        """Return the answer and the log line of a request that is ended."""
+        waiting = gevent.spawn(self.serve)
+        self.addCleanup(waiting.kill)
+        gevent.sleep(0)
+        self.router.begin_stop(read_clock() + 0.1)
+        self.router.end_requests()
+        return waiting.get(timeout=1.0), self.events[-1]
+
+    def test_request_that_waits_is_refused(self):
+        # Guards against a stop that closes the connection of a request that
+        # was not sent, so that its caller may not repeat it.
+        self.router._selector.acquire = self.hold_place
+        answer, line = self.end()
+        self.assertEqual(503, answer.status)
+        self.assertEqual("0.05", find_header(answer.headers, "retry-after"))
+        self.assertEqual(("stopping", "place"), (line["note"], line["stage"]))
+
+    def test_request_at_an_upstream_may_have_run(self):
+        # Guards against a promise about a request that an upstream works on.
+        self.router._sender = types.SimpleNamespace(attempt=self.hold_answer)
+        answer, line = self.end()
+        self.assertEqual(504, answer.status)
+        self.assertEqual(
+            ("unknown", "answer"), (line["outcome"], line["stage"])
+        )
+
+    def test_deadline_of_a_waiting_request_is_that_of_the_host(self):
+        # Guards against a place that is taken for a later time than the end.
+        contexts = []
+
+        def hold(context):
+            contexts.append(context)
+            self.hold_place(context)
+
+        self.router._selector.acquire = hold
+        self.end()
+        ends_at = self.router._stop_schedule.ends_at
+        later = gevent.spawn(self.serve)
+        self.addCleanup(later.kill)
+        gevent.sleep(0)
+        self.assertEqual(
+            [ends_at] * 2, [each.times.final for each in contexts]
+        )
+
+
 class TestForwarded(RequestRouterTest):
     """Requests that another host has passed on."""
 
@@ -231,6 +290,18 @@
         self.router._sender = _Sender([])
         self.assertIs(Outcome.UNKNOWN, self.serve_forwarded().outcome)
 
+    def test_request_that_waits_as_the_host_ends_is_declined(self):
+        # Guards against a refusal that the peer would pass on as final.
+        def hold(context):
+            gevent.sleep(60.0)
+
+        self.router._selector.acquire = hold
+        waiting = gevent.spawn(self.serve_forwarded)
+        self.addCleanup(waiting.kill)
+        gevent.sleep(0)
+        self.router.end_requests()
+        self.assertTrue(waiting.get(timeout=1.0).declined)
+
     def test_unreached_upstream_is_declined(self):
         # Guards against a refusal as final by a peer that has found out that
         # it does not reach the upstream either.
--- a/tests/daemons/test_upstreamselector.py
+++ b/tests/daemons/test_upstreamselector.py
@@ -34,6 +34,7 @@
 from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import STORE_SILENT_RETRY_DELAY
 from sedgetide.core.requests.routes import RequestTimes
+from sedgetide.core.requests.stopping import StopSchedule
 from sedgetide.daemons._deployment import ColdTolerance
 from sedgetide.daemons._deployment import DeploymentState
 from sedgetide.daemons._pathmonitor import PathMonitor
@@ -107,6 +108,7 @@
             random.Random(1),
             PathMonitor(UpstreamDirectory(), None),
             None,
+            StopSchedule(),
         )
         self.selector._find_target = lambda context, declined, now: Target(
             UPSTREAM, 1
@@ -130,6 +132,17 @@
         left = self.find_wait(sends=1, outcome=Outcome.NOT_RUN)
         self.assertLess(left, OBJECTIVE)
 
+    def test_nothing_is_sent_that_would_be_broken_off_by_the_stop(self):
+        # Guards against a request that is sent late in the grace time of a
+        # stop, and ends without an answer while its upstream works on it.
+        now = read_clock()
+        usual = AnswerAverages().find_service_time(SERVICE)
+        self.selector._stop_schedule.ends_at = now + 1.5 * usual
+        context = make_context(True)
+        self.assertIsNone(self.selector.acquire(context))
+        self.assertIs(RefusalReason.STOPPING, context.refusal.reason)
+        self.assertLess(context.retry_after, 0.1)
+
     def test_request_that_may_have_run_waits_for_an_answer(self):
         # Only an answer can tell its caller whether it ran.
         left = self.find_wait(sends=1, outcome=Outcome.UNKNOWN)
@@ -164,6 +177,7 @@
             random.Random(1),
             PathMonitor(UpstreamDirectory(), None),
             None,
+            StopSchedule(),
         )
         selector._find_target = lambda context, declined, now: Target(
             UPSTREAM, 1
@@ -260,6 +274,7 @@
             random.Random(1),
             PathMonitor(UpstreamDirectory(), None),
             None,
+            StopSchedule(),
         )
         self.context = make_context(keyed)
         if keyed:
@@ -330,6 +345,7 @@
             random.Random(1),
             PathMonitor(UpstreamDirectory(), None),
             None,
+            StopSchedule(),
         )
 
 
