Promise "not run" to a caller only if that is known

What callers saw: an upstream ran requests, failed, and answered 503 without the header that says "not run".

Cause: the outcome was decided by the header, the status of the final answer was not decided by the outcome. 408 and 429 without the header counted as answers, 421 without it as "not run".

Change: the status that leaves is compared with the outcome in one place, where the results of all attempts, peers and stops pass; one that promises too much becomes 502 without the upstream's headers. 408, 421 and 429 without the header are failures.

test_only_the_marker_says_not_run asked for NOT_OWNER of a 421 without the header. It asks for the header now, and for FAILED without it of all four statuses.

Why it works: no source of answers can bypass the check, and the check doesn't depend on how the outcome came about.

TestPromises and test_only_the_marker_says_not_run failed before. The soak's upstreams with a script fail with these statuses, too.

--- a/sedgetide/core/requests/outcomes.py
+++ b/sedgetide/core/requests/outcomes.py
@@ -94,6 +94,23 @@
     return Outcome.UNKNOWN
 
 
+# Statuses that tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+def is_false_promise(outcome: Outcome, status: int) -> bool:
+    """Return whether a status promises more than the outcome allows.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Combined outcome of all attempts.
+    status : int
+        Status of the answer to the caller.
+    """
+    return status in NOT_RUN_STATUSES and outcome is not Outcome.NOT_RUN
+
+
 def may_resend(outcome: Outcome, idempotent: bool) -> bool:
     """Return whether a request may be sent again after a failure."""
     if outcome is Outcome.NOT_RUN:
--- a/sedgetide/daemons/_hostmetrics.py
+++ b/sedgetide/daemons/_hostmetrics.py
@@ -82,6 +82,12 @@
     "Attempts of requests in quarantine, refused unsent.",
     ["service"],
 )
+FALSE_PROMISES = Counter(
+    "sedgetide_false_promises",
+    'Answers of upstreams that callers would take for "not run", although '
+    "the request may have run; replaced by 502.",
+    ["service", "status"],
+)
 UNREADABLE_LOADS = Counter(
     "sedgetide_unreadable_loads",
     "Answers that said something unreadable of their upstream's load.",
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -20,6 +20,7 @@
 from sedgetide.core.requests.averages import AnswerAverages
 from sedgetide.core.requests.forwarding import ForwardedRequest
 from sedgetide.core.requests.forwarding import ForwardedResult
+from sedgetide.core.requests.outcomes import is_false_promise
 from sedgetide.core.requests.outcomes import Outcome
 from sedgetide.core.requests.overdue import OverdueDetector
 from sedgetide.core.requests.places import Verdict
@@ -43,6 +44,7 @@
 from sedgetide.daemons._forwardedrequests import read_request
 from sedgetide.daemons._forwarder import Detour
 from sedgetide.daemons._forwarder import Forwarder
+from sedgetide.daemons._hostmetrics import FALSE_PROMISES
 from sedgetide.daemons._hostmetrics import QUARANTINE_REFUSALS
 from sedgetide.daemons._hostmetrics import RETRIES
 from sedgetide.daemons._loadreporter import LoadMeter
@@ -270,9 +272,26 @@
         context.times = self._stop_schedule.cap_times(context.times)
         with self._track(context):
             try:
-                return self._run_attempts(context)
+                answer = self._run_attempts(context)
             except _HostStops:
-                return self._break_off(context)
+                answer = self._break_off(context)
+        return self._withhold_false_promise(context, answer)
+
+    def _withhold_false_promise(
+        self, context: RequestContext, answer: Answer
+    ) -> Answer:
+        """Return an answer that promises "not run" only if this is known."""
+        progress = context.progress
+        if not is_false_promise(progress.outcome, answer.status):
+            return answer
+        FALSE_PROMISES.labels(context.service, str(answer.status)).inc()
+        context.detail = f"status {answer.status}, which may have run"
+        context.answer = None
+        progress.outcome = Outcome.UNKNOWN
+        if progress.failure is Failure.NONE:
+            progress.failure = Failure.FAILED
+            context.failures.append(Failure.FAILED)
+        return self._make_final_answer(context)
 
     def _break_off(self, context: RequestContext) -> Answer:
         """Return the final answer of a request that can't be completed."""
--- a/sedgetide/platform/_requests.py
+++ b/sedgetide/platform/_requests.py
@@ -10,6 +10,7 @@
 from sedgetide.core.identifiers import UpstreamName
 from sedgetide.core.ownership.ranges import LAST_KEY
 from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.outcomes import NOT_RUN_STATUSES
 from sedgetide.core.requests.pushback import Pushback
 from sedgetide.core.requests.windows import UpstreamLoad
 from sedgetide.platform import _names
@@ -88,12 +89,11 @@
             if signed is None or encoded is not None:
                 return Failure.BROKEN
             return Failure.NONE
-        return Failure.FAILED if status >= 500 else Failure.NONE
+        promises = status in NOT_RUN_STATUSES
+        return Failure.FAILED if promises or status >= 500 else Failure.NONE
 
     def is_not_run(self, status: int, headers: Headers) -> bool:
-        if find_header(headers, _names.NOT_EXECUTED.lower()) is not None:
-            return True
-        return status == _names.MISDIRECTED
+        return find_header(headers, _names.NOT_EXECUTED.lower()) is not None
 
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
         value = find_header(headers, _names.LOAD.lower())
--- a/sedgetide/testing/rangeupstream.py
+++ b/sedgetide/testing/rangeupstream.py
@@ -63,6 +63,8 @@
 EXITED = "exited"
 _QUEUE_LIMIT = 8
 _NOT_RUN = (_names.NOT_EXECUTED, "1")
+# Statuses of requests that have run and failed.
+_FAILURES = (500, 503, 429, 421, 408)
 
 
 class Event(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -302,7 +304,7 @@
         body = f"{number} {key} ".encode() * 20
         failed = self._random.random() < self._options.failing
         return Answer(
-            500 if failed else 200,
+            self._random.choice(_FAILURES) if failed else 200,
             [
                 (_names.SIGNATURE, f"{len(body):x}"),
                 (_names.LOAD, self._describe_load()),
--- a/sedgetide/testing/soakfleet.py
+++ b/sedgetide/testing/soakfleet.py
@@ -43,7 +43,8 @@
 # Field indices in /proc/PID/stat after the command name, see proc(5).
 _USER_TICKS = 11
 _SYSTEM_TICKS = 12
-# Share of requests that an upstream with a script answers with status 500.
+# Share of requests that an upstream with a script runs and answers with a
+# failure.
 _FAILURE_SHARE = 0.1
 
 
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -5,6 +5,7 @@
 import types
 
 import gevent
+import hypothesis
 import testtools
 
 from sedgetide.core.configuration.policy import Policy
@@ -97,17 +98,37 @@
             RetryPolicy(1.0, 10.0),
             random.Random(1),
         )
-        self.router._selector.acquire = lambda context: types.SimpleNamespace(
-            release=lambda: None
+        self.router._selector.acquire = self.acquire
+        self.router._paths = types.SimpleNamespace(
+            tracker=types.SimpleNamespace(is_cut_off=True)
         )
         self.events = capture_events(self)
 
+    def acquire(self, context):
+        return types.SimpleNamespace(release=lambda: None)
+
     def take_detour(self, context):
         context.detour = context.service
 
     def serve(self):
         return self.router.serve(Request("GET", "/x", [("Host", "h")], b""))
 
+    def serve_forwarded(self, version=1, target="/x", **fields):
+        return self.router.serve_forwarded(
+            ForwardedRequest(
+                HostName("h-2"),
+                "GET",
+                target,
+                [("Host", "h")],
+                b"",
+                "",
+                Version(version),
+                0.1,
+                1.0,
+                **fields,
+            )
+        )
+
 
 class TestFinalAnswer(RequestRouterTest):
     def test_refusal_after_two_failures_has_a_reason_and_a_promise(self):
@@ -178,6 +199,68 @@
         self.assertEqual(["south"], reached)
 
 
+class TestPromises(RequestRouterTest):
+    """Statuses that tell a caller that its request has not run."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        hypothesis.strategies.sampled_from(Outcome),
+        hypothesis.strategies.sampled_from(
+            (200, 404, 408, 421, 429, 500, 503)
+        ),
+        hypothesis.strategies.booleans(),
+    )
+    def test_only_a_request_that_has_not_run_gets_a_promise(
+        self, outcome, status, by_peer
+    ):
+        # Guards against a failure of an upstream, with a status that promises
+        # "not run", that makes its caller send the request once more.
+        def end(context):
+            context.progress.outcome = outcome
+            context.progress.tried = [FAR_UPSTREAM.name]
+            context.answer = Answer(status, [("X-Signature", "1")])
+            if outcome is not Outcome.ANSWERED:
+                context.progress.failure = Failure.FAILED
+                context.failures.append(Failure.FAILED)
+
+        def attempt(context, permit, may_send):
+            end(context)
+            return True
+
+        def forward(context, destination):
+            end(context)
+            return Detour.FINAL
+
+        self.router._sender = types.SimpleNamespace(attempt=attempt)
+        self.router._forwarder = types.SimpleNamespace(forward=forward)
+        self.router._quarantine.may_retry = lambda context: False
+        acquire = self.take_detour if by_peer else self.acquire
+        self.router._selector.acquire = acquire
+        answer = self.serve()
+        if outcome is Outcome.NOT_RUN:
+            self.assertEqual(503, answer.status)
+        elif status in (408, 421, 429, 503):
+            self.assertEqual((502, []), (answer.status, answer.headers))
+            self.assertEqual("unknown", self.events[-1]["outcome"])
+        else:
+            self.assertEqual(status, answer.status)
+
+    def test_peer_is_told_that_the_request_may_have_run(self):
+        # Guards against a peer that returns the promise of an upstream.
+        def attempt(context, permit, may_send):
+            context.progress.outcome = Outcome.UNKNOWN
+            context.progress.failure = Failure.FAILED
+            context.failures.append(Failure.FAILED)
+            context.answer = Answer(503, [])
+            return True
+
+        self.router._sender = types.SimpleNamespace(attempt=attempt)
+        self.router._quarantine.may_retry = lambda context: False
+        result = self.serve_forwarded()
+        self.assertIs(Outcome.UNKNOWN, result.outcome)
+        self.assertEqual(0, result.status)
+
+
 class TestStop(RequestRouterTest):
     """Requests in progress when the host ends."""
 
@@ -240,28 +323,6 @@
 class TestForwarded(RequestRouterTest):
     """Requests that another host has passed on."""
 
-    def setUp(self):
-        super().setUp()
-        self.router._paths = types.SimpleNamespace(
-            tracker=types.SimpleNamespace(is_cut_off=True)
-        )
-
-    def serve_forwarded(self, version=1, target="/x", **fields):
-        return self.router.serve_forwarded(
-            ForwardedRequest(
-                HostName("h-2"),
-                "GET",
-                target,
-                [("Host", "h")],
-                b"",
-                "",
-                Version(version),
-                0.1,
-                1.0,
-                **fields,
-            )
-        )
-
     def test_request_is_not_passed_on_twice(self):
         # Guards against requests that circle among hosts without paths.
         self.router._selector.acquire = self.take_detour
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -129,10 +129,11 @@
         marker = ("Sedgetide-Not-Executed", "1")
         self.assertIs(Failure.BUSY, self.classify_answer(503, marker))
         self.assertIs(Failure.DECLINED, self.classify_answer(429, marker))
-        self.assertIs(Failure.NOT_OWNER, self.classify_answer(421))
-        self.assertIs(Failure.FAILED, self.classify_answer(503))
+        self.assertIs(Failure.NOT_OWNER, self.classify_answer(421, marker))
+        for status in (408, 421, 429, 503):
+            self.assertIs(Failure.FAILED, self.classify_answer(status))
+            self.assertFalse(self.dialect.is_not_run(status, []))
         self.assertIs(Failure.FAILED, self.classify_answer(504))
-        self.assertFalse(self.dialect.is_not_run(503, []))
 
     def test_own_refusals_of_the_upstream_pass(self):
         self.assertIs(Failure.NONE, self.classify_answer(404))
