Read the limits of callers when a request arrives

Cause: a connection read the limits, and made its parser, before it waited for the next request. The request was judged by the version at the beginning of the wait, which lasts up to the idle timeout.

Evidence: 10 of 10 requests on kept connections were refused, each with event=connection-closed reason=body-too-long; event=policy of the newer version came 4.8 s before, and new connections were served.

Why it works: nothing that was read before a wait is used after it.

The two new tests of test_server.py failed before.

--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -366,11 +366,12 @@
                 self._prune_connections()
 
     def _prune_connections(self) -> None:
-        """Close connections to upstreams and hosts that have ended."""
+        """Close connections that have ended, or are idle for too long."""
         entries = self._deployment.directory.list_all()
         self._channels.prune({entry.name for entry in entries})
         self._transport.close_unused(_IDLE_LINK_TIMEOUT)
         self._forwarder.prune()
+        self._server.close_expired(read_clock())
 
     def _update_partition(self, now: float) -> None:
         """Withdraw from the load balancer while this host is partitioned."""
--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -225,6 +225,15 @@
         """Return the number of connections with many requests in hand."""
         return sum(each.is_deep for each in self.connections)
 
+    def close_expired(self, now: float) -> None:
+        """Close the connections that are idle for too long.
+
+        Each closes by itself by the limits that its wait has begun with; a
+        later version may allow less.
+        """
+        for connection in list(self.connections):
+            connection.close_if_expired(now)
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self.connections):
@@ -493,6 +502,9 @@
             self._yield_after_slice()
 
     def _read_request(self) -> tuple[Request | None, h11.Connection]:
+        if not self._buffer:
+            self._buffer += self._wait_for_request()
+        # Those in force now: the wait may have lasted for many versions.
         limits = self._server.read_limits()
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes + 4096
@@ -521,8 +533,6 @@
         self, parser: h11.Connection, limits: CallerLimits
     ) -> Request | None:
         """Parse one request; None when the caller closed the connection."""
-        if not self._buffer:
-            self._buffer += self._wait_for_request(limits)
         self._partial = True
         progress = RequestLimits(limits, read_clock())
         head: h11.Request | None = None
@@ -544,18 +554,31 @@
             else:
                 return None
 
-    def _wait_for_request(self, limits: CallerLimits) -> bytes:
+    def _wait_for_request(self) -> bytes:
         """Receive the first bytes of a request."""
         self.idle_since = read_clock()
         while True:
-            data = self._receive(limits.idle_timeout)
+            data = self._receive(self._find_idle_time_left(read_clock()))
             if data is not None:
                 if not self._pending:
                     self._starts.note_idle()
                 return data
-            if not self._pending:
+            if self._has_idled_too_long(read_clock()):
                 raise ConnectionAbortedError("no request within the timeout")
 
+    def _find_idle_time_left(self, now: float) -> float:
+        timeout = self._server.read_limits().idle_timeout
+        idle_since = now if self._pending else self.idle_since
+        return max(0.0, idle_since + timeout - now)
+
+    def _has_idled_too_long(self, now: float) -> bool:
+        return self.is_idle and self._find_idle_time_left(now) <= 0.0
+
+    def close_if_expired(self, now: float) -> None:
+        """Close if it has been idle for longer than is allowed now."""
+        if self._has_idled_too_long(now):
+            self._reader.kill(block=False)
+
     def _next_event(
         self, parser: h11.Connection, progress: RequestLimits
     ) -> h11.Event:
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -9,12 +9,14 @@
 from gevent.event import Event
 from gevent.socket import create_connection
 from gevent.socket import SHUT_WR
+import msgspec
 import testtools
 
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.closures import CloseReason
 from sedgetide.core.requests.loopshares import ConnectionShare
+from sedgetide.runtime.clock import read_clock
 from sedgetide.runtime.sockets import open_listener
 from sedgetide.wire.messages import Answer
 from sedgetide.wire.server import CallerConnection
@@ -276,6 +278,40 @@
         self.assertIn(b" 413 ", self.read(client, b"413"))
         self.assertEqual([], self.service.began)
 
+    def change_limits(self, **changes):
+        limits = msgspec.structs.replace(LIMITS, **changes)
+        self.server.read_limits = lambda: limits
+
+    def test_connection_from_before_goes_by_the_limits_in_force(self):
+        # Guards against requests on kept connections that are refused for a
+        # size that a newer version allows.
+        clients = [self.connect() for _ in range(2)]
+        gevent.sleep(0.02)
+        self.change_limits(body_bytes=5000, header_bytes=20000)
+        clients[0].sendall(
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n"
+            + b"x" * 2000
+        )
+        self.assertIn(b"X-Body: 2000", self.read(clients[0], b"/1"))
+        head = b"GET /2 HTTP/1.1\r\nHost: a\r\nX-Long: %s\r\n\r\n"
+        clients[1].sendall(head % (b"x" * 15000))
+        self.assertIn(b" 200 ", self.read(clients[1], b"/2"))
+
+    def test_idle_connection_goes_by_the_timeout_in_force(self):
+        # Guards against connections that are closed while a newer version
+        # allows them to be idle.
+        client = self.connect()
+        gevent.sleep(0.02)
+        self.change_limits(idle_timeout=5.0)
+        gevent.sleep(2 * LIMITS.idle_timeout)
+        self.ask(client, "/1")
+        self.assertIn(b"200", self.read(client, b"/1"))
+        self.change_limits(idle_timeout=0.1)
+        gevent.sleep(0.2)
+        self.server.close_expired(read_clock())
+        with gevent.Timeout(2.0):
+            self.assertEqual(b"", client.recv(100))
+
     def test_smuggled_request_is_not_served(self):
         # With two lengths, some parsers would read the rest as a request.
         client = self.connect()
