Count the idle time of a connection from its last answer

What callers saw: a kept connection was closed soon after the answer to a request that had taken long: after a request of 15 s, 5 s after its answer at an idle timeout of 20 s. Callers may reuse it for four fifths of the timeout.

Cause: the wait for the next request begins when the last one has been read, and its time counted from there.

Change: the end of an answer begins the idle time anew.

--- a/sedgetide/wire/server.py
+++ b/sedgetide/wire/server.py
@@ -702,6 +702,7 @@
                 self._reader.kill(block=False)
                 return
             self._pending.popleft()
+            self.idle_since = read_clock()
             self._release_body(len(pending.request.body))
             self._sent.set()
 
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -312,6 +312,19 @@
         with gevent.Timeout(2.0):
             self.assertEqual(b"", client.recv(100))
 
+    def test_idle_time_counts_from_the_last_answer(self):
+        # Guards against connections that are closed soon after the answer to
+        # a request that took long, though their callers may reuse them.
+        self.hold("/1")
+        client = self.connect()
+        self.ask(client, "/1")
+        gevent.sleep(0.8 * LIMITS.idle_timeout)
+        self.service.gates["/1"].set()
+        self.assertIn(b"200", self.read(client, b"/1"))
+        gevent.sleep(0.6 * LIMITS.idle_timeout)
+        self.ask(client, "/2")
+        self.assertIn(b"200", self.read(client, b"/2"))
+
     def test_smuggled_request_is_not_served(self):
         # With two lengths, some parsers would read the rest as a request.
         client = self.connect()
