Refuse answers with an invalid status

What callers saw: statuses 600 to 999 of an upstream as answers, on hosts and through keepers, also by way of a peer. A keeper took 000 to 099 for an interim answer and waited for the rest until the deadline.

Cause: each of the two parsers has its own idea of a valid status.

Evidence: both clients before raw answers with 000, 099, 0, 600, 999, 1000: 600 and 999 returned as answers by both, 000 and 099 ended in a time-out in the client of keepers.

Change: both clients refuse a status outside 100 to 599 (RFC 9110, section 15), and a result of a peer with one counts as unknown.

Result: the tests of both clients and of the forwarder failed before.

--- a/sedgetide/backends/_connection.py
+++ b/sedgetide/backends/_connection.py
@@ -25,6 +25,7 @@
 from sedgetide.wire.cutreads import make_cut_error
 from sedgetide.wire.cutreads import make_timeout_error
 from sedgetide.wire.delivery import set_reset_on_close
+from sedgetide.wire.messages import check_status
 
 # Bytes that are parsed in one step.
 _PART_BYTES = 16 * 1024
@@ -307,6 +308,8 @@
         response = _Response(method)
         while not response.has_head:
             response.feed(_require_data(reader.read_head()))
+            if response.headers_complete:
+                check_status(response.get_code())
         _require_length(response, method)
         if not response.message_complete:
             budget.check_length(response.content_length or 0)
--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -23,6 +23,7 @@
 from sedgetide.runtime.clock import read_clock
 from sedgetide.wire.client import ConnectionPool
 from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import check_status
 from sedgetide.wire.messages import Request
 
 FORWARD_PATH = "/forward"
@@ -228,8 +229,11 @@
     if answer.status != _OK:
         return ForwardedResult(Outcome.UNKNOWN)
     try:
-        return msgspec.msgpack.decode(answer.body, type=ForwardedResult)
-    except msgspec.MsgspecError:
+        result = msgspec.msgpack.decode(answer.body, type=ForwardedResult)
+        if result.status:
+            check_status(result.status)
+        return result
+    except (msgspec.MsgspecError, ValueError):
         # Another process has the address, or the peer's version differs.
         return ForwardedResult(Outcome.UNKNOWN)
 
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -30,6 +30,7 @@
 from sedgetide.wire.delivery import SendOverdue
 from sedgetide.wire.delivery import set_reset_on_close
 from sedgetide.wire.messages import Answer
+from sedgetide.wire.messages import check_status
 from sedgetide.wire.messages import decode_headers
 from sedgetide.wire.messages import encode_headers
 from sedgetide.wire.messages import find_header
@@ -475,6 +476,7 @@
         if event is h11.NEED_DATA:
             parser.receive_data(reader.read_head())
         elif isinstance(event, h11.Response):
+            check_status(event.status_code)
             return event
         elif not isinstance(event, h11.InformationalResponse):
             raise ValueError("connection closed before a response")
--- a/sedgetide/wire/messages.py
+++ b/sedgetide/wire/messages.py
@@ -4,6 +4,9 @@
 
 Headers = list[tuple[str, str]]
 
+# RFC 9110, section 15: other status codes are invalid.
+_STATUSES = range(100, 600)
+
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -21,6 +24,21 @@
 )
 
 
+def check_status(status: int) -> None:
+    """Check the status code of a response.
+
+    Raises
+    ------
+    ValueError
+        If it is invalid, so that the bytes are no response.
+    """
+    if status not in _STATUSES:
+        raise ValueError(
+            f"status {status:03d}: accepted is a number from "
+            f"{_STATUSES.start} to {_STATUSES.stop - 1}"
+        )
+
+
 class Request(msgspec.Struct, frozen=True):
     """A complete HTTP request.
 
--- a/tests/backends/test_connection.py
+++ b/tests/backends/test_connection.py
@@ -106,6 +106,13 @@
         ):
             self.assert_fails(ErrorCode.BAD_ANSWER, self.serve(cut))
 
+    def test_invalid_status_is_no_answer(self):
+        # Guards against callers that get bytes without a valid status as an
+        # answer, and against a wait for the rest of it.
+        for status in (b"000", b"099", b"0", b"600", b"999", b"1000", b"x"):
+            answer = b"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok" % status
+            self.assert_fails(ErrorCode.BAD_ANSWER, self.serve(answer))
+
     def test_body_over_the_limit(self):
         body = b"x" * (LIMIT + 1)
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
--- a/tests/daemons/test_forwarder.py
+++ b/tests/daemons/test_forwarder.py
@@ -112,6 +112,14 @@
         self.assertIs(Outcome.ANSWERED, self.context.progress.outcome)
         self.assertEqual([UPSTREAM], self.context.progress.tried)
 
+    def test_result_with_an_invalid_status_is_no_answer(self):
+        # Guards against callers that get such a status by way of a peer of
+        # an earlier version.
+        self.start_peer(msgspec.structs.replace(ANSWERED, status=999))
+        self.assertIs(Detour.FINAL, self.forward())
+        self.assertIs(Outcome.UNKNOWN, self.context.progress.outcome)
+        self.assertIsNone(self.context.answer)
+
     def test_peer_gets_less_time_than_the_caller_has(self):
         # Guards against upstreams that are handed more time than is left.
         self.start_peer(ANSWERED)
--- a/tests/daemons/test_repeated_answers.py
+++ b/tests/daemons/test_repeated_answers.py
@@ -68,6 +68,7 @@
     def __init__(self, rejections, extra=b""):
         self.runs = []
         self.names_requests = True
+        self.status = "200"
         self._extra = extra
         self._rejections = rejections
         self._sends = {}
@@ -87,7 +88,7 @@
                 rejected[request] = answer
             else:
                 self.runs.append(request)
-                answer = _make_answer(200, _names.SIGNATURE, request)
+                answer = _make_answer(self.status, _names.SIGNATURE, request)
             if not self.names_requests:
                 answer = re.sub(_ID.pattern + b"\r\n", b"", answer)
             peer.sendall(answer)
@@ -148,6 +149,15 @@
         self.assertEqual(["a"], self.upstream.runs)
         self.assertEqual(2, len(set(context.ports)))
 
+    def test_answer_with_an_invalid_status_may_have_run(self):
+        # Guards against status 000 as an answer to a caller, or as a promise.
+        self.start(rejections=0)
+        self.upstream.status = "000"
+        context = self.make_context("a")
+        self.assertIs(Outcome.UNKNOWN, self.send(context))
+        self.assertEqual([Failure.BROKEN], context.failures)
+        self.assertIsNone(context.answer)
+
     def test_copy_after_the_request_of_another_caller(self):
         # Guards against connections that remember only their last request.
         self.start(rejections=1)
--- a/tests/wire/test_client.py
+++ b/tests/wire/test_client.py
@@ -87,6 +87,17 @@
         self.assertFalse(connection.is_open)
         return error
 
+    def test_invalid_status_is_no_answer(self):
+        # Guards against callers that get bytes without a valid status as an
+        # answer.
+        for status in (b"000", b"099", b"0", b"600", b"999", b"1000", b"x"):
+            _, connection = self.serve(WHOLE.replace(b"200", status))
+            error = self.assertRaises(
+                UpstreamError, connection.exchange, make_request(), 1.0
+            )
+            self.assertIs(ErrorCode.BAD_ANSWER, error.code)
+            self.assertFalse(connection.is_open)
+
     def test_whole_answer_leaves_the_connection_open(self):
         _, connection = self.serve(WHOLE)
         answer = connection.exchange(make_request(), 2.0)
