Bound the unfinished answers of all servers together

Cause: bodies were bounded for each server, not over all, and the first megabyte of each counted nowhere.

Change: unfinished bodies also count against one budget of the host, from 64 KB of each on, and share the host's memory with uploads of callers.

--- a/sedgetide/core/requests/readlimits.py
+++ b/sedgetide/core/requests/readlimits.py
@@ -27,6 +27,10 @@
 # Bytes of a body that count towards the memory for all bodies of one peer
 # only once there are more of them.
 _FREE_BODY_BYTES = 1024 * _KILOBYTE
+# Bytes of a body that count towards the memory for all unfinished answers
+# only once there are more of them, so that small answers are never cut for
+# the size of others.
+_SMALL_BODY_BYTES = 64 * _KILOBYTE
 # Bytes after which a read pauses, and seconds. Without pauses, a few bodies
 # without end take nearly all of the processor time of a host.
 _UNPACED_BYTES = 4 * 1024 * _KILOBYTE
@@ -47,7 +51,7 @@
     CHUNKS
         Number of chunks, for the size of the body.
     MEMORY
-        Bytes of unfinished bodies of one peer.
+        Bytes of unfinished bodies of one peer, or of all.
     TIME
         Time allowed for the exchange, although bytes arrived.
     """
@@ -85,6 +89,42 @@
     return b" " * _MAX_BLANKS in data.translate(_TABS_AS_SPACES, b"\r\n")
 
 
+class _Reservation:
+    """Bytes of one body in a budget of unfinished bodies.
+
+    Parameters
+    ----------
+    budget : BodyBudget
+        The budget.
+    threshold : int
+        Size of the body in bytes from which on it counts.
+    whose : str
+        Whose bodies share the budget, for the error.
+    """
+
+    def __init__(self, budget: BodyBudget, threshold: int, whose: str) -> None:
+        self._budget = budget
+        self._threshold = threshold
+        self._whose = whose
+        self._size = 0
+
+    def extend(self, size: int, total: int) -> None:
+        """Reserve more bytes of a body; raise `ReadCut` if there are none."""
+        if total <= self._threshold:
+            return
+        if not self._budget.take(size):
+            raise ReadCut(
+                ReadBound.MEMORY,
+                f"no memory after {total} bytes of the response body, "
+                f"{self._budget.held} bytes of {self._whose} are unfinished",
+            )
+        self._size += size
+
+    def release(self) -> None:
+        self._budget.give_back(self._size)
+        self._size = 0
+
+
 class ReadBudget:
     """Decides whether one more part of an answer may be read.
 
@@ -97,6 +137,8 @@
     bodies : BodyBudget or None
         Memory for the unfinished bodies of all answers of the peer; None for
         no limit.
+    memory : BodyBudget or None
+        Memory for the unfinished bodies of all peers; None for no limit.
 
     Attributes
     ----------
@@ -109,9 +151,16 @@
         body_limit: int,
         deadline: float,
         bodies: BodyBudget | None = None,
+        memory: BodyBudget | None = None,
     ) -> None:
-        self._bodies = bodies
-        self._reserved = 0
+        self._reservations = [
+            _Reservation(budget, threshold, whose)
+            for budget, threshold, whose in (
+                (memory, _SMALL_BODY_BYTES, "all peers"),
+                (bodies, _FREE_BODY_BYTES, "the peer"),
+            )
+            if budget is not None
+        ]
         self._body_limit = body_limit
         self._deadline = deadline
         self._head_bytes = 0
@@ -179,8 +228,8 @@
         self._body_bytes += size
         self._chunks += chunks
         self.check_length(self._body_bytes)
-        if self._body_bytes > _FREE_BODY_BYTES:
-            self._reserve(size)
+        for reservation in self._reservations:
+            reservation.extend(size, self._body_bytes)
         if self._chunks > _MAX_CHUNKS + self._body_bytes / _MIN_CHUNK_BYTES:
             raise ReadCut(
                 ReadBound.CHUNKS,
@@ -188,22 +237,10 @@
                 "response body",
             )
 
-    def _reserve(self, size: int) -> None:
-        if self._bodies is None:
-            return
-        if not self._bodies.take(size):
-            raise ReadCut(
-                ReadBound.MEMORY,
-                f"no memory after {self._body_bytes} bytes of the response "
-                f"body, {self._bodies.held} bytes of others are unfinished",
-            )
-        self._reserved += size
-
     def release(self) -> None:
         """Release the memory of the body when the read has ended."""
-        if self._bodies is not None:
-            self._bodies.give_back(self._reserved)
-        self._reserved = 0
+        for reservation in self._reservations:
+            reservation.release()
 
     def find_pause(self) -> float:
         """Return for how many seconds the read pauses to let others run."""
--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -9,6 +9,7 @@
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.membership.peers import Peer
 from sedgetide.core.requests.attempts import Failure
+from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.forwarding import ForwardedRequest
 from sedgetide.core.requests.forwarding import ForwardedResult
 from sedgetide.core.requests.forwarding import PeerPool
@@ -73,6 +74,8 @@
         Chooses the peer of each request.
     body_limit : int
         Largest body accepted in an answer.
+    memory : BodyBudget or None
+        Memory for unfinished answers of all servers; None for no limit.
     """
 
     def __init__(
@@ -81,11 +84,13 @@
         deployment: DeploymentState,
         peer_pool: PeerPool,
         body_limit: int,
+        memory: BodyBudget | None = None,
     ) -> None:
         self._host = host
         self._deployment = deployment
         self._peer_pool = peer_pool
         self._result_limit = body_limit + _RESULT_OVERHEAD
+        self._memory = memory
         self._pools: dict[str, ConnectionPool] = {}
 
     @property
@@ -206,7 +211,9 @@
     def _find_pool(self, peer: Peer) -> ConnectionPool:
         pool = self._pools.get(peer.address)
         if pool is None:
-            pool = ConnectionPool(peer.address, self._result_limit)
+            pool = ConnectionPool(
+                peer.address, self._result_limit, memory=self._memory
+            )
             self._pools[peer.address] = pool
         return pool
 
--- a/sedgetide/daemons/_upstreamchannels.py
+++ b/sedgetide/daemons/_upstreamchannels.py
@@ -6,6 +6,7 @@
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.membership.directory import RegisteredUpstream
 from sedgetide.core.requests.answerids import AnswerIds
+from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.health import UpstreamHealth
 from sedgetide.core.requests.idleconnections import IdleLimit
 from sedgetide.core.requests.owedanswers import OwedAnswers
@@ -31,6 +32,8 @@
     idle_limit : IdleLimit
         How long connections may stay idle. Shared by all upstreams of a
         service, since a single one gets too few requests to learn it from.
+    memory : BodyBudget or None
+        Memory for unfinished answers of all servers; None for no limit.
     """
 
     def __init__(
@@ -38,8 +41,11 @@
         upstream: RegisteredUpstream,
         body_limit: int,
         idle_limit: IdleLimit,
+        memory: BodyBudget | None = None,
     ) -> None:
-        self.pool = ConnectionPool(upstream.address, body_limit, _RESET_WAIT)
+        self.pool = ConnectionPool(
+            upstream.address, body_limit, _RESET_WAIT, memory
+        )
         self.idle_limit = idle_limit
         self.window = Window(upstream.slots)
         self.health = UpstreamHealth()
@@ -142,10 +148,15 @@
     ----------
     body_limit : int
         Largest body accepted in an answer.
+    memory : BodyBudget or None
+        Memory for unfinished answers of all servers; None for no limit.
     """
 
-    def __init__(self, body_limit: int) -> None:
+    def __init__(
+        self, body_limit: int, memory: BodyBudget | None = None
+    ) -> None:
         self._body_limit = body_limit
+        self._memory = memory
         self._channels: dict[str, UpstreamChannel] = {}
         self._idle_limits: dict[ServiceName, IdleLimit] = {}
 
@@ -156,7 +167,9 @@
             idle_limit = self._idle_limits.setdefault(
                 upstream.service, IdleLimit()
             )
-            channel = UpstreamChannel(upstream, self._body_limit, idle_limit)
+            channel = UpstreamChannel(
+                upstream, self._body_limit, idle_limit, self._memory
+            )
             self._channels[upstream.name] = channel
         return channel
 
--- a/sedgetide/daemons/host.py
+++ b/sedgetide/daemons/host.py
@@ -50,8 +50,7 @@
 from sedgetide.core.membership.partitions import PartitionDetector
 from sedgetide.core.ownership.leadership import LeaderRecord
 from sedgetide.core.ownership.leadership import Leadership
-from sedgetide.core.requests.bodylimits import BodyBudget
-from sedgetide.core.requests.bodylimits import compute_body_limit
+from sedgetide.core.requests.bodylimits import make_body_memory
 from sedgetide.core.requests.connectionlimits import find_connection_limit
 from sedgetide.core.requests.forwarding import PeerPool
 from sedgetide.core.requests.retries import RetryPolicy
@@ -171,7 +170,10 @@
             lambda era: self._deployment.note_era(era, read_clock())
         )
         self._feed = FeedReceiver(self._deployment, self._eras)
-        self._channels = UpstreamChannels(settings.limits.body_bytes)
+        memory = make_body_memory(settings.memory_mb)
+        self._channels = UpstreamChannels(
+            settings.limits.body_bytes, memory.answers
+        )
         self._paths = PathMonitor(self._deployment.directory, self._channels)
         self._meter = LoadMeter()
         self._loop_monitor = LoopMonitor()
@@ -211,6 +213,7 @@
                 random.Random(self.incarnation),
             ),
             settings.limits.body_bytes,
+            memory.answers,
         )
         self._crash_detector = CrashDetector(
             self._deployment.directory,
@@ -236,12 +239,11 @@
             random.Random(settings.host),
         )
         self._closures = ClosureLog()
-        bodies = BodyBudget(compute_body_limit(settings.memory_mb))
         self._server = Server(
             self._router.serve,
             self._router.is_idempotent,
             self._router.read_limits,
-            bodies,
+            memory.requests,
             self._router.note_body_refusal,
             functools.partial(self._closures.record, "callers"),
             max_connections=find_connection_limit(_count_descriptors()),
@@ -249,7 +251,7 @@
         self._forward_server = ForwardServer(
             self._router.serve_forwarded,
             self._router.read_limits,
-            bodies,
+            memory.requests,
             functools.partial(self._closures.record, "hosts"),
         )
         self._leader = self._make_leader()
--- a/sedgetide/wire/client.py
+++ b/sedgetide/wire/client.py
@@ -105,6 +105,8 @@
     bodies : BodyBudget or None
         Memory for the unfinished response bodies of the server; None for no
         limit.
+    memory : BodyBudget or None
+        Memory for those of all servers; None for no limit.
 
     Attributes
     ----------
@@ -127,10 +129,12 @@
         address: str,
         body_limit: int,
         bodies: BodyBudget | None = None,
+        memory: BodyBudget | None = None,
     ) -> None:
         self.address = address
         self._body_limit = body_limit
         self._bodies = bodies
+        self._memory = memory
         self._socket: socket.socket | None = None
         self._used_at = 0.0
         self._sent_at = 0.0
@@ -281,7 +285,9 @@
         limit = self._body_limit
         if body_limit is not None:
             limit = min(limit, body_limit)
-        budget = ReadBudget(limit, read_clock() + timeout, self._bodies)
+        budget = ReadBudget(
+            limit, read_clock() + timeout, self._bodies, self._memory
+        )
         try:
             with gevent.Timeout(timeout) as timer:
                 answer = self._exchange(
@@ -495,15 +501,23 @@
     reset_wait : float
         Seconds to wait on a new connection for a reset; see
         :meth:`Connection.wait_for_reset`.
+    memory : BodyBudget or None
+        Memory for the unfinished response bodies of all servers; None for no
+        limit.
     """
 
     def __init__(
-        self, address: str, body_limit: int, reset_wait: float = 0.0
+        self,
+        address: str,
+        body_limit: int,
+        reset_wait: float = 0.0,
+        memory: BodyBudget | None = None,
     ) -> None:
         self.address = address
         self._body_limit = body_limit
         # Of all connections, so that one server can't use up the memory.
         self._bodies = BodyBudget(body_limit)
+        self._memory = memory
         self._reset_wait = reset_wait
         self._idle: list[Connection] = []
         self._closed = False
@@ -553,7 +567,9 @@
 
     def open(self, timeout: float) -> Connection:
         """Return a new connection; arguments and errors as in `take`."""
-        connection = Connection(self.address, self._body_limit, self._bodies)
+        connection = Connection(
+            self.address, self._body_limit, self._bodies, self._memory
+        )
         connection.open(timeout)
         if self._reset_wait:
             connection.wait_for_reset(self._reset_wait)
--- a/tests/core/requests/test_bodylimits.py
+++ b/tests/core/requests/test_bodylimits.py
@@ -4,6 +4,7 @@
 
 from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.bodylimits import compute_body_limit
+from sedgetide.core.requests.bodylimits import make_body_memory
 
 MEGABYTE = 1024 * 1024
 
@@ -18,6 +19,20 @@
         budget.give_back(60)
         self.assertTrue(budget.take(60))
 
+    def test_answers_and_requests_share_the_memory(self):
+        # Guards against a host that runs out of memory as many upstreams send
+        # answers without end while callers upload.
+        memory = make_body_memory(300)
+        while memory.answers.take(MEGABYTE):
+            pass
+        while memory.requests.take(MEGABYTE):
+            pass
+        held = 2 * memory.answers.held + 3 * memory.requests.held
+        self.assertLess(held / MEGABYTE + 60, 300)
+        self.assertGreater(memory.requests.held, 30 * MEGABYTE)
+        memory.answers.give_back(memory.answers.held)
+        self.assertTrue(memory.requests.take(MEGABYTE))
+
     def test_three_copies_and_the_host_fit_into_its_memory(self):
         for memory in (128, 200, 300, 552):
             bodies = compute_body_limit(memory) / MEGABYTE
--- a/tests/core/requests/test_readlimits.py
+++ b/tests/core/requests/test_readlimits.py
@@ -82,6 +82,23 @@
             budget.release()
         self.assertEqual(0, bodies.held)
 
+    def test_memory_for_bodies_of_all_peers(self):
+        # Guards against bodies without end of many peers, each within its own
+        # limit, that together exceed the memory of a host.
+        memory = BodyBudget(3 * MEGABYTE)
+        budgets = [
+            ReadBudget(10 * MEGABYTE, 10.0, BodyBudget(10 * MEGABYTE), memory)
+            for _ in range(4)
+        ]
+        for budget in budgets[:3]:
+            budget.note_body(MEGABYTE)
+        small = 64 * 1024
+        budgets[3].note_body(small)
+        self.assert_cut(ReadBound.MEMORY, budgets[3].note_body, 1)
+        for budget in budgets:
+            budget.release()
+        self.assertEqual(0, memory.held)
+
     def test_pauses_after_some_megabytes(self):
         # Guards against bodies without end that take all processor time.
         self.budget.note_received(4 * MEGABYTE)
