--- a/tests/daemons/test_stopped_host.py
+++ b/tests/daemons/test_stopped_host.py
@@ -5,6 +5,7 @@
 import tempfile
 
 import gevent
+import gevent.socket
 import testtools
 
 from sedgetide.platform import _names
@@ -55,6 +56,32 @@
         request = Request("POST", "/alert/x", headers, b"")
         return connection.exchange(request, TIMEOUT).status
 
+    def list_runs(self):
+        return {
+            each.request
+            for each in self.fleet.read_events()
+            if each.kind == "begin"
+        }
+
+    def test_request_that_is_complete_late_in_the_grace_time(self):
+        # Guards against a request that is passed on shortly before the end of
+        # a planned stop and cut while its upstream works on it.
+        self.host = self.fleet.hosts[0]
+        address = ("127.0.0.1", self.host.port)
+        caller = gevent.socket.create_connection(address)
+        self.addCleanup(caller.close)
+        caller.sendall(
+            f"POST /alert/x HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{_names.REQUEST_ID}: late\r\n{_names.SHARD_KEY}: {KEY}\r\n"
+            "Content-Length: 2\r\n\r\nx".encode()
+        )
+        self.host.program.signal(signal.SIGTERM)
+        gevent.sleep(GRACE - 0.6)
+        caller.sendall(b"x")
+        with gevent.Timeout(2.0):
+            self.assertIn(b" 503 ", caller.recv(1000))
+        self.assertNotIn("late", self.list_runs())
+
     def test_each_request_that_was_read_gets_an_answer(self):
         # Guards against connections that are closed without an answer at the
         # end of a planned stop, while requests wait or upstreams work.
@@ -67,11 +94,7 @@
         with gevent.Timeout(GRACE + 2.0):
             statuses = {each: callers[each].get() for each in numbers}
         self.assertLessEqual(set(statuses.values()), {200, 503, 504})
-        ran = {
-            each.request
-            for each in self.fleet.read_events()
-            if each.kind == "begin"
-        }
+        ran = self.list_runs()
         self.assertTrue(ran)
         refused = {each for each in numbers if statuses[each] == 503}
         self.assertTrue(refused)
