Refuse documents that are nested too deeply wherever they are read

Registry entries do no harm here, but the records of the leader and of the quarantine did, and in deployments without a registry the text and the assignment: a value with a deeply nested field ended the process, and as it stays in the store, each start after that.

Cause: the decoder raises RecursionError for such documents, which is not one of its own errors. Only the reader of registry entries expected it.

Evidence: a walk over all keys that hosts, entries and keepers read, with nestings of 900 and 100,000.

Change: what other processes have written is decoded in one place, which turns RecursionError into an error of the decoder.

--- a/sedgetide/backends/httpstore.py
+++ b/sedgetide/backends/httpstore.py
@@ -18,6 +18,7 @@
 from sedgetide.backends.answerlimits import decode_value
 from sedgetide.backends.store import Store
 from sedgetide.backends.store import WatchResult
+from sedgetide.coding.decoding import decode_json
 from sedgetide.coding.values import MAX_VALUE_BYTES
 from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
@@ -203,7 +204,7 @@
 
     def _decode(self, answer: HttpAnswer, kind: Any, step: Step) -> Any:
         try:
-            return msgspec.json.decode(answer.body, type=kind)
+            return decode_json(answer.body, kind)
         except msgspec.MsgspecError as error:
             raise StoreError(
                 ErrorCode.BAD_ANSWER, step, self._addresses[0], str(error)
--- a/sedgetide/backends/httpupstream.py
+++ b/sedgetide/backends/httpupstream.py
@@ -17,6 +17,7 @@
 from sedgetide.backends.upstream import UpstreamRequest
 from sedgetide.backends.upstream import UpstreamResult
 from sedgetide.backends.upstream import UpstreamStatus
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import Step
 from sedgetide.core.errors import UpstreamError
@@ -312,7 +313,7 @@
         try:
             if answer.status != _OK:
                 raise ValueError(f"status {answer.status}")
-            return msgspec.json.decode(answer.body, type=kind)
+            return decode_json(answer.body, kind)
         except (msgspec.MsgspecError, ValueError) as error:
             raise self._make_error(str(error)) from error
 
--- a/sedgetide/coding/messages.py
+++ b/sedgetide/coding/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sedgetide.backends.leasestore import Item
+from sedgetide.coding.decoding import decode_msgpack
 from sedgetide.core.configuration.records import Record
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import LinkError
@@ -682,7 +683,7 @@
         If the data is not a valid envelope.
     """
     try:
-        return _decoder.decode(data)
+        return decode_msgpack(data, _decoder)
     except msgspec.MsgspecError as error:
         raise LinkError(
             ErrorCode.BAD_ANSWER, Step.READ, "", str(error)
--- a/sedgetide/coding/ranges.py
+++ b/sedgetide/coding/ranges.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sedgetide.coding.decoding import decode_msgpack
 from sedgetide.core.identifiers import Fence
 from sedgetide.core.identifiers import IncarnationName
 from sedgetide.core.identifiers import Key
@@ -30,6 +31,9 @@
     ]
 
 
+_decoder = msgspec.msgpack.Decoder(_EncodedTable)
+
+
 def encode_ranges(table: RangeTable) -> bytes:
     """Encode a range table."""
     # The order is not changed by a move, so that successive versions differ
@@ -60,7 +64,7 @@
     msgspec.MsgspecError
         If the value is not a range table.
     """
-    encoded = msgspec.msgpack.decode(value, type=_EncodedTable)
+    encoded = decode_msgpack(value, _decoder)
     _check_rows(encoded)
     names = [IncarnationName(name) for name in encoded.names]
     ends = [row[0] - 1 for row in encoded.rows[1:]] + [LAST_KEY]
--- a/sedgetide/coding/settings.py
+++ b/sedgetide/coding/settings.py
@@ -9,6 +9,7 @@
 from sedgetide.coding.addresses import check_address
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.constraints import HoldMilliseconds
 from sedgetide.core.constraints import Name
 from sedgetide.core.constraints import NonNegativeFloat
@@ -275,7 +276,7 @@
         document, the value and what is expected.
     """
     try:
-        document = msgspec.json.decode(pathlib.Path(path).read_bytes())
+        document = decode_json(pathlib.Path(path).read_bytes())
     except (OSError, msgspec.MsgspecError) as error:
         raise _make_error(path, str(error)) from error
     if kind is HostSettings and isinstance(document, dict):
--- a/sedgetide/coding/text.py
+++ b/sedgetide/coding/text.py
@@ -12,6 +12,7 @@
 from sedgetide.coding.checking import describe_value
 from sedgetide.coding.checking import find_problems
 from sedgetide.coding.checking import Problem
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.configuration.services import KEY_SEGMENT
 from sedgetide.core.configuration.services import Service
 from sedgetide.core.configuration.services import Text
@@ -184,7 +185,7 @@
         expected = f"at most {MAX_TEXT_BYTES} bytes"
         return None, [Problem("$", f"{len(content)} bytes", expected)]
     try:
-        document = msgspec.json.decode(content)
+        document = decode_json(content)
     except msgspec.DecodeError as error:
         return None, [Problem("$", "invalid JSON", f"JSON: {error}")]
     found = find_problems(document, Text)
--- a/sedgetide/coding/values.py
+++ b/sedgetide/coding/values.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.identifiers import ChangeId
 from sedgetide.core.identifiers import Epoch
 from sedgetide.core.identifiers import HostName
@@ -42,7 +43,7 @@
 
 def decode_text(value: bytes) -> StoredText:
     """Decode the configuration from the store."""
-    return msgspec.json.decode(value, type=StoredText)
+    return decode_json(value, StoredText)
 
 
 class _StoredAssignment(msgspec.Struct, frozen=True):
@@ -80,7 +81,7 @@
     msgspec.MsgspecError
         If the value is not an assignment.
     """
-    stored = msgspec.json.decode(value, type=_StoredAssignment)
+    stored = decode_json(value, _StoredAssignment)
     try:
         return _make_assignment(stored)
     except ValueError as error:
--- a/sedgetide/command/configuration.py
+++ b/sedgetide/command/configuration.py
@@ -8,6 +8,7 @@
 from sedgetide.backends.store import Store
 from sedgetide.coding.checking import describe_value
 from sedgetide.coding.checking import Problem
+from sedgetide.coding.decoding import decode_json
 from sedgetide.coding.text import check_change
 from sedgetide.coding.text import check_text
 from sedgetide.coding.values import decode_assignment
@@ -181,7 +182,7 @@
             ]
         )
     shard = find_shard(key, service.shards)
-    document = msgspec.json.decode(current.content)
+    document = decode_json(current.content)
     for row in document["services"]:
         if row["name"] == service_name:
             pins = [p for p in row.get("pins", ()) if p["shard"] != shard]
@@ -200,7 +201,7 @@
         If no upstream has the name.
     """
     current = read_text(store)
-    document = msgspec.json.decode(current.content or "{}")
+    document = decode_json(current.content or "{}")
     names = []
     for service in document.get("services", ()):
         for upstream in service["upstreams"]:
--- a/sedgetide/daemons/_deployment.py
+++ b/sedgetide/daemons/_deployment.py
@@ -12,6 +12,7 @@
 from sedgetide.backends.dialects import UpstreamWithdrawn
 from sedgetide.backends.leasestore import Item
 from sedgetide.backends.leasestore import Listing
+from sedgetide.coding.decoding import decode_json
 from sedgetide.coding.ranges import decode_ranges
 from sedgetide.core.configuration.policy import check_policy
 from sedgetide.core.configuration.policy import Policy
@@ -380,7 +381,7 @@
         if value is None:
             self.leader = None
         else:
-            record = msgspec.json.decode(value, type=LeaderRecord)
+            record = decode_json(value, LeaderRecord)
             self.leader = KnownLeader(record, position)
         name = "" if self.leader is None else self.leader.record.host
         log_event(Event.LEADER, leader=name, revision=position)
@@ -417,7 +418,7 @@
     ) -> None:
         record = QuarantineRecord()
         if value is not None:
-            record = msgspec.json.decode(value, type=QuarantineRecord)
+            record = decode_json(value, QuarantineRecord)
         if current:
             self.recorded_quarantine = KnownQuarantine(record, position)
         self.quarantine.merge_record(record, now)
--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from sedgetide.coding.decoding import decode_msgpack
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import HostName
@@ -28,6 +29,7 @@
 from sedgetide.wire.messages import Request
 
 FORWARD_PATH = "/forward"
+_decoder = msgspec.msgpack.Decoder(ForwardedResult)
 # Seconds; a handshake between data centres takes two milliseconds.
 _CONNECT_TIMEOUT = 0.15
 # Seconds by which a peer's answer is due earlier than that to the caller.
@@ -236,7 +238,7 @@
     if answer.status != _OK:
         return ForwardedResult(Outcome.UNKNOWN)
     try:
-        result = msgspec.msgpack.decode(answer.body, type=ForwardedResult)
+        result = decode_msgpack(answer.body, _decoder)
         if result.status:
             check_status(result.status)
         return result
--- a/sedgetide/daemons/_forwardserver.py
+++ b/sedgetide/daemons/_forwardserver.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sedgetide.coding.addresses import split_address
+from sedgetide.coding.decoding import decode_msgpack
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.requests.bodylimits import BodyBudget
 from sedgetide.core.requests.forwarding import ForwardedRequest
@@ -85,7 +86,7 @@
         result = DECLINED
         if not self._stopping and self._server.in_hand <= _MAX_IN_PROGRESS:
             try:
-                forwarded = _decoder.decode(request.body)
+                forwarded = decode_msgpack(request.body, _decoder)
             except msgspec.MsgspecError:
                 return Answer(400, [])
             result = self._serve(forwarded)
--- a/sedgetide/platform/_registry.py
+++ b/sedgetide/platform/_registry.py
@@ -13,6 +13,7 @@
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import UpstreamWithdrawn
 from sedgetide.coding.addresses import split_address
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.configuration.policy import Policy
 from sedgetide.core.configuration.policy import RouteRule
@@ -44,12 +45,7 @@
 _MAX_WARMUP_MS = 86_400_000
 # In seconds, or in requests per second.
 _MAX_NUMBER = 1_000_000_000
-_UNREADABLE = (
-    msgspec.MsgspecError,
-    # Raised for documents that are nested too deeply.
-    RecursionError,
-    ValueError,
-)
+_UNREADABLE = (msgspec.MsgspecError, ValueError)
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -114,7 +110,7 @@
 def _read_entry(name: UpstreamName, value: bytes) -> RegisteredUpstream:
     if _VISIBLE_NAME.fullmatch(name) is None:
         raise ValueError("name: expected 1 to 200 visible ASCII characters")
-    entry = msgspec.json.decode(value, type=_Entry)
+    entry = decode_json(value, _Entry)
     split_address(entry.address)
     return RegisteredUpstream(
         name,
@@ -185,7 +181,7 @@
 
 
 def _read_policy(value: bytes) -> Policy:
-    document = msgspec.json.decode(value, type=_Configuration)
+    document = decode_json(value, _Configuration)
     services = [_read_service(row) for row in document.services.list_rows()]
     limits = document.limits
     return Policy(
--- a/sedgetide/platform/_store.py
+++ b/sedgetide/platform/_store.py
@@ -21,6 +21,7 @@
 from sedgetide.backends.leasestore import LeaseStore
 from sedgetide.backends.leasestore import Listing
 from sedgetide.backends.leasestore import Write
+from sedgetide.coding.decoding import decode_json
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import HistoryLost
 from sedgetide.core.errors import LeaseEnded
@@ -291,7 +292,7 @@
     def _decode(self, answer: Answer, kind: Any, step: Step) -> Any:
         self._require_ok(answer, step)
         try:
-            return msgspec.json.decode(answer.body, type=kind)
+            return decode_json(answer.body, kind)
         except msgspec.MsgspecError as error:
             raise self._error(
                 step, str(error), ErrorCode.BAD_ANSWER
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -104,6 +104,24 @@
             self.assertEqual([], deployment.directory.list_active("maps"))
             self.assertEqual(1, len(deployment.directory.list_all()))
 
+    def follow(self, key, value):
+        """Apply an odd item, then a good entry; return the upstreams."""
+        deployment = DeploymentState(PlatformRegistry())
+        good = Item(KEY, Position(0, 3), msgspec.json.encode(GOOD))
+        items = [Item(key, Position(0, 2), value), good]
+        deployment.apply_listing(Listing(items, Position(0, 4)), 1.0)
+        deployment.dump_state()
+        return [
+            each.registered_name for each in deployment.directory.list_all()
+        ]
+
+    def test_record_that_is_nested_deeply(self):
+        # Guards against hosts that end as another writer leaves a record of
+        # theirs in a form that no host writes.
+        nested = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        for name in ("leader", "quarantine", "ranges/maps"):
+            self.assertEqual(["i-1"], self.follow("sedgetide/" + name, nested))
+
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(strategies.sampled_from(FIELDS), VALUES)
     def test_one_field_is_something_else(self, path, value):
