Refuse odd addresses and numbers of registry entries

Cause: str.isdigit accepts digits of any script, addresses were only checked for their form, and a division of a large whole number raises OverflowError.

Change: addresses of entries must be those of one host with a port from 1 to 65535, numbers have bounds and are checked before they are used.

test_odd_entry_beside_a_good_one and test_odd_number_in_the_configuration failed before.

--- a/sedgetide/platform/_registry.py
+++ b/sedgetide/platform/_registry.py
@@ -12,7 +12,7 @@
 from sedgetide.backends.dialects import RegistryDialect
 from sedgetide.backends.dialects import UnreadableEntry
 from sedgetide.backends.dialects import UpstreamWithdrawn
-from sedgetide.coding.addresses import split_address
+from sedgetide.coding.addresses import check_server_address
 from sedgetide.coding.decoding import decode_json
 from sedgetide.core.configuration.policy import CallerLimits
 from sedgetide.core.configuration.policy import Policy
@@ -35,8 +35,7 @@
 _DRAINING = "draining"
 _IDEMPOTENT_KIND = "safe"
 _DEFAULT_TIMEOUT_MS = 30_000
-
-
+_MAX_COUNT = 2**53
 # Upstream names are sent in a header; other characters would allow header
 # injection. Keys of the store have at most 200 bytes.
 _VISIBLE_NAME = re.compile(r"[!-~]{1,200}")
@@ -48,7 +47,7 @@
 _UNREADABLE = (msgspec.MsgspecError, ValueError)
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 
 
 class _Info(msgspec.Struct, rename="kebab", frozen=True):
@@ -74,7 +73,7 @@
     address: str
     info: _Info
     status: _Status
-    born: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    born: Annotated[int, msgspec.Meta(ge=1, le=_MAX_COUNT)] | None = None
 
 
 class _Table(msgspec.Struct, frozen=True):
@@ -111,7 +110,7 @@
     if _VISIBLE_NAME.fullmatch(name) is None:
         raise ValueError("name: expected 1 to 200 visible ASCII characters")
     entry = decode_json(value, _Entry)
-    split_address(entry.address)
+    check_server_address(entry.address)
     return RegisteredUpstream(
         name,
         ServiceName(entry.info.service),
@@ -134,8 +133,9 @@
 
 
 def _read_route(row: dict[str, Any]) -> RouteRule:
-    timeout = row.get("timeout-ms", _DEFAULT_TIMEOUT_MS) / 1000.0
-    objective = row.get("target-latency-ms")
+    stated = _read_optional_number(row, "timeout-ms")
+    timeout = (_DEFAULT_TIMEOUT_MS if stated is None else stated) / 1000.0
+    objective = _read_optional_number(row, "target-latency-ms")
     return RouteRule(
         RouteName(row["name"]),
         row["host"],
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -1,5 +1,6 @@
 """Property tests: no registry entry of another writer stops a host."""
 
+import json
 import string
 
 from hypothesis import given
@@ -115,6 +116,38 @@
             each.registered_name for each in deployment.directory.list_all()
         ]
 
+    def test_odd_entry_beside_a_good_one(self):
+        # Guards against hosts that end, or stop to follow the registry, as
+        # another writer leaves an entry that no upstream writes.
+        entry = msgspec.json.encode(GOOD)
+        born = str(GOOD["born"]).encode()
+        odd = [b"[" * depth + b"]" * depth for depth in (900, 100_000)]
+        odd += [
+            entry.replace(born, number)
+            for number in (b"9" * 20, b"9" * 3001, b"9" * 5000, b"1e400")
+        ]
+        odd += [entry.replace(born, each) for each in odd[:2]]
+        odd.append(entry.replace(b'"sequence":4', b'"sequence":' + b"9" * 30))
+        odd += [
+            entry.replace(b"10.0.0.7:80", address.encode())
+            for address in (
+                "10.0.0.7:99999",
+                "10.0.0.7:0",
+                "10.0.0.7:\uff18\uff10",
+                "10.0.0.7:" + "8" * 5000,
+                "0.0.0.0:80",
+                "224.0.0.1:80",
+                "255.255.255.255:80",
+                "[::]:80",
+                "[ff02::1]:80",
+                "[fe80::1%eth0]:80",
+            )
+        ]
+        for value in odd:
+            self.assertNotEqual(entry, value)
+            found = self.follow("servers/i-2", value)
+            self.assertEqual(["i-1"], found, value[:200])
+
     def test_record_that_is_nested_deeply(self):
         # Guards against hosts that end as another writer leaves a record of
         # theirs in a form that no host writes.
@@ -122,6 +155,21 @@
         for name in ("leader", "quarantine", "ranges/maps"):
             self.assertEqual(["i-1"], self.follow("sedgetide/" + name, nested))
 
+    def test_odd_number_in_the_configuration(self):
+        # Guards against hosts that end again and again because of a number
+        # that is too large for an operation.
+        route = ["a", "h", "/", "safe", 10**400, 1, "s"]
+        columns = "name host path-prefix kind timeout-ms max-attempts service"
+        document = {
+            "version": "r1",
+            "routes": {"columns": columns.split(), "rows": [route]},
+            "services": {"columns": ["name"], "rows": [["s"]]},
+        }
+        for place, name in ((4, "timeout-ms"), (5, "target-latency-ms")):
+            document["routes"]["columns"][place] = name
+            value = json.dumps(document).encode()
+            self.assertEqual(["i-1"], self.follow("op/config", value))
+
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(strategies.sampled_from(FIELDS), VALUES)
     def test_one_field_is_something_else(self, path, value):
