Heed what an upstream says in an answer that a peer got

Cause: a host cut off from the upstreams passes its requests on. The peer read the notice in the answer's headers, the host returned them to its caller and didn't. A stated limit is in the same place.

Evidence: event=upstream-leaving on both peers for all three upstreams, on the host for none, while 214 of its requests had via=.

Change: the result names the upstream whose answer it has, and the host applies a notice to leave and a limit as if it had sent the request.

TestPeerAnswer and the tests of the forwarder failed before.

--- a/sedgetide/core/requests/forwarding.py
+++ b/sedgetide/core/requests/forwarding.py
@@ -14,6 +14,7 @@
 from sedgetide.core.identifiers import DataCentre
 from sedgetide.core.identifiers import HostName
 from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import NO_UPSTREAM
 from sedgetide.core.identifiers import Version
 from sedgetide.core.membership.peers import Peer
 from sedgetide.core.membership.peers import PeerList
@@ -96,6 +97,9 @@
         Seconds after which a refused caller should retry.
     tried : list of IncarnationName
         Upstreams to which the peer has sent it.
+    answered_by : IncarnationName
+        Upstream whose answer it is; empty without one, and from a peer of an
+        earlier version.
     """
 
     outcome: Outcome
@@ -108,6 +112,7 @@
     reason: str = ""
     retry_after: float = 0.0
     tried: _Upstreams = []
+    answered_by: IncarnationName = NO_UPSTREAM
 
 
 class PeerPool:
--- a/sedgetide/daemons/_forwardedrequests.py
+++ b/sedgetide/daemons/_forwardedrequests.py
@@ -101,4 +101,5 @@
         reason="" if reason is None else reason.value,
         retry_after=context.retry_after,
         tried=tried,
+        answered_by=context.answered_by,
     )
--- a/sedgetide/daemons/_forwarder.py
+++ b/sedgetide/daemons/_forwarder.py
@@ -8,6 +8,7 @@
 from sedgetide.core.errors import ErrorCode
 from sedgetide.core.errors import UpstreamError
 from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import NO_UPSTREAM
 from sedgetide.core.membership.peers import Peer
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.bodylimits import BodyBudget
@@ -258,6 +259,9 @@
     context.refusal = None
     if result.status:
         context.answer = Answer(result.status, result.headers, result.body)
+        context.answered_by = result.answered_by
+        if not context.answered_by and result.outcome is Outcome.ANSWERED:
+            context.answered_by = next(reversed(result.tried), NO_UPSTREAM)
     if result.outcome is Outcome.ANSWERED:
         progress.failure = Failure.NONE
         return
--- a/sedgetide/daemons/_requestcontext.py
+++ b/sedgetide/daemons/_requestcontext.py
@@ -9,6 +9,8 @@
 from sedgetide.core.configuration.policy import RouteRule
 from sedgetide.core.identifiers import Fingerprint
 from sedgetide.core.identifiers import HostName
+from sedgetide.core.identifiers import IncarnationName
+from sedgetide.core.identifiers import NO_UPSTREAM
 from sedgetide.core.identifiers import ServiceName
 from sedgetide.core.requests.attempts import Failure
 from sedgetide.core.requests.attempts import Progress
@@ -41,6 +43,8 @@
         Result of the attempts so far.
     answer : Answer or None
         Last answer that may be returned to the caller.
+    answered_by : IncarnationName
+        Upstream whose answer it is; empty without one.
     retry_after : float
         Seconds after which the caller should retry.
     refusal : Refusal or None
@@ -89,6 +93,7 @@
     times: RequestTimes
     progress: Progress
     answer: Answer | None = None
+    answered_by: IncarnationName = NO_UPSTREAM
     retry_after: float = SHORT_RETRY_DELAY
     refusal: Refusal | None = None
     detail: str = ""
--- a/sedgetide/daemons/_requestrouter.py
+++ b/sedgetide/daemons/_requestrouter.py
@@ -385,9 +385,12 @@
         """
         if context.detour is None or context.received_from is not None:
             return False
+        earlier, asked_at = context.answer, read_clock()
         detour = self._forwarder.forward(context, context.detour)
         if detour is not Detour.FINAL:
             return True
+        if context.answer is not earlier:
+            self._sender.note_peer_answer(context, asked_at)
         answered = context.progress.outcome is Outcome.ANSWERED
         if answered:
             self._note_reached_by_peer(context)
--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -18,6 +18,7 @@
 from sedgetide.core.requests.health import UNREACHABLE_WEIGHT
 from sedgetide.core.requests.outcomes import combine_outcomes
 from sedgetide.core.requests.outcomes import Outcome
+from sedgetide.core.requests.pushback import Pushback
 from sedgetide.core.requests.ratelimits import StatedLimit
 from sedgetide.core.requests.refusals import RefusalReason
 from sedgetide.core.requests.retryafter import retry_after_full_upstream
@@ -275,9 +276,11 @@
             self._dialect.classify_answer(answer.status, answer.headers),
             context.keyed,
         )
-        stated_limit = self._apply_pushback(
-            target, answer, failure, began, now
-        )
+        stated_limit = None
+        if failure is not Failure.FOREIGN:
+            stated_limit = self._apply_pushback(
+                target.upstream, answer, failure is Failure.NONE, began, now
+            )
         if permit.place is not None:
             waiting = 0 if load is None else load.waiting
             complete = failure is Failure.NONE
@@ -297,9 +300,7 @@
             )
             context.progress.outcome = Outcome.ANSWERED
             context.progress.failure = Failure.NONE
-            context.answer = Answer(
-                answer.status, drop_hop_headers(answer.headers), answer.body
-            )
+            _keep_answer(context, target, answer)
             return
         if failure is Failure.FOREIGN:
             self._deployment.directory.note_foreign(target.upstream.name, now)
@@ -308,9 +309,7 @@
                 earlier_outcome, Outcome.NOT_RUN
             )
         elif failure is Failure.FAILED:
-            context.answer = Answer(
-                answer.status, drop_hop_headers(answer.headers), answer.body
-            )
+            _keep_answer(context, target, answer)
         if failure is Failure.BUSY:
             seconds = channel.health.estimate_seconds()
             context.retry_after = retry_after_full_upstream(load, seconds)
@@ -332,16 +331,32 @@
             )
             return None
 
-    def _apply_pushback(
-        self,
-        target: Target,
-        answer: Answer,
-        failure: Failure,
-        began: float,
-        now: float,
-    ) -> StatedLimit | None:
-        """Apply the pushback of an answer; return the limit it states."""
-        upstream = target.upstream
+    def note_peer_answer(
+        self, context: RequestContext, asked_at: float
+    ) -> None:
+        """Apply what an upstream says of itself in an answer that a peer got.
+
+        The caller gets it from this host, which then has to know it as if it
+        had sent the request itself. A backoff concerns the peer only.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic time before which the peer can't have sent it.
+        """
+        upstream = self._deployment.directory.find(context.answered_by)
+        if upstream is None:
+            return
+        answer = context.answer
+        pushback = self._read_pushback(upstream, answer)
+        self._note_leaving(upstream, pushback)
+        if pushback.limit is not None:
+            limit = StatedLimit(pushback.limit, asked_at, read_clock())
+            self._note_limit(upstream, limit)
+
+    def _read_pushback(
+        self, upstream: RegisteredUpstream, answer: Answer
+    ) -> Pushback:
         pushback = self._dialect.read_pushback(answer.status, answer.headers)
         for problem in pushback.problems:
             PUSHBACKS.labels(upstream.service, "unreadable").inc()
@@ -350,29 +365,28 @@
                 upstream=upstream.registered_name,
                 problem=problem,
             )
-        if failure is Failure.FOREIGN:
-            return None
-        if pushback.leaving:
-            PUSHBACKS.labels(upstream.service, "leaving").inc()
-            self._deployment.note_leaving(upstream.name)
+        return pushback
+
+    def _apply_pushback(
+        self,
+        upstream: RegisteredUpstream,
+        answer: Answer,
+        complete: bool,
+        began: float,
+        now: float,
+    ) -> StatedLimit | None:
+        """Apply the pushback of an answer; return the limit it states."""
+        pushback = self._read_pushback(upstream, answer)
+        self._note_leaving(upstream, pushback)
         if pushback.backoff is not None:
             PUSHBACKS.labels(upstream.service, "backoff").inc()
             self._note_backoff(upstream, pushback.backoff, now)
-        limits = self._deployment.limits
-        if pushback.limit is not None:
-            PUSHBACKS.labels(upstream.service, "limit").inc()
-        elif failure is not Failure.NONE or pushback.problems:
+        if pushback.limit is None and (not complete or pushback.problems):
             # Only a complete answer without a limit means that there is none.
             return None
         stated_limit = StatedLimit(pushback.limit, began, now)
-        before = limits.find(upstream.name)
-        if limits.note(upstream.name, stated_limit):
-            limit = limits.find(upstream.name)
-            log_event(
-                Event.LIMITED,
-                upstream=upstream.registered_name,
-                limit=None if limit is None else limit.rate,
-            )
+        before = self._deployment.limits.find(upstream.name)
+        self._note_limit(upstream, stated_limit)
         # Nearly all answers state no limit, and the lender is often in another
         # data centre; it is told of "no limit" only if there was one before.
         return (
@@ -381,6 +395,27 @@
             else stated_limit
         )
 
+    def _note_leaving(
+        self, upstream: RegisteredUpstream, pushback: Pushback
+    ) -> None:
+        if pushback.leaving:
+            PUSHBACKS.labels(upstream.service, "leaving").inc()
+            self._deployment.note_leaving(upstream.name)
+
+    def _note_limit(
+        self, upstream: RegisteredUpstream, stated_limit: StatedLimit
+    ) -> None:
+        limits = self._deployment.limits
+        if stated_limit.rate is not None:
+            PUSHBACKS.labels(upstream.service, "limit").inc()
+        if limits.note(upstream.name, stated_limit):
+            limit = limits.find(upstream.name)
+            log_event(
+                Event.LIMITED,
+                upstream=upstream.registered_name,
+                limit=None if limit is None else limit.rate,
+            )
+
     def _note_backoff(
         self, upstream: RegisteredUpstream, seconds: float, now: float
     ) -> None:
@@ -416,3 +451,12 @@
             channel.health.note_failure(read_clock(), weight)
         if failure in UPSTREAM_FAULTS and not unseen:
             self._meter.note_failure(target.upstream.name)
+
+
+def _keep_answer(
+    context: RequestContext, target: Target, answer: Answer
+) -> None:
+    """Keep an answer of an upstream as one that the caller may get."""
+    headers = drop_hop_headers(answer.headers)
+    context.answer = Answer(answer.status, headers, answer.body)
+    context.answered_by = target.upstream.name
--- a/tests/daemons/test_forwarder.py
+++ b/tests/daemons/test_forwarder.py
@@ -111,6 +111,21 @@
         )
         self.assertIs(Outcome.ANSWERED, self.context.progress.outcome)
         self.assertEqual([UPSTREAM], self.context.progress.tried)
+        self.assertEqual(UPSTREAM, self.context.answered_by)
+
+    def test_upstream_of_an_earlier_answer_is_named(self):
+        # Guards against a notice to leave that is taken for that of the
+        # upstream that a peer asked last.
+        failed = msgspec.structs.replace(
+            ANSWERED,
+            outcome=Outcome.UNKNOWN,
+            status=500,
+            tried=["u-2@1", UPSTREAM],
+            answered_by="u-2@1",
+        )
+        self.start_peer(failed)
+        self.forward()
+        self.assertEqual("u-2@1", self.context.answered_by)
 
     def test_result_with_an_invalid_status_is_no_answer(self):
         # Guards against callers that get such a status by way of a peer of
--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -199,6 +199,53 @@
         self.assertEqual(["south"], reached)
 
 
+class TestPeerAnswer(RequestRouterTest):
+    """What an upstream says of itself in an answer that a peer got."""
+
+    def serve_by_peer(self, *headers, status=200):
+        self.deployment.directory.put(FAR_UPSTREAM, read_clock())
+
+        def forward(context, destination):
+            answered = status < 500
+            outcome = Outcome.ANSWERED if answered else Outcome.UNKNOWN
+            context.progress.outcome = outcome
+            context.progress.tried = [FAR_UPSTREAM.name]
+            context.answer = Answer(status, list(headers))
+            context.answered_by = FAR_UPSTREAM.name
+            return Detour.FINAL
+
+        self.router._forwarder = types.SimpleNamespace(forward=forward)
+        self.router._selector.acquire = self.take_detour
+        return self.serve()
+
+    def test_upstream_that_leaves(self):
+        # Guards against requests to an upstream after a host has passed on
+        # that it leaves, as only the peer that sent for it had read that.
+        for status in (200, 500):
+            answer = self.serve_by_peer(("Server-Leaving", "1"), status=status)
+            self.assertEqual(status, answer.status)
+            active = self.deployment.directory.list_active(SERVICE)
+            self.assertEqual([], active)
+
+    def test_upstream_that_names_a_limit(self):
+        # Guards against more requests than an upstream takes, from a host
+        # that has passed on the limit.
+        self.serve_by_peer(("Server-Limit", "3.5"))
+        limit = self.deployment.limits.find(FAR_UPSTREAM.name)
+        self.assertEqual(3.5, limit.rate)
+        self.serve_by_peer()
+        self.assertIsNotNone(self.deployment.limits.find(FAR_UPSTREAM.name))
+
+    def test_backoff_is_that_of_the_peer(self):
+        # Guards against a host that sends an upstream nothing, as that has
+        # asked another host for a pause.
+        self.serve_by_peer(("Retry-After", "5"), status=503)
+        remaining = self.deployment.backoffs.find_remaining(
+            FAR_UPSTREAM.name, read_clock()
+        )
+        self.assertEqual(0.0, remaining)
+
+
 class TestPromises(RequestRouterTest):
     """Statuses that tell a caller that its request has not run."""
 
@@ -231,7 +278,9 @@
             end(context)
             return Detour.FINAL
 
-        self.router._sender = types.SimpleNamespace(attempt=attempt)
+        self.router._sender = types.SimpleNamespace(
+            attempt=attempt, note_peer_answer=lambda context, asked_at: None
+        )
         self.router._forwarder = types.SimpleNamespace(forward=forward)
         self.router._quarantine.may_retry = lambda context: False
         acquire = self.take_detour if by_peer else self.acquire
