Blame requests for a crash after their callers have left, too

What callers saw: one caller repeated a request and left before it crashed its upstream, 12 times.

Cause: only a connection that breaks was told to the crash detector. When a caller leaves, the host closes the connection itself and forgot the run, while the upstream goes on with it.

Evidence: 12 lines of the request with status=0 stage=answer; of 21 lines event=upstream-ended none names it.

Change: such a run stays on record until the deadline that the upstream was told, and is blamed if the upstream ends before. An answer to another request doesn't clear it meanwhile. Where no other connection broke, a withdrawn entry is no proof, a later start or a refused connection is.

The tests of the sender, the detector and the record failed before.

--- a/sedgetide/daemons/_crashdetector.py
+++ b/sedgetide/daemons/_crashdetector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 import msgspec
 
 from sedgetide.core.identifiers import IncarnationName
@@ -62,6 +63,8 @@
         self._paths = paths
         self._note_upstream_end = note_upstream_end
         self._runs = BrokenRuns()
+        # Upstreams with runs whose callers have left.
+        self._abandoned: dict[IncarnationName, RegisteredUpstream] = {}
         self._probe_results: dict[IncarnationName, _ProbeResult] = {}
 
     def note_broken(
@@ -83,6 +86,19 @@
                 self._runs.pop_ended(upstream.name, LossProof.REFUSED)
             )
 
+    def note_abandoned(
+        self, context: RequestContext, upstream: RegisteredUpstream
+    ) -> None:
+        """Record that a caller left while an upstream ran its request.
+
+        The upstream may go on until the deadline that it was told.
+        """
+        if self._directory.is_leaving(upstream.name):
+            return
+        run = _describe_run(context, read_clock(), context.times.final)
+        self._runs.note(upstream.name, run)
+        self._abandoned[upstream.name] = upstream
+
     def _probe(self, upstream: RegisteredUpstream, now: float) -> Presence:
         last = self._probe_results.get(upstream.name)
         if last is not None and now - last.at < _PROBE_INTERVAL:
@@ -134,13 +150,37 @@
     def run_periodic(self, now: float) -> None:
         """Report broken upstreams whose registry entries have disappeared."""
         for ended in self._runs.pop_withdrawn(self._directory, now):
-            self._report_end(ended)
+            if ended.has_broken_runs:
+                self._report_end(ended)
+            else:
+                upstream = self._abandoned[ended.upstream]
+                gevent.spawn(self._report_if_ended, ended, upstream, now)
+        self._abandoned = {
+            name: upstream
+            for name, upstream in self._abandoned.items()
+            if name in self._runs
+        }
         self._probe_results = {
             name: each
             for name, each in self._probe_results.items()
             if now - each.at < _PROBE_INTERVAL
         }
 
+    def _report_if_ended(
+        self, ended: EndedUpstream, upstream: RegisteredUpstream, now: float
+    ) -> None:
+        """Report an upstream that was withdrawn after callers had left.
+
+        Some upstreams are withdrawn as planned, without an announcement, and
+        go on for a while. No broken connection tells that this one crashed.
+        """
+        restarted = any(
+            each.registered_name == upstream.registered_name
+            for each in self._directory.list_all()
+        )
+        if restarted or self._probe(upstream, now) is Presence.ENDED:
+            self._report_end(ended)
+
     def _report_end(self, ended: EndedUpstream | None) -> None:
         if ended is None:
             return
@@ -160,7 +200,9 @@
         self._note_upstream_end(ended, read_clock())
 
 
-def _describe_run(context: RequestContext, now: float) -> BrokenRun:
+def _describe_run(
+    context: RequestContext, now: float, runs_until: float = float("-inf")
+) -> BrokenRun:
     request = context.request
     return BrokenRun(
         context.fields.request,
@@ -170,4 +212,5 @@
         find_header(request.headers, "host") or "",
         request.target[:_MAX_TARGET_LENGTH],
         context.alone,
+        runs_until,
     )
--- a/sedgetide/daemons/_sender.py
+++ b/sedgetide/daemons/_sender.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import gevent
+
 from sedgetide.backends.dialects import RequestDialect
 from sedgetide.core.errors import AnswerCutError
 from sedgetide.core.errors import ErrorCode
@@ -146,6 +148,9 @@
             if not silent:
                 self._crash_detector.note_broken(context, target.upstream)
             return True
+        except gevent.GreenletExit:
+            self._crash_detector.note_abandoned(context, target.upstream)
+            raise
         self._paths.note_answer(target.upstream)
         self._crash_detector.note_answer(target.upstream.name, began)
         channel.owed.note_answer(read_clock())
--- a/tests/core/requests/test_brokenruns.py
+++ b/tests/core/requests/test_brokenruns.py
@@ -1,5 +1,6 @@
 """Tests of the attribution of broken connections to crashes."""
 
+import msgspec
 import testtools
 
 from sedgetide.core.identifiers import DataCentre
@@ -26,6 +27,11 @@
     return BrokenRun(RequestId(request), Fingerprint(fingerprint), at)
 
 
+def make_abandoned_run(at, runs_until, request="r"):
+    run = make_run(at, request)
+    return msgspec.structs.replace(run, runs_until=runs_until)
+
+
 class TestBrokenRuns(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -54,6 +60,47 @@
         self.directory.remove(UPSTREAM.registered_name, 2.0)
         self.assertEqual([], self.runs.pop_withdrawn(self.directory, 2.0))
 
+    def test_request_of_a_caller_that_left_may_still_crash_it(self):
+        # Guards against a request that is never suspected, as its callers
+        # leave before it crashes the upstream that goes on with it.
+        self.runs.note(UPSTREAM.name, make_abandoned_run(1.0, 2.0))
+        self.runs.note_answer(UPSTREAM.name, began=1.9)
+        self.directory.remove(UPSTREAM.registered_name, 2.5)
+        (ended,) = self.runs.pop_withdrawn(self.directory, 2.5)
+        self.assertFalse(ended.has_broken_runs)
+        self.assertEqual(1.0, ended.at)
+
+    def test_request_of_a_caller_that_left_is_over_after_its_deadline(self):
+        # Guards against sound requests that are suspected long after.
+        self.runs.note(UPSTREAM.name, make_abandoned_run(1.0, 2.0))
+        self.runs.note_answer(UPSTREAM.name, began=2.1)
+        self.assertNotIn(UPSTREAM.name, self.runs)
+        self.runs.note(UPSTREAM.name, make_abandoned_run(3.0, 4.0))
+        self.runs.note(UPSTREAM.name, make_run(5.0, "broken"))
+        ended = self.runs.pop_ended(UPSTREAM.name, LossProof.REFUSED)
+        self.assertEqual(["broken"], [run.request for run in ended.runs])
+        self.assertEqual(5.0, ended.at)
+
+    def test_announced_end_has_nothing_to_do_with_callers_that_left(self):
+        # Guards against sound requests that are suspected when upstreams are
+        # replaced while many callers leave.
+        self.runs.note(UPSTREAM.name, make_abandoned_run(1.0, 9.0))
+        self.directory.note_leaving(UPSTREAM.name)
+        self.assertEqual([], self.runs.pop_withdrawn(self.directory, 1.2))
+        self.directory.remove(UPSTREAM.registered_name, 3.0)
+        self.assertEqual([], self.runs.pop_withdrawn(self.directory, 3.0))
+
+    def test_broken_connections_go_before_callers_that_left(self):
+        # Guards against a crash that is not attributed, as many callers have
+        # left before.
+        for number in range(100):
+            run = make_abandoned_run(1.0, 9.0, f"left-{number}")
+            self.runs.note(UPSTREAM.name, run)
+        self.runs.note(UPSTREAM.name, make_run(1.5, "broken"))
+        ended = self.runs.pop_ended(UPSTREAM.name, LossProof.REFUSED)
+        self.assertIn("broken", [run.request for run in ended.runs])
+        self.assertEqual(1.5, ended.at)
+
     def test_last_answer_of_an_upstream_that_ends(self):
         """An answer is sent right before the crash and read after it.
 
--- a/tests/daemons/test_crashdetector.py
+++ b/tests/daemons/test_crashdetector.py
@@ -16,6 +16,7 @@
 from sedgetide.core.membership.directory import UpstreamDirectory
 from sedgetide.core.requests.attempts import Progress
 from sedgetide.core.requests.brokenruns import LossProof
+from sedgetide.core.requests.routes import RequestTimes
 from sedgetide.daemons._crashdetector import CrashDetector
 from sedgetide.daemons._pathmonitor import PathMonitor
 from sedgetide.daemons._requestcontext import RequestContext
@@ -103,6 +104,32 @@
             self.detector.note_broken(make_context(number), upstream)
         self.assertEqual([], self.ended)
 
+    def withdraw_after_a_caller_left(self, upstream):
+        context = make_context()
+        now = read_clock()
+        context.times = RequestTimes(now, now + 1.0, now + 1.0)
+        self.detector.note_abandoned(context, upstream)
+        self.directory.remove(upstream.registered_name, now)
+        self.detector.run_periodic(now)
+        gevent.sleep(0.2)
+        return [run.request for each in self.ended for run in each.runs]
+
+    def test_crash_after_the_caller_left(self):
+        # Guards against a request that crashes one upstream after the other,
+        # as its callers leave before.
+        upstream = self.put(f"127.0.0.1:{find_port()}")
+        listener = open_listener("127.0.0.1", 0)
+        self.addCleanup(listener.close)
+        other = f"127.0.0.1:{listener.getsockname()[1]}"
+        self.put(other, name="map-2")
+        self.assertEqual(["r1"], self.withdraw_after_a_caller_left(upstream))
+
+    def test_withdrawn_upstream_that_goes_on_after_the_caller_left(self):
+        # Guards against sound requests that are suspected when upstreams are
+        # taken away without an announcement.
+        upstream = self.serve(lambda connection: None)
+        self.assertEqual([], self.withdraw_after_a_caller_left(upstream))
+
     def test_full_upstream_that_resets_new_connections(self):
         """A full upstream resets a request and each new connection.
 
--- a/tests/daemons/test_sender.py
+++ b/tests/daemons/test_sender.py
@@ -2,6 +2,7 @@
 
 import types
 
+import gevent
 import testtools
 
 from sedgetide.core.errors import AnswerCutError
@@ -127,6 +128,34 @@
         report = self.meter.collect_report(NO_POSITION)
         return [each.failures for each in report.upstreams]
 
+    def test_caller_that_leaves_is_told_to_the_crash_detector(self):
+        # Guards against requests that crash upstreams and are never suspected,
+        # as their callers leave before.
+        abandoned = []
+        self.sender._crash_detector = types.SimpleNamespace(
+            note_abandoned=lambda _, upstream: abandoned.append(upstream)
+        )
+        connection = types.SimpleNamespace(
+            exchange=lambda *_: gevent.sleep(60.0),
+            sent_ids=SentIds(),
+            rested=1.0,
+            local_port=1,
+            is_new=False,
+            answered=True,
+        )
+        pool = types.SimpleNamespace(take_idle=lambda _: connection)
+        self.permit.channel.pool = pool
+        self.permit.channel.idle_limit = IdleLimit()
+        context = make_context(Outcome.NOT_RUN)
+        now = read_clock()
+        context.times = type(context.times)(now, now + 9.0, now + 0.5)
+        sending = gevent.spawn(
+            self.sender.attempt, context, self.permit, lambda: True
+        )
+        gevent.sleep(0.02)
+        sending.kill()
+        self.assertEqual([UPSTREAM], abandoned)
+
     def test_silent_upstream_is_reported_to_the_leader(self):
         self.assertEqual([1], self.send_without_answer())
 
