Keep upstreams in doubt that refuse connections for themselves

What callers saw: requests without keys were refused as unreachable though five upstreams had room, while nine entries of the registry led to addresses that refuse connections. Operators saw upstream-reached for such entries.

Cause: two missed upstreams of a data centre put its path in doubt, and one connection to another of it ends the doubt for all that were missed. They were tried again by the next requests, and so on.

Change: one that is missed again after it was taken for reached, and never was, stays in doubt. It is probed, but tells nothing about its data centre. upstream-reached is logged only for upstreams that were.

--- a/sedgetide/core/membership/paths.py
+++ b/sedgetide/core/membership/paths.py
@@ -113,6 +113,9 @@
 
     def __init__(self) -> None:
         self._missed: dict[IncarnationName, _Missed] = {}
+        # Upstreams that were taken for reached because another one of their
+        # data centre was, and that were not reached themselves since.
+        self._presumed: set[IncarnationName] = set()
         self._reached_at: dict[DataCentre, float] = {}
         self._lost_since: dict[DataCentre, float] = {}
         self._cut_off_since: float | None = None
@@ -125,6 +128,7 @@
         Its data centre is reached, but new connections to the upstream may
         still fail while open ones live on.
         """
+        self._presumed.discard(upstream.name)
         self._reached_at[upstream.data_centre] = now
         self._lost_since.pop(upstream.data_centre, None)
         self._cut_off_since = None
@@ -133,13 +137,22 @@
         """Record that a connection to an upstream was opened."""
         self._missed.pop(upstream.name, None)
         if self.is_lost(upstream.data_centre):
-            # The other upstreams need not be reached one by one.
-            for name in list(self._missed):
-                found = self._missed[name].upstream
-                if found.data_centre == upstream.data_centre:
-                    del self._missed[name]
+            self._presume_reached(upstream.data_centre)
         self.note_answer(upstream, now)
 
+    def _presume_reached(self, data_centre: DataCentre) -> None:
+        """Forget the misses of a data centre whose path is open again.
+
+        Its upstreams need not be reached one by one. One that was missed
+        again after that, and never reached, is missed for itself.
+        """
+        for name, each in list(self._missed.items()):
+            if each.upstream.data_centre != data_centre:
+                continue
+            if name not in self._presumed:
+                self._presumed.add(name)
+                del self._missed[name]
+
     def note_missed(self, upstream: RegisteredUpstream, now: float) -> None:
         """Record that no connection to an upstream could be opened."""
         known = self._missed.setdefault(
@@ -164,11 +177,15 @@
             self._cut_off_since = now
 
     def _list_missed_in_a_row(self) -> list[_Missed]:
-        """Return those missed after their data centre was last reached."""
+        """Return those missed after their data centre was last reached.
+
+        One that is missed for itself tells nothing about its data centre.
+        """
         return [
             each
-            for each in self._missed.values()
-            if each.last
+            for name, each in self._missed.items()
+            if name not in self._presumed
+            and each.last
             > self._reached_at.get(each.upstream.data_centre, NEVER)
         ]
 
@@ -284,6 +301,7 @@
         for names in (self._missed, self._probed_at):
             for name in [each for each in names if each not in known]:
                 del names[name]
+        self._presumed.intersection_update(known)
         left = {each.upstream.data_centre for each in self._missed.values()}
         for data_centre in [
             each for each in self._lost_since if each not in left
--- a/sedgetide/daemons/_pathmonitor.py
+++ b/sedgetide/daemons/_pathmonitor.py
@@ -64,6 +64,8 @@
         self._answered_at = float("-inf")
         self._probing: set[IncarnationName] = set()
         self._logged_missed: set[IncarnationName] = set()
+        # Upstreams reached since the changes were last logged.
+        self._reached: set[IncarnationName] = set()
         self._logged_lost: dict[DataCentre, float] = {}
 
     # Observations
@@ -80,6 +82,7 @@
         regained = self.tracker.is_lost(upstream.data_centre)
         doubtful = self._list_doubtful() if lost_for > 0 else []
         self.tracker.note_connected(upstream, now)
+        self._reached.add(upstream.name)
         self._report_regained(doubtful)
         if lost_for < _MIN_STALE:
             return
@@ -233,9 +236,10 @@
         missed = {each.name for each in self.tracker.list_missed()}
         for name in sorted(missed - self._logged_missed):
             log_event(Event.UPSTREAM_MISSED, upstream=name)
-        for name in sorted(self._logged_missed - missed):
+        for name in sorted((self._logged_missed - missed) & self._reached):
             log_event(Event.UPSTREAM_REACHED, upstream=name)
         self._logged_missed = missed
+        self._reached.clear()
         MISSED_UPSTREAMS.set(len(missed))
         lost = set(self.list_lost())
         for data_centre in sorted(lost - self._logged_lost.keys()):
--- a/tests/core/membership/test_paths.py
+++ b/tests/core/membership/test_paths.py
@@ -73,6 +73,29 @@
         doubtful = [each for each in NORTH if self.tracker.is_doubtful(each)]
         self.assertEqual([], doubtful)
 
+    def test_upstreams_that_refuse_for_themselves_stay_in_doubt(self):
+        # Guards against requests that are refused although other upstreams
+        # have room: entries of upstreams that never accepted a connection
+        # were tried again after each connection to another one.
+        self.miss(NORTH[:2])
+        self.tracker.note_connected(NORTH[3], 100.1)
+        self.miss(NORTH[:2], 100.2)
+        self.assertFalse(self.tracker.is_doubtful(NORTH[2]))
+        self.tracker.note_connected(NORTH[3], 100.3)
+        doubtful = [each for each in NORTH if self.tracker.is_doubtful(each)]
+        self.assertEqual(NORTH[:2], doubtful)
+
+    def test_path_that_is_lost_twice(self):
+        # Guards against a second loss of a path that is not seen, as the
+        # upstreams were missed in the first one, too.
+        self.miss(NORTH[:2])
+        self.tracker.note_connected(NORTH[0], 100.1)
+        self.tracker.note_answer(NORTH[1], 100.2)
+        self.miss(NORTH[:2], 101.0)
+        self.assertTrue(self.tracker.is_doubtful(NORTH[3]))
+        self.tracker.note_connected(NORTH[0], 101.1)
+        self.assertFalse(self.tracker.is_doubtful(NORTH[1]))
+
     def test_new_connection_ends_the_doubt_of_its_upstream(self):
         # Guards against requests that are passed on for good after a single
         # failed attempt.
--- a/tests/daemons/test_pathmonitor.py
+++ b/tests/daemons/test_pathmonitor.py
@@ -103,6 +103,19 @@
             while self.monitor.is_doubtful(self.upstreams[2]):
                 gevent.sleep(0.001)
 
+    def test_upstream_that_was_not_reached_is_not_logged_as_reached(self):
+        # Guards against a line that says what nothing has shown.
+        self.lose_paths()
+        self.monitor._log_changes(read_clock())
+        self.monitor.note_connected(self.upstreams[0])
+        self.monitor._log_changes(read_clock())
+        reached = [
+            each["upstream"]
+            for each in self.events
+            if each["msg"] == "upstream-reached"
+        ]
+        self.assertEqual(["u-0"], reached)
+
     def test_loss_and_return_are_logged_once(self):
         self.lose_paths()
         for _ in range(2):
