Answer the requests that are open when an entry ends

Cause: as in the host, a request knew only its own deadline.

Change: shortly before the end, requests at keepers get the outcome unknown (504) and are cancelled there.

LongRequestTest of test_stop.py (real processes, work of 2.5 s, drain of 1 s) failed before with a closed connection.

--- a/sedgetide/daemons/_dispatcher.py
+++ b/sedgetide/daemons/_dispatcher.py
@@ -120,6 +120,7 @@
         self._assignments: dict[DataCentre, Assignment] = {}
         self._pending: dict[RequestId, _PendingRequest] = {}
         self._numbers = itertools.count()
+        self._ending = False
         self._last_used: dict[LinkAddress, float] = {}
         self._pong_events: dict[LinkAddress, Event] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -339,6 +340,17 @@
             gevent.sleep(delay)
         raise AssertionError("unreachable")
 
+    def end_requests(self) -> None:
+        """Give the requests in progress their final outcome.
+
+        A keeper may have sent them, so that only the caller can tell whether
+        they may be repeated.
+        """
+        self._ending = True
+        for number, each in list(self._pending.items()):
+            self._transport.send(each.address, Cancel(number))
+            each.result.set(Response(number, Outcome.UNKNOWN, Reason.SILENT))
+
     def _find_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -348,7 +360,7 @@
     def _may_repeat(
         self, call: Call, response: Response, budget: RetryBudget
     ) -> bool:
-        if response.outcome is Outcome.ANSWERED:
+        if response.outcome is Outcome.ANSWERED or self._ending:
             return False
         if not may_resend(response.outcome, call.match.route.idempotent):
             return False
--- a/sedgetide/daemons/entry.py
+++ b/sedgetide/daemons/entry.py
@@ -29,6 +29,8 @@
 from sedgetide.wire.wsgi import make_handler
 
 _POLL_INTERVAL = 0.02
+# Seconds for sending the answers of the requests that end with the entry.
+_ANSWER_RESERVE = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -82,16 +84,22 @@
         """Report not ready, then stop accepting and finish open requests.
 
         The notice gives the load balancer time to see the readiness probe
-        fail.
+        fail. Requests that are still open at the end get an answer.
         """
         self._frontend.closing = True
         gevent.sleep(self._settings.limits.drain_notice)
         self._server.stop_accepting()
-        deadline = read_clock() + self._settings.limits.drain
-        while self._frontend.in_hand and read_clock() < deadline:
-            gevent.sleep(_POLL_INTERVAL)
+        end = read_clock() + self._settings.limits.drain
+        self._wait_until(end - _ANSWER_RESERVE)
+        self._dispatcher.end_requests()
+        self._wait_until(end)
         _log.info("drained", extra={"in_hand": self._frontend.in_hand})
 
+    def _wait_until(self, end: float) -> None:
+        """Wait until a time, or until no caller waits for an answer."""
+        while self._server.in_hand and read_clock() < end:
+            gevent.sleep(_POLL_INTERVAL)
+
     def is_ready(self) -> bool:
         return (
             not self._frontend.closing
--- a/tests/daemons/test_stop.py
+++ b/tests/daemons/test_stop.py
@@ -8,6 +8,7 @@
 import testtools
 
 from sedgetide.testing.callers import Load
+from sedgetide.testing.fleet import call
 from sedgetide.testing.fleet import Fleet
 from sedgetide.testing.fleet import LONG_TIMEOUT_OPTIONS
 from sedgetide.testing.fleet import wait_for
@@ -69,3 +70,31 @@
         self.assertEqual(0, entry.process.join())
         gevent.sleep(WARM_UP)
         self.check()
+
+
+class LongRequestTest(testtools.TestCase):
+    """Stop of an entry whose requests take longer than it may."""
+
+    def test_request_gets_an_answer_at_the_end(self):
+        # Guards against a connection that is closed without an answer while
+        # an upstream works on the request.
+        text = json.loads((EXAMPLES / "lombardia.json").read_text())
+        limits = {"drain": 1.0, "drain_notice": 0.2}
+        options = {**LONG_TIMEOUT_OPTIONS, "limits": limits}
+        fleet = Fleet(text, upstreams=1, service_ms=2500.0, options=options)
+        self.addCleanup(fleet.close)
+        fleet.start(keepers=2, entries=1)
+        entry = fleet.entries["sala-milano-1"]
+        caller = gevent.spawn(
+            call,
+            entry.settings["listen"],
+            "POST",
+            "/mappa-fumi/alerts/a1",
+            timeout=10.0,
+        )
+        gevent.sleep(0.5)
+        entry.process.terminate()
+        answer = caller.get(timeout=5.0)
+        self.assertEqual(504, answer.status)
+        self.assertEqual("unknown", answer.find_header("sedgetide-outcome"))
+        self.assertEqual(0, entry.process.join())
