--- a/tests/daemons/test_requestrouter.py
+++ b/tests/daemons/test_requestrouter.py
@@ -249,7 +249,6 @@
 class TestPromises(RequestRouterTest):
     """Statuses that tell a caller that its request has not run."""
 
-    @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
         hypothesis.strategies.sampled_from(Outcome),
         hypothesis.strategies.sampled_from(
